--- /dev/null
+++ b/src/bookkeeping/commit.c
@@ -0,0 +1,274 @@
+#include "bookkeeping/commit.h"
+
+#include <string.h>
+
+#include "bookkeeping/budget.h"
+#include "transport/routine.h"
+
+typedef struct piece {
+  char *key;
+  uint64_t version; /* conditions */
+  json_t *value;    /* writes; NULL: delete */
+} piece;
+
+struct fc_write {
+  GArray *conditions, *writes; /* piece */
+  double deadline;
+  fc_routine *waiter;
+  bool decided, in_flight;
+  fc_state_result result;
+  uint64_t revision;
+};
+
+struct fc_commit {
+  fc_state *state;
+  unsigned txn_ops;
+  fc_budget writes, requests;
+  double answer_s;
+  GQueue queue[FC_RANKS];
+  fc_cond work;
+  uint64_t sent;
+};
+
+static void piece_clear(gpointer p) {
+  piece *x = p;
+  g_free(x->key);
+  json_decref(x->value);
+}
+
+fc_write *fc_write_new(void) {
+  fc_write *w = g_new0(fc_write, 1);
+  w->conditions = g_array_new(FALSE, TRUE, sizeof(piece));
+  w->writes = g_array_new(FALSE, TRUE, sizeof(piece));
+  g_array_set_clear_func(w->conditions, piece_clear);
+  g_array_set_clear_func(w->writes, piece_clear);
+  return w;
+}
+
+static void write_free(fc_write *w) {
+  g_array_free(w->conditions, TRUE);
+  g_array_free(w->writes, TRUE);
+  g_free(w);
+}
+
+void fc_write_if(fc_write *w, const char *key, uint64_t version) {
+  piece p = {.key = g_strdup(key), .version = version};
+  g_array_append_val(w->conditions, p);
+}
+
+void fc_write_put(fc_write *w, const char *key, json_t *value) {
+  piece p = {.key = g_strdup(key), .value = value};
+  g_array_append_val(w->writes, p);
+}
+
+void fc_write_delete(fc_write *w, const char *key) {
+  piece p = {.key = g_strdup(key)};
+  g_array_append_val(w->writes, p);
+}
+
+fc_commit *fc_commit_new(fc_state *state, unsigned txn_ops, double writes_per_s, double requests_per_s,
+                         double answer_s) {
+  fc_commit *c = g_new0(fc_commit, 1);
+  c->state = state;
+  /* A transaction larger than a second's worth would never get through. */
+  unsigned burst = writes_per_s < 1 ? 1 : (unsigned)writes_per_s;
+  c->txn_ops = txn_ops < burst ? txn_ops : burst;
+  double now = fc_now();
+  fc_budget_init(&c->writes, writes_per_s, burst, now);
+  fc_budget_init(&c->requests, requests_per_s, requests_per_s < 1 ? 1 : requests_per_s, now);
+  c->answer_s = answer_s;
+  for (int r = 0; r < FC_RANKS; r++) g_queue_init(&c->queue[r]);
+  return c;
+}
+
+static void decide(fc_write *w, fc_state_result result, uint64_t revision) {
+  w->decided = true;
+  w->in_flight = false;
+  w->result = result;
+  w->revision = revision;
+  if (w->waiter) fc_routine_wake(w->waiter);
+}
+
+static bool touches(const GArray *pieces, const char *key) {
+  for (guint i = 0; i < pieces->len; i++)
+    if (strcmp(g_array_index(pieces, piece, i).key, key) == 0) return true;
+  return false;
+}
+
+/* Two writes of one key can't share a transaction, nor can a write share one
+ * with a condition on what it changes. */
+static bool clashes(const GPtrArray *batch, const fc_write *w) {
+  for (guint b = 0; b < batch->len; b++) {
+    const fc_write *o = batch->pdata[b];
+    for (guint i = 0; i < w->writes->len; i++) {
+      const char *key = g_array_index(w->writes, piece, i).key;
+      if (touches(o->writes, key) || touches(o->conditions, key)) return true;
+    }
+    for (guint i = 0; i < w->conditions->len; i++)
+      if (touches(o->writes, g_array_index(w->conditions, piece, i).key)) return true;
+  }
+  return false;
+}
+
+static GPtrArray *gather(fc_commit *c) {
+  GPtrArray *batch = g_ptr_array_new();
+  double now = fc_now();
+  unsigned ops = 0;
+  for (int rank = 0; rank < FC_RANKS; rank++) {
+    for (GList *l = c->queue[rank].head; l;) {
+      fc_write *w = l->data;
+      GList *next = l->next;
+      if (now >= w->deadline) {
+        g_queue_delete_link(&c->queue[rank], l);
+        decide(w, FC_STATE_DOWN, 0);
+      } else if (ops + w->writes->len <= c->txn_ops || batch->len == 0) {
+        if (!clashes(batch, w)) {
+          g_queue_delete_link(&c->queue[rank], l);
+          ops += w->writes->len;
+          w->in_flight = true;
+          g_ptr_array_add(batch, w);
+        }
+      }
+      l = next;
+      if (ops >= c->txn_ops) return batch;
+    }
+  }
+  return batch;
+}
+
+static fc_txn *build(const GPtrArray *batch) {
+  fc_txn *t = fc_txn_new();
+  GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+  for (guint b = 0; b < batch->len; b++) {
+    const fc_write *w = batch->pdata[b];
+    for (guint i = 0; i < w->conditions->len; i++) {
+      const piece *p = &g_array_index(w->conditions, piece, i);
+      /* Writes of one batch that disagree about a version: let the state
+       * service say which is wrong, by asking for both. */
+      char *mark = g_strdup_printf("%s@%" G_GUINT64_FORMAT, p->key, (guint64)p->version);
+      if (g_hash_table_contains(seen, mark)) {
+        g_free(mark);
+        continue;
+      }
+      g_hash_table_add(seen, mark);
+      fc_txn_if(t, p->key, p->version);
+    }
+    for (guint i = 0; i < w->writes->len; i++) {
+      const piece *p = &g_array_index(w->writes, piece, i);
+      if (p->value) {
+        fc_txn_put(t, p->key, json_incref(p->value));
+      } else {
+        fc_txn_delete(t, p->key);
+      }
+    }
+  }
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init(&it, seen);
+  while (g_hash_table_iter_next(&it, &key, NULL)) g_free(key);
+  g_hash_table_destroy(seen);
+  return t;
+}
+
+static void requeue(fc_commit *c, fc_write *w) {
+  w->in_flight = false;
+  /* Ahead of its rank: it has waited longest. The rank is kept in the queue it
+   * came from, which is the one its deadline routine looks through. */
+  g_queue_push_head(&c->queue[FC_RANK_REPORT], w);
+}
+
+static void settle(fc_commit *c, GPtrArray *batch, fc_state_result result, uint64_t revision,
+                   const GPtrArray *failed) {
+  bool blamed = false;
+  if (result == FC_STATE_CONFLICT) {
+    for (guint b = 0; b < batch->len; b++) {
+      fc_write *w = batch->pdata[b];
+      for (guint k = 0; k < failed->len; k++) {
+        if (w->in_flight && touches(w->conditions, failed->pdata[k])) {
+          blamed = true;
+          decide(w, FC_STATE_CONFLICT, 0);
+        }
+      }
+    }
+  }
+  for (guint b = batch->len; b-- > 0;) {
+    fc_write *w = batch->pdata[b];
+    if (w->decided) continue;
+    if (result == FC_STATE_CONFLICT && blamed) {
+      requeue(c, w);
+    } else if (result == FC_STATE_BUSY || result == FC_STATE_DOWN) {
+      requeue(c, w);
+    } else {
+      decide(w, result, revision);
+    }
+  }
+}
+
+void fc_commit_main(void *arg) {
+  fc_commit *c = arg;
+  while (!fc_routine_cancelled()) {
+    GPtrArray *batch = gather(c);
+    if (batch->len == 0) {
+      g_ptr_array_free(batch, TRUE);
+      fc_cond_wait(&c->work, fc_now() + 1.0);
+      continue;
+    }
+    fc_txn *t = build(batch);
+    double n = (double)fc_txn_writes(t);
+    if (n > c->writes.burst) n = c->writes.burst;
+    for (;;) {
+      double now = fc_now();
+      double wait = fc_budget_wait(&c->writes, n, 0, now);
+      double wait2 = fc_budget_wait(&c->requests, 1, 0, now);
+      if (wait2 > wait) wait = wait2;
+      if (wait <= 0) break;
+      if (fc_routine_sleep(wait) == FC_WAKE_CANCELLED) break;
+    }
+    (void)fc_budget_take(&c->writes, n, 0, fc_now());
+    (void)fc_budget_take(&c->requests, 1, 0, fc_now());
+    GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
+    uint64_t revision = 0;
+    c->sent++;
+    fc_state_result result = fc_state_commit(c->state, t, fc_now() + c->answer_s, &revision, failed);
+    settle(c, batch, result, revision, failed);
+    g_ptr_array_free(failed, TRUE);
+    g_ptr_array_free(batch, TRUE);
+    fc_txn_free(t);
+    if (result == FC_STATE_BUSY || result == FC_STATE_DOWN) {
+      /* Jitter, or all controllers come back at the same moment. */
+      if (fc_routine_sleep(g_random_double_range(0.1, 0.4)) == FC_WAKE_CANCELLED) break;
+    }
+  }
+}
+
+fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline,
+                                uint64_t *revision) {
+  w->deadline = deadline;
+  w->waiter = fc_routine_self();
+  g_queue_push_tail(&c->queue[rank], w);
+  fc_cond_broadcast(&c->work);
+  while (!w->decided) {
+    /* A write in flight is waited for: its outcome is what the caller needs. */
+    fc_wake wake = fc_routine_park(w->in_flight ? fc_now() + c->answer_s : deadline);
+    if (w->decided || wake == FC_WAKE_OK) continue;
+    if (!w->in_flight) {
+      for (int r = 0; r < FC_RANKS; r++) g_queue_remove(&c->queue[r], w);
+      decide(w, FC_STATE_DOWN, 0);
+    } else if (wake == FC_WAKE_CANCELLED) {
+      w->waiter = NULL;
+      return FC_STATE_UNKNOWN; /* the batch still holds it; it is freed with the process */
+    }
+  }
+  fc_state_result result = w->result;
+  if (revision) *revision = w->revision;
+  write_free(w);
+  return result;
+}
+
+bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s) {
+  guint ahead = 0;
+  for (int r = 0; r <= (int)rank; r++) ahead += g_queue_get_length((GQueue *)&c->queue[r]);
+  return ahead < c->writes.per_s * wait_s + c->writes.burst;
+}
+
+uint64_t fc_commit_sent(const fc_commit *c) { return c->sent; }
--- /dev/null
+++ b/src/bookkeeping/commit.h
@@ -0,0 +1,37 @@
+/* Group commit: writes of many routines go out together, within the limits of
+ * a transaction and of this member's share of the write rate, in ranks. */
+#ifndef FC_BOOKKEEPING_COMMIT_H
+#define FC_BOOKKEEPING_COMMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "protocol/state_api.h"
+
+/* Overload: reports of workers first, then decisions, then submissions. */
+typedef enum { FC_RANK_REPORT, FC_RANK_DECISION, FC_RANK_SUBMISSION, FC_RANKS } fc_write_rank;
+
+typedef struct fc_commit fc_commit;
+typedef struct fc_write fc_write;
+
+fc_commit *fc_commit_new(fc_state *state, unsigned txn_ops, double writes_per_s, double requests_per_s,
+                         double answer_s);
+/* The routine that sends; runs until cancelled. */
+void fc_commit_main(void *commit);
+
+fc_write *fc_write_new(void);
+void fc_write_if(fc_write *w, const char *key, uint64_t version);
+void fc_write_put(fc_write *w, const char *key, json_t *value); /* takes the reference */
+void fc_write_delete(fc_write *w, const char *key);
+
+/* Waits until the write is decided. Consumes `w`. CONFLICT: a condition of this
+ * write failed. DOWN: certainly not executed (also: not before the deadline).
+ * UNKNOWN: read before deciding. */
+fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline,
+                                uint64_t *revision);
+/* Does the queue of this rank have room for another write within wait_s? */
+bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s);
+/* Transactions sent so far, for the metrics. */
+uint64_t fc_commit_sent(const fc_commit *c);
+
+#endif
--- /dev/null
+++ b/src/bookkeeping/table.c
@@ -0,0 +1,313 @@
+#include "bookkeeping/table.h"
+
+#include <string.h>
+
+#include "coordination/deal.h"
+
+#define IMAGES_MOST 64u
+
+static void job_free(gpointer p) {
+  fc_job *j = p;
+  fc_job_spec_clear(&j->spec);
+  g_free(j->done);
+  g_free(j->handed_to);
+  g_ptr_array_free(j->placements, TRUE);
+  if (j->failed_on) g_hash_table_destroy(j->failed_on);
+  g_free(j);
+}
+
+static void machine_free(gpointer p) {
+  fc_machine *m = p;
+  for (guint i = 0; i < m->placements->len; i++) g_free(m->placements->pdata[i]);
+  g_ptr_array_free(m->placements, TRUE);
+  g_ptr_array_free(m->images, TRUE);
+  g_free(m);
+}
+
+fc_table *fc_table_new(const fc_settings *settings) {
+  fc_table *t = g_new0(fc_table, 1);
+  t->settings = settings;
+  t->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+  t->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+  t->types = g_ptr_array_new_with_free_func(fc_machine_type_free);
+  t->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  t->self = -1;
+  return t;
+}
+
+void fc_table_free(fc_table *t) {
+  if (!t) return;
+  g_hash_table_destroy(t->jobs);
+  g_hash_table_destroy(t->machines);
+  g_ptr_array_free(t->types, TRUE);
+  g_hash_table_destroy(t->hires);
+  g_hash_table_destroy(t->members);
+  g_free(t);
+}
+
+fc_job *fc_table_job(const fc_table *t, const char *id) { return g_hash_table_lookup(t->jobs, id); }
+fc_machine *fc_table_machine(const fc_table *t, const char *id) { return g_hash_table_lookup(t->machines, id); }
+
+int fc_table_type(const fc_table *t, const char *name) {
+  for (guint i = 0; i < t->types->len; i++) {
+    const fc_machine_type *type = t->types->pdata[i];
+    if (strcmp(type->name, name) == 0) return (int)i;
+  }
+  return -1;
+}
+
+fc_machine *fc_table_machine_add(fc_table *t, const char *id, double now) {
+  fc_machine *m = fc_table_machine(t, id);
+  if (m) return m;
+  m = g_new0(fc_machine, 1);
+  g_strlcpy(m->id, id, sizeof m->id);
+  m->type = -1;
+  m->owner = -1;
+  m->first_seen = m->owned_since = m->idle_since = now;
+  m->placements = g_ptr_array_new();
+  m->images = g_ptr_array_new_with_free_func((GDestroyNotify)g_ref_string_release);
+  g_hash_table_insert(t->machines, m->id, m);
+  return m;
+}
+
+/* Placements adopted before the job's record was seen belong to it too. */
+static void link_placements(fc_table *t, fc_job *j) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    for (guint i = 0; i < m->placements->len; i++) {
+      fc_placement *p = m->placements->pdata[i];
+      if (p->job || strcmp(p->job_id, j->spec.id) != 0) continue;
+      p->job = j;
+      g_ptr_array_add(j->placements, p);
+    }
+  }
+}
+
+fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
+                         double now) {
+  fc_job *j = fc_table_job(t, id);
+  if (j && j->version >= version) return j;
+  bool is_new = !j;
+  if (is_new) {
+    fc_job_record copy;
+    json_t *v = fc_job_record_encode(&r->spec, r->phase, r->done, r->handed_to);
+    bool ok = fc_job_record_decode(v, &copy);
+    json_decref(v);
+    if (!ok) return NULL;
+    j = g_new0(fc_job, 1);
+    j->spec = copy.spec;
+    g_free(copy.done);
+    g_free(copy.handed_to);
+    j->done = g_new0(uint8_t, (j->spec.tasks + 7) / 8);
+    j->placements = g_ptr_array_new();
+    j->team = fc_settings_team(t->settings, j->spec.team);
+    j->clear = fresh;
+    j->seen_at = now;
+    j->serial = t->next_serial++;
+    g_hash_table_insert(t->jobs, j->spec.id, j);
+  }
+  bool was_mine = fc_deal_job(&t->term, id, j->handed_to) == t->self;
+  if (!fc_ranges_decode(r->done, j->done, j->spec.tasks)) g_warning("job %s: bad ranges", id);
+  j->done_count = 0;
+  for (uint32_t i = 0; i < j->spec.tasks; i++) j->done_count += fc_job_task_done(j, i);
+  j->phase = r->phase;
+  j->version = version;
+  if (g_strcmp0(j->handed_to, r->handed_to) != 0) {
+    g_free(j->handed_to);
+    j->handed_to = g_strdup(r->handed_to);
+    /* Only a job with nothing anywhere is handed over, by the one who knows. */
+    if (!was_mine && !is_new) j->clear = true;
+  }
+  if (is_new) link_placements(t, j);
+  return j;
+}
+
+bool fc_job_task_done(const fc_job *j, uint32_t index) { return j->done[index / 8] >> (index % 8) & 1; }
+
+fc_placement *fc_table_place(fc_table *t, fc_machine *m, const char *job_id, uint32_t index, uint64_t attempt,
+                             double now) {
+  fc_placement *p = g_new0(fc_placement, 1);
+  p->machine = m;
+  g_strlcpy(p->job_id, job_id, sizeof p->job_id);
+  p->index = index;
+  p->attempt = attempt;
+  p->since = now;
+  p->job = fc_table_job(t, job_id);
+  g_ptr_array_add(m->placements, p);
+  if (p->job) g_ptr_array_add(p->job->placements, p);
+  m->idle_since = 0;
+  return p;
+}
+
+fc_placement *fc_machine_find(const fc_machine *m, const char *job_id, uint32_t index, uint64_t attempt) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (p->index == index && p->attempt == attempt && strcmp(p->job_id, job_id) == 0) return p;
+  }
+  return NULL;
+}
+
+void fc_table_unplace(fc_table *t, fc_placement *p) {
+  (void)t;
+  if (p->job) g_ptr_array_remove_fast(p->job->placements, p);
+  g_ptr_array_remove_fast(p->machine->placements, p);
+  g_free(p);
+}
+
+void fc_machine_clear(fc_table *t, fc_machine *m) {
+  while (m->placements->len > 0) fc_table_unplace(t, m->placements->pdata[m->placements->len - 1]);
+}
+
+void fc_table_remove_machine(fc_table *t, fc_machine *m) {
+  fc_machine_clear(t, m);
+  g_hash_table_remove(t->machines, m->id);
+}
+
+bool fc_placement_live(const fc_placement *p) { return p->state != FC_TASK_EXITED; }
+
+void fc_room_take(fc_room *r, const fc_job_spec *s) {
+  r->cpus -= s->cpus;
+  r->gpus -= s->gpus;
+  r->memory_gb -= s->memory_gb;
+}
+
+fc_room fc_machine_room(const fc_table *t, const fc_machine *m) {
+  fc_room r = {0, 0, 0};
+  if (m->type < 0) return r;
+  const fc_machine_type *type = t->types->pdata[m->type];
+  r = (fc_room){type->cpus, type->gpus, type->memory_gb};
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    if (!fc_placement_live(p)) continue;
+    /* What we know nothing of may take all there is. */
+    if (!p->job) return (fc_room){0, 0, 0};
+    fc_room_take(&r, &p->job->spec);
+  }
+  return r;
+}
+
+bool fc_room_fits(const fc_room *r, const fc_job_spec *s) {
+  const double slack = 1e-6;
+  return r->cpus + slack >= s->cpus && r->gpus + slack >= s->gpus && r->memory_gb + slack >= s->memory_gb;
+}
+
+void fc_machine_used_image(fc_machine *m, GRefString *image) {
+  for (guint i = 0; i < m->images->len; i++) {
+    if (strcmp(m->images->pdata[i], image) != 0) continue;
+    gpointer kept = g_ptr_array_steal_index(m->images, i);
+    g_ptr_array_add(m->images, kept);
+    return;
+  }
+  if (m->images->len == IMAGES_MOST) g_ptr_array_remove_index(m->images, 0);
+  g_ptr_array_add(m->images, g_ref_string_acquire(image));
+}
+
+bool fc_machine_has_image(const fc_machine *m, const char *image) {
+  for (guint i = 0; i < m->images->len; i++)
+    if (strcmp(m->images->pdata[i], image) == 0) return true;
+  return false;
+}
+
+bool fc_job_allows(const fc_job_spec *s, const char *type, const char *zone, bool spot) {
+  if (spot && !s->spot) return false;
+  if (s->zone && strcmp(s->zone, zone) != 0) return false;
+  if (!s->types) return true;
+  for (char **t = s->types; *t; t++)
+    if (strcmp(*t, type) == 0) return true;
+  return false;
+}
+
+void fc_table_usage(const fc_table *t, int owner, int team, double *cpus, double *gpus) {
+  *cpus = *gpus = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->owner != owner) continue;
+    for (guint i = 0; i < m->placements->len; i++) {
+      const fc_placement *p = m->placements->pdata[i];
+      if (!fc_placement_live(p) || !p->job || p->job->team != team) continue;
+      *cpus += p->job->spec.cpus;
+      *gpus += p->job->spec.gpus;
+    }
+  }
+}
+
+fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running) {
+  *running = 0;
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (p->state == FC_TASK_RUNNING || p->state == FC_TASK_SAVING) ++*running;
+  }
+  if (j->phase == FC_PHASE_DONE) return FC_STATUS_DONE;
+  if (j->phase == FC_PHASE_CANCELLED) return FC_STATUS_CANCELLED;
+  return *running > 0 ? FC_STATUS_RUNNING : FC_STATUS_PENDING;
+}
+
+void fc_table_derive_owner(fc_table *t, fc_machine *m, double now) {
+  int owner = m->version ? fc_deal_machine(&t->term, m->id, m->rec.owner) : -1;
+  if (owner == m->owner) return;
+  m->owner = owner;
+  /* Whoever owns it now has to fence and adopt it first. */
+  m->settled_term = 0;
+  m->owned_since = now;
+  m->closed = false;
+  m->reported = false;
+}
+
+void fc_table_set_term(fc_table *t, const fc_term *term, uint64_t version, bool continuous, double now) {
+  fc_term old = t->term;
+  int old_self = t->self;
+  t->term = *term;
+  t->term_version = version;
+  t->self = fc_term_find(term, t->settings->name);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    /* A term we have missed may have dealt the job away and back. */
+    bool kept = continuous && term->number == old.number + 1 && old_self >= 0 && fc_deal_job(&old, j->spec.id, j->handed_to) == old_self &&
+                t->self >= 0 && fc_deal_job(term, j->spec.id, j->handed_to) == t->self;
+    if (!kept) j->clear = false;
+  }
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    /* A machine that stays with the process that has settled it needs no new
+     * fence: nobody else could command it in between. That must be recorded;
+     * a dealt owner may have changed and changed back. */
+    bool kept = continuous && m->owner == old_self && old_self >= 0 && t->self >= 0 &&
+                m->settled_term == old.number && strcmp(m->rec.owner, t->settings->name) == 0;
+    m->owner = m->version ? fc_deal_machine(term, m->id, m->rec.owner) : -1;
+    if (kept && m->owner == t->self) {
+      m->settled_term = term->number;
+    } else {
+      m->settled_term = 0;
+      m->owned_since = now;
+      m->reported = false;
+      m->closed = false;
+    }
+  }
+}
+
+bool fc_table_check_settled(fc_table *t) {
+  if (t->settled_latch == t->term.number && t->term_version) return true;
+  if (!t->term_version || t->self < 0) return false;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->version && m->settled_term != t->term.number) return false;
+  }
+  t->settled_latch = t->term.number;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) ((fc_job *)value)->clear = true;
+  return true;
+}
--- /dev/null
+++ b/src/bookkeeping/table.h
@@ -0,0 +1,150 @@
+/* What this controller knows: jobs, machines, and which tasks are where.
+ * Rebuilt from the state service and from reports; nothing here does I/O. */
+#ifndef FC_BOOKKEEPING_TABLE_H
+#define FC_BOOKKEEPING_TABLE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "protocol/cloud_api.h"
+#include "protocol/job.h"
+#include "protocol/records.h"
+#include "protocol/settings.h"
+#include "protocol/worker.h"
+
+typedef struct fc_job fc_job;
+typedef struct fc_machine fc_machine;
+
+/* One attempt of one task on one machine, from the decision to start it until
+ * the machine is known to be without it. */
+typedef struct fc_placement {
+  fc_machine *machine;
+  fc_job *job; /* NULL: the job's record has not been seen */
+  char job_id[32];
+  uint32_t index;
+  uint64_t attempt;
+  fc_task_state state;
+  fc_exit_cause cause;
+  bool reported;      /* the machine has named it in a report */
+  bool sent;          /* a start may have reached the machine */
+  uint64_t sent_seq;  /* the report whose answer carried the start last */
+  uint64_t sent_session;
+  enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
+  bool stopping;      /* a stop is to be sent until the task exits */
+  double grace_s;
+  bool recorded;      /* its end is in the state service, or needs no record */
+  double since;       /* when it was placed or adopted */
+  double running_since; /* 0: not yet */
+} fc_placement;
+
+struct fc_job {
+  fc_job_spec spec;
+  fc_phase phase;
+  uint64_t version; /* of the record */
+  uint8_t *done;    /* bitmap */
+  uint32_t done_count;
+  char *handed_to;
+  int team; /* index into the settings; -1: not there any more */
+  GPtrArray *placements;
+  bool clear;      /* nothing of it can be anywhere that we do not know of */
+  double seen_at;  /* steady time when we first saw it */
+  double blocked_until;
+  unsigned failures; /* tasks that ended by error, lately */
+  uint64_t serial; /* order of being seen */
+  GHashTable *failed_on; /* machine ids where a task of it failed; NULL: none */
+};
+
+struct fc_machine {
+  char id[64];
+  fc_machine_record rec; /* endpoint, type, zone, recorded owner */
+  uint64_t version;      /* of the record; 0: no record, must not be used */
+  bool writing;          /* a change of the record is under way */
+  int type;              /* index into the types; -1: not known */
+  int owner;             /* index into the present term; -1: none */
+  uint64_t settled_term; /* fenced and adopted, or proved gone, in this term */
+  uint64_t session, seq; /* of the newest report */
+  uint64_t seen_token;   /* the highest the worker has told of */
+  bool reported;         /* a report has come to us in this life */
+  double answered_at;    /* when we last answered a report with 200 */
+  double owned_since;    /* when we became its owner, as far as we know */
+  double heard_at;       /* when the last report or direct answer came */
+  double first_seen;     /* when we first knew of it */
+  double notice_until;   /* the cloud takes it then; 0: no notice */
+  double idle_since;     /* 0: in use */
+  bool closed;           /* takes no new tasks: to be drained or returned */
+  bool releasing;
+  bool fencing;          /* a direct fencing call is under way */
+  bool ordering;         /* a direct command is under way */
+  bool remote_closed;    /* its owner said so */
+  unsigned errors;       /* tasks that failed here, net of tasks that did well */
+  GPtrArray *placements;
+  GPtrArray *images;     /* GRefString, most recently used last */
+};
+
+typedef struct fc_table {
+  const fc_settings *settings;
+  GHashTable *jobs;     /* id -> fc_job */
+  GHashTable *machines; /* id -> fc_machine */
+  GPtrArray *types;     /* fc_machine_type; empty: not known yet */
+  GHashTable *hires;    /* name -> fc_hire_record */
+  GHashTable *members;  /* name -> version of the member's key (guint64*) */
+  fc_term term;
+  uint64_t term_version; /* of the stored record; 0: none seen */
+  fc_quota_record quota;
+  uint64_t quota_version;
+  uint64_t settled_latch; /* term in which every machine has been settled */
+  uint64_t next_serial;
+  int self; /* index in the term; -1: not a member */
+} fc_table;
+
+fc_table *fc_table_new(const fc_settings *settings);
+void fc_table_free(fc_table *t);
+
+fc_job *fc_table_job(const fc_table *t, const char *id);
+fc_machine *fc_table_machine(const fc_table *t, const char *id);
+/* Creates it when it is not there. */
+fc_machine *fc_table_machine_add(fc_table *t, const char *id, double now);
+int fc_table_type(const fc_table *t, const char *name);
+
+/* A job's record as stored; newer versions only. `fresh`: the record was first
+ * seen as a change inside the present term, so nobody placed it before. */
+fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
+                         double now);
+bool fc_job_task_done(const fc_job *j, uint32_t index);
+/* Removes the machine and every placement on it: it is proved gone. */
+void fc_table_remove_machine(fc_table *t, fc_machine *m);
+
+fc_placement *fc_table_place(fc_table *t, fc_machine *m, const char *job_id, uint32_t index, uint64_t attempt,
+                             double now);
+fc_placement *fc_machine_find(const fc_machine *m, const char *job_id, uint32_t index, uint64_t attempt);
+void fc_table_unplace(fc_table *t, fc_placement *p);
+void fc_machine_clear(fc_table *t, fc_machine *m);
+
+/* Does it take room on its machine? Everything does that has not exited. */
+bool fc_placement_live(const fc_placement *p);
+typedef struct fc_room {
+  double cpus, gpus, memory_gb;
+} fc_room;
+/* Room left; zero when the type is unknown. */
+fc_room fc_machine_room(const fc_table *t, const fc_machine *m);
+bool fc_room_fits(const fc_room *r, const fc_job_spec *s);
+void fc_room_take(fc_room *r, const fc_job_spec *s);
+void fc_machine_used_image(fc_machine *m, GRefString *image);
+bool fc_machine_has_image(const fc_machine *m, const char *image);
+
+/* May the job run on such a machine at all? */
+bool fc_job_allows(const fc_job_spec *s, const char *type, const char *zone, bool spot);
+/* What the tasks on machines of member `owner` use of a team's limit. */
+void fc_table_usage(const fc_table *t, int owner, int team, double *cpus, double *gpus);
+fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running);
+
+/* A new term: owners are derived again. `continuous`: this process was a
+ * member, in this same life, of the term before. */
+void fc_table_set_term(fc_table *t, const fc_term *term, uint64_t version, bool continuous, double now);
+/* Derives a machine's owner after its record changed. */
+void fc_table_derive_owner(fc_table *t, fc_machine *m, double now);
+/* Latches once every recorded machine is settled in the present term. */
+bool fc_table_check_settled(fc_table *t);
+
+#endif
--- /dev/null
+++ b/src/controller/controller.h
@@ -0,0 +1,92 @@
+/* One controller: its knowledge, its right to act, and its duties. Each duty
+ * is a routine; they share this struct and give way only inside waits. */
+#ifndef FC_CONTROLLER_CONTROLLER_H
+#define FC_CONTROLLER_CONTROLLER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bookkeeping/budget.h"
+#include "bookkeeping/commit.h"
+#include "bookkeeping/table.h"
+#include "coordination/right.h"
+#include "protocol/cloud_api.h"
+#include "protocol/frame.h"
+#include "protocol/json.h"
+#include "protocol/settings.h"
+#include "protocol/state_api.h"
+#include "transport/routine.h"
+
+typedef struct fc_peer {
+  const fc_peer_settings *settings;
+  double promised_until; /* we commit no term without it before this */
+  uint64_t acked_term;   /* the term it last acknowledged */
+  double heard_at;
+} fc_peer;
+
+typedef struct fc_controller {
+  const fc_settings *settings;
+  fc_table *table;
+  fc_state *state;
+  fc_cloud *cloud;
+  fc_commit *commit;
+  fc_budget cloud_budget;
+  fc_right right;
+  fc_peer peers[FC_MEMBERS_MAX];
+
+  uint64_t boot;  /* this life's number; 0: none drawn yet */
+  uint64_t lease; /* 0: none */
+  double entered_at;
+  bool term_unknown; /* a term transaction may still be applied */
+
+  double term_since;   /* when we learned of the present term */
+  double all_acked_at; /* when every other member had acknowledged it; 0: not yet */
+
+  bool loaded;
+  uint64_t revision;  /* everything up to here is in the table */
+  double fresh_sent;  /* when the last successful read of changes was sent */
+  unsigned readers;   /* routines that wait for a fresh read */
+  fc_cond changed;    /* a read of changes was applied */
+  fc_cond round_now;  /* a job or room arrived: place at once */
+  fc_cond view_now;   /* peers should hear of a change */
+  fc_cond read_now;   /* somebody waits for a fresh read */
+  fc_cond wake_writer;
+
+  /* While a write of ours is undecided, the lower of it and the record counts. */
+  double share_cap_cpus[FC_TEAMS_MAX], share_cap_gpus[FC_TEAMS_MAX];
+
+  uint64_t attempt_counter;
+  uint64_t hire_counter;
+  double types_at; /* when the machine types were last read */
+  GHashTable *recording; /* ids of jobs whose ends are being written */
+} fc_controller;
+
+/* May we answer workers, command them and give final answers now? */
+bool fc_may_act(const fc_controller *c);
+/* Waits until everything that was committed before this call is in the table. */
+bool fc_wait_fresh(fc_controller *c, double deadline);
+/* Waits until the table holds the given revision. */
+bool fc_wait_revision(fc_controller *c, uint64_t revision, double deadline);
+bool fc_state_reachable(const fc_controller *c);
+
+/* Duties. */
+void fc_watch_main(void *controller);
+void fc_commit_duty(void *controller);
+void fc_member_main(void *controller);
+void fc_round_main(void *controller);
+void fc_rent_main(void *controller);
+bool fc_front_start(fc_controller *c);
+bool fc_peers_start(fc_controller *c);
+
+/* workers.c */
+void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out);
+/* Sends what the machine is owed (starts, stops, clears) or, when it is not
+ * settled yet, an empty command that fences it. */
+void fc_workers_push(fc_controller *c, fc_machine *m);
+/* Writes the ends of a job's tasks to the state service. */
+void fc_workers_record(fc_controller *c, const char *job_id);
+/* Silent for so long that its worker has given up all its tasks? */
+void fc_workers_expire(fc_controller *c);
+
+#endif
--- /dev/null
+++ b/src/controller/duties.h
@@ -0,0 +1,12 @@
+/* Duties that only the assembly and the round need to know of. */
+#ifndef FC_CONTROLLER_DUTIES_H
+#define FC_CONTROLLER_DUTIES_H
+
+#include "controller/controller.h"
+#include "scheduler/place.h"
+
+void fc_quota_main(void *controller);
+/* What this part may start now for each team. */
+void fc_quota_allowance(const fc_controller *c, fc_allowance *out);
+
+#endif
--- /dev/null
+++ b/src/controller/front.c
@@ -0,0 +1,233 @@
+/* The listener for users, workers and health checks. */
+#include <string.h>
+
+#include "controller/controller.h"
+#include "transport/http.h"
+
+static void say(fc_http_response *res, int status, const char *error) {
+  res->status = status;
+  fc_error_answer(res->body, error);
+}
+
+/* Refused for now: at once, and with the time to come back. */
+static void later(fc_http_response *res, int status, const char *error) {
+  say(res, status, error);
+  res->retry_after_s = 1;
+}
+
+static void answer_job(fc_http_response *res, int status, const fc_job *j, bool counts) {
+  uint32_t running;
+  fc_job_status st = fc_job_status_of(j, &running);
+  res->status = status;
+  fc_job_answer(res->body, j->spec.id, st, j->done_count, running, counts);
+}
+
+static bool final(const fc_job *j) { return j->phase != FC_PHASE_ACCEPTED; }
+
+/* Why a job can never run; NULL when it can. */
+static const char *impossible(const fc_controller *c, const fc_job_spec *s) {
+  int team = fc_settings_team(c->settings, s->team);
+  if (team < 0) return "club: unknown team";
+  const fc_team_settings *ts = &c->settings->teams[team];
+  double n = s->kind == FC_KIND_ARRAY ? 1 : s->tasks;
+  const double slack = 1e-6;
+  if ((ts->cpus_max > 0 && s->cpus * n > ts->cpus_max + slack) || (ts->gpus_max > 0 && s->gpus * n > ts->gpus_max + slack))
+    return "club: needs more than the team's limit";
+  for (guint i = 0; i < c->table->types->len; i++) {
+    const fc_machine_type *mt = c->table->types->pdata[i];
+    fc_room room = {mt->cpus, mt->gpus, mt->memory_gb};
+    if (!fc_room_fits(&room, s)) continue;
+    for (char **z = mt->zones; *z; z++)
+      if (fc_job_allows(s, mt->name, *z, false)) return NULL;
+  }
+  return "builds: a task fits no allowed machine type";
+}
+
+static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
+  fc_job_spec spec;
+  char error[200];
+  double deadline = fc_now() + c->settings->report_s;
+  if (!fc_job_spec_parse(req->body, req->body_len, &spec, error, sizeof error)) {
+    /* A repeat of a known job is answered whatever else its body says. */
+    say(res, 400, error);
+    return;
+  }
+  fc_job *j = c->loaded ? fc_table_job(c->table, spec.id) : NULL;
+  if (j && (final(j) || fc_wait_fresh(c, deadline))) {
+    answer_job(res, 200, j, false);
+    goto out;
+  }
+  if (j || !fc_state_reachable(c)) {
+    later(res, 503, "the state service can't be reached");
+    goto out;
+  }
+  if (c->table->types->len == 0) {
+    later(res, 503, "machine types are not known yet");
+    goto out;
+  }
+  const char *why = impossible(c, &spec);
+  if (why) {
+    /* What was accepted once is never refused: be sure it is not known. */
+    if (!fc_wait_fresh(c, deadline)) {
+      later(res, 503, "the state service can't be reached");
+    } else if ((j = fc_table_job(c->table, spec.id))) {
+      answer_job(res, 200, j, false);
+    } else {
+      say(res, 422, why);
+    }
+    goto out;
+  }
+  if (!fc_commit_accepts(c->commit, FC_RANK_SUBMISSION, 1.0)) {
+    later(res, 429, "more submissions than can be written");
+    goto out;
+  }
+  char *key = g_strconcat(FC_PREFIX_JOB, spec.id, NULL);
+  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, NULL);
+  GString *size = g_string_new(NULL);
+  fc_json_append(size, json_incref(record));
+  bool too_large = size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
+  g_string_free(size, TRUE);
+  if (too_large) {
+    json_decref(record);
+    g_free(key);
+    say(res, 400, "body: description too large");
+    goto out;
+  }
+  fc_write *w = fc_write_new();
+  fc_write_if(w, key, 0);
+  fc_write_put(w, key, record);
+  g_free(key);
+  uint64_t revision = 0;
+  fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_SUBMISSION, deadline, &revision);
+  if (r == FC_STATE_OK) {
+    res->status = 201;
+    fc_job_answer(res->body, spec.id, FC_STATUS_PENDING, 0, 0, false);
+  } else if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline) && (j = fc_table_job(c->table, spec.id))) {
+    answer_job(res, 200, j, false);
+  } else {
+    later(res, 503, "not written; ask again");
+  }
+out:
+  fc_job_spec_clear(&spec);
+}
+
+static void poll(fc_controller *c, const char *id, fc_http_response *res) {
+  fc_job *j = c->loaded ? fc_table_job(c->table, id) : NULL;
+  if (j && final(j)) {
+    answer_job(res, 200, j, true);
+    return;
+  }
+  if (!fc_job_id_valid(id)) {
+    say(res, 404, "no such job");
+    return;
+  }
+  /* Anything that may change has to be proved current (read index). */
+  if (!c->loaded || !fc_wait_fresh(c, fc_now() + c->settings->report_s * 0.5)) {
+    later(res, 503, "the state service can't be reached");
+    return;
+  }
+  j = fc_table_job(c->table, id);
+  if (j) {
+    answer_job(res, 200, j, true);
+  } else {
+    say(res, 404, "no such job");
+  }
+}
+
+static void withdraw(fc_controller *c, const char *id, fc_http_response *res) {
+  double deadline = fc_now() + c->settings->report_s;
+  bool fresh = false;
+  for (;;) {
+    fc_job *j = c->loaded ? fc_table_job(c->table, id) : NULL;
+    if (j && final(j)) {
+      answer_job(res, 200, j, false);
+      return;
+    }
+    if (!fresh) {
+      if (!c->loaded || !fc_wait_fresh(c, deadline)) break;
+      fresh = true;
+      continue;
+    }
+    if (!j) {
+      say(res, 404, "no such job");
+      return;
+    }
+    char *key = g_strconcat(FC_PREFIX_JOB, id, NULL);
+    char *ranges = fc_ranges_encode(j->done, j->spec.tasks);
+    fc_write *w = fc_write_new();
+    fc_write_if(w, key, j->version);
+    fc_write_put(w, key, fc_job_record_encode(&j->spec, FC_PHASE_CANCELLED, ranges, j->handed_to));
+    g_free(key);
+    g_free(ranges);
+    uint64_t revision = 0;
+    fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_REPORT, deadline, &revision);
+    if (r == FC_STATE_OK) {
+      res->status = 200;
+      fc_job_answer(res->body, id, FC_STATUS_CANCELLED, 0, 0, false);
+      return;
+    }
+    fresh = false;
+    if (r != FC_STATE_CONFLICT) break;
+  }
+  later(res, 503, "not written; ask again");
+}
+
+static bool is_ready(const fc_controller *c) { return fc_state_reachable(c) && c->table->types->len > 0; }
+
+static bool method_is(const fc_http_request *req, fc_http_response *res, const char *method) {
+  if (strcmp(req->method, method) == 0) return true;
+  say(res, 405, "wrong method");
+  res->allow = method;
+  return false;
+}
+
+static void jobs_path(fc_controller *c, const fc_http_request *req, fc_http_response *res, const char *rest) {
+  const char *slash = strchr(rest, '/');
+  if (!slash) {
+    if (method_is(req, res, "GET")) poll(c, rest, res);
+    return;
+  }
+  if (strcmp(slash, "/withdraw") != 0) {
+    say(res, 404, "no such path");
+    return;
+  }
+  if (!method_is(req, res, "POST")) return;
+  char *id = g_strndup(rest, (gsize)(slash - rest));
+  if (fc_job_id_valid(id)) {
+    withdraw(c, id, res);
+  } else {
+    say(res, 404, "no such job");
+  }
+  g_free(id);
+}
+
+static void handle(const fc_http_request *req, fc_http_response *res, void *arg) {
+  fc_controller *c = arg;
+  if (strcmp(req->path, "/checkin") == 0) {
+    if (method_is(req, res, "POST")) fc_workers_report(c, req->body, req->body_len, &res->status, res->body);
+  } else if (strcmp(req->path, "/api/jobs") == 0) {
+    if (method_is(req, res, "POST")) submit(c, req, res);
+  } else if (g_str_has_prefix(req->path, "/api/jobs/")) {
+    jobs_path(c, req, res, req->path + strlen("/api/jobs/"));
+  } else if (strcmp(req->path, "/ready") == 0) {
+    if (!method_is(req, res, "GET")) return;
+    if (is_ready(c)) {
+      res->status = 200;
+      g_string_append(res->body, "{\"ready\":true}");
+    } else {
+      later(res, 503, "not ready");
+    }
+  } else {
+    say(res, 404, "no such path");
+  }
+}
+
+bool fc_front_start(fc_controller *c) {
+  /* Sockets are left for peers, the state service, the cloud and commands. */
+  fc_http_server_options opt = {
+      .most_connections = c->settings->fd_limit * 3 / 4,
+      .idle_s = MAX(c->settings->lease_s * 4, 30.0),
+      .request_s = c->settings->report_s * 2,
+  };
+  return fc_http_serve(&c->settings->client_at, &opt, handle, c);
+}
--- /dev/null
+++ b/src/controller/peers.c
@@ -0,0 +1,217 @@
+/* The peer link: each controller sends its view of its own machines to every
+ * other and is answered with an acknowledgement that may carry a promise. */
+#include <string.h>
+
+#include "controller/controller.h"
+
+typedef struct link_arg {
+  fc_controller *c;
+  fc_peer *peer;
+} link_arg;
+
+static bool read_exact(fc_conn *conn, uint8_t *out, size_t n, double deadline) {
+  while (n > 0) {
+    ssize_t got = fc_conn_read(conn, out, n, deadline);
+    if (got <= 0) return false;
+    out += got;
+    n -= (size_t)got;
+  }
+  return true;
+}
+
+/* Reads one frame; the body is the caller's. */
+static uint8_t *read_frame(fc_conn *conn, double deadline, fc_frame_type *type, uint32_t *len) {
+  uint8_t head[FC_FRAME_HEAD];
+  if (!read_exact(conn, head, sizeof head, deadline) || !fc_frame_head(head, type, len)) return NULL;
+  uint8_t *body = g_malloc(*len + 1);
+  if (read_exact(conn, body, *len, deadline)) return body;
+  g_free(body);
+  return NULL;
+}
+
+static void fill_tasks(const fc_machine *m, fc_frame_machine *out) {
+  out->tasks = g_new0(fc_frame_task, m->placements->len);
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    fc_frame_task *t = &out->tasks[out->task_count++];
+    g_strlcpy(t->job, p->job_id, sizeof t->job);
+    t->index = p->index;
+    t->attempt = p->attempt;
+    t->state = (uint8_t)p->state;
+    t->cause = (uint8_t)p->cause;
+  }
+}
+
+static void make_view(fc_controller *c, uint64_t seq, GByteArray *out) {
+  const fc_table *t = c->table;
+  fc_view v = {.boot = c->boot, .term = t->term.number, .seq = seq};
+  g_strlcpy(v.sender, c->settings->name, sizeof v.sender);
+  v.machines = g_new0(fc_frame_machine, g_hash_table_size(t->machines));
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (t->self < 0 || m->owner != t->self) continue;
+    fc_frame_machine *f = &v.machines[v.machine_count++];
+    g_strlcpy(f->id, m->id, sizeof f->id);
+    f->settled = m->settled_term == t->term.number;
+    f->closed = m->closed;
+    fill_tasks(m, f);
+  }
+  fc_view_encode(out, &v);
+  fc_view_clear(&v);
+}
+
+/* Has every other member said, as the life it is in the term with, that it
+ * knows of the term? */
+static void note_ack(fc_controller *c, fc_peer *peer, const fc_ack *ack) {
+  const fc_term *term = &c->table->term;
+  int at = fc_term_find(term, ack->sender);
+  peer->heard_at = fc_now();
+  peer->acked_term = at >= 0 && term->members[at].boot == ack->boot ? ack->term : 0;
+  if (c->all_acked_at) return;
+  for (size_t i = 0; i < term->count; i++) {
+    if ((int)i == c->table->self) continue;
+    bool acked = false;
+    for (size_t k = 0; k < c->settings->peer_count; k++)
+      acked |= strcmp(c->settings->peers[k].name, term->members[i].name) == 0 && c->peers[k].acked_term == term->number;
+    if (!acked) return;
+  }
+  c->all_acked_at = peer->heard_at;
+}
+
+static bool exchange(fc_controller *c, fc_peer *peer, fc_conn *conn, uint64_t seq) {
+  GByteArray *out = g_byte_array_new();
+  make_view(c, seq, out);
+  double sent = fc_now(), deadline = sent + c->settings->report_s;
+  uint64_t term = c->table->term.number, boot = c->boot;
+  bool ok = fc_conn_write(conn, out->data, out->len, deadline);
+  g_byte_array_free(out, TRUE);
+  if (!ok) return false;
+  fc_frame_type type;
+  uint32_t len;
+  uint8_t *body = read_frame(conn, deadline, &type, &len);
+  fc_ack ack;
+  ok = body && type == FC_FRAME_ACK && fc_ack_decode(body, len, &ack) && ack.seq == seq &&
+       strcmp(ack.sender, peer->settings->name) == 0;
+  g_free(body);
+  if (!ok) return false;
+  note_ack(c, peer, &ack);
+  /* A promise counts only within the term and life it was asked for. */
+  int at = fc_term_find(&c->table->term, ack.sender);
+  if (ack.promise_ms > 0 && at >= 0 && c->table->term.number == term && c->boot == boot && ack.term == term)
+    fc_right_promised(&c->right, (size_t)at, ack.boot, sent, ack.promise_ms / 1000.0);
+  return true;
+}
+
+static void link_main(void *arg) {
+  link_arg *l = arg;
+  fc_controller *c = l->c;
+  uint64_t seq = 0;
+  fc_conn *conn = NULL;
+  while (!fc_routine_cancelled()) {
+    double began = fc_now();
+    if (!conn) conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5);
+    if (conn && !exchange(c, l->peer, conn, ++seq)) {
+      fc_conn_close(conn);
+      conn = NULL;
+    }
+    /* At most ten exchanges in a report interval, at least three. */
+    double least = began + c->settings->report_s * 0.1;
+    (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.3 : 0.2));
+    double now = fc_now();
+    if (now < least) (void)fc_routine_sleep(least - now);
+  }
+  fc_conn_close(conn);
+  g_free(l);
+}
+
+/* The owner's list replaces what we thought is on a machine. */
+static void apply_machine(fc_controller *c, fc_machine *m, const fc_frame_machine *f) {
+  fc_table *t = c->table;
+  double now = fc_now();
+  GPtrArray *kept = g_ptr_array_new();
+  for (size_t i = 0; i < f->task_count; i++) {
+    const fc_frame_task *ft = &f->tasks[i];
+    fc_placement *p = fc_machine_find(m, ft->job, ft->index, ft->attempt);
+    if (!p) p = fc_table_place(t, m, ft->job, ft->index, ft->attempt, now);
+    p->state = (fc_task_state)ft->state;
+    p->cause = (fc_exit_cause)ft->cause;
+    p->reported = p->sent = true;
+    if (p->state == FC_TASK_RUNNING && !p->running_since) p->running_since = now;
+    g_ptr_array_add(kept, p);
+  }
+  for (guint i = m->placements->len; i-- > 0;) {
+    fc_placement *p = m->placements->pdata[i];
+    if (!g_ptr_array_find(kept, p, NULL)) fc_table_unplace(t, p);
+  }
+  g_ptr_array_free(kept, TRUE);
+  m->settled_term = t->term.number;
+  m->remote_closed = f->closed;
+}
+
+static void apply_view(fc_controller *c, const fc_view *v) {
+  fc_table *t = c->table;
+  int sender = fc_term_find(&t->term, v->sender);
+  /* Only the present term's view by a present member's present life counts. */
+  if (sender < 0 || sender == t->self || v->term != t->term.number || v->boot != t->term.members[sender].boot) return;
+  for (size_t i = 0; i < v->machine_count; i++) {
+    const fc_frame_machine *f = &v->machines[i];
+    fc_machine *m = fc_table_machine(t, f->id);
+    if (!m || m->owner != sender || !f->settled) continue;
+    apply_machine(c, m, f);
+  }
+  if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
+}
+
+static uint32_t give_promise(fc_controller *c, const fc_view *v) {
+  const fc_table *t = c->table;
+  int sender = fc_term_find(&t->term, v->sender);
+  /* A term transaction of unknown outcome may exclude it at any time. */
+  if (c->term_unknown || t->self < 0 || sender < 0 || v->term != t->term.number ||
+      v->boot != t->term.members[sender].boot || t->term.members[t->self].boot != c->boot)
+    return 0;
+  double promise = c->right.lease_s;
+  for (size_t k = 0; k < c->settings->peer_count; k++) {
+    if (strcmp(c->settings->peers[k].name, v->sender) != 0) continue;
+    double until = fc_now() + promise * (1 + FC_DRIFT);
+    if (until > c->peers[k].promised_until) c->peers[k].promised_until = until;
+    return (uint32_t)(promise * 1000);
+  }
+  return 0;
+}
+
+static void serve_peer(fc_conn *conn, void *arg) {
+  fc_controller *c = arg;
+  for (;;) {
+    fc_frame_type type;
+    uint32_t len;
+    uint8_t *body = read_frame(conn, fc_now() + c->settings->lease_s, &type, &len);
+    fc_view v;
+    bool ok = body && type == FC_FRAME_VIEW && fc_view_decode(body, len, &v);
+    g_free(body);
+    if (!ok) return; /* wrong length, version or kind: the connection is closed */
+    apply_view(c, &v);
+    fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v)};
+    g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
+    fc_view_clear(&v);
+    GByteArray *out = g_byte_array_new();
+    fc_ack_encode(out, &ack);
+    ok = fc_conn_write(conn, out->data, out->len, fc_now() + c->settings->report_s);
+    g_byte_array_free(out, TRUE);
+    if (!ok) return;
+  }
+}
+
+bool fc_peers_start(fc_controller *c) {
+  if (!fc_listen(&c->settings->peer_at, c->settings->peer_count * 8 + 8, serve_peer, c)) return false;
+  for (size_t i = 0; i < c->settings->peer_count; i++) {
+    link_arg *l = g_new0(link_arg, 1);
+    l->c = c;
+    l->peer = &c->peers[i];
+    l->peer->settings = &c->settings->peers[i];
+    if (!fc_routine_spawn(link_main, l)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/controller/quota.c
@@ -0,0 +1,171 @@
+/* Keeps the shares of the teams' limits in the state service. Nothing of a team
+ * with a limit is started in a term before that term's shares are recorded. */
+#include <math.h>
+#include <string.h>
+
+#include "controller/controller.h"
+#include "controller/duties.h"
+#include "coordination/deal.h"
+#include "coordination/quota.h"
+#include "scheduler/place.h"
+
+static bool limited(const fc_team_settings *ts) { return ts->cpus_max > 0 || ts->gpus_max > 0; }
+
+/* What a part's queue asks for, in tasks that could start if there were room. */
+static void queued(const fc_table *t, int owner, int team, double *cpus, double *gpus) {
+  *cpus = *gpus = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_job *j = value;
+    if (j->team != team || j->phase != FC_PHASE_ACCEPTED) continue;
+    if (fc_deal_job(&t->term, j->spec.id, j->handed_to) != owner) continue;
+    GArray *missing = fc_job_missing(j, 256);
+    *cpus += missing->len * j->spec.cpus;
+    *gpus += missing->len * j->spec.gpus;
+    g_array_free(missing, TRUE);
+  }
+}
+
+static int quota_index(const fc_quota_record *q, const char *member) {
+  for (size_t i = 0; i < q->member_count; i++)
+    if (strcmp(q->members[i], member) == 0) return (int)i;
+  return -1;
+}
+
+void fc_quota_allowance(const fc_controller *c, fc_allowance *out) {
+  const fc_table *t = c->table;
+  bool valid = t->quota_version && t->quota.term == t->term.number;
+  int at = valid ? quota_index(&t->quota, c->settings->name) : -1;
+  for (size_t k = 0; k < c->settings->team_count; k++) {
+    const fc_team_settings *ts = &c->settings->teams[k];
+    out->cpus[k] = out->gpus[k] = INFINITY;
+    if (!limited(ts)) continue;
+    double cpus, gpus;
+    fc_table_usage(t, t->self, (int)k, &cpus, &gpus);
+    /* While a lower share of ours is being written, only that one counts. */
+    double share_cpus = at >= 0 ? MIN(t->quota.cpus[at][k], c->share_cap_cpus[k]) : 0;
+    double share_gpus = at >= 0 ? MIN(t->quota.gpus[at][k], c->share_cap_gpus[k]) : 0;
+    if (ts->cpus_max > 0) out->cpus[k] = share_cpus - cpus;
+    if (ts->gpus_max > 0) out->gpus[k] = share_gpus - gpus;
+  }
+}
+
+/* The first division of this term, from lists that can only have shrunk since:
+ * nobody starts anything of these teams before this record. */
+static void divide(const fc_controller *c, fc_quota_record *q) {
+  const fc_table *t = c->table;
+  q->term = t->term.number;
+  q->member_count = t->term.count;
+  fc_demand cpus[FC_MEMBERS_MAX], gpus[FC_MEMBERS_MAX];
+  double shares[FC_MEMBERS_MAX];
+  for (size_t i = 0; i < t->term.count; i++)
+    g_strlcpy(q->members[i], t->term.members[i].name, sizeof q->members[i]);
+  for (size_t k = 0; k < c->settings->team_count; k++) {
+    const fc_team_settings *ts = &c->settings->teams[k];
+    if (!limited(ts)) continue;
+    for (size_t i = 0; i < t->term.count; i++) {
+      fc_table_usage(t, (int)i, (int)k, &cpus[i].used, &gpus[i].used);
+      queued(t, (int)i, (int)k, &cpus[i].wanted, &gpus[i].wanted);
+    }
+    fc_quota_divide(ts->cpus_max, cpus, t->term.count, shares);
+    for (size_t i = 0; i < t->term.count; i++) q->cpus[i][k] = shares[i];
+    fc_quota_divide(ts->gpus_max, gpus, t->term.count, shares);
+    for (size_t i = 0; i < t->term.count; i++) q->gpus[i][k] = shares[i];
+  }
+}
+
+/* Moves our shares towards what we need; true when something would change. */
+static bool adjust(fc_controller *c, fc_quota_record *q) {
+  const fc_table *t = c->table;
+  int at = quota_index(q, c->settings->name);
+  if (at < 0) return false;
+  bool changed = false;
+  for (size_t k = 0; k < c->settings->team_count; k++) {
+    const fc_team_settings *ts = &c->settings->teams[k];
+    if (!limited(ts)) continue;
+    fc_demand cpus, gpus;
+    fc_table_usage(t, t->self, (int)k, &cpus.used, &gpus.used);
+    queued(t, t->self, (int)k, &cpus.wanted, &gpus.wanted);
+    double others_cpus = 0, others_gpus = 0;
+    for (size_t i = 0; i < q->member_count; i++) {
+      if ((int)i == at) continue;
+      others_cpus += q->cpus[i][k];
+      others_gpus += q->gpus[i][k];
+    }
+    double new_cpus = fc_quota_adjust(ts->cpus_max, others_cpus, q->cpus[at][k], &cpus);
+    double new_gpus = fc_quota_adjust(ts->gpus_max, others_gpus, q->gpus[at][k], &gpus);
+    if (ts->cpus_max > 0 && fabs(new_cpus - q->cpus[at][k]) > 1e-6) {
+      q->cpus[at][k] = new_cpus;
+      changed = true;
+    }
+    if (ts->gpus_max > 0 && fabs(new_gpus - q->gpus[at][k]) > 1e-6) {
+      q->gpus[at][k] = new_gpus;
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+static void lift_caps(fc_controller *c) {
+  for (size_t k = 0; k < c->settings->team_count; k++) c->share_cap_cpus[k] = c->share_cap_gpus[k] = INFINITY;
+}
+
+/* Any write that is undecided may be the one that counts: the lowest caps us. */
+static void lower_caps(fc_controller *c, const fc_quota_record *q) {
+  int at = quota_index(q, c->settings->name);
+  for (size_t k = 0; at >= 0 && k < c->settings->team_count; k++) {
+    c->share_cap_cpus[k] = MIN(c->share_cap_cpus[k], q->cpus[at][k]);
+    c->share_cap_gpus[k] = MIN(c->share_cap_gpus[k], q->gpus[at][k]);
+  }
+}
+
+static void write_quota(fc_controller *c, const fc_quota_record *q) {
+  fc_write *w = fc_write_new();
+  fc_write_if(w, FC_KEY_QUOTA, c->table->quota_version);
+  fc_write_if(w, FC_KEY_TERM, c->table->term_version);
+  fc_write_put(w, FC_KEY_QUOTA, fc_quota_record_encode(q, c->settings));
+  uint64_t revision = 0;
+  uint64_t version = c->table->quota_version;
+  fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 2.0, &revision);
+  if (r == FC_STATE_OK) {
+    (void)fc_wait_revision(c, revision, fc_now() + 2.0);
+  } else {
+    (void)fc_wait_fresh(c, fc_now() + 2.0);
+  }
+  /* A write of unknown outcome can be applied until the record has moved past
+   * the version it was conditional on; so long the caps stay. */
+  if ((r != FC_STATE_OK && r != FC_STATE_UNKNOWN) || c->table->quota_version != version) lift_caps(c);
+  fc_cond_broadcast(&c->round_now);
+}
+
+void fc_quota_main(void *arg) {
+  fc_controller *c = arg;
+  bool any = false;
+  for (size_t k = 0; k < c->settings->team_count; k++) any |= limited(&c->settings->teams[k]);
+  lift_caps(c);
+  if (!any) return;
+  double adjusted_at = 0;
+  fc_quota_record *q = g_new0(fc_quota_record, 1);
+  while (!fc_routine_cancelled()) {
+    (void)fc_routine_sleep(c->settings->op.round_s * 0.1);
+    fc_table *t = c->table;
+    if (!fc_may_act(c) || !fc_state_reachable(c)) continue;
+    double now = fc_now();
+    memset(q, 0, sizeof *q);
+    if (t->quota.term != t->term.number) {
+      /* Everybody could write it; the first in the term does at once. */
+      if (!fc_table_check_settled(t) || now < c->term_since + c->settings->op.round_s * 0.5 * t->self) continue;
+      divide(c, q);
+    } else {
+      if (now < adjusted_at + c->settings->op.round_s * 0.25) continue;
+      adjusted_at = now;
+      *q = t->quota;
+      if (!adjust(c, q)) continue;
+    }
+    lower_caps(c, q);
+    write_quota(c, q);
+  }
+  g_free(q);
+}
--- /dev/null
+++ b/src/controller/rent.c
@@ -0,0 +1,239 @@
+/* The renting duty. The first member of the term rents for all parts, so that
+ * requests don't race; every owner returns its own machines. */
+#include <string.h>
+
+#include "controller/controller.h"
+#include "scheduler/rent.h"
+
+typedef struct refusals {
+  GHashTable *until; /* "type zone kind" -> double* */
+} refusals;
+
+static char *kind_key(const char *type, const char *zone, bool spot) {
+  return g_strdup_printf("%s %s %d", type, zone, spot);
+}
+
+typedef struct refused_arg {
+  const fc_table *table;
+  refusals *refusals;
+} refused_arg;
+
+static bool is_refused(int type, const char *zone, bool spot, void *arg) {
+  refused_arg *a = arg;
+  const fc_machine_type *mt = a->table->types->pdata[type];
+  char *key = kind_key(mt->name, zone, spot);
+  const double *until = g_hash_table_lookup(a->refusals->until, key);
+  g_free(key);
+  return until && fc_now() < *until;
+}
+
+static void note_refused(refusals *r, const char *type, const char *zone, bool spot, double until) {
+  double *v = g_new(double, 1);
+  *v = until;
+  g_hash_table_replace(r->until, kind_key(type, zone, spot), v);
+}
+
+static bool cloud_turn(fc_controller *c) {
+  double wait;
+  while ((wait = fc_budget_wait(&c->cloud_budget, 1, 0, fc_now())) > 0)
+    if (fc_routine_sleep(wait) == FC_WAKE_CANCELLED) return false;
+  return fc_budget_take(&c->cloud_budget, 1, 0, fc_now());
+}
+
+static void read_types(fc_controller *c) {
+  GPtrArray *types = g_ptr_array_new();
+  if (cloud_turn(c) && fc_cloud_types(c->cloud, fc_now() + 3.0, types) == FC_CLOUD_OK && types->len > 0) {
+    fc_table *t = c->table;
+    /* Prices change, types don't: machines refer to them by index. */
+    for (guint i = 0; i < types->len; i++) {
+      fc_machine_type *mt = types->pdata[i];
+      int at = fc_table_type(t, mt->name);
+      if (at < 0) {
+        g_ptr_array_add(t->types, mt);
+      } else {
+        fc_machine_type_free(t->types->pdata[at]);
+        t->types->pdata[at] = mt;
+      }
+    }
+    c->types_at = fc_now();
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, t->machines);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+      fc_machine *m = value;
+      if (m->type < 0) m->type = fc_table_type(t, m->rec.type);
+    }
+    g_ptr_array_free(types, TRUE);
+    return;
+  }
+  g_ptr_array_set_free_func(types, fc_machine_type_free);
+  g_ptr_array_free(types, TRUE);
+}
+
+/* Carries out one recorded intent, ours or one left by a dead controller, and
+ * replaces the intent by the machines' records in one transaction. */
+static void carry_out(fc_controller *c, const char *name, const fc_hire_record *h, refusals *ref) {
+  fc_table *t = c->table;
+  if (!cloud_turn(c) || !fc_may_act(c)) return;
+  GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+  fc_cloud_result r = fc_cloud_hire(c->cloud, name, h->type, h->zone, h->spot, h->count, fc_now() + 4.0, ids);
+  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", name, h->type, h->zone, h->spot,
+         h->count, r, ids->len);
+  if (r == FC_CLOUD_NO_CAPACITY) note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s);
+  if (r == FC_CLOUD_OK && ids->len < h->count)
+    note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s * 0.5);
+  if (r == FC_CLOUD_OK || r == FC_CLOUD_NO_CAPACITY || r == FC_CLOUD_REFUSED) {
+    char *hire_key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+    fc_write *w = fc_write_new();
+    fc_write_if(w, FC_KEY_TERM, t->term_version);
+    for (guint i = 0; i < ids->len; i++) {
+      fc_machine *m = fc_table_machine(t, ids->pdata[i]);
+      if (m && m->version) continue; /* its worker was faster */
+      fc_machine_record rec = {.spot = h->spot};
+      g_strlcpy(rec.type, h->type, sizeof rec.type);
+      g_strlcpy(rec.zone, h->zone, sizeof rec.zone);
+      g_strlcpy(rec.owner, h->owner, sizeof rec.owner);
+      char *key = g_strconcat(FC_PREFIX_MACHINE, (const char *)ids->pdata[i], NULL);
+      fc_write_if(w, key, 0);
+      fc_write_put(w, key, fc_machine_record_encode(&rec));
+      g_free(key);
+    }
+    fc_write_delete(w, hire_key);
+    g_free(hire_key);
+    uint64_t revision = 0;
+    if (fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK)
+      (void)fc_wait_revision(c, revision, fc_now() + 2.0);
+    else
+      (void)fc_wait_fresh(c, fc_now() + 2.0); /* the intent is still there: repeated */
+  }
+  g_ptr_array_free(ids, TRUE);
+}
+
+static void carry_out_all(fc_controller *c, refusals *ref) {
+  GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init(&it, c->table->hires);
+  while (g_hash_table_iter_next(&it, &key, NULL)) g_ptr_array_add(names, g_strdup(key));
+  for (guint i = 0; i < names->len; i++) {
+    const fc_hire_record *h = g_hash_table_lookup(c->table->hires, names->pdata[i]);
+    if (!h) continue;
+    fc_hire_record copy = *h;
+    carry_out(c, names->pdata[i], &copy, ref);
+  }
+  g_ptr_array_free(names, TRUE);
+}
+
+/* Records the intent; the cloud is asked only after that is durable. */
+static bool intend(fc_controller *c, const fc_want *want, unsigned count) {
+  fc_table *t = c->table;
+  const fc_machine_type *mt = t->types->pdata[want->type];
+  fc_hire_record h = {.spot = want->spot, .count = count};
+  g_strlcpy(h.type, mt->name, sizeof h.type);
+  g_strlcpy(h.zone, want->zone, sizeof h.zone);
+  g_strlcpy(h.owner, t->term.members[want->owner].name, sizeof h.owner);
+  /* The life's number never comes again, so neither does the name. */
+  char *name = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, (guint64)c->boot,
+                               (guint64)++c->hire_counter);
+  char *key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+  fc_write *w = fc_write_new();
+  fc_write_if(w, FC_KEY_TERM, t->term_version);
+  fc_write_if(w, key, 0);
+  fc_write_put(w, key, fc_hire_record_encode(&h));
+  uint64_t revision = 0;
+  fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 2.0, &revision);
+  g_free(name);
+  g_free(key);
+  return r == FC_STATE_OK && fc_wait_revision(c, revision, fc_now() + 2.0);
+}
+
+static void rent(fc_controller *c, refusals *ref) {
+  refused_arg arg = {.table = c->table, .refusals = ref};
+  GArray *wants = fc_rent_wants(c->table, is_refused, &arg);
+  /* One transaction has to hold all the records that a request turns into. */
+  unsigned most = MIN(c->settings->state_txn_ops - 1, FC_HIRE_MOST);
+  unsigned burst = (unsigned)MAX(2.0, c->settings->state_write_rps / (double)(c->settings->peer_count + 1));
+  most = MAX(1, MIN(most, burst - 1));
+  for (guint i = 0; i < wants->len; i++) {
+    const fc_want *w = &g_array_index(wants, fc_want, i);
+    if (w->owner >= (int)c->table->term.count) break;
+    if (!intend(c, w, MIN(w->count, most))) break;
+  }
+  g_array_free(wants, TRUE);
+}
+
+/* Returns machines: closed first, so that nothing is placed on them; gone from
+ * the table only after the cloud has confirmed. */
+static void give_back(fc_controller *c) {
+  fc_table *t = c->table;
+  double now = fc_now();
+  GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+  unsigned mine = 0, silent = 0;
+  double quiet = c->settings->lease_s + 2 * c->settings->report_s;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    if (m->owner != t->self || !m->version || !m->reported) continue;
+    mine++;
+    silent += now > m->heard_at + quiet;
+  }
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < 8) {
+    fc_machine *m = value;
+    if (m->owner != t->self || !m->version) continue;
+    double boot_s = m->type >= 0 ? ((fc_machine_type *)t->types->pdata[m->type])->boot_s : 0;
+    /* A controller whose machines mostly fall silent together suspects its own
+     * network and returns nothing. */
+    bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1;
+    bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 4 * boot_s + quiet;
+    bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
+    if (!lost && !never_up && !idle) continue;
+    m->closed = true;
+    m->releasing = true;
+    g_info("return machine=%s lost=%d never_up=%d idle=%d", m->id, lost, never_up, idle);
+    g_ptr_array_add(ids, g_strdup(m->id));
+  }
+  if (ids->len == 0 || !cloud_turn(c) || !fc_may_act(c)) goto out;
+  fc_cloud_result r = fc_cloud_release(c->cloud, (const char *const *)ids->pdata, ids->len, fc_now() + 4.0);
+  if (r != FC_CLOUD_OK) goto out; /* still closed: tried again */
+  fc_write *w = fc_write_new();
+  for (guint i = 0; i < ids->len; i++) {
+    fc_machine *m = fc_table_machine(t, ids->pdata[i]);
+    if (!m || !m->version) continue;
+    fc_machine_clear(t, m); /* proved gone */
+    m->settled_term = t->term.number;
+    char *key = g_strconcat(FC_PREFIX_MACHINE, m->id, NULL);
+    fc_write_if(w, key, m->version);
+    fc_write_delete(w, key);
+    g_free(key);
+  }
+  fc_cond_broadcast(&c->round_now);
+  uint64_t revision = 0;
+  if (fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK)
+    (void)fc_wait_revision(c, revision, fc_now() + 2.0);
+  else
+    (void)fc_wait_fresh(c, fc_now() + 2.0);
+out:
+  g_ptr_array_free(ids, TRUE);
+}
+
+void fc_rent_main(void *arg) {
+  fc_controller *c = arg;
+  refusals ref = {.until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free)};
+  while (!fc_routine_cancelled()) {
+    /* Prices move; a late one only costs money. */
+    if (c->table->types->len == 0 || fc_now() > c->types_at + c->settings->lease_s * 2) read_types(c);
+    if (c->table->types->len > 0 && fc_may_act(c) && fc_state_reachable(c)) {
+      if (c->table->self == 0 && c->settings->op.rent) {
+        carry_out_all(c, &ref);
+        if (g_hash_table_size(c->table->hires) == 0 && fc_may_act(c)) rent(c, &ref);
+        carry_out_all(c, &ref);
+      }
+      if (fc_may_act(c)) give_back(c);
+    }
+    (void)fc_routine_sleep(c->settings->op.round_s * (c->table->types->len ? 0.5 : 0.1));
+  }
+  g_hash_table_destroy(ref.until);
+}
--- /dev/null
+++ b/src/controller/round.c
@@ -0,0 +1,95 @@
+/* The round: every two seconds, and at once when a job or room arrives. */
+#include <string.h>
+
+#include "controller/controller.h"
+#include "controller/duties.h"
+#include "scheduler/place.h"
+
+/* Attempts of one task never repeat: the term is new for every owner and life. */
+static uint64_t next_attempt(fc_controller *c) { return c->table->term.number << 20 | ++c->attempt_counter; }
+
+/* Tasks that must not run any more. */
+static void stop_unwanted(fc_controller *c, fc_machine *m, bool *work) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (p->state == FC_TASK_EXITED || p->stopping) continue;
+    const fc_job *j = p->job;
+    bool over = j ? j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index)
+                  : p->since + c->settings->report_s < c->fresh_sent;
+    /* A gang that lost a task before it started waits for nothing. */
+    bool orphan = j && j->spec.kind == FC_KIND_GANG && p->state == FC_TASK_WAITING &&
+                  j->placements->len < j->spec.tasks - j->done_count;
+    if (!over && !orphan) continue;
+    p->stopping = true;
+    p->grace_s = 0;
+    *work = true;
+  }
+}
+
+static bool owes_commands(const fc_machine *m) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    if (!p->reported && !p->sent && !p->stopping) return true;
+  }
+  return false;
+}
+
+static void place(fc_controller *c) {
+  fc_table *t = c->table;
+  double now = fc_now();
+  fc_allowance allow;
+  fc_quota_allowance(c, &allow);
+  GArray *plan = fc_place_round(t, &allow, now);
+  const fc_job *gang = NULL;
+  uint64_t attempt = 0;
+  for (guint i = 0; i < plan->len; i++) {
+    const fc_decision *d = &g_array_index(plan, fc_decision, i);
+    bool same_gang = d->job->spec.kind == FC_KIND_GANG && d->job == gang;
+    if (!same_gang) attempt = next_attempt(c);
+    gang = d->job;
+    (void)fc_table_place(t, d->machine, d->job->spec.id, d->index, attempt, now);
+    fc_machine_used_image(d->machine, d->job->spec.image);
+    g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", d->job->spec.id, d->index,
+            (guint64)attempt, d->machine->id);
+  }
+  if (plan->len > 0) fc_cond_broadcast(&c->view_now);
+  g_array_free(plan, TRUE);
+}
+
+static void tick(fc_controller *c) {
+  fc_table *t = c->table;
+  fc_workers_expire(c);
+  (void)fc_table_check_settled(t);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  GPtrArray *push = g_ptr_array_new();
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    if (m->owner != t->self || !m->version) continue;
+    bool work = m->settled_term != t->term.number;
+    stop_unwanted(c, m, &work);
+    if (work) g_ptr_array_add(push, m);
+  }
+  place(c);
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    if (m->owner == t->self && m->settled_term == t->term.number && owes_commands(m) &&
+        !g_ptr_array_find(push, m, NULL))
+      g_ptr_array_add(push, m);
+  }
+  for (guint i = 0; i < push->len; i++) fc_workers_push(c, push->pdata[i]);
+  g_ptr_array_free(push, TRUE);
+}
+
+void fc_round_main(void *arg) {
+  fc_controller *c = arg;
+  /* Between rounds that events ask for, so that a burst is placed together. */
+  double least = c->settings->op.round_s * 0.05;
+  while (!fc_routine_cancelled()) {
+    if (fc_may_act(c)) tick(c);
+    (void)fc_routine_sleep(least);
+    (void)fc_cond_wait(&c->round_now, fc_now() + c->settings->op.round_s - least);
+  }
+}
--- /dev/null
+++ b/src/controller/watch.c
@@ -0,0 +1,252 @@
+/* Keeps the table equal to the state service: one read of everything, then
+ * reads of changes, each of which also proves freshness for whoever waits. */
+#include <string.h>
+
+#include "controller/controller.h"
+#include "coordination/deal.h"
+
+#define PAGE 200u
+
+static void apply_term(fc_controller *c, const fc_change *ch) {
+  fc_term term;
+  if (!ch->value || !fc_term_decode(ch->value, &term)) {
+    g_critical("term unreadable version=%" G_GUINT64_FORMAT, (guint64)ch->version);
+    return;
+  }
+  if (term.number <= c->table->term.number && c->table->term_version) return;
+  int before = c->table->self;
+  bool continuous = before >= 0 && c->boot && c->table->term.members[before].boot == c->boot;
+  int now_at = fc_term_find(&term, c->settings->name);
+  continuous = continuous && now_at >= 0 && term.members[now_at].boot == c->boot;
+  c->term_since = fc_now();
+  c->all_acked_at = 0;
+  fc_table_set_term(c->table, &term, ch->version, continuous, c->term_since);
+  /* Another life under our name is nobody's part any more. */
+  if (now_at >= 0 && term.members[now_at].boot != c->boot) c->table->self = -1;
+  c->term_unknown = false; /* it was conditional on the version that is now past */
+  fc_right_new_term(&c->right);
+  g_info("term number=%" G_GUINT64_FORMAT " members=%zu self=%d continuous=%d", (guint64)term.number, term.count,
+         c->table->self, continuous);
+  fc_cond_broadcast(&c->view_now);
+}
+
+static void apply_job(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
+  if (!ch->value) return; /* jobs are never removed */
+  fc_job_record r;
+  if (!fc_job_record_decode(ch->value, &r)) {
+    g_critical("job record unreadable key=%s", ch->key);
+    return;
+  }
+  bool fresh = ordered && c->table->term_version && ch->version > c->table->term_version;
+  fc_job *j = fc_table_put_job(c->table, id, &r, ch->version, fresh, fc_now());
+  fc_job_record_clear(&r);
+  if (j) fc_cond_broadcast(&c->round_now);
+}
+
+static void apply_machine(fc_controller *c, const char *id, const fc_change *ch) {
+  fc_table *t = c->table;
+  fc_machine *m = fc_table_machine(t, id);
+  if (!ch->value) {
+    if (m && m->version && m->version < ch->version) fc_table_remove_machine(t, m);
+    return;
+  }
+  fc_machine_record rec;
+  if (!fc_machine_record_decode(ch->value, &rec)) {
+    g_critical("machine record unreadable key=%s", ch->key);
+    return;
+  }
+  m = fc_table_machine_add(t, id, fc_now());
+  if (m->version >= ch->version) return;
+  /* An address learned from the worker itself is kept. */
+  if (!rec.endpoint[0]) g_strlcpy(rec.endpoint, m->rec.endpoint, sizeof rec.endpoint);
+  m->rec = rec;
+  m->version = ch->version;
+  m->type = fc_table_type(t, rec.type);
+  fc_table_derive_owner(t, m, fc_now());
+}
+
+static void apply(fc_controller *c, const fc_change *ch, bool ordered) {
+  fc_table *t = c->table;
+  const char *key = ch->key;
+  if (strcmp(key, FC_KEY_TERM) == 0) {
+    apply_term(c, ch);
+  } else if (strcmp(key, FC_KEY_QUOTA) == 0) {
+    if (ch->value && ch->version > t->quota_version) {
+      if (!fc_quota_record_decode(ch->value, c->settings, &t->quota)) {
+        memset(&t->quota, 0, sizeof t->quota); /* nothing is anybody's share */
+        g_critical("quota record unreadable");
+      }
+      t->quota_version = ch->version;
+    }
+  } else if (g_str_has_prefix(key, FC_PREFIX_JOB)) {
+    apply_job(c, key + strlen(FC_PREFIX_JOB), ch, ordered);
+  } else if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) {
+    apply_machine(c, key + strlen(FC_PREFIX_MACHINE), ch);
+  } else if (g_str_has_prefix(key, FC_PREFIX_MEMBER)) {
+    const char *name = key + strlen(FC_PREFIX_MEMBER);
+    if (ch->value) {
+      guint64 *v = g_new(guint64, 1);
+      *v = ch->version;
+      g_hash_table_replace(t->members, g_strdup(name), v);
+    } else {
+      g_hash_table_remove(t->members, name);
+    }
+  } else if (g_str_has_prefix(key, FC_PREFIX_HIRE)) {
+    const char *name = key + strlen(FC_PREFIX_HIRE);
+    fc_hire_record h;
+    if (ch->value && fc_hire_record_decode(ch->value, &h)) {
+      fc_hire_record *copy = g_new(fc_hire_record, 1);
+      *copy = h;
+      g_hash_table_replace(t->hires, g_strdup(name), copy);
+    } else {
+      g_hash_table_remove(t->hires, name);
+    }
+  }
+}
+
+/* What is in the table but no longer in the state service is gone. */
+static void drop_missing(fc_controller *c, GHashTable *present, uint64_t revision) {
+  fc_table *t = c->table;
+  GPtrArray *gone = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer key, value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    char *k = g_strconcat(FC_PREFIX_MACHINE, m->id, NULL);
+    if (m->version && m->version <= revision && !g_hash_table_contains(present, k)) g_ptr_array_add(gone, m);
+    g_free(k);
+  }
+  for (guint i = 0; i < gone->len; i++) fc_table_remove_machine(t, gone->pdata[i]);
+  g_ptr_array_free(gone, TRUE);
+  g_hash_table_iter_init(&it, t->members);
+  while (g_hash_table_iter_next(&it, &key, NULL)) {
+    char *k = g_strconcat(FC_PREFIX_MEMBER, (const char *)key, NULL);
+    if (!g_hash_table_contains(present, k)) g_hash_table_iter_remove(&it);
+    g_free(k);
+  }
+  g_hash_table_iter_init(&it, t->hires);
+  while (g_hash_table_iter_next(&it, &key, NULL)) {
+    char *k = g_strconcat(FC_PREFIX_HIRE, (const char *)key, NULL);
+    if (!g_hash_table_contains(present, k)) g_hash_table_iter_remove(&it);
+    g_free(k);
+  }
+}
+
+/* Reads everything. Pages may change while being read: the changes since the
+ * first page are read again afterwards, and versions tell which is newer. */
+static bool load(fc_controller *c) {
+  GHashTable *present = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  char *after = NULL;
+  bool more = true, ok = true;
+  uint64_t first = 0;
+  GPtrArray *all = g_ptr_array_new_with_free_func(fc_change_free);
+  while (more && ok) {
+    GPtrArray *page = g_ptr_array_new();
+    uint64_t revision = 0;
+    fc_state_result r = fc_state_list(c->state, FC_PREFIX, after, PAGE, fc_now() + 2.0, page, &more, &revision);
+    ok = r == FC_STATE_OK && (!more || page->len > 0);
+    if (ok && !after) first = revision;
+    for (guint i = 0; i < page->len; i++) {
+      fc_change *ch = page->pdata[i];
+      g_hash_table_add(present, g_strdup(ch->key));
+      g_free(after);
+      after = g_strdup(ch->key);
+      g_ptr_array_add(all, ch);
+    }
+    g_ptr_array_free(page, TRUE);
+    if (more && ok) (void)fc_routine_sleep(0.03);
+  }
+  if (ok) {
+    for (guint i = 0; i < all->len; i++) apply(c, all->pdata[i], false);
+    drop_missing(c, present, first);
+    c->revision = first;
+    c->loaded = true;
+    g_info("loaded keys=%u revision=%" G_GUINT64_FORMAT, all->len, (guint64)first);
+  }
+  g_ptr_array_free(all, TRUE);
+  g_free(after);
+  g_hash_table_destroy(present);
+  return ok;
+}
+
+void fc_watch_main(void *arg) {
+  fc_controller *c = arg;
+  const fc_settings *s = c->settings;
+  /* Two fifths of our share of the request rate go into reads of changes. */
+  double share = s->state_rps / (double)(s->peer_count + 1);
+  double spacing = 1.0 / (share * 0.4);
+  /* Long enough to save requests when nothing happens, short enough that a
+   * reader who arrives meanwhile is served well within its patience. */
+  double hold = s->report_s * 0.15;
+  double backoff = 0;
+  while (!fc_routine_cancelled()) {
+    if (!c->loaded && !load(c)) {
+      (void)fc_routine_sleep(g_random_double_range(0.2, 0.5));
+      continue;
+    }
+    double sent = fc_now();
+    GPtrArray *changes = g_ptr_array_new_with_free_func(fc_change_free);
+    uint64_t revision = 0;
+    double wait = c->readers > 0 ? 0 : hold;
+    fc_state_result r =
+        fc_state_changes(c->state, FC_PREFIX, c->revision, wait, sent + wait + 1.0, changes, &revision);
+    if (r == FC_STATE_OK && revision >= c->revision) {
+      for (guint i = 0; i < changes->len; i++) apply(c, changes->pdata[i], true);
+      c->revision = revision;
+      c->fresh_sent = sent;
+      fc_right_fresh(&c->right, sent);
+      fc_cond_broadcast(&c->changed);
+      backoff = 0;
+    } else if (r == FC_STATE_GONE) {
+      c->loaded = false;
+    } else {
+      backoff = backoff > 0 ? MIN(backoff * 2, 1.0) : 0.1;
+    }
+    g_ptr_array_free(changes, TRUE);
+    double pause = backoff > 0 ? backoff * g_random_double_range(0.5, 1.0) : sent + spacing - fc_now();
+    if (pause > 0 && fc_routine_sleep(pause) == FC_WAKE_CANCELLED) break;
+  }
+}
+
+bool fc_wait_fresh(fc_controller *c, double deadline) {
+  double asked = fc_now();
+  c->readers++;
+  bool ok = true;
+  while (c->fresh_sent < asked || !c->loaded) {
+    if (fc_cond_wait(&c->changed, deadline) != FC_WAKE_OK) {
+      ok = false;
+      break;
+    }
+  }
+  c->readers--;
+  return ok;
+}
+
+bool fc_wait_revision(fc_controller *c, uint64_t revision, double deadline) {
+  c->readers++;
+  bool ok = true;
+  while (c->revision < revision || !c->loaded) {
+    if (fc_cond_wait(&c->changed, deadline) != FC_WAKE_OK) {
+      ok = false;
+      break;
+    }
+  }
+  c->readers--;
+  return ok;
+}
+
+bool fc_state_reachable(const fc_controller *c) {
+  return c->loaded && fc_now() - c->fresh_sent < c->settings->report_s;
+}
+
+bool fc_may_act(const fc_controller *c) {
+  const fc_table *t = c->table;
+  if (!c->loaded || t->self < 0 || !c->boot || t->term.members[t->self].boot != c->boot) return false;
+  return fc_now() < fc_right_until(&c->right, &t->term, t->self);
+}
+
+void fc_commit_duty(void *arg) {
+  fc_controller *c = arg;
+  fc_commit_main(c->commit);
+}
--- /dev/null
+++ b/src/controller/workers.c
@@ -0,0 +1,418 @@
+/* Workers: their reports, the commands they are owed, fencing and adoption. */
+#include <string.h>
+
+#include "controller/controller.h"
+#include "coordination/deal.h"
+
+static void note_exit(fc_controller *c, fc_placement *p) {
+  fc_job *j = p->job;
+  fc_machine *m = p->machine;
+  if (p->cause == FC_CAUSE_ERROR) {
+    m->errors++;
+    if (j) {
+      j->failures++;
+      if (!j->failed_on) j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+      g_hash_table_add(j->failed_on, g_strdup(m->id));
+    }
+  } else if (p->cause == FC_CAUSE_DONE) {
+    if (m->errors > 0) m->errors--;
+    if (j) j->failures = 0;
+  }
+  g_debug("exit task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d saved=%d", p->job_id, p->index,
+          (guint64)p->attempt, m->id, p->cause, 0);
+  fc_cond_broadcast(&c->round_now);
+}
+
+/* A finished task's end has to be in the state service before it is cleared. */
+static void update_recorded(fc_controller *c, fc_placement *p) {
+  if (p->state != FC_TASK_EXITED || p->recorded) return;
+  const fc_job *j = p->job;
+  if (p->cause != FC_CAUSE_DONE) {
+    p->recorded = true;
+  } else if (j && (j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index))) {
+    p->recorded = true;
+  } else if (j) {
+    fc_workers_record(c, p->job_id);
+  }
+}
+
+static void update_placement(fc_controller *c, fc_placement *p, const fc_task_report *r, double now) {
+  bool exited = p->state != FC_TASK_EXITED && r->state == FC_TASK_EXITED;
+  p->reported = p->sent = true;
+  if (r->state == FC_TASK_RUNNING && !p->running_since) p->running_since = now;
+  if (r->state == FC_TASK_RUNNING && p->job) fc_machine_used_image(p->machine, p->job->spec.image);
+  p->state = r->state;
+  p->cause = r->cause;
+  if (exited) note_exit(c, p);
+  update_recorded(c, p);
+}
+
+/* Takes the worker's list for what is on the machine. `by_report`: it came as a
+ * report, so starts carried by the answer to an earlier report are decided. */
+static void adopt(fc_controller *c, fc_machine *m, const fc_worker_report *r, bool by_report) {
+  fc_table *t = c->table;
+  double now = fc_now();
+  bool settles = m->settled_term != t->term.number && r->token == t->term.number;
+  bool new_session = m->reported && r->session > m->session;
+  if (r->token > m->seen_token || new_session) {
+    /* Older commands are refused from here on, so none can arrive late. */
+    for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->stray = FC_STRAY_NONE;
+  }
+  m->session = r->session;
+  m->seq = r->seq;
+  m->seen_token = r->token;
+  m->reported = true;
+  m->heard_at = now;
+  if (r->notice_s >= 0 && !m->notice_until) m->notice_until = now + r->notice_s;
+  if (r->endpoint[0]) g_strlcpy(m->rec.endpoint, r->endpoint, sizeof m->rec.endpoint);
+  if (m->settled_term != t->term.number && !settles) return; /* not fenced: proves nothing yet */
+  GHashTable *listed = g_hash_table_new(NULL, NULL);
+  for (size_t i = 0; i < r->task_count; i++) {
+    const fc_task_report *tr = &r->tasks[i];
+    fc_placement *p = fc_machine_find(m, tr->job, tr->index, tr->attempt);
+    if (!p) {
+      p = fc_table_place(t, m, tr->job, tr->index, tr->attempt, now);
+      p->sent_session = r->session;
+    }
+    update_placement(c, p, tr, now);
+    g_hash_table_add(listed, p);
+  }
+  for (guint i = m->placements->len; i-- > 0;) {
+    fc_placement *p = m->placements->pdata[i];
+    if (g_hash_table_contains(listed, p)) continue;
+    bool gone;
+    if (settles) {
+      gone = true; /* fenced: what it does not list can't start any more */
+    } else if (!p->sent) {
+      gone = false; /* only planned so far */
+    } else if (new_session || p->reported) {
+      gone = true;
+    } else {
+      /* Sent, never seen. The report after the answer decides, unless a direct
+       * copy of the start is still on its way. A start that was not carried out
+       * is sent again, or dropped when it is not wanted any more. */
+      gone = by_report && !p->stray && r->seq > p->sent_seq && p->stopping;
+      if (by_report && !p->stray && r->seq > p->sent_seq && !p->stopping) p->sent = false;
+    }
+    if (gone) {
+      fc_table_unplace(t, p);
+      fc_cond_broadcast(&c->round_now);
+    }
+  }
+  g_hash_table_destroy(listed);
+  if (settles) {
+    m->settled_term = t->term.number;
+    g_debug("settled machine=%s term=%" G_GUINT64_FORMAT " tasks=%u", m->id, (guint64)t->term.number,
+            m->placements->len);
+    if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
+  }
+  if (m->placements->len == 0) {
+    if (!m->idle_since) m->idle_since = now;
+  } else {
+    m->idle_since = 0;
+  }
+  fc_cond_broadcast(&c->view_now);
+}
+
+static bool newer(const fc_machine *m, const fc_worker_report *r) {
+  if (!m->reported) return true;
+  return r->session > m->session || (r->session == m->session && r->seq > m->seq);
+}
+
+/* The commands owed to a settled machine. Starts are marked as sent. */
+static GArray *commands_for(fc_controller *c, fc_machine *m, bool direct, uint64_t seq) {
+  GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_command));
+  fc_table *t = c->table;
+  for (guint i = m->placements->len; i-- > 0;) {
+    fc_placement *p = m->placements->pdata[i];
+    fc_command cmd = {.job = p->job_id, .index = p->index, .attempt = p->attempt};
+    if (p->state == FC_TASK_EXITED) {
+      update_recorded(c, p);
+      /* After a clear, a late copy of the start would run it again. */
+      if (!p->recorded || p->stray) continue;
+      cmd.op = FC_COMMAND_FORGET;
+    } else if (p->stopping) {
+      if (!p->sent) {
+        fc_table_unplace(t, p);
+        continue;
+      }
+      /* Sent but not seen: the worker ignores a stop of what it has not got. */
+      cmd.op = FC_COMMAND_STOP;
+      cmd.grace_s = p->grace_s;
+    } else if (!p->reported) {
+      /* One direct copy is enough to keep track of; the rest goes with reports. */
+      if (direct && p->stray != FC_STRAY_NONE) continue;
+      cmd.op = FC_COMMAND_START;
+      p->sent = true;
+      p->sent_session = m->session;
+      if (direct) {
+        p->stray = FC_STRAY_FLYING;
+      } else {
+        p->sent_seq = seq;
+      }
+    } else {
+      continue;
+    }
+    g_array_append_val(out, cmd);
+  }
+  return out;
+}
+
+/* A machine nobody has recorded yet goes to the member with the fewest of its
+ * type and zone; nothing is started on it before that is in the state service. */
+static const char *even_owner(const fc_table *t, const char *id, const char *type, const char *zone) {
+  unsigned count[FC_MEMBERS_MAX] = {0};
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->owner >= 0 && strcmp(m->rec.type, type) == 0 && strcmp(m->rec.zone, zone) == 0) count[m->owner]++;
+  }
+  int best = fc_deal_key(&t->term, id);
+  for (size_t i = 0; i < t->term.count; i++)
+    if (count[i] < count[best]) best = (int)i;
+  return t->term.members[best].name;
+}
+
+static bool record_machine(fc_controller *c, const fc_worker_report *r) {
+  fc_table *t = c->table;
+  fc_machine *m = fc_table_machine_add(t, r->machine, fc_now());
+  if (m->writing) return false;
+  m->writing = true;
+  fc_machine_record rec = {.spot = r->spot};
+  g_strlcpy(rec.endpoint, r->endpoint, sizeof rec.endpoint);
+  g_strlcpy(rec.type, r->type, sizeof rec.type);
+  g_strlcpy(rec.zone, r->zone, sizeof rec.zone);
+  g_strlcpy(rec.owner, even_owner(t, r->machine, r->type, r->zone), sizeof rec.owner);
+  char *key = g_strconcat(FC_PREFIX_MACHINE, r->machine, NULL);
+  fc_write *w = fc_write_new();
+  fc_write_if(w, key, 0);
+  fc_write_if(w, FC_KEY_TERM, t->term_version);
+  fc_write_put(w, key, fc_machine_record_encode(&rec));
+  g_free(key);
+  uint64_t revision = 0;
+  fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 2.0, &revision);
+  /* The table may have changed meanwhile: look the machine up again. */
+  m = fc_table_machine(t, r->machine);
+  if (m) m->writing = false;
+  if (res == FC_STATE_OK) return fc_wait_revision(c, revision, fc_now() + 1.5);
+  (void)fc_wait_fresh(c, fc_now() + 1.0);
+  m = fc_table_machine(t, r->machine);
+  return m && m->version;
+}
+
+static void refuse(int *status, GString *out) {
+  *status = 503;
+  g_string_assign(out, "{\"error\":\"not entitled now\"}");
+}
+
+void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out) {
+  fc_worker_report r;
+  char error[200];
+  fc_table *t = c->table;
+  if (!fc_worker_report_parse(body, len, &r, error, sizeof error)) {
+    *status = 400;
+    g_string_append(out, "{\"error\":\"malformed report\"}");
+    g_info("malformed report: %s", error);
+    return;
+  }
+  if (!fc_may_act(c)) goto refused;
+  fc_machine *m = fc_table_machine(t, r.machine);
+  if ((!m || !m->version) && (!record_machine(c, &r) || !fc_may_act(c))) goto refused;
+  m = fc_table_machine(t, r.machine);
+  /* A token above ours: somebody is entitled that we have not heard of. A 200
+   * would be dropped and hold the worker here while its lease runs out. */
+  if (!m || !m->version || r.token > t->term.number) goto refused;
+  if (m->owner != t->self) {
+    *status = 421;
+    fc_worker_redirect(out, m->owner >= 0 ? t->term.members[m->owner].name : NULL);
+    goto out;
+  }
+  if (newer(m, &r)) {
+    adopt(c, m, &r, true);
+  } else if (r.session != m->session) {
+    goto refused; /* a late copy from a life that is over */
+  }
+  /* An older report of this session is not adopted but answered all the same:
+   * a direct command's answer may have overtaken it. */
+  m->answered_at = fc_now();
+  *status = 200;
+  if (m->settled_term == t->term.number) {
+    GArray *commands = commands_for(c, m, false, r.seq);
+    fc_worker_answer(out, t->term.number, (const fc_command *)commands->data, commands->len);
+    g_array_free(commands, TRUE);
+  } else {
+    fc_worker_answer(out, t->term.number, NULL, 0);
+  }
+  goto out;
+refused:
+  refuse(status, out);
+out:
+  fc_worker_report_clear(&r);
+}
+
+typedef struct push_arg {
+  fc_controller *c;
+  char id[64];
+} push_arg;
+
+/* What became of the starts that this push carried. */
+static void decide_strays(fc_machine *m, fc_order_result result) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (p->stray != FC_STRAY_FLYING) continue;
+    /* Without an answer the start may still arrive, minutes late. */
+    p->stray = result == FC_ORDER_UNKNOWN ? FC_STRAY_LOST : FC_STRAY_NONE;
+    if (result != FC_ORDER_DONE && result != FC_ORDER_UNKNOWN && !p->reported) p->sent = p->sent_seq != 0;
+  }
+}
+
+static void push_main(void *arg) {
+  push_arg a = *(push_arg *)arg;
+  g_free(arg);
+  fc_controller *c = a.c;
+  fc_table *t = c->table;
+  uint64_t term = t->term.number;
+  for (int tries = 0; tries < 2; tries++) {
+    fc_machine *m = fc_table_machine(t, a.id);
+    fc_endpoint at;
+    if (!m || m->owner != t->self || t->term.number != term || !fc_may_act(c)) break;
+    if (!fc_endpoint_parse(m->rec.endpoint, &at)) break;
+    bool fencing = m->settled_term != term;
+    GArray *commands =
+        fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command)) : commands_for(c, m, true, 0);
+    fc_order_result result = FC_ORDER_UNSENT;
+    fc_worker_report r;
+    if (fencing || commands->len > 0)
+      result = fc_worker_order(&at, term, m->session, (const fc_command *)commands->data, commands->len,
+                               fc_now() + c->settings->report_s * 0.75, &r);
+    g_array_free(commands, TRUE);
+    bool read = result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
+    m = fc_table_machine(t, a.id); /* it may be gone by now */
+    if (m) decide_strays(m, result);
+    bool again = false;
+    if (m && read && t->term.number == term && m->owner == t->self && strcmp(r.machine, m->id) == 0) {
+      if (newer(m, &r)) adopt(c, m, &r, false);
+      /* A new session, or the first word from this machine: fence with it. */
+      again = fencing && result == FC_ORDER_REFUSED && r.token <= term && m->settled_term != term;
+    }
+    if (read) fc_worker_report_clear(&r);
+    if (!again) break;
+  }
+  fc_machine *m = fc_table_machine(t, a.id);
+  if (m) m->ordering = false;
+}
+
+void fc_workers_push(fc_controller *c, fc_machine *m) {
+  if (m->ordering || m->owner != c->table->self || !m->rec.endpoint[0]) return;
+  push_arg *a = g_new0(push_arg, 1);
+  a->c = c;
+  g_strlcpy(a->id, m->id, sizeof a->id);
+  m->ordering = true;
+  if (!fc_routine_spawn(push_main, a)) {
+    m->ordering = false;
+    g_free(a);
+  }
+}
+
+typedef struct record_arg {
+  fc_controller *c;
+  char id[32];
+} record_arg;
+
+/* The finished tasks of a job that its record does not show yet. */
+static bool unrecorded(const fc_job *j, uint8_t *bits) {
+  bool any = false;
+  memcpy(bits, j->done, (j->spec.tasks + 7) / 8);
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (p->state != FC_TASK_EXITED || p->cause != FC_CAUSE_DONE || p->index >= j->spec.tasks) continue;
+    if (fc_job_task_done(j, p->index)) continue;
+    bits[p->index / 8] |= (uint8_t)(1u << (p->index % 8));
+    any = true;
+  }
+  return any;
+}
+
+static void record_main(void *arg) {
+  record_arg a = *(record_arg *)arg;
+  g_free(arg);
+  fc_controller *c = a.c;
+  for (;;) {
+    fc_job *j = fc_table_job(c->table, a.id);
+    if (!j || j->phase != FC_PHASE_ACCEPTED || fc_routine_cancelled()) break;
+    uint8_t *bits = g_malloc0((j->spec.tasks + 7) / 8);
+    if (!unrecorded(j, bits)) {
+      g_free(bits);
+      break;
+    }
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < j->spec.tasks; i++) count += bits[i / 8] >> (i % 8) & 1;
+    char *ranges = fc_ranges_encode(bits, j->spec.tasks);
+    g_free(bits);
+    char *key = g_strconcat(FC_PREFIX_JOB, a.id, NULL);
+    fc_write *w = fc_write_new();
+    fc_write_if(w, key, j->version);
+    fc_write_put(w, key,
+                 fc_job_record_encode(&j->spec, count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED, ranges,
+                                      j->handed_to));
+    g_free(key);
+    g_free(ranges);
+    uint64_t revision = 0;
+    fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 10.0, &revision);
+    if (res == FC_STATE_OK) {
+      (void)fc_wait_revision(c, revision, fc_now() + 2.0);
+    } else {
+      (void)fc_routine_sleep(g_random_double_range(0.05, 0.2));
+      (void)fc_wait_fresh(c, fc_now() + 2.0);
+    }
+  }
+  g_hash_table_remove(c->recording, a.id);
+  /* What is recorded now can be cleared from its machine. */
+  fc_job *j = fc_table_job(c->table, a.id);
+  for (guint i = 0; j && i < j->placements->len; i++) {
+    fc_placement *p = j->placements->pdata[i];
+    if (p->state == FC_TASK_EXITED && (j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index)))
+      p->recorded = true;
+  }
+}
+
+void fc_workers_record(fc_controller *c, const char *job_id) {
+  if (g_hash_table_contains(c->recording, job_id)) return;
+  record_arg *a = g_new0(record_arg, 1);
+  a->c = c;
+  g_strlcpy(a->id, job_id, sizeof a->id);
+  g_hash_table_add(c->recording, g_strdup(job_id));
+  if (!fc_routine_spawn(record_main, a)) {
+    g_hash_table_remove(c->recording, job_id);
+    g_free(a);
+  }
+}
+
+void fc_workers_expire(fc_controller *c) {
+  fc_table *t = c->table;
+  double now = fc_now();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    if (m->owner != t->self || !m->version) continue;
+    /* Whoever answered last, before we owned it or since, did so before this. A
+     * machine that came to us with this term may be answered by another member
+     * until that one knows of the term. */
+    double last = MAX(m->answered_at, m->owned_since);
+    if (m->owned_since >= c->term_since) {
+      if (!c->all_acked_at) continue;
+      last = MAX(last, c->all_acked_at);
+    }
+    if (now < last + c->settings->lease_s * (1 + 2 * FC_DRIFT) + c->settings->report_s * 0.25) continue;
+    if (m->placements->len > 0 || m->settled_term != t->term.number) {
+      g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
+      fc_machine_clear(t, m);
+      m->settled_term = t->term.number;
+      if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/deal.c
@@ -0,0 +1,39 @@
+#include "coordination/deal.h"
+
+#include <string.h>
+
+/* FNV-1a, then the finaliser of splitmix64: rendezvous hashing needs weights
+ * that are independent between members, which FNV alone does not give. */
+static uint64_t weigh(uint64_t seed, const char *key, const char *member) {
+  uint64_t h = 1469598103934665603ull ^ seed;
+  for (const char *p = key; *p; p++) h = (h ^ (unsigned char)*p) * 1099511628211ull;
+  h = (h ^ 0xff) * 1099511628211ull;
+  for (const char *p = member; *p; p++) h = (h ^ (unsigned char)*p) * 1099511628211ull;
+  h += 0x9e3779b97f4a7c15ull;
+  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ull;
+  h = (h ^ (h >> 27)) * 0x94d049bb133111ebull;
+  return h ^ (h >> 31);
+}
+
+int fc_deal_key(const fc_term *t, const char *key) {
+  int best = -1;
+  uint64_t best_weight = 0;
+  for (size_t i = 0; i < t->count; i++) {
+    uint64_t w = weigh(t->seed, key, t->members[i].name);
+    if (best < 0 || w > best_weight) {
+      best = (int)i;
+      best_weight = w;
+    }
+  }
+  return best;
+}
+
+int fc_deal_job(const fc_term *t, const char *id, const char *handed_to) {
+  int m = handed_to && *handed_to ? fc_term_find(t, handed_to) : -1;
+  return m >= 0 ? m : fc_deal_key(t, id);
+}
+
+int fc_deal_machine(const fc_term *t, const char *id, const char *owner) {
+  int m = owner && *owner ? fc_term_find(t, owner) : -1;
+  return m >= 0 ? m : fc_deal_key(t, id);
+}
--- /dev/null
+++ b/src/coordination/quota.h
@@ -0,0 +1,23 @@
+/* Shares of the teams' limits: who may use how much, so that the sum never
+ * passes the limit whatever order messages come in. Pure arithmetic. */
+#ifndef FC_COORDINATION_QUOTA_H
+#define FC_COORDINATION_QUOTA_H
+
+#include <stdbool.h>
+
+#include "protocol/records.h"
+
+/* One kind of resource of one team, over the parts. */
+typedef struct fc_demand {
+  double used;   /* what may be running on the part's machines */
+  double wanted; /* what its queue asks for besides */
+} fc_demand;
+
+/* First division in a term: every part keeps what it uses, the rest is dealt
+ * by queued demand, what is left over evenly. */
+void fc_quota_divide(double limit, const fc_demand *parts, size_t count, double *shares);
+/* The share this part should ask for now, given what is unassigned. Never below
+ * what it uses, never above what the limit leaves. */
+double fc_quota_adjust(double limit, double assigned_to_others, double own_share, const fc_demand *own);
+
+#endif
--- /dev/null
+++ b/src/protocol/frame.c
@@ -0,0 +1,201 @@
+#include "protocol/frame.h"
+
+#include <string.h>
+
+#define MAGIC 0xfc1eu
+#define MACHINES_MOST 4096u
+#define TASKS_MOST 4096u
+
+static void put_u8(GByteArray *b, uint8_t v) { g_byte_array_append(b, &v, 1); }
+
+static void put_u16(GByteArray *b, uint16_t v) {
+  guint16 n = GUINT16_TO_BE(v);
+  g_byte_array_append(b, (const guint8 *)&n, 2);
+}
+
+static void put_u32(GByteArray *b, uint32_t v) {
+  guint32 n = GUINT32_TO_BE(v);
+  g_byte_array_append(b, (const guint8 *)&n, 4);
+}
+
+static void put_u64(GByteArray *b, uint64_t v) {
+  guint64 n = GUINT64_TO_BE(v);
+  g_byte_array_append(b, (const guint8 *)&n, 8);
+}
+
+static void put_text(GByteArray *b, const char *s) {
+  size_t n = strlen(s);
+  put_u8(b, (uint8_t)n); /* every text here is shorter than 64 bytes */
+  g_byte_array_append(b, (const guint8 *)s, (guint)n);
+}
+
+static guint begin(GByteArray *b, fc_frame_type type) {
+  guint at = b->len;
+  put_u16(b, MAGIC);
+  put_u8(b, FC_FRAME_VERSION);
+  put_u8(b, (uint8_t)type);
+  put_u32(b, 0);
+  return at;
+}
+
+static void finish(GByteArray *b, guint at) {
+  guint32 n = GUINT32_TO_BE(b->len - at - FC_FRAME_HEAD);
+  memcpy(b->data + at + 4, &n, 4);
+}
+
+void fc_view_encode(GByteArray *out, const fc_view *v) {
+  guint at = begin(out, FC_FRAME_VIEW);
+  put_text(out, v->sender);
+  put_u64(out, v->boot);
+  put_u64(out, v->term);
+  put_u64(out, v->seq);
+  put_u16(out, (uint16_t)v->machine_count);
+  for (size_t i = 0; i < v->machine_count; i++) {
+    const fc_frame_machine *m = &v->machines[i];
+    put_text(out, m->id);
+    put_u8(out, (uint8_t)((m->settled ? 1 : 0) | (m->closed ? 2 : 0)));
+    put_u16(out, (uint16_t)m->task_count);
+    for (size_t k = 0; k < m->task_count; k++) {
+      put_text(out, m->tasks[k].job);
+      put_u32(out, m->tasks[k].index);
+      put_u64(out, m->tasks[k].attempt);
+      put_u8(out, m->tasks[k].state);
+      put_u8(out, m->tasks[k].cause);
+    }
+  }
+  finish(out, at);
+}
+
+void fc_ack_encode(GByteArray *out, const fc_ack *a) {
+  guint at = begin(out, FC_FRAME_ACK);
+  put_text(out, a->sender);
+  put_u64(out, a->boot);
+  put_u64(out, a->term);
+  put_u64(out, a->seq);
+  put_u32(out, a->promise_ms);
+  finish(out, at);
+}
+
+typedef struct cursor {
+  const uint8_t *p;
+  size_t left;
+  bool bad;
+} cursor;
+
+static bool take(cursor *c, void *out, size_t n) {
+  if (c->bad || c->left < n) {
+    c->bad = true;
+    memset(out, 0, n);
+    return false;
+  }
+  memcpy(out, c->p, n);
+  c->p += n;
+  c->left -= n;
+  return true;
+}
+
+static uint8_t get_u8(cursor *c) {
+  uint8_t v;
+  take(c, &v, 1);
+  return v;
+}
+
+static uint16_t get_u16(cursor *c) {
+  guint16 v;
+  take(c, &v, 2);
+  return GUINT16_FROM_BE(v);
+}
+
+static uint32_t get_u32(cursor *c) {
+  guint32 v;
+  take(c, &v, 4);
+  return GUINT32_FROM_BE(v);
+}
+
+static uint64_t get_u64(cursor *c) {
+  guint64 v;
+  take(c, &v, 8);
+  return GUINT64_FROM_BE(v);
+}
+
+static void get_text(cursor *c, char *out, size_t size) {
+  size_t n = get_u8(c);
+  if (n >= size) {
+    c->bad = true;
+    n = 0;
+  }
+  take(c, out, n);
+  out[c->bad ? 0 : n] = '\0';
+  if (!c->bad && strlen(out) != n) c->bad = true; /* a NUL inside a name */
+}
+
+bool fc_frame_head(const uint8_t head[FC_FRAME_HEAD], fc_frame_type *type, uint32_t *len) {
+  cursor c = {.p = head, .left = FC_FRAME_HEAD};
+  uint16_t magic = get_u16(&c);
+  uint8_t version = get_u8(&c);
+  uint8_t kind = get_u8(&c);
+  *len = get_u32(&c);
+  *type = (fc_frame_type)kind;
+  return magic == MAGIC && version == FC_FRAME_VERSION && (kind == FC_FRAME_VIEW || kind == FC_FRAME_ACK) &&
+         *len <= FC_FRAME_MOST;
+}
+
+static void decode_machine(cursor *c, fc_frame_machine *m) {
+  get_text(c, m->id, sizeof m->id);
+  uint8_t flags = get_u8(c);
+  m->settled = flags & 1;
+  m->closed = flags & 2;
+  size_t n = get_u16(c);
+  if (c->bad || n > TASKS_MOST) {
+    c->bad = true;
+    return;
+  }
+  m->tasks = g_new0(fc_frame_task, n);
+  m->task_count = n;
+  for (size_t k = 0; k < n && !c->bad; k++) {
+    fc_frame_task *t = &m->tasks[k];
+    get_text(c, t->job, sizeof t->job);
+    t->index = get_u32(c);
+    t->attempt = get_u64(c);
+    t->state = get_u8(c);
+    t->cause = get_u8(c);
+    if (t->state > FC_TASK_EXITED || t->cause > FC_CAUSE_UNKNOWN) c->bad = true;
+  }
+}
+
+bool fc_view_decode(const uint8_t *p, size_t len, fc_view *out) {
+  memset(out, 0, sizeof *out);
+  cursor c = {.p = p, .left = len};
+  get_text(&c, out->sender, sizeof out->sender);
+  out->boot = get_u64(&c);
+  out->term = get_u64(&c);
+  out->seq = get_u64(&c);
+  size_t n = get_u16(&c);
+  if (!c.bad && n <= MACHINES_MOST) {
+    out->machines = g_new0(fc_frame_machine, n);
+    out->machine_count = n;
+    for (size_t i = 0; i < n && !c.bad; i++) decode_machine(&c, &out->machines[i]);
+  } else {
+    c.bad = true;
+  }
+  if (!c.bad && c.left == 0) return true;
+  fc_view_clear(out);
+  return false;
+}
+
+void fc_view_clear(fc_view *v) {
+  for (size_t i = 0; i < v->machine_count; i++) g_free(v->machines[i].tasks);
+  g_free(v->machines);
+  memset(v, 0, sizeof *v);
+}
+
+bool fc_ack_decode(const uint8_t *p, size_t len, fc_ack *out) {
+  memset(out, 0, sizeof *out);
+  cursor c = {.p = p, .left = len};
+  get_text(&c, out->sender, sizeof out->sender);
+  out->boot = get_u64(&c);
+  out->term = get_u64(&c);
+  out->seq = get_u64(&c);
+  out->promise_ms = get_u32(&c);
+  return !c.bad && c.left == 0;
+}
--- /dev/null
+++ b/src/protocol/frame.h
@@ -0,0 +1,56 @@
+/* What controllers say to each other: packed fields, big-endian, length- and
+ * version-checked. One exchange: a view, answered by an acknowledgement. */
+#ifndef FC_PROTOCOL_FRAME_H
+#define FC_PROTOCOL_FRAME_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "protocol/worker.h"
+
+#define FC_FRAME_VERSION 1
+#define FC_FRAME_HEAD 8u
+#define FC_FRAME_MOST (256u * 1024u)
+
+typedef enum { FC_FRAME_VIEW = 1, FC_FRAME_ACK = 2 } fc_frame_type;
+
+typedef struct fc_frame_task {
+  char job[32];
+  uint32_t index;
+  uint64_t attempt;
+  uint8_t state; /* fc_task_state */
+  uint8_t cause; /* fc_exit_cause */
+} fc_frame_task;
+
+typedef struct fc_frame_machine {
+  char id[64];
+  bool settled; /* in the frame's term; only then is the task list complete */
+  bool closed;  /* takes no new tasks */
+  fc_frame_task *tasks;
+  size_t task_count;
+} fc_frame_machine;
+
+typedef struct fc_view {
+  char sender[64];
+  uint64_t boot, term, seq;
+  fc_frame_machine *machines;
+  size_t machine_count;
+} fc_view;
+
+typedef struct fc_ack {
+  char sender[64];
+  uint64_t boot, term, seq;
+  uint32_t promise_ms; /* 0: none. "I commit no term without you" for so long */
+} fc_ack;
+
+/* Whole frames, head included. Appends to `out`. */
+void fc_view_encode(GByteArray *out, const fc_view *v);
+void fc_ack_encode(GByteArray *out, const fc_ack *a);
+/* The head: false when it is not one of ours; *len is the length of the rest. */
+bool fc_frame_head(const uint8_t head[FC_FRAME_HEAD], fc_frame_type *type, uint32_t *len);
+bool fc_view_decode(const uint8_t *p, size_t len, fc_view *out);
+void fc_view_clear(fc_view *v);
+bool fc_ack_decode(const uint8_t *p, size_t len, fc_ack *out);
+
+#endif
--- /dev/null
+++ b/src/protocol/job.c
@@ -0,0 +1,212 @@
+#include "protocol/job.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/json.h"
+
+#define NAME_MOST 256u
+#define AMOUNT_MOST 1e9
+#define RECORD_FORMAT 1
+
+static const char *const k_kinds[] = {"sweep", "gang", "service"};
+static const char *const k_ranks[] = {"best_effort", "standard", "high", "prod"};
+static const char *const k_phases[] = {"accepted", "cancelled", "done"};
+static const char *const k_statuses[] = {"pending", "running", "done", "cancelled"};
+
+bool fc_job_id_valid(const char *id) {
+  if (!id || strncmp(id, "job-", 4) != 0) return false;
+  size_t digits = strspn(id + 4, "0123456789");
+  return digits >= 6 && digits <= 18 && id[4 + digits] == '\0';
+}
+
+static int name_index(fc_reader *r, const char *field, const char *const *names, int count) {
+  const char *text = fc_read_string(r, field, NAME_MOST);
+  if (!text) return 0;
+  for (int i = 0; i < count; i++)
+    if (strcmp(text, names[i]) == 0) return i;
+  fc_reader_fail(r, field, "unknown value");
+  return 0;
+}
+
+static void read_types(fc_reader *r, fc_job_spec *s) {
+  const json_t *v = json_object_get(r->object, "builds");
+  if (!v || json_is_null(v) || !fc_reader_ok(r)) return;
+  size_t n = json_array_size(v);
+  if (!json_is_array(v) || n == 0 || n > FC_TYPES_PER_JOB) {
+    fc_reader_fail(r, "builds", "not a short array of types");
+    return;
+  }
+  s->types = g_new0(char *, n + 1);
+  for (size_t i = 0; i < n; i++) {
+    const char *t = json_string_value(json_array_get(v, i));
+    if (!t || !*t || strlen(t) > NAME_MOST) {
+      fc_reader_fail(r, "builds", "holds something that is not a type");
+      return;
+    }
+    s->types[i] = g_strdup(t);
+  }
+}
+
+static GRefString *intern(const char *text) { return text ? g_ref_string_new_intern(text) : NULL; }
+
+static void spec_read(fc_reader *r, fc_job_spec *s) {
+  const char *id = fc_read_string(r, "id", NAME_MOST);
+  if (id && !fc_job_id_valid(id)) fc_reader_fail(r, "id", "not of the form job-000412");
+  if (fc_reader_ok(r)) s->id = g_strdup(id);
+  s->class_name = intern(fc_read_string(r, "squad", NAME_MOST));
+  s->team = intern(fc_read_string(r, "club", NAME_MOST));
+  s->kind = (fc_job_kind)name_index(r, "play", k_kinds, G_N_ELEMENTS(k_kinds));
+  s->rank = (fc_rank)name_index(r, "rank", k_ranks, G_N_ELEMENTS(k_ranks));
+  s->tasks = (uint32_t)fc_read_count(r, "runs", 1, FC_TASKS_MAX);
+  s->cpus = fc_read_amount(r, "cpus", 0, AMOUNT_MOST);
+  s->gpus = fc_read_amount(r, "gpus", 0, AMOUNT_MOST);
+  s->memory_gb = fc_read_amount(r, "memGb", 0, AMOUNT_MOST);
+  s->image = intern(fc_read_string(r, "kit", NAME_MOST));
+  s->image_gb = fc_read_amount(r, "pullGb", 0, AMOUNT_MOST);
+  read_types(r, s);
+  s->zone = intern(fc_read_string_or_null(r, "ground", NAME_MOST));
+  s->one_zone = fc_read_bool(r, "samePlace");
+  s->spread = fc_read_bool(r, "scatter");
+  s->spot = fc_read_bool(r, "loaners");
+  s->estimate_s = fc_read_amount(r, "expectS", 0, AMOUNT_MOST);
+  s->checkpoint_s = fc_read_amount(r, "markS", 0, AMOUNT_MOST);
+  s->save_s = fc_read_amount(r, "stowS", 0, AMOUNT_MOST);
+  s->deadline_s = fc_read_amount_or(r, "whistleS", 0, AMOUNT_MOST, -1);
+}
+
+bool fc_job_spec_parse(const char *text, size_t len, fc_job_spec *out, char *error, size_t error_size) {
+  memset(out, 0, sizeof *out);
+  json_t *v = fc_json_parse(text, len);
+  if (!v) {
+    g_strlcpy(error, "body: not JSON", error_size);
+    return false;
+  }
+  fc_reader r;
+  fc_reader_init(&r, v);
+  if (!fc_reader_ok(&r)) g_strlcpy(r.error, "body: not an object", sizeof r.error);
+  spec_read(&r, out);
+  json_decref(v);
+  if (fc_reader_ok(&r)) return true;
+  g_strlcpy(error, r.error, error_size);
+  fc_job_spec_clear(out);
+  return false;
+}
+
+static void release(GRefString *s) {
+  if (s) g_ref_string_release(s);
+}
+
+void fc_job_spec_clear(fc_job_spec *s) {
+  g_free(s->id);
+  release(s->class_name);
+  release(s->team);
+  release(s->image);
+  release(s->zone);
+  g_strfreev(s->types);
+  memset(s, 0, sizeof *s);
+}
+
+static json_t *spec_encode(const fc_job_spec *s) {
+  json_t *types = NULL;
+  if (s->types) {
+    types = json_array();
+    for (char **t = s->types; *t; t++) json_array_append_new(types, json_string(*t));
+  }
+  return json_pack("{ss ss ss ss ss si sf sf sf ss sf so? ss? sb sb sb sf sf sf so?}", "id", s->id, "squad",
+                   s->class_name, "club", s->team, "play", k_kinds[s->kind], "rank", k_ranks[s->rank], "runs",
+                   (int)s->tasks, "cpus", s->cpus, "gpus", s->gpus, "memGb", s->memory_gb, "kit", s->image,
+                   "pullGb", s->image_gb, "builds", types, "ground", s->zone, "samePlace", (int)s->one_zone,
+                   "scatter", (int)s->spread, "loaners", (int)s->spot, "expectS", s->estimate_s, "markS",
+                   s->checkpoint_s, "stowS", s->save_s, "whistleS",
+                   s->deadline_s < 0 ? NULL : json_real(s->deadline_s));
+}
+
+json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, const char *handed_to) {
+  return json_pack("{si so ss ss* ss*}", "f", RECORD_FORMAT, "spec", spec_encode(spec), "phase", k_phases[phase],
+                   "done", done && *done ? done : NULL, "to", handed_to);
+}
+
+bool fc_job_record_decode(const json_t *v, fc_job_record *out) {
+  memset(out, 0, sizeof *out);
+  fc_reader r;
+  fc_reader_init(&r, v);
+  if (fc_read_count(&r, "f", 1, RECORD_FORMAT) != RECORD_FORMAT) return false;
+  out->phase = (fc_phase)name_index(&r, "phase", k_phases, G_N_ELEMENTS(k_phases));
+  const char *done = fc_read_string_or_null(&r, "done", FC_TASKS_MAX * 8);
+  const char *to = fc_read_string_or_null(&r, "to", NAME_MOST);
+  const json_t *spec = fc_read_object(&r, "spec");
+  if (!fc_reader_ok(&r)) return false;
+  fc_reader sr;
+  fc_reader_init(&sr, spec);
+  spec_read(&sr, &out->spec);
+  if (!fc_reader_ok(&sr)) {
+    fc_job_spec_clear(&out->spec);
+    return false;
+  }
+  out->done = g_strdup(done ? done : "");
+  out->handed_to = g_strdup(to);
+  return true;
+}
+
+void fc_job_record_clear(fc_job_record *r) {
+  fc_job_spec_clear(&r->spec);
+  g_free(r->done);
+  g_free(r->handed_to);
+  memset(r, 0, sizeof *r);
+}
+
+void fc_job_answer(GString *out, const char *id, fc_job_status status, uint32_t done, uint32_t running,
+                   bool with_counts) {
+  g_string_append_printf(out, "{\"id\":\"%s\",\"status\":\"%s\"", id, k_statuses[status]);
+  if (with_counts) g_string_append_printf(out, ",\"done\":%u,\"running\":%u", done, running);
+  g_string_append_c(out, '}');
+}
+
+void fc_error_answer(GString *out, const char *what) { fc_json_append(out, json_pack("{ss}", "error", what)); }
+
+char *fc_ranges_encode(const uint8_t *bits, uint32_t tasks) {
+  GString *out = g_string_new(NULL);
+  for (uint32_t i = 0; i < tasks; i++) {
+    if (!(bits[i / 8] & (1u << (i % 8)))) continue;
+    uint32_t last = i;
+    while (last + 1 < tasks && (bits[(last + 1) / 8] & (1u << ((last + 1) % 8)))) last++;
+    if (out->len) g_string_append_c(out, ',');
+    g_string_append_printf(out, "%u", i);
+    if (last > i) g_string_append_printf(out, "-%u", last);
+    i = last;
+  }
+  return g_string_free(out, FALSE);
+}
+
+static bool read_number(const char **p, uint32_t *out) {
+  if (!g_ascii_isdigit(**p)) return false;
+  char *end = NULL;
+  unsigned long v = strtoul(*p, &end, 10);
+  if (v > FC_TASKS_MAX) return false;
+  *p = end;
+  *out = (uint32_t)v;
+  return true;
+}
+
+bool fc_ranges_decode(const char *text, uint8_t *bits, uint32_t tasks) {
+  const char *p = text;
+  while (*p) {
+    uint32_t first = 0, last = 0;
+    if (!read_number(&p, &first)) return false;
+    last = first;
+    if (*p == '-') {
+      p++;
+      if (!read_number(&p, &last)) return false;
+    }
+    if (last < first || last >= tasks) return false;
+    for (uint32_t i = first; i <= last; i++) bits[i / 8] |= (uint8_t)(1u << (i % 8));
+    if (*p == ',') {
+      p++;
+      if (!*p) return false;
+    } else if (*p) {
+      return false;
+    }
+  }
+  return true;
+}
--- /dev/null
+++ b/src/protocol/job.h
@@ -0,0 +1,63 @@
+/* Jobs as users describe them and as the state service keeps them. */
+#ifndef FC_PROTOCOL_JOB_H
+#define FC_PROTOCOL_JOB_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum { FC_KIND_ARRAY, FC_KIND_GANG, FC_KIND_SERVICE } fc_job_kind;
+/* Larger is more important. */
+typedef enum { FC_RANK_BEST_EFFORT, FC_RANK_STANDARD, FC_RANK_HIGH, FC_RANK_PROD } fc_rank;
+typedef enum { FC_PHASE_ACCEPTED, FC_PHASE_CANCELLED, FC_PHASE_DONE } fc_phase;
+/* What users are told. */
+typedef enum { FC_STATUS_PENDING, FC_STATUS_RUNNING, FC_STATUS_DONE, FC_STATUS_CANCELLED } fc_job_status;
+
+#define FC_TASKS_MAX 100000u
+#define FC_TYPES_PER_JOB 64u
+
+typedef struct fc_job_spec {
+  char *id;
+  GRefString *class_name, *team, *image;
+  fc_job_kind kind;
+  fc_rank rank;
+  uint32_t tasks;
+  double cpus, gpus, memory_gb, image_gb;
+  char **types;     /* NULL-terminated; NULL: any */
+  GRefString *zone; /* NULL: any */
+  bool one_zone, spread, spot;
+  double estimate_s, checkpoint_s, save_s;
+  double deadline_s; /* < 0: none */
+} fc_job_spec;
+
+/* "job-000412": the only form of id there is. */
+bool fc_job_id_valid(const char *id);
+
+/* Reads a submission; false with a line that names the field. */
+bool fc_job_spec_parse(const char *text, size_t len, fc_job_spec *out, char *error, size_t error_size);
+void fc_job_spec_clear(fc_job_spec *s);
+
+/* The stored form: format version, description, phase, finished tasks as
+ * ranges ("0-3,7"), and the controller the job was handed to, if any. */
+typedef struct fc_job_record {
+  fc_job_spec spec;
+  fc_phase phase;
+  char *done;      /* ranges */
+  char *handed_to; /* NULL: as dealt */
+} fc_job_record;
+
+json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, const char *handed_to);
+bool fc_job_record_decode(const json_t *v, fc_job_record *out);
+void fc_job_record_clear(fc_job_record *r);
+
+/* The body of an answer to a user. */
+void fc_job_answer(GString *out, const char *id, fc_job_status status, uint32_t done, uint32_t running,
+                   bool with_counts);
+void fc_error_answer(GString *out, const char *what);
+
+/* Ranges of task numbers <-> bitmap. Decoding refuses numbers >= tasks. */
+char *fc_ranges_encode(const uint8_t *bits, uint32_t tasks);
+bool fc_ranges_decode(const char *text, uint8_t *bits, uint32_t tasks);
+
+#endif
--- /dev/null
+++ b/src/protocol/records.h
@@ -0,0 +1,69 @@
+/* The records controllers keep in the state service, besides jobs, and their
+ * keys. Every stored value carries a format number "f". */
+#ifndef FC_PROTOCOL_RECORDS_H
+#define FC_PROTOCOL_RECORDS_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "protocol/settings.h"
+
+#define FC_PREFIX "fc1/"
+#define FC_KEY_TERM FC_PREFIX "term"
+#define FC_KEY_QUOTA FC_PREFIX "quota"
+#define FC_PREFIX_JOB FC_PREFIX "job/"
+#define FC_PREFIX_MACHINE FC_PREFIX "machine/"
+#define FC_PREFIX_MEMBER FC_PREFIX "member/"
+#define FC_PREFIX_HIRE FC_PREFIX "hire/"
+
+typedef struct fc_member {
+  char name[64];
+  uint64_t boot; /* one for each start of a process, and never the same again */
+} fc_member;
+
+/* The stored record the whole deal is derived from. */
+typedef struct fc_term {
+  uint64_t number; /* the workers' token */
+  uint64_t seed;
+  fc_member members[FC_MEMBERS_MAX]; /* in order of names */
+  size_t count;
+} fc_term;
+
+json_t *fc_term_encode(const fc_term *t);
+bool fc_term_decode(const json_t *v, fc_term *out);
+int fc_term_find(const fc_term *t, const char *name); /* -1: not a member */
+
+typedef struct fc_machine_record {
+  char endpoint[32]; /* "" until the machine's address is known */
+  char type[64], zone[64], owner[64];
+  bool spot;
+} fc_machine_record;
+
+json_t *fc_machine_record_encode(const fc_machine_record *m);
+bool fc_machine_record_decode(const json_t *v, fc_machine_record *out);
+
+/* Written before the cloud is asked, so that a taker-over can repeat it. */
+typedef struct fc_hire_record {
+  char type[64], zone[64], owner[64]; /* owner: the part that the machines go to */
+  bool spot;
+  unsigned count;
+} fc_hire_record;
+
+json_t *fc_hire_record_encode(const fc_hire_record *h);
+bool fc_hire_record_decode(const json_t *v, fc_hire_record *out);
+
+/* Shares of the teams' limits, valid in one term only. */
+typedef struct fc_quota_record {
+  uint64_t term;
+  char members[FC_MEMBERS_MAX][64];
+  size_t member_count;
+  double cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
+  double gpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
+} fc_quota_record;
+
+json_t *fc_quota_record_encode(const fc_quota_record *q, const fc_settings *s);
+bool fc_quota_record_decode(const json_t *v, const fc_settings *s, fc_quota_record *out);
+
+#endif
--- /dev/null
+++ b/src/scheduler/place.c
@@ -0,0 +1,258 @@
+#include "scheduler/place.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "coordination/deal.h"
+
+typedef struct slot {
+  fc_machine *machine;
+  const fc_machine_type *type;
+  fc_room room;
+  GHashTable *planned_images; /* images that tasks of this round bring along */
+} slot;
+
+typedef struct candidate {
+  fc_job *job;
+  GArray *missing; /* uint32_t */
+  guint next;
+} candidate;
+
+typedef struct round_state {
+  const fc_table *table;
+  GArray *slots;
+  GPtrArray *jobs; /* candidate */
+  fc_allowance allow;
+  double used_cpus[FC_TEAMS_MAX], used_gpus[FC_TEAMS_MAX]; /* everywhere */
+  GArray *out;
+} round_state;
+
+bool fc_job_placeable(const fc_table *t, const fc_job *j, double now) {
+  return j->phase == FC_PHASE_ACCEPTED && j->clear && j->team >= 0 && now >= j->blocked_until && t->self >= 0 &&
+         fc_deal_job(&t->term, j->spec.id, j->handed_to) == t->self;
+}
+
+GArray *fc_job_missing(const fc_job *j, guint most) {
+  GArray *out = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+  size_t bytes = (j->spec.tasks + 7) / 8;
+  uint8_t *taken = g_malloc(bytes);
+  memcpy(taken, j->done, bytes);
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    /* An exited task that did not finish is gone; any other may be there. */
+    if (p->state == FC_TASK_EXITED && p->cause != FC_CAUSE_DONE) continue;
+    if (p->index < j->spec.tasks) taken[p->index / 8] |= (uint8_t)(1u << (p->index % 8));
+  }
+  for (uint32_t i = 0; i < j->spec.tasks && out->len < most; i++)
+    if (!(taken[i / 8] >> (i % 8) & 1)) g_array_append_val(out, i);
+  g_free(taken);
+  return out;
+}
+
+static void candidate_free(gpointer p) {
+  candidate *c = p;
+  g_array_free(c->missing, TRUE);
+  g_free(c);
+}
+
+static void slot_clear(gpointer p) {
+  slot *s = p;
+  if (s->planned_images) g_hash_table_destroy(s->planned_images);
+}
+
+/* Any live task of the job, as the rules about zones count them. */
+static unsigned live_in_zone(const fc_job *j, const char *zone, const GArray *planned) {
+  unsigned n = 0;
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (fc_placement_live(p) && (!zone || strcmp(p->machine->rec.zone, zone) == 0)) n++;
+  }
+  for (guint i = 0; i < planned->len; i++) {
+    const fc_decision *d = &g_array_index(planned, fc_decision, i);
+    if (d->job == j && (!zone || strcmp(d->machine->rec.zone, zone) == 0)) n++;
+  }
+  return n;
+}
+
+static bool zone_allowed(const round_state *rs, const fc_job *j, const char *zone) {
+  const fc_job_spec *s = &j->spec;
+  if (s->one_zone && live_in_zone(j, NULL, rs->out) != live_in_zone(j, zone, rs->out)) return false;
+  if (s->spread && live_in_zone(j, zone, rs->out) + 1 > (s->tasks + 1) / 2) return false;
+  return true;
+}
+
+/* Image holder first, else the roomiest in the allowed zones. */
+static slot *choose(const round_state *rs, const fc_job *j, const char *only_zone) {
+  const fc_job_spec *s = &j->spec;
+  slot *best = NULL;
+  bool best_image = false;
+  double best_room = -1;
+  for (guint i = 0; i < rs->slots->len; i++) {
+    slot *sl = &g_array_index(rs->slots, slot, i);
+    const fc_machine *m = sl->machine;
+    if (only_zone && strcmp(m->rec.zone, only_zone) != 0) continue;
+    if (!fc_room_fits(&sl->room, s) || !fc_job_allows(s, m->rec.type, m->rec.zone, m->rec.spot)) continue;
+    if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) continue;
+    if (!zone_allowed(rs, j, m->rec.zone)) continue;
+    bool image = fc_machine_has_image(m, s->image) ||
+                 (sl->planned_images && g_hash_table_contains(sl->planned_images, s->image));
+    double room = (sl->type->gpus > 0 ? sl->room.gpus / sl->type->gpus : 0) +
+                  (sl->type->cpus > 0 ? sl->room.cpus / sl->type->cpus : 0);
+    if (!best || (image && !best_image) || (image == best_image && room > best_room + 1e-9)) {
+      best = sl;
+      best_image = image;
+      best_room = room;
+    }
+  }
+  return best;
+}
+
+static void take(round_state *rs, slot *sl, fc_job *j, uint32_t index) {
+  fc_decision d = {.job = j, .index = index, .machine = sl->machine};
+  g_array_append_val(rs->out, d);
+  fc_room_take(&sl->room, &j->spec);
+  if (!sl->planned_images) sl->planned_images = g_hash_table_new(g_str_hash, g_str_equal);
+  g_hash_table_add(sl->planned_images, j->spec.image);
+  rs->allow.cpus[j->team] -= j->spec.cpus;
+  rs->allow.gpus[j->team] -= j->spec.gpus;
+  rs->used_cpus[j->team] += j->spec.cpus;
+  rs->used_gpus[j->team] += j->spec.gpus;
+}
+
+static bool allowed(const round_state *rs, const fc_job *j, unsigned tasks) {
+  const double slack = 1e-6;
+  return rs->allow.cpus[j->team] + slack >= j->spec.cpus * tasks &&
+         rs->allow.gpus[j->team] + slack >= j->spec.gpus * tasks;
+}
+
+/* All tasks of the gang or none. */
+static bool place_gang(round_state *rs, candidate *c, const char *zone) {
+  guint mark = rs->out->len;
+  GArray *rooms = g_array_new(FALSE, FALSE, sizeof(fc_room));
+  for (guint i = 0; i < rs->slots->len; i++) g_array_append_val(rooms, g_array_index(rs->slots, slot, i).room);
+  bool ok = true;
+  for (guint i = 0; i < c->missing->len && ok; i++) {
+    slot *sl = choose(rs, c->job, zone);
+    ok = sl != NULL;
+    if (sl) take(rs, sl, c->job, g_array_index(c->missing, uint32_t, i));
+  }
+  if (!ok) {
+    for (guint i = mark; i < rs->out->len; i++) {
+      rs->allow.cpus[c->job->team] += c->job->spec.cpus;
+      rs->allow.gpus[c->job->team] += c->job->spec.gpus;
+      rs->used_cpus[c->job->team] -= c->job->spec.cpus;
+      rs->used_gpus[c->job->team] -= c->job->spec.gpus;
+    }
+    g_array_set_size(rs->out, mark);
+    for (guint i = 0; i < rs->slots->len; i++)
+      g_array_index(rs->slots, slot, i).room = g_array_index(rooms, fc_room, i);
+  }
+  g_array_free(rooms, TRUE);
+  return ok;
+}
+
+/* False when the job can get nothing more this round. */
+static bool place_some(round_state *rs, candidate *c) {
+  fc_job *j = c->job;
+  if (j->spec.kind == FC_KIND_GANG) {
+    if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return false;
+    if (!allowed(rs, j, c->missing->len)) return false;
+    if (!j->spec.one_zone) {
+      (void)place_gang(rs, c, NULL);
+      return false;
+    }
+    for (size_t z = 0; z < rs->table->settings->zone_count; z++)
+      if (place_gang(rs, c, rs->table->settings->zones[z])) break;
+    return false;
+  }
+  if (c->next >= c->missing->len || !allowed(rs, j, 1)) return false;
+  slot *sl = choose(rs, j, NULL);
+  if (!sl) return false;
+  take(rs, sl, j, g_array_index(c->missing, uint32_t, c->next++));
+  return c->next < c->missing->len;
+}
+
+/* Used part of the guarantee; teams without one come after, by what they use. */
+static double share_of(const round_state *rs, int team) {
+  const fc_team_settings *ts = &rs->table->settings->teams[team];
+  double share = 0;
+  bool guaranteed = false;
+  if (ts->gpus > 0) {
+    share = MAX(share, rs->used_gpus[team] / ts->gpus);
+    guaranteed = true;
+  }
+  if (ts->cpus > 0) {
+    share = MAX(share, rs->used_cpus[team] / ts->cpus);
+    guaranteed = true;
+  }
+  return guaranteed ? share : 1 + rs->used_cpus[team] * 1e-6;
+}
+
+static candidate *pick(const round_state *rs) {
+  candidate *best = NULL;
+  double best_share = 0;
+  for (guint i = 0; i < rs->jobs->len; i++) {
+    candidate *c = rs->jobs->pdata[i];
+    double share = share_of(rs, c->job->team);
+    bool better = !best || c->job->spec.rank > best->job->spec.rank;
+    if (best && c->job->spec.rank == best->job->spec.rank)
+      better = share < best_share - 1e-9 || (share < best_share + 1e-9 && c->job->serial < best->job->serial);
+    if (better) {
+      best = c;
+      best_share = share;
+    }
+  }
+  return best;
+}
+
+static void gather(round_state *rs, double now) {
+  const fc_table *t = rs->table;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    for (guint i = 0; i < m->placements->len; i++) {
+      const fc_placement *p = m->placements->pdata[i];
+      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+      rs->used_cpus[p->job->team] += p->job->spec.cpus;
+      rs->used_gpus[p->job->team] += p->job->spec.gpus;
+    }
+    bool usable = m->owner == t->self && t->self >= 0 && m->version && m->settled_term == t->term.number &&
+                  m->reported && !m->closed && m->type >= 0 && !m->notice_until;
+    /* Nothing is placed on a machine that has been silent for half a lease. */
+    if (!usable || now > m->heard_at + t->settings->lease_s * 0.5) continue;
+    slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
+    g_array_append_val(rs->slots, s);
+  }
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    if (!fc_job_placeable(t, j, now)) continue;
+    GArray *missing = fc_job_missing(j, 1024);
+    if (missing->len == 0) {
+      g_array_free(missing, TRUE);
+      continue;
+    }
+    candidate *c = g_new0(candidate, 1);
+    c->job = j;
+    c->missing = missing;
+    g_ptr_array_add(rs->jobs, c);
+  }
+}
+
+GArray *fc_place_round(const fc_table *t, const fc_allowance *allow, double now) {
+  round_state rs = {.table = t, .allow = *allow};
+  rs.slots = g_array_new(FALSE, TRUE, sizeof(slot));
+  g_array_set_clear_func(rs.slots, slot_clear);
+  rs.jobs = g_ptr_array_new_with_free_func(candidate_free);
+  rs.out = g_array_new(FALSE, TRUE, sizeof(fc_decision));
+  gather(&rs, now);
+  while (rs.jobs->len > 0) {
+    candidate *c = pick(&rs);
+    if (!place_some(&rs, c)) g_ptr_array_remove(rs.jobs, c);
+  }
+  g_array_free(rs.slots, TRUE);
+  g_ptr_array_free(rs.jobs, TRUE);
+  return rs.out;
+}
--- /dev/null
+++ b/src/scheduler/place.h
@@ -0,0 +1,30 @@
+/* Placing: which task goes to which machine. Pure functions over the table. */
+#ifndef FC_SCHEDULER_PLACE_H
+#define FC_SCHEDULER_PLACE_H
+
+#include <glib.h>
+
+#include "bookkeeping/table.h"
+
+typedef struct fc_decision {
+  fc_job *job;
+  uint32_t index;
+  fc_machine *machine;
+} fc_decision;
+
+/* What a part may still start for each team; INFINITY: no limit. */
+typedef struct fc_allowance {
+  double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX];
+} fc_allowance;
+
+/* Jobs of this part that want tasks started now. */
+bool fc_job_placeable(const fc_table *t, const fc_job *j, double now);
+/* Tasks of the job that are neither finished nor anywhere; caps the list. */
+GArray *fc_job_missing(const fc_job *j, guint most);
+
+/* One round of the part: fills the free room of this member's usable machines,
+ * most important rank first, then the team with the lowest share of its
+ * guarantee. Decisions of one gang follow each other and are complete. */
+GArray *fc_place_round(const fc_table *t, const fc_allowance *allow, double now);
+
+#endif
--- /dev/null
+++ b/src/transport/conn.c
@@ -0,0 +1,208 @@
+#include "transport/conn.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "transport/routine.h"
+
+struct fc_conn {
+  int fd;
+  ev_io io;
+  int wanted; /* events the routine waits for */
+  fc_routine *waiter;
+};
+
+bool fc_endpoint_parse(const char *text, fc_endpoint *out) {
+  const char *colon = text ? strrchr(text, ':') : NULL;
+  if (!colon || colon - text > 15 || colon == text) return false;
+  char host[16] = {0};
+  memcpy(host, text, (size_t)(colon - text));
+  struct in_addr ip;
+  if (inet_pton(AF_INET, host, &ip) != 1) return false;
+  char *end = NULL;
+  errno = 0;
+  long port = strtol(colon + 1, &end, 10);
+  if (errno || end == colon + 1 || *end || port < 1 || port > 65535) return false;
+  out->ip = ip.s_addr;
+  out->port = (uint16_t)port;
+  return true;
+}
+
+static void on_io(struct ev_loop *loop, ev_io *w, int events) {
+  fc_conn *c = w->data;
+  if (c->waiter && (events & (c->wanted | EV_ERROR))) {
+    fc_routine *r = c->waiter;
+    c->waiter = NULL;
+    fc_routine_wake(r);
+  }
+  /* Level-triggered: without a routine to read it, the event would fire for ever. */
+  ev_io_stop(loop, w);
+}
+
+static fc_conn *conn_new(int fd) {
+  fc_conn *c = calloc(1, sizeof *c);
+  if (!c) {
+    close(fd);
+    return NULL;
+  }
+  c->fd = fd;
+  int one = 1;
+  /* Best effort: without it messages are only slower. */
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  ev_io_init(&c->io, on_io, fd, EV_READ);
+  c->io.data = c;
+  return c;
+}
+
+static fc_wake conn_wait(fc_conn *c, int events, double deadline) {
+  c->wanted = events;
+  c->waiter = fc_routine_self();
+  if (!ev_is_active(&c->io) || (c->io.events & (EV_READ | EV_WRITE)) != events) {
+    ev_io_stop(fc_loop(), &c->io);
+    ev_io_set(&c->io, c->fd, events);
+    ev_io_start(fc_loop(), &c->io);
+  }
+  fc_wake w = fc_routine_park(deadline);
+  c->waiter = NULL;
+  return w;
+}
+
+fc_conn *fc_conn_connect(const fc_endpoint *to, double deadline) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return NULL;
+  fc_conn *c = conn_new(fd);
+  if (!c) return NULL;
+  struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(to->port)};
+  sa.sin_addr.s_addr = to->ip;
+  if (connect(fd, (struct sockaddr *)&sa, sizeof sa) == 0) return c;
+  if (errno != EINPROGRESS) goto fail;
+  if (conn_wait(c, EV_WRITE, deadline) != FC_WAKE_OK) goto fail;
+  int err = 0;
+  socklen_t len = sizeof err;
+  if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0 || err != 0) goto fail;
+  return c;
+fail:
+  fc_conn_close(c);
+  return NULL;
+}
+
+ssize_t fc_conn_read(fc_conn *c, void *buf, size_t size, double deadline) {
+  for (;;) {
+    ssize_t n = recv(c->fd, buf, size, 0);
+    if (n >= 0) return n;
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) return -1;
+    if (conn_wait(c, EV_READ, deadline) != FC_WAKE_OK) return -1;
+  }
+}
+
+bool fc_conn_write(fc_conn *c, const void *buf, size_t size, double deadline) {
+  const char *p = buf;
+  while (size > 0) {
+    ssize_t n = send(c->fd, p, size, MSG_NOSIGNAL);
+    if (n > 0) {
+      p += n;
+      size -= (size_t)n;
+      continue;
+    }
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return false;
+    if (conn_wait(c, EV_WRITE, deadline) != FC_WAKE_OK) return false;
+  }
+  return true;
+}
+
+bool fc_conn_stale(fc_conn *c) {
+  char byte;
+  ssize_t n = recv(c->fd, &byte, 1, MSG_PEEK);
+  return !(n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+void fc_conn_close(fc_conn *c) {
+  if (!c) return;
+  ev_io_stop(fc_loop(), &c->io);
+  close(c->fd);
+  free(c);
+}
+
+typedef struct listener {
+  ev_io io;
+  fc_conn_fn on_conn;
+  void *arg;
+  size_t open, most;
+} listener;
+
+typedef struct accepted {
+  listener *listener;
+  fc_conn *conn;
+} accepted;
+
+static void accepted_main(void *arg) {
+  accepted a = *(accepted *)arg;
+  free(arg);
+  a.listener->on_conn(a.conn, a.listener->arg);
+  fc_conn_close(a.conn);
+  a.listener->open--;
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events) {
+  (void)loop;
+  (void)events;
+  listener *l = w->data;
+  for (;;) {
+    int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    /* Past the bound the connection is closed at once: the sockets left over
+     * are needed for workers, peers and the state service. */
+    if (l->open >= l->most) {
+      close(fd);
+      continue;
+    }
+    fc_conn *c = conn_new(fd);
+    accepted *a = c ? malloc(sizeof *a) : NULL;
+    if (!a) {
+      if (c) fc_conn_close(c);
+      continue;
+    }
+    a->listener = l;
+    a->conn = c;
+    l->open++;
+    if (!fc_routine_spawn(accepted_main, a)) {
+      l->open--;
+      fc_conn_close(c);
+      free(a);
+    }
+  }
+}
+
+bool fc_listen(const fc_endpoint *at, size_t most, fc_conn_fn on_conn, void *arg) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  int one = 1;
+  struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(at->port)};
+  sa.sin_addr.s_addr = at->ip;
+  if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
+      bind(fd, (struct sockaddr *)&sa, sizeof sa) != 0 || listen(fd, 256) != 0) {
+    close(fd);
+    return false;
+  }
+  listener *l = calloc(1, sizeof *l);
+  if (!l) {
+    close(fd);
+    return false;
+  }
+  l->on_conn = on_conn;
+  l->arg = arg;
+  l->most = most;
+  ev_io_init(&l->io, on_accept, fd, EV_READ);
+  l->io.data = l;
+  ev_io_start(fc_loop(), &l->io);
+  return true;
+}
