--- a/src/main.c
+++ b/src/main.c
@@ -80,7 +80,7 @@
 }
 
 int main(int argc, char **argv) {
-  gchar *config = NULL, *operator_file = NULL;
+  static gchar *config, *operator_file; /* kept: they live as long as the process */
   gboolean check = FALSE, version = FALSE;
   GOptionEntry entries[] = {
       {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "The platform's settings (JSON)", "FILE.json"},
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -205,6 +205,11 @@
   return best;
 }
 
+/* Ties fall to the first by name, so that a round is the same on every run. */
+static gint by_machine(gconstpointer a, gconstpointer b) {
+  return strcmp(((const slot *)a)->machine->id, ((const slot *)b)->machine->id);
+}
+
 static void gather(round_state *rs, double now) {
   const fc_table *t = rs->table;
   GHashTableIter it;
@@ -225,6 +230,7 @@
     slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
     g_array_append_val(rs->slots, s);
   }
+  g_array_sort(rs->slots, by_machine);
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
--- /dev/null
+++ b/tests/command_line.sh
@@ -0,0 +1,56 @@
+#!/usr/bin/env bash
+# The command line and the settings' errors: output and exit codes.
+set -u
+bin=$1
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+failed=0
+expect() { # name, exit code, text that the output must hold, command...
+  local name=$1 code=$2 text=$3
+  shift 3
+  local out got
+  out=$("$@" 2>&1)
+  got=$?
+  if [ "$got" != "$code" ] || [[ "$out" != *"$text"* ]]; then
+    echo "not so: $name: exit $got, output: $out"
+    failed=1
+  fi
+}
+cat > "$dir/good.json" <<'J'
+{"host_name":"n0","domain":"z1","client_listen":"127.0.0.1:18080","peer_listen":"127.0.0.1:18081",
+ "members":[{"host_name":"n1","domain":"z1","endpoint":"127.0.0.1:18083"}],
+ "outside":{"cloud":"127.0.0.1:18090","state":"127.0.0.1:18091"},
+ "settings":{"nodes":2,"zones":["z1"],"teams":[{"name":"t","cpus":0.0,"cpus_max":0.0,"gpus":1.0,"gpus_max":2.0}],
+  "objectives":[],"workers":{"report_s":2.0,"lease_s":14.0,"gang_wait_s":45.0,"gang_peer_s":5.0,"cancel_s":34.0},
+  "state":{"rps":120.0,"write_rps":20.0,"value_kb":8.0,"txn_ops":8},"cloud":{"rps":3.0,"list_lag_s":10.0},
+  "limits":{"cpu":0.08,"memory_mb":56.0,"fd_limit":900},"clock_error_ms":250.0},"new":1}
+J
+expect version 0 fieldcleat "$bin" --version
+expect help 0 --config "$bin" --help
+expect "no settings" 2 "--config" "$bin"
+expect "unknown option" 2 "nonsense" "$bin" --nonsense
+expect "good settings" 0 good "$bin" --check --config "$dir/good.json"
+expect "missing file" 2 none.json "$bin" --check --config "$dir/none.json"
+echo '{' > "$dir/bad.json"
+expect "not JSON" 2 "not JSON" "$bin" --check --config "$dir/bad.json"
+while IFS='|' read -r name from to text; do
+  sed "s/$from/$to/" "$dir/good.json" > "$dir/bad.json"
+  expect "$name" 2 "$text" "$bin" --check --config "$dir/bad.json"
+done <<'R'
+no name|"host_name":"n0",||host_name
+bad address|127.0.0.1:18080|here|client_listen
+bad port|127.0.0.1:18091|127.0.0.1:99999|outside.state
+negative lease|"lease_s":14.0|"lease_s":-1|settings.workers.lease_s
+lease not above report|"lease_s":14.0|"lease_s":1.0|settings.workers.lease_s
+cancel not above lease|"cancel_s":34.0|"cancel_s":10|settings.workers.cancel_s
+text for a number|"rps":120.0|"rps":"many"|settings.state.rps
+team without a name|"name":"t"|"nam":"t"|settings.teams[0].name
+no zones|"zones":\["z1"\]|"zones":[]|settings.zones
+R
+printf '[scheduler]\nround_s = 1.0\n[machines]\nrent = false\n' > "$dir/op.toml"
+expect "operators' settings" 0 good "$bin" --check --operator "$dir/op.toml" --config "$dir/good.json"
+printf '[scheduler]\nround = 1.0\n' > "$dir/op.toml"
+expect "unknown key" 2 scheduler.round "$bin" --check --operator "$dir/op.toml" --config "$dir/good.json"
+printf '[scheduler]\nround_s = "x"\n' > "$dir/op.toml"
+expect "mistyped key" 2 scheduler.round_s "$bin" --check --operator "$dir/op.toml" --config "$dir/good.json"
+exit $failed
--- /dev/null
+++ b/tests/test_coordination.c
@@ -0,0 +1,139 @@
+/* The deal, the right to act and the shares of limits, by tables. */
+#include "check.h"
+
+#include "coordination/deal.h"
+#include "coordination/quota.h"
+#include "coordination/right.h"
+
+static fc_term term_of(size_t count) {
+  fc_term t = {.number = 1, .seed = 42, .count = count};
+  for (size_t i = 0; i < count; i++) {
+    g_snprintf(t.members[i].name, sizeof t.members[i].name, "paddock-%zu", i);
+    t.members[i].boot = 10 + i;
+  }
+  return t;
+}
+
+static void the_deal_is_random_even_and_stable(void **state) {
+  (void)state;
+  enum { JOBS = 3000 };
+  fc_term three = term_of(3), two = term_of(2), other = term_of(3);
+  other.seed = 43;
+  int counts[3] = {0}, moved_wrongly = 0, moved_by_seed = 0;
+  for (int i = 0; i < JOBS; i++) {
+    char id[32];
+    g_snprintf(id, sizeof id, "job-%06d", i);
+    int a = fc_deal_job(&three, id, NULL), b = fc_deal_job(&two, id, NULL);
+    counts[a]++;
+    moved_wrongly += a != 2 && a != b; /* only the leaver's jobs may move */
+    moved_by_seed += a != fc_deal_job(&other, id, NULL);
+  }
+  for (int k = 0; k < 3; k++) assert_in_range(counts[k], JOBS / 3 - 120, JOBS / 3 + 120);
+  assert_int_equal(moved_wrongly, 0);
+  assert_in_range(moved_by_seed, JOBS / 2, JOBS * 5 / 6);
+  fc_term none = {.count = 0};
+  assert_int_equal(fc_deal_job(&none, "job-000001", NULL), -1);
+  assert_int_equal(fc_deal_job(&three, "job-000001", "paddock-2"), 2);
+  assert_int_equal(fc_deal_machine(&two, "vm-1", "paddock-1"), 1);
+  assert_in_range(fc_deal_machine(&two, "vm-1", "paddock-2"), 0, 1); /* its owner has left */
+}
+
+static void the_right_to_act(void **state) {
+  (void)state;
+  /* lease 7, worker lease 14, cancel 34, report 2: stale bound 19 less drift */
+  static const struct {
+    const char *name;
+    double lease_sent, fresh_sent, promise_1, promise_2; /* when sent; < 0: none */
+    uint64_t boot_2;
+    double until;
+  } rows[] = {
+      {"lease only", 100, 100, -1, -1, 12, 100 + 7 * (1 - FC_DRIFT)},
+      {"no lease, no promise", -1, 100, -1, -1, 12, -1},
+      {"one promise is not enough", 100, 104, 104, -1, 12, 100 + 7 * (1 - FC_DRIFT)},
+      {"every promise carries on", 100, 104, 104, 103, 12, 103 + 7 * (1 - FC_DRIFT)},
+      {"a promise of an earlier life", 100, 104, 104, 103, 11, 100 + 7 * (1 - FC_DRIFT)},
+      {"never past the bound on staleness", 130, 100, 130, 130, 12, 100 + 19 * (1 - FC_DRIFT)},
+  };
+  fc_term t = term_of(3);
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_right r;
+    fc_right_init(&r, 7, 14, 34, 2);
+    if (rows[i].lease_sent >= 0) fc_right_renewed(&r, rows[i].lease_sent);
+    fc_right_fresh(&r, rows[i].fresh_sent);
+    fc_right_new_term(&r);
+    if (rows[i].promise_1 >= 0) fc_right_promised(&r, 1, 11, rows[i].promise_1, 7);
+    if (rows[i].promise_2 >= 0) fc_right_promised(&r, 2, rows[i].boot_2, rows[i].promise_2, 7);
+    double until = fc_right_until(&r, &t, 0);
+    check_row(rows[i].name, until > rows[i].until - 1e-6 && until < rows[i].until + 1e-6);
+    check_row(rows[i].name, fc_right_until(&r, &t, -1) < 0);
+    fc_right_new_term(&r); /* promises of the old term count no more */
+    check_row(rows[i].name, fc_right_until(&r, &t, 0) <= r.lease_until || r.lease_until < 0);
+  }
+}
+
+/* Whoever missed an entry has stopped before the enterer may exclude it. */
+static void an_enterer_waits_out_whoever_missed_it(void **state) {
+  (void)state;
+  fc_right r;
+  fc_right_init(&r, 7, 14, 34, 2);
+  fc_term t = term_of(1);
+  fc_right_fresh(&r, 100); /* read just before somebody entered at 100 */
+  double stops = fc_right_until(&r, &t, 0);
+  /* its clock may be slow, the enterer's fast */
+  assert_true(100 + (stops - 100) * (1 + FC_DRIFT / 2) < 100 + fc_right_entry_wait(&r) * (1 - FC_DRIFT / 2));
+}
+
+static void shares_never_pass_the_limit(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double limit;
+    fc_demand parts[3];
+    double expect[3];
+  } rows[] = {
+      {"nothing asked", 30, {{0, 0}, {0, 0}, {0, 0}}, {10, 10, 10}},
+      {"use is kept", 30, {{12, 0}, {0, 0}, {0, 0}}, {18, 6, 6}},
+      {"by demand", 30, {{0, 20}, {0, 10}, {0, 30}}, {10, 5, 15}},
+      {"full", 30, {{20, 5}, {10, 5}, {0, 5}}, {20, 10, 0}},
+      {"over", 30, {{20, 5}, {15, 5}, {0, 5}}, {20, 15, 0}},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    double shares[3];
+    fc_quota_divide(rows[i].limit, rows[i].parts, 3, shares);
+    for (int k = 0; k < 3; k++)
+      check_row(rows[i].name, shares[k] > rows[i].expect[k] - 1e-6 && shares[k] < rows[i].expect[k] + 1e-6);
+  }
+  static const struct {
+    const char *name;
+    double others, own;
+    fc_demand demand;
+    double expect;
+  } steps[] = {
+      {"gives back what it does not need", 10, 20, {5, 3}, 8}, {"never below its use", 10, 20, {20, 0}, 20},
+      {"takes only what is left", 20, 5, {5, 50}, 10},          {"keeps what it has when all is taken", 30, 5, {2, 50}, 5},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
+    check_row(steps[i].name, fc_quota_adjust(30, steps[i].others, steps[i].own, &steps[i].demand) == steps[i].expect);
+  /* Any order of steps by parts that see the last record keeps the sum. */
+  GRand *rand = g_rand_new_with_seed(7);
+  double share[3] = {10, 10, 10}, used[3] = {0, 0, 0};
+  for (int n = 0; n < 20000; n++) {
+    int k = g_rand_int_range(rand, 0, 3);
+    used[k] = g_rand_double_range(rand, 0, share[k] + 1e-12); /* within its share */
+    fc_demand d = {used[k], g_rand_double_range(rand, 0, 40)};
+    share[k] = fc_quota_adjust(30, share[(k + 1) % 3] + share[(k + 2) % 3], share[k], &d);
+    assert_true(share[0] + share[1] + share[2] <= 30 + 1e-6);
+    assert_true(share[k] >= used[k] - 1e-9);
+  }
+  g_rand_free(rand);
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(the_deal_is_random_even_and_stable),
+      cmocka_unit_test(the_right_to_act),
+      cmocka_unit_test(an_enterer_waits_out_whoever_missed_it),
+      cmocka_unit_test(shares_never_pass_the_limit),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_protocol.c
@@ -0,0 +1,223 @@
+/* Parsers of every interface, by tables. */
+#include "check.h"
+
+#include <math.h>
+
+#include "protocol/frame.h"
+#include "protocol/job.h"
+#include "protocol/json.h"
+#include "protocol/records.h"
+#include "protocol/worker.h"
+
+static const char k_good[] =
+    "{\"id\":\"job-000412\",\"squad\":\"train\",\"club\":\"vision\",\"play\":\"gang\",\"rank\":\"high\",\"runs\":16,"
+    "\"cpus\":8.0,\"gpus\":1.0,\"memGb\":64.0,\"kit\":\"img-07\",\"pullGb\":6.2,\"builds\":[\"g8\"],\"ground\":null,"
+    "\"samePlace\":true,\"scatter\":false,\"loaners\":true,\"expectS\":240.0,\"markS\":30.0,\"stowS\":4.0,"
+    "\"whistleS\":900.0,\"new\":[1]}";
+
+/* The good submission with one part replaced. */
+static char *with(const char *from, const char *to) {
+  const char *at = strstr(k_good, from);
+  assert_non_null(at);
+  return g_strdup_printf("%.*s%s%s", (int)(at - k_good), k_good, to, at + strlen(from));
+}
+
+static void submissions(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *from, *to;
+    const char *error; /* start of the error; NULL: good */
+  } rows[] = {
+      {"as documented", "16", "16", NULL},
+      {"null types", "[\"g8\"]", "null", NULL},
+      {"null deadline", "900.0", "null", NULL},
+      {"integer amount", "8.0", "8", NULL},
+      {"most tasks", "\"runs\":16", "\"runs\":100000", NULL},
+      {"no tasks", "\"runs\":16", "\"runs\":0", "runs"},
+      {"too many tasks", "\"runs\":16", "\"runs\":100001", "runs"},
+      {"fraction of a task", "\"runs\":16", "\"runs\":1.5", "runs"},
+      {"tasks as text", "\"runs\":16", "\"runs\":\"16\"", "runs"},
+      {"negative amount", "8.0", "-1.0", "cpus"},
+      {"huge amount", "8.0", "1e300", "cpus"},
+      {"not finite", "8.0", "1e999", "body: not JSON"},
+      {"boolean as number", "true", "1", "samePlace"},
+      {"null where it may not be", "true", "null", "samePlace"},
+      {"unknown rank", "high", "higher", "rank"},
+      {"unknown kind", "gang", "band", "play"},
+      {"empty team", "vision", "", "club"},
+      {"id of another form", "job-000412", "job-x00412", "id"},
+      {"id too short", "job-000412", "job-412", "id"},
+      {"id with a path", "job-000412", "job-000412/1", "id"},
+      {"control character", "img-07", "img\\u0001", "kit"},
+      {"types not a list", "[\"g8\"]", "\"g8\"", "builds"},
+      {"no type in the list", "[\"g8\"]", "[]", "builds"},
+      {"a type that is a number", "[\"g8\"]", "[8]", "builds"},
+      {"cut off", ",\"new\":[1]}", "", "body: not JSON"},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    char *text = with(rows[i].from, rows[i].to);
+    fc_job_spec s;
+    char error[200] = "";
+    bool ok = fc_job_spec_parse(text, strlen(text), &s, error, sizeof error);
+    check_row(rows[i].name, ok == (rows[i].error == NULL));
+    if (ok) {
+      check_row(rows[i].name, strcmp(s.id, "job-000412") == 0);
+      fc_job_spec_clear(&s);
+    } else {
+      check_row(rows[i].name, g_str_has_prefix(error, rows[i].error));
+    }
+    g_free(text);
+  }
+  static const char *const not_objects[] = {"", "[]", "3", "\"x\"", "null", "{}", "{\"id\":"};
+  for (size_t i = 0; i < G_N_ELEMENTS(not_objects); i++) {
+    fc_job_spec s;
+    char error[200];
+    assert_false(fc_job_spec_parse(not_objects[i], strlen(not_objects[i]), &s, error, sizeof error));
+  }
+}
+
+/* jansson recurses; a routine's stack is small. */
+static void deep_json_is_refused(void **state) {
+  (void)state;
+  GString *deep = g_string_new(NULL);
+  for (int i = 0; i < 30000; i++) g_string_append_c(deep, '[');
+  assert_null(fc_json_parse(deep->str, deep->len));
+  g_string_free(deep, TRUE);
+  json_t *v = fc_json_parse("[\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\"]", 34);
+  assert_non_null(v); /* brackets inside a text are no depth */
+  json_decref(v);
+}
+
+static void job_records_round_trip(void **state) {
+  (void)state;
+  fc_job_spec s;
+  char error[200];
+  assert_true(fc_job_spec_parse(k_good, strlen(k_good), &s, error, sizeof error));
+  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", "paddock-2");
+  fc_job_record r;
+  assert_true(fc_job_record_decode(v, &r));
+  assert_int_equal(r.phase, FC_PHASE_CANCELLED);
+  assert_string_equal(r.done, "0-3,7");
+  assert_string_equal(r.handed_to, "paddock-2");
+  assert_int_equal(r.spec.tasks, 16);
+  assert_true(r.spec.deadline_s == 900.0 && r.spec.zone == NULL && strcmp(r.spec.types[0], "g8") == 0);
+  fc_job_record_clear(&r);
+  json_object_set_new(v, "f", json_integer(2)); /* a format we don't know */
+  assert_false(fc_job_record_decode(v, &r));
+  json_decref(v);
+  fc_job_spec_clear(&s);
+}
+
+static void ranges(void **state) {
+  (void)state;
+  static const struct {
+    const char *text;
+    bool good;
+    const char *again;
+  } rows[] = {
+      {"", true, ""},          {"0", true, "0"},           {"0-9", true, "0-9"}, {"1,2,3", true, "1-3"},
+      {"0-3,7", true, "0-3,7"}, {"9,1", true, "1,9"},       {"10", false, NULL},  {"0-10", false, NULL},
+      {"3-1", false, NULL},    {"1,", false, NULL},        {"-1", false, NULL},  {"1-", false, NULL},
+      {"a", false, NULL},      {"99999999999", false, NULL}, {"1 2", false, NULL},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    uint8_t bits[2] = {0, 0};
+    bool ok = fc_ranges_decode(rows[i].text, bits, 10);
+    check_row(rows[i].text, ok == rows[i].good);
+    if (!ok) continue;
+    char *again = fc_ranges_encode(bits, 10);
+    check_row(rows[i].text, strcmp(again, rows[i].again) == 0);
+    g_free(again);
+  }
+}
+
+static void worker_reports(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *text;
+    bool good;
+  } rows[] = {
+      {"documented",
+       "{\"paddock\":\"vm-1\",\"endpoint\":\"10.1.0.2:9000\",\"build\":\"g8\",\"ground\":\"a\",\"loaners\":true,"
+       "\"stint\":1,\"tally\":88,\"captaincy\":41,\"recallS\":null,\"runs\":[{\"run\":\"job-000412/3\",\"kickoff\":2,"
+       "\"status\":\"exited\",\"cause\":\"stopped\",\"saved\":true}]}",
+       true},
+      {"no tasks field",
+       "{\"paddock\":\"vm-1\",\"endpoint\":\"10.1.0.2:9000\",\"build\":\"g8\",\"ground\":\"a\",\"stint\":1,\"tally\":1,"
+       "\"captaincy\":0}",
+       false},
+      {"task without a number",
+       "{\"paddock\":\"vm-1\",\"endpoint\":\"x\",\"build\":\"g8\",\"ground\":\"a\",\"stint\":1,\"tally\":1,"
+       "\"captaincy\":0,\"runs\":[{\"run\":\"job-000412\",\"kickoff\":2,\"status\":\"running\"}]}",
+       false},
+      {"unknown state",
+       "{\"paddock\":\"vm-1\",\"endpoint\":\"x\",\"build\":\"g8\",\"ground\":\"a\",\"stint\":1,\"tally\":1,"
+       "\"captaincy\":0,\"runs\":[{\"run\":\"job-000412/1\",\"kickoff\":2,\"status\":\"flying\"}]}",
+       false},
+      {"negative token",
+       "{\"paddock\":\"vm-1\",\"endpoint\":\"x\",\"build\":\"g8\",\"ground\":\"a\",\"stint\":1,\"tally\":1,"
+       "\"captaincy\":-1,\"runs\":[]}",
+       false},
+      {"not JSON", "report", false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_worker_report r;
+    char error[200];
+    bool ok = fc_worker_report_parse(rows[i].text, strlen(rows[i].text), &r, error, sizeof error);
+    check_row(rows[i].name, ok == rows[i].good);
+    if (!ok) continue;
+    check_row(rows[i].name, r.task_count == 1 && r.tasks[0].index == 3 && r.tasks[0].saved && r.notice_s < 0);
+    fc_worker_report_clear(&r);
+  }
+}
+
+static void frames(void **state) {
+  (void)state;
+  fc_frame_task task = {.job = "job-000412", .index = 3, .attempt = 7, .state = FC_TASK_RUNNING};
+  fc_frame_machine machine = {.id = "vm-1", .settled = true, .tasks = &task, .task_count = 1};
+  fc_view v = {.sender = "paddock-1", .boot = 5, .term = 9, .seq = 11, .machines = &machine, .machine_count = 1};
+  GByteArray *b = g_byte_array_new();
+  fc_view_encode(b, &v);
+  fc_frame_type type;
+  uint32_t len;
+  assert_true(fc_frame_head(b->data, &type, &len));
+  assert_int_equal(len, b->len - FC_FRAME_HEAD);
+  fc_view out;
+  assert_true(fc_view_decode(b->data + FC_FRAME_HEAD, len, &out));
+  assert_string_equal(out.machines[0].tasks[0].job, "job-000412");
+  assert_true(out.machines[0].settled && !out.machines[0].closed && out.term == 9);
+  fc_view_clear(&out);
+  /* Every shorter copy, and one that is too long, is refused without harm. */
+  for (uint32_t n = 0; n < len; n++) {
+    uint8_t *copy = g_memdup2(b->data + FC_FRAME_HEAD, n ? n : 1);
+    assert_false(fc_view_decode(copy, n, &out));
+    g_free(copy);
+  }
+  g_byte_array_append(b, (const guint8 *)"x", 1);
+  assert_false(fc_view_decode(b->data + FC_FRAME_HEAD, len + 1, &out));
+  b->data[2] = FC_FRAME_VERSION + 1;
+  assert_false(fc_frame_head(b->data, &type, &len));
+  g_byte_array_free(b, TRUE);
+}
+
+static void terms_round_trip(void **state) {
+  (void)state;
+  fc_term t = {.number = 3, .seed = 77, .members = {{"a", 1}, {"b", 9}}, .count = 2}, out;
+  json_t *v = fc_term_encode(&t);
+  assert_true(fc_term_decode(v, &out));
+  assert_int_equal(out.count, 2);
+  assert_int_equal(fc_term_find(&out, "b"), 1);
+  assert_int_equal(fc_term_find(&out, "c"), -1);
+  json_object_set_new(v, "term", json_integer(0));
+  assert_false(fc_term_decode(v, &out));
+  json_decref(v);
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(submissions),    cmocka_unit_test(deep_json_is_refused), cmocka_unit_test(job_records_round_trip),
+      cmocka_unit_test(ranges),         cmocka_unit_test(worker_reports),       cmocka_unit_test(frames),
+      cmocka_unit_test(terms_round_trip),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_scheduler.c
@@ -0,0 +1,217 @@
+/* Placing and renting over small tables. */
+#include "check.h"
+
+#include <math.h>
+
+#include "scheduler/place.h"
+#include "scheduler/rent.h"
+#include "world.h"
+
+static fc_allowance unlimited(void) {
+  fc_allowance a;
+  for (int i = 0; i < FC_TEAMS_MAX; i++) a.cpus[i] = a.gpus[i] = INFINITY;
+  return a;
+}
+
+static unsigned planned(const GArray *plan, const char *job, const char *machine, const char *zone) {
+  unsigned n = 0;
+  for (guint i = 0; i < plan->len; i++) {
+    const fc_decision *d = &g_array_index(plan, fc_decision, i);
+    n += (!job || strcmp(d->job->spec.id, job) == 0) && (!machine || strcmp(d->machine->id, machine) == 0) &&
+         (!zone || strcmp(d->machine->rec.zone, zone) == 0);
+  }
+  return n;
+}
+
+static GArray *round_of(fc_table *t) {
+  fc_allowance a = unlimited();
+  return fc_place_round(t, &a, 1);
+}
+
+static void rank_then_lowest_share(void **state) {
+  (void)state;
+  fc_settings s = world_settings();
+  fc_table *t = world_table(&s);
+  world_machine(t, "vm-1", "a", false);
+  world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+  world_job(t, "job-000002", "sweep", "standard", "blue", 4, 1, "");
+  world_job(t, "job-000003", "service", "prod", "red", 1, 1, "");
+  GArray *plan = round_of(t);
+  assert_int_equal(plan->len, 4);
+  assert_string_equal(g_array_index(plan, fc_decision, 0).job->spec.id, "job-000003");
+  /* red already uses one, so blue gets two of the three left */
+  assert_int_equal(planned(plan, "job-000002", NULL, NULL), 2);
+  assert_int_equal(planned(plan, "job-000001", NULL, NULL), 1);
+  g_array_free(plan, TRUE);
+  fc_table_free(t);
+}
+
+static void image_first_then_roomiest(void **state) {
+  (void)state;
+  fc_settings s = world_settings();
+  fc_table *t = world_table(&s);
+  fc_machine *holder = world_machine(t, "vm-1", "a", false);
+  world_machine(t, "vm-2", "a", false);
+  fc_job *other = world_job(t, "job-000001", "service", "prod", "red", 1, 2, "");
+  fc_placement *p = fc_table_place(t, holder, other->spec.id, 0, 1, 0);
+  p->state = FC_TASK_RUNNING;
+  GRefString *image = g_ref_string_new("img");
+  fc_machine_used_image(holder, image);
+  world_job(t, "job-000002", "sweep", "standard", "red", 1, 1, "");
+  GArray *plan = round_of(t);
+  assert_int_equal(planned(plan, "job-000002", "vm-1", NULL), 1); /* fuller, but it has the image */
+  g_array_free(plan, TRUE);
+  g_ptr_array_set_size(holder->images, 0);
+  plan = round_of(t);
+  assert_int_equal(planned(plan, "job-000002", "vm-2", NULL), 1);
+  g_array_free(plan, TRUE);
+  g_ref_string_release(image);
+  fc_table_free(t);
+}
+
+static void zones_types_kinds(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *kind;
+    unsigned tasks;
+    double gpus;
+    const char *extra;
+    unsigned expect_a, expect_b; /* tasks placed in each zone */
+  } rows[] = {
+      {"spread over zones", "service", 2, 1, "\"scatter\":true", 1, 1},
+      {"spread of three", "service", 3, 1, "\"scatter\":true", 2, 1},
+      {"only zone", "sweep", 2, 1, "\"ground\":\"b\"", 0, 2},
+      {"unknown zone", "sweep", 2, 1, "\"ground\":\"c\"", 0, 0},
+      {"other type", "sweep", 2, 1, "\"builds\":[\"x\"]", 0, 0},
+      {"gang in one zone fits", "gang", 2, 4, "\"samePlace\":true", 2, 0},
+      {"gang too large for a zone", "gang", 3, 4, "\"samePlace\":true", 0, 0},
+      {"gang over zones", "gang", 3, 4, "", 2, 1},
+      {"gang all or none", "gang", 4, 4, "", 0, 0},
+      {"too large for a machine", "sweep", 1, 5, "", 0, 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    world_machine(t, "vm-1", "a", false);
+    world_machine(t, "vm-2", "a", false);
+    world_machine(t, "vm-3", "b", false);
+    world_job(t, "job-000001", rows[i].kind, "standard", "red", rows[i].tasks, rows[i].gpus, rows[i].extra);
+    GArray *plan = round_of(t);
+    check_row(rows[i].name, planned(plan, NULL, NULL, "a") == rows[i].expect_a);
+    check_row(rows[i].name, planned(plan, NULL, NULL, "b") == rows[i].expect_b);
+    g_array_free(plan, TRUE);
+    fc_table_free(t);
+  }
+}
+
+/* Nothing starts where the rules could break: see each row. */
+static void never_placed(void **state) {
+  (void)state;
+  enum { CLOSED, UNSETTLED, NOT_OURS, SILENT, NOTICE, UNRECORDED, UNCLEAR, OVER_LIMIT, SPOT, RUNNING, CANCELLED, NONE };
+  static const struct {
+    const char *name;
+    int what;
+  } rows[] = {
+      {"machine to be returned", CLOSED},     {"machine not fenced in this term", UNSETTLED},
+      {"another controller's machine", NOT_OURS}, {"machine silent for half a lease", SILENT},
+      {"machine about to be taken", NOTICE},  {"machine without a record", UNRECORDED},
+      {"job that may run somewhere", UNCLEAR}, {"team at its share", OVER_LIMIT},
+      {"spot machine not allowed", SPOT},     {"task that is on a machine", RUNNING},
+      {"cancelled job", CANCELLED},           {"control: it is placed", NONE},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_machine *m = world_machine(t, "vm-1", "a", rows[i].what == SPOT);
+    fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 1, 1,
+                          rows[i].what == SPOT ? "\"loaners\":false" : "");
+    fc_allowance a = unlimited();
+    double now = 1;
+    switch (rows[i].what) {
+      case CLOSED: m->closed = true; break;
+      case UNSETTLED: m->settled_term = 0; break;
+      case NOT_OURS: m->owner = -1; break;
+      case SILENT: now = 8; break;
+      case NOTICE: m->notice_until = 100; break;
+      case UNRECORDED: m->version = 0; break;
+      case UNCLEAR: j->clear = false; break;
+      case OVER_LIMIT: a.gpus[0] = 0.5; break;
+      case RUNNING: fc_table_place(t, m, j->spec.id, 0, 1, 0)->state = FC_TASK_FETCHING; break;
+      case CANCELLED: j->phase = FC_PHASE_CANCELLED; break;
+      default: break;
+    }
+    GArray *plan = fc_place_round(t, &a, now);
+    check_row(rows[i].name, (plan->len == 1) == (rows[i].what == NONE));
+    g_array_free(plan, TRUE);
+    fc_table_free(t);
+  }
+}
+
+static void renting(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *team, *kind;
+    unsigned tasks;
+    const char *extra;
+    unsigned expect_spot, expect_ordinary;
+  } rows[] = {
+      {"cheap where allowed", "red", "sweep", 8, "", 2, 0},
+      {"ordinary where not", "red", "service", 8, "\"loaners\":false", 0, 2},
+      {"not beyond the limit", "blue", "sweep", 100, "", 4, 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    world_job(t, "job-000001", rows[i].kind, "standard", rows[i].team, rows[i].tasks, 1, rows[i].extra);
+    GArray *wants = fc_rent_wants(t, NULL, NULL);
+    unsigned spot = 0, ordinary = 0;
+    for (guint k = 0; k < wants->len; k++) {
+      const fc_want *w = &g_array_index(wants, fc_want, k);
+      *(w->spot ? &spot : &ordinary) += w->count;
+    }
+    check_row(rows[i].name, spot == rows[i].expect_spot && ordinary == rows[i].expect_ordinary);
+    g_array_free(wants, TRUE);
+    fc_table_free(t);
+  }
+}
+
+/* What a new term does to what we know: see docs/design.md, "Settled". */
+static void a_new_term(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint64_t number;
+    bool continuous, recorded_ours, machine_settled, job_clear;
+  } rows[] = {
+      {"lived through it", 2, true, true, true, true},
+      {"a new life knows nothing", 2, false, true, false, false},
+      {"missed a term between", 3, true, true, true, false},
+      {"the owner was only dealt", 2, true, false, false, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 1, 1, "");
+    if (!rows[i].recorded_ours) g_strlcpy(m->rec.owner, "paddock-9", sizeof m->rec.owner);
+    fc_term next = t->term;
+    next.number = rows[i].number;
+    fc_table_set_term(t, &next, 9, rows[i].continuous, 1);
+    check_row(rows[i].name, (m->settled_term == next.number) == rows[i].machine_settled);
+    check_row(rows[i].name, j->clear == rows[i].job_clear);
+    /* Everything settled: nothing can be anywhere that we do not know of. */
+    check_row(rows[i].name, fc_table_check_settled(t) == rows[i].machine_settled);
+    m->settled_term = next.number;
+    check_row(rows[i].name, fc_table_check_settled(t) && j->clear);
+    fc_table_free(t);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(rank_then_lowest_share), cmocka_unit_test(image_first_then_roomiest),
+      cmocka_unit_test(zones_types_kinds),      cmocka_unit_test(never_placed),
+      cmocka_unit_test(renting),                cmocka_unit_test(a_new_term),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
