--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -10,7 +10,7 @@
   fc_job *j = p;
   fc_job_spec_clear(&j->spec);
   g_free(j->done);
-  g_free(j->handed_to);
+  for (unsigned i = 0; i < FC_SLICES_MAX; i++) g_free(j->handed[i]);
   g_ptr_array_free(j->placements, TRUE);
   if (j->failed_on) g_hash_table_destroy(j->failed_on);
   g_free(j);
@@ -94,38 +94,54 @@
   bool is_new = !j;
   if (is_new) {
     fc_job_record copy;
-    json_t *v = fc_job_record_encode(&r->spec, r->phase, r->done, r->handed_to);
+    json_t *v = fc_job_record_encode(&r->spec, r->phase, NULL, r->slices, NULL);
     bool ok = fc_job_record_decode(v, &copy);
     json_decref(v);
     if (!ok) return NULL;
     j = g_new0(fc_job, 1);
     j->spec = copy.spec;
+    j->slices = copy.slices;
     g_free(copy.done);
-    g_free(copy.handed_to);
     j->done = g_new0(uint8_t, (j->spec.tasks + 7) / 8);
     j->placements = g_ptr_array_new();
     j->team = fc_settings_team(t->settings, j->spec.team);
-    j->clear = fresh;
+    j->clear = fresh ? ~0u : 0;
     j->seen_at = now;
     j->serial = t->next_serial++;
     g_hash_table_insert(t->jobs, j->spec.id, j);
   }
-  bool was_mine = fc_deal_job(&t->term, id, j->handed_to) == t->self;
   if (!fc_ranges_decode(r->done, j->done, j->spec.tasks)) g_warning("job %s: bad ranges", id);
   j->done_count = 0;
   for (uint32_t i = 0; i < j->spec.tasks; i++) j->done_count += fc_job_task_done(j, i);
   j->phase = r->phase;
   j->version = version;
-  if (g_strcmp0(j->handed_to, r->handed_to) != 0) {
-    g_free(j->handed_to);
-    j->handed_to = g_strdup(r->handed_to);
-    /* Only a job with nothing anywhere is handed over, by the one who knows. */
-    if (!was_mine && !is_new) j->clear = true;
+  for (unsigned i = 0; i < j->slices; i++) {
+    if (g_strcmp0(j->handed[i], r->handed[i]) == 0) continue;
+    bool was_mine = fc_job_owner(t, j, i) == t->self;
+    g_free(j->handed[i]);
+    j->handed[i] = g_strdup(r->handed[i]);
+    /* A slice is handed over by the one who knows all of it, and only after we
+     * have acknowledged a view that shows whatever of it is on a machine. */
+    if (!was_mine && !is_new) j->clear |= 1u << i;
   }
   if (is_new) link_placements(t, j);
   return j;
 }
 
+unsigned fc_job_slice_of(const fc_job *j, uint32_t index) {
+  return (unsigned)((uint64_t)index * j->slices / j->spec.tasks);
+}
+
+int fc_job_owner(const fc_table *t, const fc_job *j, unsigned slice) {
+  return fc_deal_job(&t->term, j->spec.id, slice, j->slices, j->handed[slice]);
+}
+
+bool fc_job_owned(const fc_table *t, const fc_job *j, int member) {
+  for (unsigned i = 0; i < j->slices; i++)
+    if (fc_job_owner(t, j, i) == member) return true;
+  return false;
+}
+
 bool fc_job_task_done(const fc_job *j, uint32_t index) { return j->done[index / 8] >> (index % 8) & 1; }
 
 fc_placement *fc_table_place(fc_table *t, fc_machine *m, const char *job_id, uint32_t index, uint64_t attempt,
@@ -136,6 +152,7 @@
   p->index = index;
   p->attempt = attempt;
   p->since = now;
+  p->told = t->view + 1;
   p->job = fc_table_job(t, job_id);
   g_ptr_array_add(m->placements, p);
   if (p->job) g_ptr_array_add(p->job->placements, p);
@@ -272,9 +289,12 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
     /* A term we have missed may have dealt the job away and back. */
-    bool kept = continuous && term->number == old.number + 1 && old_self >= 0 && fc_deal_job(&old, j->spec.id, j->handed_to) == old_self &&
-                t->self >= 0 && fc_deal_job(term, j->spec.id, j->handed_to) == t->self;
-    if (!kept) j->clear = false;
+    for (unsigned i = 0; i < j->slices; i++) {
+      bool kept = continuous && term->number == old.number + 1 && old_self >= 0 && t->self >= 0 &&
+                  fc_deal_job(&old, j->spec.id, i, j->slices, j->handed[i]) == old_self &&
+                  fc_deal_job(term, j->spec.id, i, j->slices, j->handed[i]) == t->self;
+      if (!kept) j->clear &= ~(1u << i);
+    }
   }
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -308,6 +328,6 @@
   }
   t->settled_latch = t->term.number;
   g_hash_table_iter_init(&it, t->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &value)) ((fc_job *)value)->clear = true;
+  while (g_hash_table_iter_next(&it, NULL, &value)) ((fc_job *)value)->clear = ~0u;
   return true;
 }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -33,6 +33,7 @@
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
   bool stopping;      /* a stop is to be sent until the task exits */
   double grace_s;
+  uint64_t told;      /* our views from this one on show it */
   bool recorded;      /* its end is in the state service, or needs no record */
   double since;       /* when it was placed or adopted */
   double running_since; /* 0: not yet */
@@ -44,12 +45,15 @@
   uint64_t version; /* of the record */
   uint8_t *done;    /* bitmap */
   uint32_t done_count;
-  char *handed_to;
+  unsigned slices;
+  char *handed[FC_SLICES_MAX];
   int team; /* index into the settings; -1: not there any more */
   GPtrArray *placements;
-  bool clear;      /* nothing of it can be anywhere that we do not know of */
+  unsigned clear; /* a bit a slice: nothing of it can be anywhere that we do not know of */
   double seen_at;  /* steady time when we first saw it */
   double blocked_until;
+  unsigned handing;  /* a bit a slice: its hand-over is being written; not to be placed */
+  double handed_at;
   unsigned failures; /* tasks that ended by error, lately */
   uint64_t serial; /* order of being seen */
   GHashTable *failed_on; /* machine ids where a task of it failed; NULL: none */
@@ -67,6 +71,8 @@
   uint64_t seen_token;   /* the highest the worker has told of */
   bool reported;         /* a report has come to us in this life */
   double answered_at;    /* when we last answered a report with 200 */
+  double kept_at;        /* when another member last did, as far as it told us */
+  double redirected_at;  /* when we last sent its worker to its owner */
   double owned_since;    /* when we became its owner, as far as we know */
   double heard_at;       /* when the last report or direct answer came */
   double first_seen;     /* when we first knew of it */
@@ -95,6 +101,7 @@
   uint64_t quota_version;
   uint64_t settled_latch; /* term in which every machine has been settled */
   uint64_t next_serial;
+  uint64_t view; /* number of the newest view of our machines */
   int self; /* index in the term; -1: not a member */
 } fc_table;
 
@@ -133,6 +140,12 @@
 void fc_machine_used_image(fc_machine *m, GRefString *image);
 bool fc_machine_has_image(const fc_machine *m, const char *image);
 
+unsigned fc_job_slice_of(const fc_job *j, uint32_t index);
+/* The member that a slice of the job belongs to now; -1: none. */
+int fc_job_owner(const fc_table *t, const fc_job *j, unsigned slice);
+/* Does any slice belong to this member? */
+bool fc_job_owned(const fc_table *t, const fc_job *j, int member);
+
 /* May the job run on such a machine at all? */
 bool fc_job_allows(const fc_job_spec *s, const char *type, const char *zone, bool spot);
 /* What the tasks on machines of member `owner` use of a team's limit. */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -20,9 +20,12 @@
 
 typedef struct fc_peer {
   const fc_peer_settings *settings;
-  double promised_until; /* we commit no term without it before this */
-  uint64_t acked_term;   /* the term it last acknowledged */
-  double heard_at;
+  double promised_until;   /* we commit no term without it before this */
+  double heard_at;         /* when its last acknowledgement came */
+  /* Of the present term, by the life that is in it; 0: nothing yet. */
+  double covered_at;       /* it has told us of every report it answered before this */
+  uint64_t acked_view;     /* the newest view of ours that it has applied */
+  uint64_t acked_revision; /* what its table held then */
 } fc_peer;
 
 typedef struct fc_controller {
@@ -40,8 +43,7 @@
   double entered_at;
   bool term_unknown; /* a term transaction may still be applied */
 
-  double term_since;   /* when we learned of the present term */
-  double all_acked_at; /* when every other member had acknowledged it; 0: not yet */
+  double term_since; /* when we learned of the present term */
 
   bool loaded;
   uint64_t revision;  /* everything up to here is in the table */
@@ -64,6 +66,8 @@
 
 /* May we answer workers, command them and give final answers now? */
 bool fc_may_act(const fc_controller *c);
+/* The peer behind a member of the term; NULL: ourselves, or one unknown to us. */
+fc_peer *fc_peer_of(fc_controller *c, int member);
 /* Waits until everything that was committed before this call is in the table. */
 bool fc_wait_fresh(fc_controller *c, double deadline);
 /* Waits until the table holds the given revision. */
@@ -86,6 +90,10 @@
 void fc_workers_push(fc_controller *c, fc_machine *m);
 /* Writes the ends of a job's tasks to the state service. */
 void fc_workers_record(fc_controller *c, const char *job_id);
+/* The member with the fewest machines of the kind; `count` (zeroed) collects
+ * what one caller gives away in a row. */
+const char *fc_even_owner(const fc_table *t, const char *id, const char *type, const char *zone, bool spot,
+                          unsigned *count);
 /* Silent for so long that its worker has given up all its tasks? */
 void fc_workers_expire(fc_controller *c);
 
--- a/src/controller/duties.h
+++ b/src/controller/duties.h
@@ -9,4 +9,7 @@
 /* What this part may start now for each team. */
 void fc_quota_allowance(const fc_controller *c, fc_allowance *out);
 
+/* Hands over and lends what this round has shown to be better elsewhere. */
+void fc_share_round(fc_controller *c);
+
 #endif
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -82,7 +82,7 @@
     goto out;
   }
   char *key = g_strconcat(FC_PREFIX_JOB, spec.id, NULL);
-  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, NULL);
+  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, fc_job_slices(&spec, c->settings->op.split_limit), NULL);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
   bool too_large = size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
@@ -156,7 +156,7 @@
     char *ranges = fc_ranges_encode(j->done, j->spec.tasks);
     fc_write *w = fc_write_new();
     fc_write_if(w, key, j->version);
-    fc_write_put(w, key, fc_job_record_encode(&j->spec, FC_PHASE_CANCELLED, ranges, j->handed_to));
+    fc_write_put(w, key, fc_job_record_encode(&j->spec, FC_PHASE_CANCELLED, ranges, j->slices, j->handed));
     g_free(key);
     g_free(ranges);
     uint64_t revision = 0;
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -43,7 +43,8 @@
 }
 
 static void make_view(fc_controller *c, uint64_t seq, GByteArray *out) {
-  const fc_table *t = c->table;
+  fc_table *t = c->table;
+  t->view++;
   fc_view v = {.boot = c->boot, .term = t->term.number, .seq = seq};
   g_strlcpy(v.sender, c->settings->name, sizeof v.sender);
   v.machines = g_new0(fc_frame_machine, g_hash_table_size(t->machines));
@@ -63,46 +64,54 @@
   fc_view_clear(&v);
 }
 
-/* Has every other member said, as the life it is in the term with, that it
- * knows of the term? */
-static void note_ack(fc_controller *c, fc_peer *peer, const fc_ack *ack) {
-  const fc_term *term = &c->table->term;
-  int at = fc_term_find(term, ack->sender);
-  peer->heard_at = fc_now();
-  peer->acked_term = at >= 0 && term->members[at].boot == ack->boot ? ack->term : 0;
-  if (c->all_acked_at) return;
-  for (size_t i = 0; i < term->count; i++) {
-    if ((int)i == c->table->self) continue;
-    bool acked = false;
-    for (size_t k = 0; k < c->settings->peer_count; k++)
-      acked |= strcmp(c->settings->peers[k].name, term->members[i].name) == 0 && c->peers[k].acked_term == term->number;
-    if (!acked) return;
+fc_peer *fc_peer_of(fc_controller *c, int member) {
+  if (member < 0 || member >= (int)c->table->term.count) return NULL;
+  for (size_t k = 0; k < c->settings->peer_count; k++)
+    if (strcmp(c->settings->peers[k].name, c->table->term.members[member].name) == 0) return &c->peers[k];
+  return NULL;
+}
+
+/* What an acknowledgement of the present term, by a life that is in it, to a
+ * view sent at `sent` tells us. */
+static void take_ack(fc_controller *c, fc_peer *peer, const fc_ack *ack, double sent, uint64_t view) {
+  fc_table *t = c->table;
+  double now = fc_now();
+  peer->covered_at = sent;
+  peer->acked_view = view;
+  peer->acked_revision = ack->revision;
+  for (size_t i = 0; i < ack->kept_count; i++) {
+    fc_machine *m = fc_table_machine(t, ack->kept[i].machine);
+    if (m) m->kept_at = MAX(m->kept_at, now - ack->kept[i].age_ms / 1000.0);
   }
-  c->all_acked_at = peer->heard_at;
 }
 
 static bool exchange(fc_controller *c, fc_peer *peer, fc_conn *conn, uint64_t seq) {
   GByteArray *out = g_byte_array_new();
   make_view(c, seq, out);
   double sent = fc_now(), deadline = sent + c->settings->report_s;
-  uint64_t term = c->table->term.number, boot = c->boot;
+  uint64_t term = c->table->term.number, boot = c->boot, view = c->table->view;
   bool ok = fc_conn_write(conn, out->data, out->len, deadline);
   g_byte_array_free(out, TRUE);
   if (!ok) return false;
   fc_frame_type type;
   uint32_t len;
   uint8_t *body = read_frame(conn, deadline, &type, &len);
-  fc_ack ack;
-  ok = body && type == FC_FRAME_ACK && fc_ack_decode(body, len, &ack) && ack.seq == seq &&
-       strcmp(ack.sender, peer->settings->name) == 0;
+  fc_ack ack = {0};
+  ok = body && type == FC_FRAME_ACK && fc_ack_decode(body, len, &ack);
   g_free(body);
   if (!ok) return false;
-  note_ack(c, peer, &ack);
-  /* A promise counts only within the term and life it was asked for. */
-  int at = fc_term_find(&c->table->term, ack.sender);
-  if (ack.promise_ms > 0 && at >= 0 && c->table->term.number == term && c->boot == boot && ack.term == term)
-    fc_right_promised(&c->right, (size_t)at, ack.boot, sent, ack.promise_ms / 1000.0);
-  return true;
+  ok = ack.seq == seq && strcmp(ack.sender, peer->settings->name) == 0;
+  const fc_term *now_term = &c->table->term;
+  int at = ok ? fc_term_find(now_term, ack.sender) : -1;
+  if (ok) peer->heard_at = fc_now();
+  /* It counts only within the term, and between the lives, it was asked for. */
+  if (at >= 0 && now_term->number == term && c->boot == boot && ack.term == term &&
+      now_term->members[at].boot == ack.boot) {
+    take_ack(c, peer, &ack, sent, view);
+    if (ack.promise_ms > 0) fc_right_promised(&c->right, (size_t)at, ack.boot, sent, ack.promise_ms / 1000.0);
+  }
+  fc_ack_clear(&ack);
+  return ok;
 }
 
 static void link_main(void *arg) {
@@ -182,6 +191,23 @@
   return 0;
 }
 
+/* Machines of other members whose reports we have answered within two leases. */
+static void fill_kept(const fc_controller *c, fc_ack *ack) {
+  const fc_table *t = c->table;
+  double now = fc_now();
+  ack->kept = g_new0(fc_frame_kept, g_hash_table_size(t->machines));
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->owner == t->self || !m->answered_at || now - m->answered_at > 2 * c->settings->lease_s) continue;
+    fc_frame_kept *k = &ack->kept[ack->kept_count++];
+    g_strlcpy(k->machine, m->id, sizeof k->machine);
+    k->age_ms = (uint32_t)((now - m->answered_at) * 1000);
+  }
+}
+
 static void serve_peer(fc_conn *conn, void *arg) {
   fc_controller *c = arg;
   for (;;) {
@@ -193,11 +219,14 @@
     g_free(body);
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
     apply_view(c, &v);
-    fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v)};
+    fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v),
+                  .revision = c->revision};
+    fill_kept(c, &ack);
     g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
     fc_view_clear(&v);
     GByteArray *out = g_byte_array_new();
     fc_ack_encode(out, &ack);
+    fc_ack_clear(&ack);
     ok = fc_conn_write(conn, out->data, out->len, fc_now() + c->settings->report_s);
     g_byte_array_free(out, TRUE);
     if (!ok) return;
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -5,7 +5,6 @@
 
 #include "controller/controller.h"
 #include "controller/duties.h"
-#include "coordination/deal.h"
 #include "coordination/quota.h"
 #include "scheduler/place.h"
 
@@ -20,8 +19,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
     if (j->team != team || j->phase != FC_PHASE_ACCEPTED) continue;
-    if (fc_deal_job(&t->term, j->spec.id, j->handed_to) != owner) continue;
-    GArray *missing = fc_job_missing(j, 256);
+    GArray *missing = fc_job_missing(t, j, owner, 256);
     *cpus += missing->len * j->spec.cpus;
     *gpus += missing->len * j->spec.gpus;
     g_array_free(missing, TRUE);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -33,8 +33,10 @@
   g_hash_table_replace(r->until, kind_key(type, zone, spot), v);
 }
 
+/* Half of the cloud's rate is the renting member's, the rest the others'. */
 static bool cloud_turn(fc_controller *c) {
-  double wait;
+  double wait, others = MAX(1.0, (double)c->settings->peer_count);
+  c->cloud_budget.per_s = c->settings->cloud_rps * (c->table->self == 0 ? 0.5 : 0.5 / others);
   while ((wait = fc_budget_wait(&c->cloud_budget, 1, 0, fc_now())) > 0)
     if (fc_routine_sleep(wait) == FC_WAKE_CANCELLED) return false;
   return fc_budget_take(&c->cloud_budget, 1, 0, fc_now());
@@ -86,13 +88,20 @@
     char *hire_key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
     fc_write *w = fc_write_new();
     fc_write_if(w, FC_KEY_TERM, t->term_version);
+    unsigned given[FC_MEMBERS_MAX] = {0};
     for (guint i = 0; i < ids->len; i++) {
       fc_machine *m = fc_table_machine(t, ids->pdata[i]);
       if (m && m->version) continue; /* its worker was faster */
       fc_machine_record rec = {.spot = h->spot};
       g_strlcpy(rec.type, h->type, sizeof rec.type);
       g_strlcpy(rec.zone, h->zone, sizeof rec.zone);
-      g_strlcpy(rec.owner, h->owner, sizeof rec.owner);
+      bool even = fc_term_find(&t->term, h->owner) < 0;
+      unsigned counts[FC_MEMBERS_MAX];
+      memcpy(counts, given, sizeof counts);
+      const char *owner = fc_even_owner(t, ids->pdata[i], h->type, h->zone, h->spot, counts);
+      for (size_t k = 0; k < t->term.count; k++)
+        if (strcmp(t->term.members[k].name, owner) == 0) given[k] += 1000;
+      g_strlcpy(rec.owner, even ? owner : h->owner, sizeof rec.owner);
       char *key = g_strconcat(FC_PREFIX_MACHINE, (const char *)ids->pdata[i], NULL);
       fc_write_if(w, key, 0);
       fc_write_put(w, key, fc_machine_record_encode(&rec));
@@ -131,7 +140,7 @@
   fc_hire_record h = {.spot = want->spot, .count = count};
   g_strlcpy(h.type, mt->name, sizeof h.type);
   g_strlcpy(h.zone, want->zone, sizeof h.zone);
-  g_strlcpy(h.owner, t->term.members[want->owner].name, sizeof h.owner);
+  g_strlcpy(h.owner, want->owner >= 0 ? t->term.members[want->owner].name : "*", sizeof h.owner);
   /* The life's number never comes again, so neither does the name. */
   char *name = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, (guint64)c->boot,
                                (guint64)++c->hire_counter);
@@ -162,6 +171,17 @@
   g_array_free(wants, TRUE);
 }
 
+/* Has nobody else answered it since? Another member may reach it when we can't. */
+static bool unkept(fc_controller *c, const fc_machine *m, double since) {
+  if (m->kept_at > since) return false;
+  for (int i = 0; i < (int)c->table->term.count; i++) {
+    if (i == c->table->self) continue;
+    const fc_peer *peer = fc_peer_of(c, i);
+    if (!peer || peer->covered_at < fc_now() - c->settings->report_s * 2) return false;
+  }
+  return true;
+}
+
 /* Returns machines: closed first, so that nothing is placed on them; gone from
  * the table only after the cloud has confirmed. */
 static void give_back(fc_controller *c) {
@@ -182,11 +202,12 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < 8) {
     fc_machine *m = value;
-    if (m->owner != t->self || !m->version) continue;
+    if (m->owner != t->self || !m->version || m->writing) continue;
     double boot_s = m->type >= 0 ? ((fc_machine_type *)t->types->pdata[m->type])->boot_s : 0;
     /* A controller whose machines mostly fall silent together suspects its own
      * network and returns nothing. */
-    bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1;
+    bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1 &&
+                unkept(c, m, now - quiet);
     bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 4 * boot_s + quiet;
     bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
     if (!lost && !never_up && !idle) continue;
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -72,6 +72,9 @@
     if (work) g_ptr_array_add(push, m);
   }
   place(c);
+  if (fc_state_reachable(c)) {
+    fc_share_round(c);
+  }
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
--- /dev/null
+++ b/src/controller/share.c
@@ -0,0 +1,162 @@
+/* Between the parts: hands waiting slices over and lends idle machines. */
+#include <string.h>
+
+#include "controller/controller.h"
+#include "controller/duties.h"
+#include "scheduler/share.h"
+
+typedef fc_write *(*make_write_fn)(fc_controller *c, void *arg);
+
+/* Writes until it is decided, so that nobody is left in doubt about who owns
+ * what: a write without an answer may be applied late, and is made again under
+ * the same conditions until one of the copies has been, or none can be. `make`
+ * returns NULL when there is nothing to write any more. */
+static void write_decided(fc_controller *c, make_write_fn make, void *arg) {
+  bool maybe = false;
+  while (!fc_routine_cancelled()) {
+    fc_write *w = make(c, arg);
+    if (!w) break;
+    uint64_t revision = 0;
+    fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + c->settings->report_s, &revision);
+    if (r == FC_STATE_OK) {
+      while (!fc_wait_revision(c, revision, fc_now() + c->settings->report_s) && !fc_routine_cancelled()) {
+      }
+      return;
+    }
+    if (r == FC_STATE_CONFLICT) break;
+    maybe |= r == FC_STATE_UNKNOWN;
+    if (!maybe) return;
+    (void)fc_routine_sleep(c->settings->report_s * 0.1);
+  }
+  /* A copy may be what the conflict was with: see it before going on. */
+  while (!fc_wait_fresh(c, fc_now() + c->settings->report_s) && !fc_routine_cancelled()) {
+  }
+}
+
+typedef struct handover_arg {
+  char id[32];
+  char to[FC_SLICES_MAX][64];
+  unsigned slices;
+  uint64_t version, term; /* of the records it is conditional on */
+  fc_controller *c;
+} handover_arg;
+
+static fc_write *make_handover(fc_controller *c, void *arg) {
+  const handover_arg *a = arg;
+  const fc_job *j = fc_table_job(c->table, a->id);
+  if (!j || j->version != a->version) return NULL;
+  char *handed[FC_SLICES_MAX];
+  for (unsigned i = 0; i < FC_SLICES_MAX; i++) handed[i] = (a->slices >> i & 1) ? (char *)a->to[i] : j->handed[i];
+  char *ranges = fc_ranges_encode(j->done, j->spec.tasks);
+  char *key = g_strconcat(FC_PREFIX_JOB, a->id, NULL);
+  fc_write *w = fc_write_new();
+  fc_write_if(w, key, a->version);
+  fc_write_if(w, FC_KEY_TERM, a->term);
+  fc_write_put(w, key, fc_job_record_encode(&j->spec, j->phase, ranges, j->slices, handed));
+  g_free(ranges);
+  g_free(key);
+  return w;
+}
+
+static void handover_main(void *arg) {
+  handover_arg *a = arg;
+  fc_controller *c = a->c;
+  write_decided(c, make_handover, a);
+  fc_job *j = fc_table_job(c->table, a->id);
+  if (j) j->handing = 0;
+  fc_cond_broadcast(&c->round_now);
+  g_free(a);
+}
+
+static void hand_over(fc_controller *c) {
+  fc_told told = {{0}, {0}};
+  for (int i = 0; i < (int)c->table->term.count; i++) {
+    const fc_peer *p = fc_peer_of(c, i);
+    if (!p) continue;
+    told.view[i] = p->acked_view;
+    told.revision[i] = p->acked_revision;
+  }
+  GArray *plan = fc_share_handovers(c->table, &told, fc_now());
+  for (guint i = 0; i < plan->len; i++) {
+    fc_job *j = g_array_index(plan, fc_handover, i).job;
+    if (j->handing) continue; /* its first slice took the others along */
+    handover_arg *a = g_new0(handover_arg, 1);
+    a->c = c;
+    a->version = j->version;
+    a->term = c->table->term_version;
+    g_strlcpy(a->id, j->spec.id, sizeof a->id);
+    for (guint k = i; k < plan->len; k++) {
+      const fc_handover *h = &g_array_index(plan, fc_handover, k);
+      if (h->job != j) continue;
+      a->slices |= 1u << h->slice;
+      g_strlcpy(a->to[h->slice], c->table->term.members[h->to].name, sizeof a->to[h->slice]);
+      g_debug("hand over job=%s slice=%u to=%s", a->id, h->slice, a->to[h->slice]);
+    }
+    j->handing = a->slices;
+    j->handed_at = fc_now();
+    if (!fc_routine_spawn(handover_main, a)) {
+      j->handing = 0;
+      g_free(a);
+    }
+  }
+  g_array_free(plan, TRUE);
+}
+
+typedef struct loan_arg {
+  char id[64];
+  char to[64];
+  uint64_t version, term;
+  fc_controller *c;
+} loan_arg;
+
+static fc_write *make_loan(fc_controller *c, void *arg) {
+  const loan_arg *a = arg;
+  const fc_machine *m = fc_table_machine(c->table, a->id);
+  if (!m || m->version != a->version) return NULL;
+  fc_machine_record rec = m->rec;
+  g_strlcpy(rec.owner, a->to, sizeof rec.owner);
+  char *key = g_strconcat(FC_PREFIX_MACHINE, a->id, NULL);
+  fc_write *w = fc_write_new();
+  fc_write_if(w, key, a->version);
+  fc_write_if(w, FC_KEY_TERM, a->term);
+  fc_write_put(w, key, fc_machine_record_encode(&rec));
+  g_free(key);
+  return w;
+}
+
+/* Gives a machine with nothing on it to another member. From the moment the
+ * record may have changed we neither answer its worker nor command it. */
+static void loan_main(void *arg) {
+  loan_arg *a = arg;
+  fc_controller *c = a->c;
+  write_decided(c, make_loan, a);
+  fc_machine *m = fc_table_machine(c->table, a->id);
+  if (m) m->writing = false;
+  g_free(a);
+}
+
+static void lend(fc_controller *c) {
+  GArray *plan = fc_share_loans(c->table, fc_now());
+  for (guint i = 0; i < plan->len; i++) {
+    const fc_loan *l = &g_array_index(plan, fc_loan, i);
+    if (l->machine->ordering || l->machine->writing || l->machine->releasing) continue;
+    loan_arg *a = g_new0(loan_arg, 1);
+    a->c = c;
+    a->version = l->machine->version;
+    a->term = c->table->term_version;
+    g_strlcpy(a->id, l->machine->id, sizeof a->id);
+    g_strlcpy(a->to, c->table->term.members[l->to].name, sizeof a->to);
+    g_debug("lend machine=%s to=%s", a->id, a->to);
+    l->machine->writing = true;
+    if (!fc_routine_spawn(loan_main, a)) {
+      l->machine->writing = false;
+      g_free(a);
+    }
+  }
+  g_array_free(plan, TRUE);
+}
+
+void fc_share_round(fc_controller *c) {
+  hand_over(c);
+  lend(c);
+}
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -19,7 +19,10 @@
   int now_at = fc_term_find(&term, c->settings->name);
   continuous = continuous && now_at >= 0 && term.members[now_at].boot == c->boot;
   c->term_since = fc_now();
-  c->all_acked_at = 0;
+  for (size_t k = 0; k < c->settings->peer_count; k++) {
+    c->peers[k].covered_at = 0;
+    c->peers[k].acked_view = c->peers[k].acked_revision = 0;
+  }
   fc_table_set_term(c->table, &term, ch->version, continuous, c->term_since);
   /* Another life under our name is nobody's part any more. */
   if (now_at >= 0 && term.members[now_at].boot != c->boot) c->table->self = -1;
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -1,4 +1,5 @@
 /* Workers: their reports, the commands they are owed, fencing and adoption. */
+#include <math.h>
 #include <string.h>
 
 #include "controller/controller.h"
@@ -160,18 +161,21 @@
 
 /* A machine nobody has recorded yet goes to the member with the fewest of its
  * type and zone; nothing is started on it before that is in the state service. */
-static const char *even_owner(const fc_table *t, const char *id, const char *type, const char *zone) {
-  unsigned count[FC_MEMBERS_MAX] = {0};
+const char *fc_even_owner(const fc_table *t, const char *id, const char *type, const char *zone, bool spot,
+                          unsigned *count) {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    if (m->owner >= 0 && strcmp(m->rec.type, type) == 0 && strcmp(m->rec.zone, zone) == 0) count[m->owner]++;
+    if (m->owner < 0 || strcmp(m->rec.type, type) != 0) continue;
+    /* Even for each kind first, over all kinds next. */
+    count[m->owner] += strcmp(m->rec.zone, zone) == 0 && m->rec.spot == spot ? 1000 : 1;
   }
   int best = fc_deal_key(&t->term, id);
   for (size_t i = 0; i < t->term.count; i++)
     if (count[i] < count[best]) best = (int)i;
+  count[best] += 1000;
   return t->term.members[best].name;
 }
 
@@ -184,7 +188,8 @@
   g_strlcpy(rec.endpoint, r->endpoint, sizeof rec.endpoint);
   g_strlcpy(rec.type, r->type, sizeof rec.type);
   g_strlcpy(rec.zone, r->zone, sizeof rec.zone);
-  g_strlcpy(rec.owner, even_owner(t, r->machine, r->type, r->zone), sizeof rec.owner);
+  unsigned count[FC_MEMBERS_MAX] = {0};
+  g_strlcpy(rec.owner, fc_even_owner(t, r->machine, r->type, r->zone, r->spot, count), sizeof rec.owner);
   char *key = g_strconcat(FC_PREFIX_MACHINE, r->machine, NULL);
   fc_write *w = fc_write_new();
   fc_write_if(w, key, 0);
@@ -207,6 +212,32 @@
   g_string_assign(out, "{\"error\":\"not entitled now\"}");
 }
 
+/* Should the worker be sent to its owner? Not when we do not hear of the owner,
+ * and not when the worker has just come back from there in vain. */
+static bool owner_reachable(fc_controller *c, const fc_machine *m) {
+  double now = fc_now();
+  const fc_peer *owner = fc_peer_of(c, m->owner);
+  if (!owner || now > owner->heard_at + c->settings->report_s * 1.5) return false;
+  return now > m->redirected_at + c->settings->lease_s * 0.6;
+}
+
+/* Any member in its right may keep a worker's lease alive and stop what must not
+ * run; starting and clearing are the owner's alone. */
+static void keep(fc_controller *c, fc_machine *m, const fc_worker_report *r, GString *out) {
+  GArray *commands = g_array_new(FALSE, TRUE, sizeof(fc_command));
+  for (size_t i = 0; i < r->task_count; i++) {
+    const fc_task_report *tr = &r->tasks[i];
+    const fc_job *j = fc_table_job(c->table, tr->job);
+    if (!j || j->phase != FC_PHASE_CANCELLED || tr->state == FC_TASK_EXITED) continue;
+    fc_command cmd = {.op = FC_COMMAND_STOP, .job = tr->job, .index = tr->index, .attempt = tr->attempt};
+    g_array_append_val(commands, cmd);
+  }
+  m->answered_at = fc_now();
+  g_debug("keep machine=%s owner=%d", m->id, m->owner);
+  fc_worker_answer(out, c->table->term.number, (const fc_command *)commands->data, commands->len);
+  g_array_free(commands, TRUE);
+}
+
 void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out) {
   fc_worker_report r;
   char error[200];
@@ -224,9 +255,16 @@
   /* A token above ours: somebody is entitled that we have not heard of. A 200
    * would be dropped and hold the worker here while its lease runs out. */
   if (!m || !m->version || r.token > t->term.number) goto refused;
+  if (m->writing) goto refused; /* it may belong to another already */
   if (m->owner != t->self) {
-    *status = 421;
-    fc_worker_redirect(out, m->owner >= 0 ? t->term.members[m->owner].name : NULL);
+    if (owner_reachable(c, m)) {
+      m->redirected_at = fc_now();
+      *status = 421;
+      fc_worker_redirect(out, t->term.members[m->owner].name);
+    } else {
+      keep(c, m, &r, out);
+      *status = 200;
+    }
     goto out;
   }
   if (newer(m, &r)) {
@@ -356,7 +394,7 @@
     fc_write_if(w, key, j->version);
     fc_write_put(w, key,
                  fc_job_record_encode(&j->spec, count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED, ranges,
-                                      j->handed_to));
+                                      j->slices, j->handed));
     g_free(key);
     g_free(ranges);
     uint64_t revision = 0;
@@ -390,6 +428,20 @@
   }
 }
 
+/* When the worker has certainly given up its tasks; INFINITY: not known. Any
+ * member may answer its reports, so each has to have told us until when it did
+ * not; what dead lives answered, they did before we learned of the term. */
+static double lease_over_at(fc_controller *c, const fc_machine *m) {
+  double last = MAX(MAX(m->answered_at, m->kept_at), MAX(m->owned_since, c->term_since));
+  double over = last + c->settings->lease_s * (1 + 2 * FC_DRIFT) + c->settings->report_s * 0.25;
+  for (int i = 0; i < (int)c->table->term.count; i++) {
+    if (i == c->table->self) continue;
+    const fc_peer *peer = fc_peer_of(c, i);
+    if (!peer || peer->covered_at < over) return INFINITY;
+  }
+  return over;
+}
+
 void fc_workers_expire(fc_controller *c) {
   fc_table *t = c->table;
   double now = fc_now();
@@ -399,15 +451,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
     if (m->owner != t->self || !m->version) continue;
-    /* Whoever answered last, before we owned it or since, did so before this. A
-     * machine that came to us with this term may be answered by another member
-     * until that one knows of the term. */
-    double last = MAX(m->answered_at, m->owned_since);
-    if (m->owned_since >= c->term_since) {
-      if (!c->all_acked_at) continue;
-      last = MAX(last, c->all_acked_at);
-    }
-    if (now < last + c->settings->lease_s * (1 + 2 * FC_DRIFT) + c->settings->report_s * 0.25) continue;
+    if (now < lease_over_at(c, m)) continue;
     if (m->placements->len > 0 || m->settled_term != t->term.number) {
       g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
       fc_machine_clear(t, m);
--- a/src/coordination/deal.c
+++ b/src/coordination/deal.c
@@ -1,5 +1,6 @@
 #include "coordination/deal.h"
 
+#include <glib.h>
 #include <string.h>
 
 /* FNV-1a, then the finaliser of splitmix64: rendezvous hashing needs weights
@@ -28,9 +29,13 @@
   return best;
 }
 
-int fc_deal_job(const fc_term *t, const char *id, const char *handed_to) {
+int fc_deal_job(const fc_term *t, const char *id, unsigned slice, unsigned slices, const char *handed_to) {
   int m = handed_to && *handed_to ? fc_term_find(t, handed_to) : -1;
-  return m >= 0 ? m : fc_deal_key(t, id);
+  if (m >= 0) return m;
+  if (slices <= 1) return fc_deal_key(t, id);
+  char key[64];
+  g_snprintf(key, sizeof key, "%s#%u", id, slice);
+  return fc_deal_key(t, key);
 }
 
 int fc_deal_machine(const fc_term *t, const char *id, const char *owner) {
--- a/src/coordination/deal.h
+++ b/src/coordination/deal.h
@@ -10,9 +10,9 @@
 
 /* Index of the member that `key` falls to; -1 when there are no members. */
 int fc_deal_key(const fc_term *t, const char *key);
-/* The controller a job belongs to: the one it was handed to while that is a
- * member, else as dealt. */
-int fc_deal_job(const fc_term *t, const char *id, const char *handed_to);
+/* The controller a job, or one slice of it, belongs to: the one it was handed
+ * to while that is a member, else as dealt. */
+int fc_deal_job(const fc_term *t, const char *id, unsigned slice, unsigned slices, const char *handed_to);
 /* The controller a machine belongs to: its recorded owner while that is a
  * member, else as dealt. */
 int fc_deal_machine(const fc_term *t, const char *id, const char *owner);
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -73,6 +73,12 @@
   put_u64(out, a->term);
   put_u64(out, a->seq);
   put_u32(out, a->promise_ms);
+  put_u64(out, a->revision);
+  put_u16(out, (uint16_t)a->kept_count);
+  for (size_t i = 0; i < a->kept_count; i++) {
+    put_text(out, a->kept[i].machine);
+    put_u32(out, a->kept[i].age_ms);
+  }
   finish(out, at);
 }
 
@@ -197,5 +203,24 @@
   out->term = get_u64(&c);
   out->seq = get_u64(&c);
   out->promise_ms = get_u32(&c);
-  return !c.bad && c.left == 0;
+  out->revision = get_u64(&c);
+  size_t n = get_u16(&c);
+  if (!c.bad && n <= MACHINES_MOST) {
+    out->kept = g_new0(fc_frame_kept, n);
+    out->kept_count = n;
+    for (size_t i = 0; i < n; i++) {
+      get_text(&c, out->kept[i].machine, sizeof out->kept[i].machine);
+      out->kept[i].age_ms = get_u32(&c);
+    }
+  } else {
+    c.bad = true;
+  }
+  if (!c.bad && c.left == 0) return true;
+  fc_ack_clear(out);
+  return false;
+}
+
+void fc_ack_clear(fc_ack *a) {
+  g_free(a->kept);
+  memset(a, 0, sizeof *a);
 }
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -38,10 +38,18 @@
   size_t machine_count;
 } fc_view;
 
+typedef struct fc_frame_kept {
+  char machine[64];
+  uint32_t age_ms; /* since the last answer */
+} fc_frame_kept;
+
 typedef struct fc_ack {
   char sender[64];
   uint64_t boot, term, seq;
   uint32_t promise_ms; /* 0: none. "I commit no term without you" for so long */
+  uint64_t revision;   /* what the sender's table held when it applied the view */
+  fc_frame_kept *kept; /* machines of others whose reports it has answered lately */
+  size_t kept_count;
 } fc_ack;
 
 /* Whole frames, head included. Appends to `out`. */
@@ -51,6 +59,7 @@
 bool fc_frame_head(const uint8_t head[FC_FRAME_HEAD], fc_frame_type *type, uint32_t *len);
 bool fc_view_decode(const uint8_t *p, size_t len, fc_view *out);
 void fc_view_clear(fc_view *v);
+void fc_ack_clear(fc_ack *a);
 bool fc_ack_decode(const uint8_t *p, size_t len, fc_ack *out);
 
 #endif
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -122,9 +122,40 @@
                    s->deadline_s < 0 ? NULL : json_real(s->deadline_s));
 }
 
-json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, const char *handed_to) {
-  return json_pack("{si so ss ss* ss*}", "f", RECORD_FORMAT, "spec", spec_encode(spec), "phase", k_phases[phase],
-                   "done", done && *done ? done : NULL, "to", handed_to);
+unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit) {
+  unsigned slices = 1;
+  if (spec->kind != FC_KIND_ARRAY) return slices; /* gangs and services are never split */
+  while (slices * 2 <= MIN(limit, FC_SLICES_MAX) && spec->tasks / (slices * 2) >= 2) slices *= 2;
+  return slices;
+}
+
+json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
+                             char *const *handed) {
+  json_t *to = NULL;
+  for (unsigned i = 0; handed && i < slices; i++) {
+    if (!handed[i]) continue;
+    if (!to) to = json_object();
+    char slice[16];
+    g_snprintf(slice, sizeof slice, "%u", i);
+    json_object_set_new(to, slice, json_string(handed[i]));
+  }
+  return json_pack("{si so ss ss* si so*}", "f", RECORD_FORMAT, "spec", spec_encode(spec), "phase", k_phases[phase],
+                   "done", done && *done ? done : NULL, "slices", (int)slices, "to", to);
+}
+
+static void read_handed(fc_reader *r, fc_job_record *out) {
+  const json_t *to = json_object_get(r->object, "to");
+  const char *slice;
+  json_t *name;
+  json_object_foreach((json_t *)to, slice, name) {
+    unsigned long i = strtoul(slice, NULL, 10);
+    if (i >= out->slices || !json_is_string(name)) {
+      fc_reader_fail(r, "to", "not a slice of the job");
+      return;
+    }
+    g_free(out->handed[i]);
+    out->handed[i] = g_strdup(json_string_value(name));
+  }
 }
 
 bool fc_job_record_decode(const json_t *v, fc_job_record *out) {
@@ -134,25 +165,24 @@
   if (fc_read_count(&r, "f", 1, RECORD_FORMAT) != RECORD_FORMAT) return false;
   out->phase = (fc_phase)name_index(&r, "phase", k_phases, G_N_ELEMENTS(k_phases));
   const char *done = fc_read_string_or_null(&r, "done", FC_TASKS_MAX * 8);
-  const char *to = fc_read_string_or_null(&r, "to", NAME_MOST);
+  out->slices = (unsigned)fc_read_count_or(&r, "slices", 1, FC_SLICES_MAX, 1);
+  if (fc_reader_ok(&r)) read_handed(&r, out);
   const json_t *spec = fc_read_object(&r, "spec");
-  if (!fc_reader_ok(&r)) return false;
   fc_reader sr;
   fc_reader_init(&sr, spec);
-  spec_read(&sr, &out->spec);
-  if (!fc_reader_ok(&sr)) {
-    fc_job_spec_clear(&out->spec);
+  if (fc_reader_ok(&r)) spec_read(&sr, &out->spec);
+  if (!fc_reader_ok(&r) || !fc_reader_ok(&sr)) {
+    fc_job_record_clear(out);
     return false;
   }
   out->done = g_strdup(done ? done : "");
-  out->handed_to = g_strdup(to);
   return true;
 }
 
 void fc_job_record_clear(fc_job_record *r) {
   fc_job_spec_clear(&r->spec);
   g_free(r->done);
-  g_free(r->handed_to);
+  for (unsigned i = 0; i < FC_SLICES_MAX; i++) g_free(r->handed[i]);
   memset(r, 0, sizeof *r);
 }
 
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -16,6 +16,7 @@
 
 #define FC_TASKS_MAX 100000u
 #define FC_TYPES_PER_JOB 64u
+#define FC_SLICES_MAX 16u
 
 typedef struct fc_job_spec {
   char *id;
@@ -39,15 +40,20 @@
 void fc_job_spec_clear(fc_job_spec *s);
 
 /* The stored form: format version, description, phase, finished tasks as
- * ranges ("0-3,7"), and the controller the job was handed to, if any. */
+ * ranges ("0-3,7"), the number of virtual jobs (slices) an array is split into,
+ * and the controllers that slices were handed to, if any. */
 typedef struct fc_job_record {
   fc_job_spec spec;
   fc_phase phase;
-  char *done;      /* ranges */
-  char *handed_to; /* NULL: as dealt */
+  char *done; /* ranges */
+  unsigned slices;
+  char *handed[FC_SLICES_MAX]; /* NULL: as dealt */
 } fc_job_record;
 
-json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, const char *handed_to);
+/* An array is halved into virtual jobs of at least two tasks, at most `limit`. */
+unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit);
+json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
+                             char *const *handed);
 bool fc_job_record_decode(const json_t *v, fc_job_record *out);
 void fc_job_record_clear(fc_job_record *r);
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -227,7 +227,7 @@
 void fc_operator_defaults(fc_operator_settings *out) {
   *out = (fc_operator_settings){
       .round_s = 2.0,
-      .handover_wait_s = 30.0,
+      .handover_wait_s = 1.0,
       .split_limit = 8,
       .member_lease_share = 0.5,
       .idle_keep_share = 0.5,
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -3,7 +3,6 @@
 #include <math.h>
 #include <string.h>
 
-#include "coordination/deal.h"
 
 typedef struct slot {
   fc_machine *machine;
@@ -29,10 +28,10 @@
 
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now) {
   return j->phase == FC_PHASE_ACCEPTED && j->clear && j->team >= 0 && now >= j->blocked_until && t->self >= 0 &&
-         fc_deal_job(&t->term, j->spec.id, j->handed_to) == t->self;
+         fc_job_owned(t, j, t->self);
 }
 
-GArray *fc_job_missing(const fc_job *j, guint most) {
+GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most) {
   GArray *out = g_array_new(FALSE, FALSE, sizeof(uint32_t));
   size_t bytes = (j->spec.tasks + 7) / 8;
   uint8_t *taken = g_malloc(bytes);
@@ -43,8 +42,11 @@
     if (p->state == FC_TASK_EXITED && p->cause != FC_CAUSE_DONE) continue;
     if (p->index < j->spec.tasks) taken[p->index / 8] |= (uint8_t)(1u << (p->index % 8));
   }
+  unsigned wanted = 0;
+  for (unsigned s = 0; s < j->slices; s++)
+    if (member < 0 || fc_job_owner(t, j, s) == member) wanted |= 1u << s;
   for (uint32_t i = 0; i < j->spec.tasks && out->len < most; i++)
-    if (!(taken[i / 8] >> (i % 8) & 1)) g_array_append_val(out, i);
+    if (!(taken[i / 8] >> (i % 8) & 1) && (wanted >> fc_job_slice_of(j, i) & 1)) g_array_append_val(out, i);
   g_free(taken);
   return out;
 }
@@ -126,7 +128,7 @@
 }
 
 /* All tasks of the gang or none. */
-static bool place_gang(round_state *rs, candidate *c, const char *zone) {
+static bool place_gang(round_state *rs, candidate *c, const char *zone, guint *picked) {
   guint mark = rs->out->len;
   GArray *rooms = g_array_new(FALSE, FALSE, sizeof(fc_room));
   for (guint i = 0; i < rs->slots->len; i++) g_array_append_val(rooms, g_array_index(rs->slots, slot, i).room);
@@ -137,6 +139,7 @@
     if (sl) take(rs, sl, c->job, g_array_index(c->missing, uint32_t, i));
   }
   if (!ok) {
+    if (picked) *picked = rs->out->len - mark;
     for (guint i = mark; i < rs->out->len; i++) {
       rs->allow.cpus[c->job->team] += c->job->spec.cpus;
       rs->allow.gpus[c->job->team] += c->job->spec.gpus;
@@ -151,18 +154,34 @@
   return ok;
 }
 
+/* Keeps what room there is for a gang that waits for more: tasks of lower rank
+ * would take one machine after the other, and it would never start. */
+static void reserve(round_state *rs, candidate *c, const char *zone) {
+  for (guint i = 0; i < c->missing->len; i++) {
+    slot *sl = choose(rs, c->job, zone);
+    if (!sl) return;
+    fc_room_take(&sl->room, &c->job->spec);
+  }
+}
+
 /* False when the job can get nothing more this round. */
 static bool place_some(round_state *rs, candidate *c) {
   fc_job *j = c->job;
   if (j->spec.kind == FC_KIND_GANG) {
     if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return false;
     if (!allowed(rs, j, c->missing->len)) return false;
-    if (!j->spec.one_zone) {
-      (void)place_gang(rs, c, NULL);
-      return false;
+    const char *best = NULL;
+    guint most = 0, picked = 0;
+    size_t zones = j->spec.one_zone ? rs->table->settings->zone_count : 1;
+    for (size_t z = 0; z < zones; z++) {
+      const char *zone = j->spec.one_zone ? rs->table->settings->zones[z] : NULL;
+      if (place_gang(rs, c, zone, &picked)) return false;
+      if (picked > most) {
+        most = picked;
+        best = zone;
+      }
     }
-    for (size_t z = 0; z < rs->table->settings->zone_count; z++)
-      if (place_gang(rs, c, rs->table->settings->zones[z])) break;
+    if (most > 0) reserve(rs, c, best);
     return false;
   }
   if (c->next >= c->missing->len || !allowed(rs, j, 1)) return false;
@@ -224,7 +243,7 @@
       rs->used_gpus[p->job->team] += p->job->spec.gpus;
     }
     bool usable = m->owner == t->self && t->self >= 0 && m->version && m->settled_term == t->term.number &&
-                  m->reported && !m->closed && m->type >= 0 && !m->notice_until;
+                  m->reported && !m->closed && !m->writing && m->type >= 0 && !m->notice_until;
     /* Nothing is placed on a machine that has been silent for half a lease. */
     if (!usable || now > m->heard_at + t->settings->lease_s * 0.5) continue;
     slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
@@ -235,7 +254,11 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
     if (!fc_job_placeable(t, j, now)) continue;
-    GArray *missing = fc_job_missing(j, 1024);
+    GArray *missing = fc_job_missing(t, j, t->self, 1024);
+    /* What may be on a machine that we have not heard of is not started. */
+    for (guint i = missing->len; i-- > 0;)
+      if (!((j->clear & ~j->handing) >> fc_job_slice_of(j, g_array_index(missing, uint32_t, i)) & 1))
+        g_array_remove_index(missing, i);
     if (missing->len == 0) {
       g_array_free(missing, TRUE);
       continue;
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -19,8 +19,9 @@
 
 /* Jobs of this part that want tasks started now. */
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now);
-/* Tasks of the job that are neither finished nor anywhere; caps the list. */
-GArray *fc_job_missing(const fc_job *j, guint most);
+/* Tasks of the job that are neither finished nor anywhere, of the slices that
+ * belong to `member` (-1: of all); caps the list. */
+GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most);
 
 /* One round of the part: fills the free room of this member's usable machines,
  * most important rank first, then the team with the lowest share of its
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -2,16 +2,15 @@
 
 #include <string.h>
 
-#include "coordination/deal.h"
 #include "scheduler/place.h"
 
 /* The cloud charges a deleted machine for a minute at least. */
 #define MINIMUM_CHARGE_S 60.0
 
 typedef struct bin {
-  int type, owner;
+  int type, owner; /* owner -1: whoever has the fewest */
   const char *zone;
-  bool spot, rented;
+  bool spot, rented, idle;
   fc_room room;
 } bin;
 
@@ -48,7 +47,8 @@
       p->gpus[pl->job->team] += pl->job->spec.gpus;
     }
     if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until) continue;
-    bin b = {.type = m->type, .owner = m->owner, .zone = m->rec.zone, .spot = m->rec.spot, .room = fc_machine_room(t, m)};
+    bin b = {.type = m->type, .owner = m->owner, .zone = m->rec.zone, .spot = m->rec.spot,
+             .idle = m->placements->len == 0, .room = fc_machine_room(t, m)};
     g_array_append_val(p->bins, b);
   }
   /* Requests under way will bring machines too. */
@@ -59,62 +59,72 @@
     if (type < 0) continue;
     const fc_machine_type *mt = t->types->pdata[type];
     for (unsigned i = 0; i < h->count; i++) {
-      bin b = {.type = type,
-               .owner = fc_deal_machine(&t->term, h->type, h->owner),
-               .zone = h->zone,
-               .spot = h->spot,
-               .room = {mt->cpus, mt->gpus, mt->memory_gb}};
+      bin b = {.type = type, .owner = fc_term_find(&t->term, h->owner), .zone = h->zone, .spot = h->spot,
+               .idle = true, .room = {mt->cpus, mt->gpus, mt->memory_gb}};
       g_array_append_val(p->bins, b);
     }
   }
 }
 
-static bool fit_zone(const fc_job *j, const char *zone, unsigned in_zone, unsigned all) {
-  (void)zone;
-  if (j->spec.one_zone && all != in_zone) return false;
-  if (j->spec.spread && in_zone + 1 > (j->spec.tasks + 1) / 2) return false;
-  return true;
-}
+/* Tasks of one job by zone, existing and packed. */
+typedef struct spread {
+  const fc_job *job;
+  const char *zones[FC_ZONES_MAX + 1];
+  unsigned n[FC_ZONES_MAX + 1], count, all;
+} spread;
 
-typedef struct zone_count {
-  const char *zone;
-  unsigned n;
-} zone_count;
+static unsigned in_zone(const spread *s, const char *zone) {
+  for (unsigned i = 0; i < s->count; i++)
+    if (strcmp(s->zones[i], zone) == 0) return s->n[i];
+  return 0;
+}
 
-static unsigned count_in(const GArray *counts, const char *zone, unsigned *all) {
-  unsigned n = 0;
-  *all = 0;
-  for (guint i = 0; i < counts->len; i++) {
-    const zone_count *z = &g_array_index(counts, zone_count, i);
-    *all += z->n;
-    if (strcmp(z->zone, zone) == 0) n += z->n;
+static void add_zone(spread *s, const char *zone) {
+  s->all++;
+  for (unsigned i = 0; i < s->count; i++) {
+    if (strcmp(s->zones[i], zone) != 0) continue;
+    s->n[i]++;
+    return;
   }
-  return n;
+  if (s->count > FC_ZONES_MAX) return;
+  s->zones[s->count] = zone;
+  s->n[s->count++] = 1;
+}
+
+static bool zone_fits(const spread *s, const char *zone) {
+  const fc_job_spec *spec = &s->job->spec;
+  if (spec->one_zone && s->all != in_zone(s, zone)) return false;
+  return !spec->spread || in_zone(s, zone) + 1 <= (spec->tasks + 1) / 2;
 }
 
-static void count_zone(GArray *counts, const char *zone) {
-  zone_count z = {.zone = zone, .n = 1};
-  g_array_append_val(counts, z);
+static bool bin_fits(const pack *p, const bin *b, const fc_job *j) {
+  const fc_machine_type *mt = p->table->types->pdata[b->type];
+  return fc_room_fits(&b->room, &j->spec) && fc_job_allows(&j->spec, mt->name, b->zone, b->spot);
 }
 
-static bool pack_existing(pack *p, const fc_job *j, int owner, GArray *counts) {
+static bool pack_existing(pack *p, spread *s) {
   for (guint i = 0; i < p->bins->len; i++) {
     bin *b = &g_array_index(p->bins, bin, i);
-    const fc_machine_type *mt = p->table->types->pdata[b->type];
-    if (b->owner != owner || !fc_room_fits(&b->room, &j->spec)) continue;
-    if (!fc_job_allows(&j->spec, mt->name, b->zone, b->spot)) continue;
-    unsigned all, n = count_in(counts, b->zone, &all);
-    if (!fit_zone(j, b->zone, n, all)) continue;
-    fc_room_take(&b->room, &j->spec);
-    count_zone(counts, b->zone);
+    if (!bin_fits(p, b, s->job) || !zone_fits(s, b->zone)) continue;
+    fc_room_take(&b->room, &s->job->spec);
+    b->idle = false;
+    add_zone(s, b->zone);
     return true;
   }
   return false;
 }
 
-/* The cheapest kind of machine that can hold a task of the job. */
-static bool rent_for(pack *p, const fc_job *j, int owner, GArray *counts) {
+static double price_of(const fc_machine_type *mt, bool spot, const fc_job_spec *spec) {
+  /* Per task, as many as fit on one machine. */
+  double fits = mt->gpus > 0 && spec->gpus > 0 ? mt->gpus / spec->gpus : mt->cpus / MAX(spec->cpus, 0.001);
+  return (spot ? mt->spot_price : mt->price) / MAX(fits, 1);
+}
+
+/* The cheapest kind of machine that can hold a task of the job, in `only` when
+ * that is given; among equals, where the fewest machines are. */
+static bool rent_for(pack *p, spread *s, const char *only, int owner) {
   const fc_table *t = p->table;
+  const fc_job *j = s->job;
   bin best = {.type = -1};
   double best_price = 0;
   unsigned best_held = 0;
@@ -124,18 +134,16 @@
     if (!fc_room_fits(&room, &j->spec)) continue;
     for (size_t z = 0; z < t->settings->zone_count; z++) {
       const char *zone = t->settings->zones[z];
-      if (!g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
-      unsigned all, n = count_in(counts, zone, &all);
-      if (!fit_zone(j, zone, n, all)) continue;
+      if ((only && strcmp(only, zone) != 0) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
+      if (!zone_fits(s, zone)) continue;
       unsigned held = 0;
       for (guint i = 0; i < p->bins->len; i++) held += strcmp(g_array_index(p->bins, bin, i).zone, zone) == 0;
       for (int spot = 0; spot <= 1; spot++) {
         if (!fc_job_allows(&j->spec, mt->name, zone, spot)) continue;
         if (p->refused && p->refused((int)k, zone, spot, p->arg)) continue;
-        /* Per task, as many as fit on one machine. */
-        double fits = room.gpus > 0 && j->spec.gpus > 0 ? room.gpus / j->spec.gpus : room.cpus / MAX(j->spec.cpus, 0.001);
-        double price = (spot ? mt->spot_price : mt->price) / MAX(fits, 1);
-        if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held))) continue;
+        double price = price_of(mt, spot, &j->spec);
+        if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held)))
+          continue;
         best = (bin){.type = (int)k, .owner = owner, .zone = zone, .spot = spot, .rented = true, .room = room};
         best_price = price;
         best_held = held;
@@ -145,29 +153,77 @@
   if (best.type < 0) return false;
   fc_room_take(&best.room, &j->spec);
   g_array_append_val(p->bins, best);
-  count_zone(counts, best.zone);
+  add_zone(s, best.zone);
   return true;
 }
 
+static bool usable_for_gang(const pack *p, const bin *b, const spread *s, const char *zone, int owner) {
+  return (b->owner == owner || b->idle) && bin_fits(p, b, s->job) && (!zone || strcmp(b->zone, zone) == 0);
+}
+
+/* How many of the gang's tasks its owner could start there, with whatever idle
+ * machines others would lend it. */
+static unsigned gang_fits(const pack *p, const spread *s, const char *zone, int owner, unsigned most) {
+  unsigned n = 0;
+  for (guint i = 0; i < p->bins->len && n < most; i++) {
+    bin b = g_array_index(p->bins, bin, i);
+    while (n < most && usable_for_gang(p, &b, s, zone, owner)) {
+      fc_room_take(&b.room, &s->job->spec);
+      n++;
+    }
+  }
+  return n;
+}
+
+static void pack_gang(pack *p, spread *s, unsigned tasks) {
+  const fc_table *t = p->table;
+  int owner = fc_job_owner(t, s->job, 0);
+  const char *zone = NULL;
+  if (s->job->spec.one_zone) {
+    unsigned best = 0;
+    for (size_t z = 0; z < t->settings->zone_count; z++) {
+      unsigned n = gang_fits(p, s, t->settings->zones[z], owner, tasks);
+      bool refused = p->refused && p->refused(0, t->settings->zones[z], false, p->arg);
+      if (!zone || n > best || (n == best && !refused)) {
+        zone = t->settings->zones[z];
+        best = n;
+      }
+    }
+  }
+  for (unsigned k = 0; k < tasks; k++) {
+    if (!within_limit(p, s->job)) return;
+    bool packed = false;
+    for (guint i = 0; i < p->bins->len && !packed; i++) {
+      bin *b = &g_array_index(p->bins, bin, i);
+      if (!usable_for_gang(p, b, s, zone, owner)) continue;
+      fc_room_take(&b->room, &s->job->spec);
+      b->owner = owner;
+      b->idle = false;
+      packed = true;
+    }
+    if (!packed && !rent_for(p, s, zone, owner)) return;
+  }
+}
+
 static void pack_job(pack *p, const fc_job *j) {
-  int owner = fc_deal_job(&p->table->term, j->spec.id, j->handed_to);
-  if (owner < 0) return;
-  GArray *missing = fc_job_missing(j, 64);
-  GArray *counts = g_array_new(FALSE, FALSE, sizeof(zone_count));
+  GArray *missing = fc_job_missing(p->table, j, -1, 64);
+  spread s = {.job = j};
   for (guint i = 0; i < j->placements->len; i++) {
     const fc_placement *pl = j->placements->pdata[i];
-    if (fc_placement_live(pl)) count_zone(counts, pl->machine->rec.zone);
+    if (fc_placement_live(pl)) add_zone(&s, pl->machine->rec.zone);
   }
-  for (guint i = 0; i < missing->len; i++) {
-    if (!within_limit(p, j)) break;
-    if (pack_existing(p, j, owner, counts)) continue;
-    if (!rent_for(p, j, owner, counts)) break;
+  if (j->spec.kind == FC_KIND_GANG) {
+    if (missing->len > 0) pack_gang(p, &s, missing->len);
+  } else {
+    for (guint i = 0; i < missing->len; i++) {
+      if (!within_limit(p, j)) break;
+      if (!pack_existing(p, &s) && !rent_for(p, &s, NULL, -1)) break;
+    }
   }
-  g_array_free(counts, TRUE);
   g_array_free(missing, TRUE);
 }
 
-static gint by_importance(gconstpointer a, gconstpointer b) {
+gint fc_job_by_importance(gconstpointer a, gconstpointer b) {
   const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
   if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
   return x->serial < y->serial ? -1 : x->serial > y->serial;
@@ -185,7 +241,7 @@
     fc_job *j = value;
     if (j->phase == FC_PHASE_ACCEPTED && j->team >= 0) g_ptr_array_add(jobs, j);
   }
-  g_ptr_array_sort(jobs, by_importance);
+  g_ptr_array_sort(jobs, fc_job_by_importance);
   for (guint i = 0; i < jobs->len; i++) pack_job(&p, jobs->pdata[i]);
   g_ptr_array_free(jobs, TRUE);
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_want));
--- a/src/scheduler/rent.h
+++ b/src/scheduler/rent.h
@@ -11,16 +11,19 @@
   int type;
   const char *zone; /* in the settings */
   bool spot;
-  int owner; /* the part that needs it */
+  int owner; /* the part that needs it; -1: the one with the fewest */
   unsigned count;
 } fc_want;
 
 /* A kind of machine that the cloud refused lately. */
 typedef bool (*fc_refused_fn)(int type, const char *zone, bool spot, void *arg);
 
-/* Packs every part's queue into its own room, booting machines included, and
- * returns what has to be rented for the rest. */
+/* Packs the whole queue into the room of all parts, booting machines included
+ * (what a part can't hold is handed over or lent to), and returns what has to
+ * be rented for the rest. */
 GArray *fc_rent_wants(const fc_table *t, fc_refused_fn refused, void *arg);
+/* Sorts fc_job pointers: most important first, then first come. */
+gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Free since so long that renting again is cheaper than keeping it? */
 bool fc_rent_idle(const fc_table *t, const fc_machine *m, double now);
 
--- /dev/null
+++ b/src/scheduler/share.c
@@ -0,0 +1,246 @@
+#include "scheduler/share.h"
+
+#include <string.h>
+
+#include "scheduler/place.h"
+#include "scheduler/rent.h"
+
+typedef struct spare {
+  const fc_machine *machine;
+  fc_room room;
+  bool claimed;
+} spare;
+
+static bool usable(const fc_table *t, const fc_machine *m, double now) {
+  if (!m->version || m->owner < 0 || m->type < 0 || m->settled_term != t->term.number) return false;
+  if (m->closed || m->remote_closed || m->notice_until || m->writing) return false;
+  return m->owner != t->self || (m->reported && now < m->heard_at + t->settings->lease_s * 0.5);
+}
+
+static gint by_id(gconstpointer a, gconstpointer b) {
+  return strcmp(((const spare *)a)->machine->id, ((const spare *)b)->machine->id);
+}
+
+/* Every usable machine with its room, in order of names: all members look at
+ * them in the same order. */
+static GArray *spares(const fc_table *t, double now) {
+  GArray *out = g_array_new(FALSE, TRUE, sizeof(spare));
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    if (!usable(t, m, now)) continue;
+    spare s = {.machine = m, .room = fc_machine_room(t, m)};
+    g_array_append_val(out, s);
+  }
+  g_array_sort(out, by_id);
+  return out;
+}
+
+static GPtrArray *waiting_jobs(const fc_table *t) {
+  GPtrArray *out = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    if (j->phase == FC_PHASE_ACCEPTED && j->team >= 0 && j->done_count < j->spec.tasks) g_ptr_array_add(out, j);
+  }
+  g_ptr_array_sort(out, fc_job_by_importance);
+  return out;
+}
+
+static bool fits(const spare *s, const fc_job *j, int owner, const char *zone) {
+  const fc_machine *m = s->machine;
+  if (m->owner != owner || (zone && strcmp(zone, m->rec.zone) != 0)) return false;
+  if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) return false;
+  return fc_room_fits(&s->room, &j->spec) && fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot);
+}
+
+static unsigned live_in(const fc_job *j, const char *zone) {
+  unsigned n = 0;
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    n += fc_placement_live(p) && (!zone || strcmp(p->machine->rec.zone, zone) == 0);
+  }
+  return n;
+}
+
+static bool zone_open(const fc_job *j, const char *zone) {
+  if (j->spec.one_zone && live_in(j, NULL) != live_in(j, zone)) return false;
+  return !j->spec.spread || live_in(j, zone) + 1 <= (j->spec.tasks + 1) / 2;
+}
+
+/* How many of `want` tasks the member's spare room holds; takes them when asked. */
+static unsigned hold(GArray *room, const fc_job *j, int owner, const char *zone, unsigned want, bool take) {
+  unsigned n = 0;
+  for (guint i = 0; i < room->len && n < want; i++) {
+    spare *s = &g_array_index(room, spare, i);
+    if (!zone_open(j, s->machine->rec.zone)) continue;
+    fc_room before = s->room;
+    while (n < want && fits(s, j, owner, zone)) {
+      fc_room_take(&s->room, &j->spec);
+      n++;
+    }
+    if (!take) s->room = before;
+  }
+  return n;
+}
+
+static unsigned hold_job(GArray *room, const fc_table *t, const fc_job *j, int owner, unsigned want, bool take) {
+  if (!j->spec.one_zone) return hold(room, j, owner, NULL, want, take);
+  unsigned best = 0;
+  const char *zone = NULL;
+  for (size_t z = 0; z < t->settings->zone_count; z++) {
+    unsigned n = hold(room, j, owner, t->settings->zones[z], want, false);
+    if (n <= best) continue;
+    best = n;
+    zone = t->settings->zones[z];
+  }
+  if (take && zone) (void)hold(room, j, owner, zone, want, true);
+  return best;
+}
+
+static unsigned missing_of(const fc_table *t, const fc_job *j, int member, unsigned slice) {
+  GArray *missing = fc_job_missing(t, j, member, 256);
+  unsigned n = 0;
+  for (guint i = 0; i < missing->len; i++) n += fc_job_slice_of(j, g_array_index(missing, uint32_t, i)) == slice;
+  g_array_free(missing, TRUE);
+  return n;
+}
+
+/* Does `to` know of everything of the slice that may be on a machine? */
+static bool knows(const fc_table *t, const fc_told *told, const fc_job *j, unsigned slice, int to) {
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (p->index >= j->spec.tasks || fc_job_slice_of(j, p->index) != slice) continue;
+    if (j->spec.kind == FC_KIND_GANG) return false;
+    if (p->machine->owner != t->self || told->view[to] < p->told || told->revision[to] < p->machine->version)
+      return false;
+  }
+  return true;
+}
+
+GArray *fc_share_handovers(const fc_table *t, const fc_told *told, double now) {
+  GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_handover));
+  if (t->self < 0 || t->term.count < 2) return out;
+  GArray *room = spares(t, now);
+  GPtrArray *jobs = waiting_jobs(t);
+  /* Every part's own queue goes first. */
+  for (guint i = 0; i < jobs->len; i++) {
+    fc_job *j = jobs->pdata[i];
+    for (unsigned s = 0; s < j->slices; s++) {
+      int owner = fc_job_owner(t, j, s);
+      if (owner >= 0) (void)hold_job(room, t, j, owner, missing_of(t, j, owner, s), true);
+    }
+  }
+  for (guint i = 0; i < jobs->len; i++) {
+    fc_job *j = jobs->pdata[i];
+    if (now < j->seen_at + t->settings->op.handover_wait_s || now < j->handed_at + t->settings->op.round_s) continue;
+    if (j->handing || now < j->blocked_until) continue;
+    for (unsigned s = 0; s < j->slices; s++) {
+      if (fc_job_owner(t, j, s) != t->self || !(j->clear >> s & 1)) continue;
+      unsigned want = missing_of(t, j, t->self, s);
+      if (want == 0 || hold_job(room, t, j, t->self, want, false) > 0) continue;
+      int best = -1;
+      unsigned best_n = 0;
+      for (int m = 0; m < (int)t->term.count; m++) {
+        if (m == t->self || !knows(t, told, j, s, m)) continue;
+        unsigned n = hold_job(room, t, j, m, want, false);
+        if (j->spec.kind == FC_KIND_GANG && n < want) continue;
+        if (n <= best_n) continue;
+        best_n = n;
+        best = m;
+      }
+      if (best < 0) continue;
+      (void)hold_job(room, t, j, best, want, true);
+      fc_handover h = {.job = j, .slice = s, .to = best};
+      g_array_append_val(out, h);
+    }
+  }
+  g_ptr_array_free(jobs, TRUE);
+  g_array_free(room, TRUE);
+  return out;
+}
+
+static bool is_idle(const fc_machine *m) { return m->placements->len == 0; }
+
+static gint by_job_id(gconstpointer a, gconstpointer b) {
+  const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
+  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
+  return strcmp(x->spec.id, y->spec.id);
+}
+
+/* Tasks of the gang that `owner` could start in the zone with its own room
+ * (`own`) and with everybody's idle machines besides (the result). */
+static unsigned gang_room(GArray *room, const fc_job *j, int owner, const char *zone, unsigned want, unsigned *own) {
+  unsigned n = 0;
+  *own = 0;
+  for (guint i = 0; i < room->len; i++) {
+    spare *s = &g_array_index(room, spare, i);
+    if (s->claimed) continue;
+    bool mine = s->machine->owner == owner;
+    if (!mine && !is_idle(s->machine)) continue;
+    fc_room r = s->room;
+    while (n < want && fits(s, j, s->machine->owner, zone)) {
+      fc_room_take(&s->room, &j->spec);
+      n++;
+      *own += mine;
+    }
+    s->room = r;
+  }
+  return n;
+}
+
+static void lend_to_gang(const fc_table *t, GArray *room, const fc_job *j, GArray *out) {
+  int owner = fc_job_owner(t, j, 0);
+  unsigned want = j->spec.tasks - j->done_count;
+  const char *best = NULL;
+  unsigned best_own = 0;
+  bool found = false;
+  size_t zones = j->spec.one_zone ? t->settings->zone_count : 1;
+  for (size_t z = 0; z < zones; z++) {
+    const char *zone = j->spec.one_zone ? t->settings->zones[z] : NULL;
+    unsigned own, n = gang_room(room, j, owner, zone, want, &own);
+    if (n < want || (found && own <= best_own)) continue;
+    found = true;
+    best = zone;
+    best_own = own;
+  }
+  if (!found || best_own >= want) return;
+  unsigned got = 0;
+  for (int own = 1; own >= 0; own--) {
+    for (guint i = 0; i < room->len && got < want; i++) {
+      spare *s = &g_array_index(room, spare, i);
+      if (s->claimed || (s->machine->owner == owner) != (own == 1)) continue;
+      if (!own && !is_idle(s->machine)) continue;
+      if (!fits(s, j, s->machine->owner, best)) continue;
+      s->claimed = true;
+      while (got < want && fits(s, j, s->machine->owner, best)) {
+        fc_room_take(&s->room, &j->spec);
+        got++;
+      }
+      if (own || s->machine->owner != t->self) continue;
+      fc_loan l = {.machine = (fc_machine *)s->machine, .to = owner};
+      g_array_append_val(out, l);
+    }
+  }
+}
+
+GArray *fc_share_loans(const fc_table *t, double now) {
+  GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_loan));
+  if (t->self < 0 || t->term.count < 2) return out;
+  GArray *room = spares(t, now);
+  GPtrArray *jobs = waiting_jobs(t);
+  g_ptr_array_sort(jobs, by_job_id);
+  for (guint i = 0; i < jobs->len; i++) {
+    fc_job *j = jobs->pdata[i];
+    if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
+    if (now < j->seen_at + t->settings->op.handover_wait_s) continue;
+    if (fc_job_owner(t, j, 0) >= 0) lend_to_gang(t, room, j, out);
+  }
+  g_ptr_array_free(jobs, TRUE);
+  g_array_free(room, TRUE);
+  return out;
+}
--- /dev/null
+++ b/src/scheduler/share.h
@@ -0,0 +1,34 @@
+/* Between the parts: slices of jobs that go where the room is, and machines
+ * that go where a gang is which no part can hold. Pure functions. */
+#ifndef FC_SCHEDULER_SHARE_H
+#define FC_SCHEDULER_SHARE_H
+
+#include <glib.h>
+
+#include "bookkeeping/table.h"
+
+/* What each member of the term has acknowledged of us. */
+typedef struct fc_told {
+  uint64_t view[FC_MEMBERS_MAX];     /* newest view of ours it has applied */
+  uint64_t revision[FC_MEMBERS_MAX]; /* state of its table when it did */
+} fc_told;
+
+typedef struct fc_handover {
+  fc_job *job;
+  unsigned slice;
+  int to;
+} fc_handover;
+
+/* Slices of ours that have waited and find room only in another part. */
+GArray *fc_share_handovers(const fc_table *t, const fc_told *told, double now);
+
+typedef struct fc_loan {
+  fc_machine *machine;
+  int to;
+} fc_loan;
+
+/* Idle machines of ours that a waiting gang elsewhere needs, or that are more
+ * than our even share. */
+GArray *fc_share_loans(const fc_table *t, double now);
+
+#endif
--- a/tests/test_coordination.c
+++ b/tests/test_coordination.c
@@ -23,17 +23,17 @@
   for (int i = 0; i < JOBS; i++) {
     char id[32];
     g_snprintf(id, sizeof id, "job-%06d", i);
-    int a = fc_deal_job(&three, id, NULL), b = fc_deal_job(&two, id, NULL);
+    int a = fc_deal_job(&three, id, 0, 1, NULL), b = fc_deal_job(&two, id, 0, 1, NULL);
     counts[a]++;
     moved_wrongly += a != 2 && a != b; /* only the leaver's jobs may move */
-    moved_by_seed += a != fc_deal_job(&other, id, NULL);
+    moved_by_seed += a != fc_deal_job(&other, id, 0, 1, NULL);
   }
   for (int k = 0; k < 3; k++) assert_in_range(counts[k], JOBS / 3 - 120, JOBS / 3 + 120);
   assert_int_equal(moved_wrongly, 0);
   assert_in_range(moved_by_seed, JOBS / 2, JOBS * 5 / 6);
   fc_term none = {.count = 0};
-  assert_int_equal(fc_deal_job(&none, "job-000001", NULL), -1);
-  assert_int_equal(fc_deal_job(&three, "job-000001", "paddock-2"), 2);
+  assert_int_equal(fc_deal_job(&none, "job-000001", 0, 1, NULL), -1);
+  assert_int_equal(fc_deal_job(&three, "job-000001", 0, 1, "paddock-2"), 2);
   assert_int_equal(fc_deal_machine(&two, "vm-1", "paddock-1"), 1);
   assert_in_range(fc_deal_machine(&two, "vm-1", "paddock-2"), 0, 1); /* its owner has left */
 }
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -93,12 +93,15 @@
   fc_job_spec s;
   char error[200];
   assert_true(fc_job_spec_parse(k_good, strlen(k_good), &s, error, sizeof error));
-  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", "paddock-2");
+  char *handed[4] = {NULL, NULL, (char *)"paddock-2", NULL};
+  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", 4, handed);
   fc_job_record r;
   assert_true(fc_job_record_decode(v, &r));
   assert_int_equal(r.phase, FC_PHASE_CANCELLED);
   assert_string_equal(r.done, "0-3,7");
-  assert_string_equal(r.handed_to, "paddock-2");
+  assert_int_equal(r.slices, 4);
+  assert_string_equal(r.handed[2], "paddock-2");
+  assert_null(r.handed[0]);
   assert_int_equal(r.spec.tasks, 16);
   assert_true(r.spec.deadline_s == 900.0 && r.spec.zone == NULL && strcmp(r.spec.types[0], "g8") == 0);
   fc_job_record_clear(&r);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -134,7 +134,7 @@
       case SILENT: now = 8; break;
       case NOTICE: m->notice_until = 100; break;
       case UNRECORDED: m->version = 0; break;
-      case UNCLEAR: j->clear = false; break;
+      case UNCLEAR: j->clear = 0; break;
       case OVER_LIMIT: a.gpus[0] = 0.5; break;
       case RUNNING: fc_table_place(t, m, j->spec.id, 0, 1, 0)->state = FC_TASK_FETCHING; break;
       case CANCELLED: j->phase = FC_PHASE_CANCELLED; break;
@@ -198,7 +198,7 @@
     next.number = rows[i].number;
     fc_table_set_term(t, &next, 9, rows[i].continuous, 1);
     check_row(rows[i].name, (m->settled_term == next.number) == rows[i].machine_settled);
-    check_row(rows[i].name, j->clear == rows[i].job_clear);
+    check_row(rows[i].name, (j->clear & 1) == rows[i].job_clear);
     /* Everything settled: nothing can be anywhere that we do not know of. */
     check_row(rows[i].name, fc_table_check_settled(t) == rows[i].machine_settled);
     m->settled_term = next.number;
--- a/tests/world.h
+++ b/tests/world.h
@@ -62,7 +62,7 @@
     g_string_truncate(full, full->len - 1);
     g_string_append_printf(full, ",%s}", extra);
   }
-  fc_job_record r = {.phase = FC_PHASE_ACCEPTED, .done = ""};
+  fc_job_record r = {.phase = FC_PHASE_ACCEPTED, .done = "", .slices = 1};
   char error[200];
   assert_true(fc_job_spec_parse(full->str, full->len, &r.spec, error, sizeof error));
   fc_job *j = fc_table_put_job(t, id, &r, 5, true, 0);
