A machine recorded in this term needs no settling before others may start

Cause: the latch waited for machines rented in the present term, and a fleet that keeps renting always has one that is booting. Ruled out: quota writes, lease handling (the new status line shows both fine).

--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -86,12 +86,48 @@
   g_ptr_array_free(push, TRUE);
 }
 
+/* One line about everything, once a worker lease. */
+static void log_status(fc_controller *c) {
+  const fc_table *t = c->table;
+  unsigned waiting = 0, unclear = 0, mine = 0, unsettled = 0, silent = 0;
+  const char *unsettled_id = "-";
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_job *j = value;
+    if (j->phase != FC_PHASE_ACCEPTED || !fc_job_owned(t, j, t->self)) continue;
+    GArray *missing = fc_job_missing(t, j, t->self, 1);
+    waiting += missing->len;
+    unclear += !j->clear;
+    g_array_free(missing, TRUE);
+  }
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    mine += m->owner == t->self;
+    silent += m->owner == t->self && fc_now() > m->heard_at + c->settings->report_s * 2;
+    if (!m->version || m->settled_term == t->term.number) continue;
+    unsettled++;
+    unsettled_id = m->id;
+  }
+  g_info("status term=%" G_GUINT64_FORMAT " self=%d may_act=%d fresh_s=%.1f latched=%d quota_term=%" G_GUINT64_FORMAT
+         " waiting=%u unclear=%u machines=%u silent=%u unsettled=%u e.g. %s routines=%zu",
+         (guint64)t->term.number, t->self, fc_may_act(c), fc_now() - c->fresh_sent, t->settled_latch == t->term.number,
+         (guint64)t->quota.term, waiting, unclear, mine, silent, unsettled, unsettled_id, fc_routine_count());
+}
+
 void fc_round_main(void *arg) {
   fc_controller *c = arg;
+  double logged_at = fc_now();
   /* Between rounds that events ask for, so that a burst is placed together. */
   double least = c->settings->op.round_s * 0.05;
   while (!fc_routine_cancelled()) {
     if (fc_may_act(c)) tick(c);
+    if (fc_now() > logged_at + c->settings->lease_s) {
+      log_status(c);
+      logged_at = fc_now();
+    }
     (void)fc_routine_sleep(least);
     (void)fc_cond_wait(&c->round_now, fc_now() + c->settings->op.round_s - least);
   }
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -46,7 +46,7 @@
   if (j) fc_cond_broadcast(&c->round_now);
 }
 
-static void apply_machine(fc_controller *c, const char *id, const fc_change *ch) {
+static void apply_machine(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
   fc_table *t = c->table;
   fc_machine *m = fc_table_machine(t, id);
   if (!ch->value) {
@@ -62,6 +62,7 @@
   if (m->version >= ch->version) return;
   /* An address learned from the worker itself is kept. */
   if (!rec.endpoint[0]) g_strlcpy(rec.endpoint, m->rec.endpoint, sizeof rec.endpoint);
+  if (!m->version && ordered && t->term_version && ch->version > t->term_version) m->born_term = t->term.number;
   m->rec = rec;
   m->version = ch->version;
   m->type = fc_table_type(t, rec.type);
@@ -84,7 +85,7 @@
   } else if (g_str_has_prefix(key, FC_PREFIX_JOB)) {
     apply_job(c, key + strlen(FC_PREFIX_JOB), ch, ordered);
   } else if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) {
-    apply_machine(c, key + strlen(FC_PREFIX_MACHINE), ch);
+    apply_machine(c, key + strlen(FC_PREFIX_MACHINE), ch, ordered);
   } else if (g_str_has_prefix(key, FC_PREFIX_MEMBER)) {
     const char *name = key + strlen(FC_PREFIX_MEMBER);
     if (ch->value) {
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -207,11 +207,39 @@
   }
 }
 
+/* hunt-879d-7: a fleet that kept renting never settled, and nothing started. */
+static void what_has_to_be_settled(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint64_t version, born, settled;
+    bool latches;
+  } rows[] = {
+      {"settled", 2, 0, 1, true},
+      {"recorded before the term, not settled", 2, 0, 0, false},
+      {"recorded in an earlier term, not settled", 2, 7, 0, false},
+      {"recorded in this term, still booting", 2, 1, 0, true},
+      {"not recorded: nothing was ever started on it", 0, 0, 0, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    t->settled_latch = 0;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    m->version = rows[i].version;
+    m->born_term = rows[i].born;
+    m->settled_term = rows[i].settled;
+    check_row(rows[i].name, fc_table_check_settled(t) == rows[i].latches);
+    fc_table_free(t);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(rank_then_lowest_share), cmocka_unit_test(image_first_then_roomiest),
       cmocka_unit_test(zones_types_kinds),      cmocka_unit_test(never_placed),
       cmocka_unit_test(renting),                cmocka_unit_test(a_new_term),
+      cmocka_unit_test(what_has_to_be_settled),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
