Preemption, cheap machines first among equals, warm room from observed arrivals

Cause: services waited behind arrays that filled ordinary machines, and new work waited a whole boot.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -32,6 +32,7 @@
   t->types = g_ptr_array_new_with_free_func(fc_machine_type_free);
   t->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  fc_demand_init(&t->demand);
   t->self = -1;
   return t;
 }
@@ -43,6 +44,7 @@
   g_ptr_array_free(t->types, TRUE);
   g_hash_table_destroy(t->hires);
   g_hash_table_destroy(t->members);
+  fc_demand_free(&t->demand);
   g_free(t);
 }
 
@@ -125,6 +127,8 @@
     if (!was_mine && !is_new) j->clear |= 1u << i;
   }
   if (is_new) link_placements(t, j);
+  /* What is read back after a start arrived before; only its shape is news. */
+  if (is_new && fresh) fc_demand_arrival(&t->demand, &j->spec, now);
   return j;
 }
 
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -7,6 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "bookkeeping/demand.h"
 #include "protocol/cloud_api.h"
 #include "protocol/job.h"
 #include "protocol/records.h"
@@ -100,6 +101,7 @@
   uint64_t term_version; /* of the stored record; 0: none seen */
   fc_quota_record quota;
   uint64_t quota_version;
+  fc_demand_stats demand;
   uint64_t settled_latch; /* term in which every machine has been settled */
   uint64_t next_serial;
   uint64_t view; /* number of the newest view of our machines */
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -158,7 +158,7 @@
 
 static void rent(fc_controller *c, refusals *ref) {
   refused_arg arg = {.table = c->table, .refusals = ref};
-  GArray *wants = fc_rent_wants(c->table, is_refused, &arg);
+  GArray *wants = fc_rent_wants(c->table, is_refused, &arg, fc_now());
   /* One transaction has to hold all the records that a request turns into. */
   unsigned most = MIN(c->settings->state_txn_ops - 1, FC_HIRE_MOST);
   unsigned burst = (unsigned)MAX(2.0, c->settings->state_write_rps / (double)(c->settings->peer_count + 1));
@@ -188,6 +188,7 @@
   fc_table *t = c->table;
   double now = fc_now();
   GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+  GHashTable *surplus = fc_rent_surplus(t, now);
   unsigned mine = 0, silent = 0;
   double quiet = c->settings->lease_s + 2 * c->settings->report_s;
   GHashTableIter it;
@@ -209,7 +210,8 @@
     bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1 &&
                 unkept(c, m, now - quiet);
     bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 4 * boot_s + quiet;
-    bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
+    bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now) &&
+                g_hash_table_contains(surplus, m);
     if (!lost && !never_up && !idle) continue;
     m->closed = true;
     m->releasing = true;
@@ -237,6 +239,7 @@
   else
     (void)fc_wait_fresh(c, fc_now() + 2.0);
 out:
+  g_hash_table_destroy(surplus);
   g_ptr_array_free(ids, TRUE);
 }
 
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -4,6 +4,7 @@
 #include "controller/controller.h"
 #include "controller/duties.h"
 #include "scheduler/place.h"
+#include "scheduler/preempt.h"
 
 /* Attempts of one task never repeat: the term is new for every owner and life. */
 static uint64_t next_attempt(fc_controller *c) { return c->table->term.number << 20 | ++c->attempt_counter; }
@@ -56,6 +57,20 @@
   g_array_free(plan, TRUE);
 }
 
+static void preempt(fc_controller *c, GPtrArray *push) {
+  fc_allowance allow;
+  fc_quota_allowance(c, &allow);
+  GPtrArray *stops = fc_preempt_round(c->table, &allow, fc_now());
+  for (guint i = 0; i < stops->len; i++) {
+    fc_placement *p = stops->pdata[i];
+    p->stopping = true;
+    p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+    g_debug("preempt task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
+    if (!g_ptr_array_find(push, p->machine, NULL)) g_ptr_array_add(push, p->machine);
+  }
+  g_ptr_array_free(stops, TRUE);
+}
+
 static void tick(fc_controller *c) {
   fc_table *t = c->table;
   fc_workers_expire(c);
@@ -72,6 +87,7 @@
     if (work) g_ptr_array_add(push, m);
   }
   place(c);
+  preempt(c, push);
   if (fc_state_reachable(c)) {
     fc_share_round(c);
   }
--- a/src/protocol/operator.cc
+++ b/src/protocol/operator.cc
@@ -26,6 +26,8 @@
      [](fc_operator_settings *o, double v) { o->split_limit = static_cast<unsigned>(v); }},
     {"membership", "lease_share", 0.2, 0.9, false,
      [](fc_operator_settings *o, double v) { o->member_lease_share = v; }},
+    {"machines", "warm_deviations", 0, 10, false,
+     [](fc_operator_settings *o, double v) { o->warm_deviations = v; }},
     {"machines", "idle_keep_share", 0, 100, false,
      [](fc_operator_settings *o, double v) { o->idle_keep_share = v; }},
 };
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -26,6 +26,14 @@
   GArray *out;
 } round_state;
 
+bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now) {
+  if (t->self < 0 || m->owner != t->self || !m->version || m->settled_term != t->term.number || !m->reported)
+    return false;
+  if (m->closed || m->writing || m->type < 0 || m->notice_until) return false;
+  /* Nothing is placed on a machine that has been silent for half a lease. */
+  return now <= m->heard_at + t->settings->lease_s * 0.5;
+}
+
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now) {
   return j->phase == FC_PHASE_ACCEPTED && j->clear && j->team >= 0 && now >= j->blocked_until && t->self >= 0 &&
          fc_job_owned(t, j, t->self);
@@ -100,7 +108,15 @@
                  (sl->planned_images && g_hash_table_contains(sl->planned_images, s->image));
     double room = (sl->type->gpus > 0 ? sl->room.gpus / sl->type->gpus : 0) +
                   (sl->type->cpus > 0 ? sl->room.cpus / sl->type->cpus : 0);
-    if (!best || (image && !best_image) || (image == best_image && room > best_room + 1e-9)) {
+    /* Among machines that are equal otherwise by the rule, a job that may use
+     * cheap ones leaves the ordinary ones to jobs that may not. */
+    bool cheap = m->rec.spot;
+    bool better = !best || (image && !best_image);
+    if (best && image == best_image) {
+      bool best_cheap = best->machine->rec.spot;
+      better = cheap != best_cheap ? cheap : room > best_room + 1e-9;
+    }
+    if (better) {
       best = sl;
       best_image = image;
       best_room = room;
@@ -242,10 +258,7 @@
       rs->used_cpus[p->job->team] += p->job->spec.cpus;
       rs->used_gpus[p->job->team] += p->job->spec.gpus;
     }
-    bool usable = m->owner == t->self && t->self >= 0 && m->version && m->settled_term == t->term.number &&
-                  m->reported && !m->closed && !m->writing && m->type >= 0 && !m->notice_until;
-    /* Nothing is placed on a machine that has been silent for half a lease. */
-    if (!usable || now > m->heard_at + t->settings->lease_s * 0.5) continue;
+    if (!fc_machine_usable(t, m, now)) continue;
     slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
     g_array_append_val(rs->slots, s);
   }
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -17,6 +17,8 @@
   double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX];
 } fc_allowance;
 
+/* May this part start tasks on the machine now? */
+bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now);
 /* Jobs of this part that want tasks started now. */
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now);
 /* Tasks of the job that are neither finished nor anywhere, of the slices that
--- /dev/null
+++ b/src/scheduler/preempt.c
@@ -0,0 +1,194 @@
+#include "scheduler/preempt.h"
+
+#include <string.h>
+
+#include "scheduler/rent.h"
+
+typedef struct host {
+  fc_machine *machine;
+  fc_room room; /* free, or being freed, and not spoken for */
+} host;
+
+typedef struct usage {
+  double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX];
+} usage;
+
+static bool over_guarantee(const fc_table *t, const usage *u, int team) {
+  const fc_team_settings *ts = &t->settings->teams[team];
+  const double slack = 1e-6;
+  return u->gpus[team] > ts->gpus + slack || u->cpus[team] > ts->cpus + slack;
+}
+
+/* Would the job still be within what its team is guaranteed? */
+static bool within_guarantee(const fc_table *t, const usage *u, const fc_job *j) {
+  const fc_team_settings *ts = &t->settings->teams[j->team];
+  const double slack = 1e-6;
+  if (ts->gpus <= 0 && ts->cpus <= 0) return false;
+  if (ts->gpus > 0 && u->gpus[j->team] + j->spec.gpus > ts->gpus + slack) return false;
+  return ts->cpus <= 0 || u->cpus[j->team] + j->spec.cpus <= ts->cpus + slack;
+}
+
+static bool may_stop(const fc_table *t, const usage *u, const fc_job *for_job, const fc_placement *p) {
+  if (!fc_placement_live(p) || p->stopping || !p->job || p->job->team < 0) return false;
+  /* Stopping one task of a gang stops them all: too dear for one place. */
+  if (p->job->spec.kind == FC_KIND_GANG) return false;
+  if (p->job->spec.rank < for_job->spec.rank) return true;
+  return p->job->spec.rank == for_job->spec.rank && p->job->team != for_job->team &&
+         within_guarantee(t, u, for_job) && over_guarantee(t, u, p->job->team);
+}
+
+/* Seconds of work that stopping it throws away, saving included. */
+static double loss(const fc_placement *p, double now) {
+  if (p->state == FC_TASK_FETCHING || !p->running_since) return 0.5;
+  if (p->job->spec.checkpoint_s > 0) return 1 + p->job->spec.save_s;
+  double ran = now - p->running_since;
+  return 2 + (p->job->spec.kind == FC_KIND_SERVICE ? 1000 : ran * 2);
+}
+
+typedef struct victim {
+  fc_placement *p;
+  double loss;
+} victim;
+
+static gint by_loss(gconstpointer a, gconstpointer b) {
+  double x = ((const victim *)a)->loss, y = ((const victim *)b)->loss;
+  return x < y ? -1 : x > y;
+}
+
+/* The cheapest set on one machine; NULL when it can't make enough room. */
+static GArray *victims_on(const fc_table *t, const usage *u, const host *h, const fc_job *j, double now,
+                          double *total) {
+  GArray *all = g_array_new(FALSE, FALSE, sizeof(victim));
+  for (guint i = 0; i < h->machine->placements->len; i++) {
+    fc_placement *p = h->machine->placements->pdata[i];
+    if (!may_stop(t, u, j, p)) continue;
+    victim v = {.p = p, .loss = loss(p, now)};
+    g_array_append_val(all, v);
+  }
+  g_array_sort(all, by_loss);
+  fc_room room = h->room;
+  guint n = 0;
+  *total = 0;
+  while (n < all->len && !fc_room_fits(&room, &j->spec)) {
+    const victim *v = &g_array_index(all, victim, n++);
+    const fc_job_spec *s = &v->p->job->spec;
+    room.cpus += s->cpus;
+    room.gpus += s->gpus;
+    room.memory_gb += s->memory_gb;
+    *total += v->loss;
+  }
+  if (!fc_room_fits(&room, &j->spec)) {
+    g_array_free(all, TRUE);
+    return NULL;
+  }
+  g_array_set_size(all, n);
+  return all;
+}
+
+static bool zone_allowed(const fc_job *j, const char *zone) {
+  unsigned all = 0, here = 0;
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (!fc_placement_live(p)) continue;
+    all++;
+    here += strcmp(p->machine->rec.zone, zone) == 0;
+  }
+  if (j->spec.one_zone && all != here) return false;
+  return !j->spec.spread || here + 1 <= (j->spec.tasks + 1) / 2;
+}
+
+/* Finds a place for one task: room that is being freed already, or the cheapest
+ * victims, which are added to `out`. */
+static bool make_room(const fc_table *t, const usage *u, GArray *hosts, const fc_job *j, double now, GPtrArray *out) {
+  host *best = NULL;
+  GArray *best_set = NULL;
+  double best_loss = 0;
+  for (guint i = 0; i < hosts->len; i++) {
+    host *h = &g_array_index(hosts, host, i);
+    const fc_machine *m = h->machine;
+    if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot) || !zone_allowed(j, m->rec.zone)) continue;
+    if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) continue;
+    double total;
+    GArray *set = victims_on(t, u, h, j, now, &total);
+    if (!set) continue;
+    if (best && total >= best_loss) {
+      g_array_free(set, TRUE);
+      continue;
+    }
+    if (best_set) g_array_free(best_set, TRUE);
+    best = h;
+    best_set = set;
+    best_loss = total;
+  }
+  if (!best) return false;
+  for (guint i = 0; i < best_set->len; i++) {
+    fc_placement *p = g_array_index(best_set, victim, i).p;
+    g_ptr_array_add(out, p);
+    best->room.cpus += p->job->spec.cpus;
+    best->room.gpus += p->job->spec.gpus;
+    best->room.memory_gb += p->job->spec.memory_gb;
+    p->stopping = true; /* not chosen twice; the caller sends the stop */
+  }
+  g_array_free(best_set, TRUE);
+  fc_room_take(&best->room, &j->spec);
+  return true;
+}
+
+static GArray *gather_hosts(const fc_table *t, usage *u, double now) {
+  GArray *hosts = g_array_new(FALSE, TRUE, sizeof(host));
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    host h = {.machine = m, .room = fc_machine_room(t, m)};
+    for (guint i = 0; i < m->placements->len; i++) {
+      const fc_placement *p = m->placements->pdata[i];
+      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+      u->cpus[p->job->team] += p->job->spec.cpus;
+      u->gpus[p->job->team] += p->job->spec.gpus;
+      if (!p->stopping) continue;
+      h.room.cpus += p->job->spec.cpus;
+      h.room.gpus += p->job->spec.gpus;
+      h.room.memory_gb += p->job->spec.memory_gb;
+    }
+    if (fc_machine_usable(t, m, now)) g_array_append_val(hosts, h);
+  }
+  return hosts;
+}
+
+GPtrArray *fc_preempt_round(const fc_table *t, const fc_allowance *allow, double now) {
+  GPtrArray *out = g_ptr_array_new();
+  usage u = {{0}, {0}};
+  GArray *hosts = gather_hosts(t, &u, now);
+  GPtrArray *jobs = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    if (j->spec.kind == FC_KIND_GANG || !fc_job_placeable(t, j, now) || j->handing) continue;
+    /* Idle room elsewhere is cheaper: give the hand-over time to find it. */
+    if (now < j->seen_at + t->settings->op.handover_wait_s + t->settings->op.round_s * 0.5) continue;
+    g_ptr_array_add(jobs, j);
+  }
+  g_ptr_array_sort(jobs, fc_job_by_importance);
+  fc_allowance left = *allow;
+  for (guint i = 0; i < jobs->len; i++) {
+    fc_job *j = jobs->pdata[i];
+    GArray *missing = fc_job_missing(t, j, t->self, 64);
+    for (guint k = 0; k < missing->len; k++) {
+      if (!(j->clear >> fc_job_slice_of(j, g_array_index(missing, uint32_t, k)) & 1)) continue;
+      if (left.cpus[j->team] < j->spec.cpus - 1e-6 || left.gpus[j->team] < j->spec.gpus - 1e-6) break;
+      if (!make_room(t, &u, hosts, j, now, out)) break;
+      left.cpus[j->team] -= j->spec.cpus;
+      left.gpus[j->team] -= j->spec.gpus;
+      u.cpus[j->team] += j->spec.cpus;
+      u.gpus[j->team] += j->spec.gpus;
+    }
+    g_array_free(missing, TRUE);
+  }
+  g_ptr_array_free(jobs, TRUE);
+  g_array_free(hosts, TRUE);
+  return out;
+}
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -12,6 +12,7 @@
   const char *zone;
   bool spot, rented, idle;
   fc_room room;
+  const fc_machine *machine; /* NULL: not there yet */
 } bin;
 
 typedef struct pack {
@@ -48,7 +49,7 @@
     }
     if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until) continue;
     bin b = {.type = m->type, .owner = m->owner, .zone = m->rec.zone, .spot = m->rec.spot,
-             .idle = m->placements->len == 0, .room = fc_machine_room(t, m)};
+             .idle = m->placements->len == 0, .room = fc_machine_room(t, m), .machine = m};
     g_array_append_val(p->bins, b);
   }
   /* Requests under way will bring machines too. */
@@ -66,6 +67,16 @@
   }
 }
 
+/* Machines in use first, so that the idle ones stay empty where that is possible;
+ * among idle ones the oldest names first, so that the youngest become surplus. */
+static gint by_use(gconstpointer a, gconstpointer b) {
+  const bin *x = a, *y = b;
+  if (x->idle != y->idle) return x->idle ? 1 : -1;
+  if (x->spot != y->spot) return x->spot ? -1 : 1; /* cheap room first */
+  if (!x->machine || !y->machine) return (x->machine == NULL) - (y->machine == NULL);
+  return strcmp(x->machine->id, y->machine->id);
+}
+
 /* Tasks of one job by zone, existing and packed. */
 typedef struct spread {
   const fc_job *job;
@@ -229,10 +240,31 @@
   return x->serial < y->serial ? -1 : x->serial > y->serial;
 }
 
-GArray *fc_rent_wants(const fc_table *t, fc_refused_fn refused, void *arg) {
+/* Room for what may arrive, beyond the average, while a machine boots. */
+static void pack_margin(pack *p, double now) {
+  const fc_table *t = p->table;
+  double boot = 0;
+  for (guint i = 0; i < t->types->len; i++) boot = MAX(boot, ((fc_machine_type *)t->types->pdata[i])->boot_s);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->demand.classes);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_demand_class *c = value;
+    if (c->kind == FC_KIND_GANG) continue; /* its machines are sized by the job */
+    unsigned n = fc_demand_margin(&t->demand, c, boot + t->settings->op.round_s, t->settings->op.warm_deviations, now);
+    fc_job model = {.spec = {.kind = FC_KIND_ARRAY, .tasks = n, .cpus = c->cpus, .gpus = c->gpus,
+                             .memory_gb = c->memory_gb, .spot = c->spot}};
+    spread s = {.job = &model};
+    for (unsigned k = 0; k < n; k++)
+      if (!pack_existing(p, &s) && !rent_for(p, &s, NULL, -1)) break;
+  }
+}
+
+static GArray *pack_all(const fc_table *t, fc_refused_fn refused, void *arg, double now) {
   pack p = {.table = t, .refused = refused, .arg = arg};
   p.bins = g_array_new(FALSE, TRUE, sizeof(bin));
   add_existing(&p);
+  g_array_sort(p.bins, by_use);
   GPtrArray *jobs = g_ptr_array_new();
   GHashTableIter it;
   gpointer value;
@@ -244,9 +276,15 @@
   g_ptr_array_sort(jobs, fc_job_by_importance);
   for (guint i = 0; i < jobs->len; i++) pack_job(&p, jobs->pdata[i]);
   g_ptr_array_free(jobs, TRUE);
+  pack_margin(&p, now);
+  return p.bins;
+}
+
+GArray *fc_rent_wants(const fc_table *t, fc_refused_fn refused, void *arg, double now) {
+  GArray *bins = pack_all(t, refused, arg, now);
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_want));
-  for (guint i = 0; i < p.bins->len; i++) {
-    const bin *b = &g_array_index(p.bins, bin, i);
+  for (guint i = 0; i < bins->len; i++) {
+    const bin *b = &g_array_index(bins, bin, i);
     if (!b->rented) continue;
     bool added = false;
     for (guint k = 0; k < out->len && !added; k++) {
@@ -258,7 +296,18 @@
     fc_want w = {.type = b->type, .zone = b->zone, .spot = b->spot, .owner = b->owner, .count = 1};
     if (!added) g_array_append_val(out, w);
   }
-  g_array_free(p.bins, TRUE);
+  g_array_free(bins, TRUE);
+  return out;
+}
+
+GHashTable *fc_rent_surplus(const fc_table *t, double now) {
+  GHashTable *out = g_hash_table_new(NULL, NULL);
+  GArray *bins = pack_all(t, NULL, NULL, now);
+  for (guint i = 0; i < bins->len; i++) {
+    const bin *b = &g_array_index(bins, bin, i);
+    if (b->machine && b->idle) g_hash_table_add(out, (gpointer)b->machine);
+  }
+  g_array_free(bins, TRUE);
   return out;
 }
 
--- a/src/scheduler/rent.h
+++ b/src/scheduler/rent.h
@@ -21,7 +21,10 @@
 /* Packs the whole queue into the room of all parts, booting machines included
  * (what a part can't hold is handed over or lent to), and returns what has to
  * be rented for the rest. */
-GArray *fc_rent_wants(const fc_table *t, fc_refused_fn refused, void *arg);
+GArray *fc_rent_wants(const fc_table *t, fc_refused_fn refused, void *arg, double now);
+/* Machines (fc_machine pointers) that neither the queue nor the room kept for
+ * arrivals needs. */
+GHashTable *fc_rent_surplus(const fc_table *t, double now);
 /* Sorts fc_job pointers: most important first, then first come. */
 gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Free since so long that renting again is cheaper than keeping it? */
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -163,7 +163,7 @@
     fc_settings s = world_settings();
     fc_table *t = world_table(&s);
     world_job(t, "job-000001", rows[i].kind, "standard", rows[i].team, rows[i].tasks, 1, rows[i].extra);
-    GArray *wants = fc_rent_wants(t, NULL, NULL);
+    GArray *wants = fc_rent_wants(t, NULL, NULL, 1e6);
     unsigned spot = 0, ordinary = 0;
     for (guint k = 0; k < wants->len; k++) {
       const fc_want *w = &g_array_index(wants, fc_want, k);
