--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -28,6 +28,11 @@
   uint64_t acked_revision; /* what its table held then */
 } fc_peer;
 
+/* Counted since the start, for the status line and the metrics. */
+typedef struct fc_counts {
+  uint64_t rounds, reads, reports, requests, exchanges, views, pushes, placed, preempted, handed_over, lent;
+} fc_counts;
+
 typedef struct fc_controller {
   const fc_settings *settings;
   fc_table *table;
@@ -58,6 +63,7 @@
   /* While a write of ours is undecided, the lower of it and the record counts. */
   double share_cap_cpus[FC_TEAMS_MAX], share_cap_gpus[FC_TEAMS_MAX];
 
+  fc_counts counts;
   uint64_t attempt_counter;
   uint64_t hire_counter;
   double types_at; /* when the machine types were last read */
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -203,6 +203,7 @@
 
 static void handle(const fc_http_request *req, fc_http_response *res, void *arg) {
   fc_controller *c = arg;
+  c->counts.requests++;
   if (strcmp(req->path, "/checkin") == 0) {
     if (method_is(req, res, "POST")) fc_workers_report(c, req->body, req->body_len, &res->status, res->body);
   } else if (strcmp(req->path, "/api/jobs") == 0) {
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -121,6 +121,7 @@
   fc_conn *conn = NULL;
   while (!fc_routine_cancelled()) {
     double began = fc_now();
+    c->counts.exchanges++;
     if (!conn) conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5);
     if (conn && !exchange(c, l->peer, conn, ++seq)) {
       fc_conn_close(conn);
@@ -218,6 +219,7 @@
     bool ok = body && type == FC_FRAME_VIEW && fc_view_decode(body, len, &v);
     g_free(body);
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
+    c->counts.views++;
     apply_view(c, &v);
     fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v),
                   .revision = c->revision};
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -10,18 +10,36 @@
 
 static bool limited(const fc_team_settings *ts) { return ts->cpus_max > 0 || ts->gpus_max > 0; }
 
-/* What a part's queue asks for, in tasks that could start if there were room. */
-static void queued(const fc_table *t, int owner, int team, double *cpus, double *gpus) {
-  *cpus = *gpus = 0;
+/* What every member uses and what its queue asks for besides, in one pass. */
+typedef struct tally {
+  fc_demand cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX], gpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
+} tally;
+
+static void take_tally(const fc_table *t, tally *out) {
+  memset(out, 0, sizeof *out);
   GHashTableIter it;
   gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    for (guint i = 0; m->owner >= 0 && i < m->placements->len; i++) {
+      const fc_placement *p = m->placements->pdata[i];
+      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+      out->cpus[m->owner][p->job->team].used += p->job->spec.cpus;
+      out->gpus[m->owner][p->job->team].used += p->job->spec.gpus;
+    }
+  }
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->team != team || j->phase != FC_PHASE_ACCEPTED) continue;
-    GArray *missing = fc_job_missing(t, j, owner, 256);
-    *cpus += missing->len * j->spec.cpus;
-    *gpus += missing->len * j->spec.gpus;
+    if (j->team < 0 || j->phase != FC_PHASE_ACCEPTED || !limited(&t->settings->teams[j->team])) continue;
+    GArray *missing = fc_job_missing(t, j, -1, 1024);
+    for (guint i = 0; i < missing->len; i++) {
+      int owner = fc_job_owner(t, j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
+      if (owner < 0) continue;
+      out->cpus[owner][j->team].wanted += j->spec.cpus;
+      out->gpus[owner][j->team].wanted += j->spec.gpus;
+    }
     g_array_free(missing, TRUE);
   }
 }
@@ -52,7 +70,7 @@
 
 /* The first division of this term, from lists that can only have shrunk since:
  * nobody starts anything of these teams before this record. */
-static void divide(const fc_controller *c, fc_quota_record *q) {
+static void divide(const fc_controller *c, const tally *now, fc_quota_record *q) {
   const fc_table *t = c->table;
   q->term = t->term.number;
   q->member_count = t->term.count;
@@ -64,8 +82,8 @@
     const fc_team_settings *ts = &c->settings->teams[k];
     if (!limited(ts)) continue;
     for (size_t i = 0; i < t->term.count; i++) {
-      fc_table_usage(t, (int)i, (int)k, &cpus[i].used, &gpus[i].used);
-      queued(t, (int)i, (int)k, &cpus[i].wanted, &gpus[i].wanted);
+      cpus[i] = now->cpus[i][k];
+      gpus[i] = now->gpus[i][k];
     }
     fc_quota_divide(ts->cpus_max, cpus, t->term.count, shares);
     for (size_t i = 0; i < t->term.count; i++) q->cpus[i][k] = shares[i];
@@ -75,7 +93,7 @@
 }
 
 /* Moves our shares towards what we need; true when something would change. */
-static bool adjust(fc_controller *c, fc_quota_record *q) {
+static bool adjust(fc_controller *c, const tally *now, fc_quota_record *q) {
   const fc_table *t = c->table;
   int at = quota_index(q, c->settings->name);
   if (at < 0) return false;
@@ -83,17 +101,15 @@
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     if (!limited(ts)) continue;
-    fc_demand cpus, gpus;
-    fc_table_usage(t, t->self, (int)k, &cpus.used, &gpus.used);
-    queued(t, t->self, (int)k, &cpus.wanted, &gpus.wanted);
+    const fc_demand *cpus = &now->cpus[t->self][k], *gpus = &now->gpus[t->self][k];
     double others_cpus = 0, others_gpus = 0;
     for (size_t i = 0; i < q->member_count; i++) {
       if ((int)i == at) continue;
       others_cpus += q->cpus[i][k];
       others_gpus += q->gpus[i][k];
     }
-    double new_cpus = fc_quota_adjust(ts->cpus_max, others_cpus, q->cpus[at][k], &cpus);
-    double new_gpus = fc_quota_adjust(ts->gpus_max, others_gpus, q->gpus[at][k], &gpus);
+    double new_cpus = fc_quota_adjust(ts->cpus_max, others_cpus, q->cpus[at][k], cpus);
+    double new_gpus = fc_quota_adjust(ts->gpus_max, others_gpus, q->gpus[at][k], gpus);
     if (ts->cpus_max > 0 && fabs(new_cpus - q->cpus[at][k]) > 1e-6) {
       q->cpus[at][k] = new_cpus;
       changed = true;
@@ -146,6 +162,7 @@
   if (!any) return;
   double adjusted_at = 0;
   fc_quota_record *q = g_new0(fc_quota_record, 1);
+  tally *now_used = g_new0(tally, 1);
   while (!fc_routine_cancelled()) {
     (void)fc_routine_sleep(c->settings->op.round_s * 0.1);
     fc_table *t = c->table;
@@ -155,15 +172,18 @@
     if (t->quota.term != t->term.number) {
       /* Everybody could write it; the first in the term does at once. */
       if (!fc_table_check_settled(t) || now < c->term_since + c->settings->op.round_s * 0.5 * t->self) continue;
-      divide(c, q);
+      take_tally(t, now_used);
+      divide(c, now_used, q);
     } else {
       if (now < adjusted_at + c->settings->op.round_s * 0.25) continue;
       adjusted_at = now;
       *q = t->quota;
-      if (!adjust(c, q)) continue;
+      take_tally(t, now_used);
+      if (!adjust(c, now_used, q)) continue;
     }
     lower_caps(c, q);
     write_quota(c, q);
   }
+  g_free(now_used);
   g_free(q);
 }
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -188,7 +188,7 @@
   fc_table *t = c->table;
   double now = fc_now();
   GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-  GHashTable *surplus = fc_rent_surplus(t, now);
+  GHashTable *surplus = NULL; /* made when there is an idle machine */
   unsigned mine = 0, silent = 0;
   double quiet = c->settings->lease_s + 2 * c->settings->report_s;
   GHashTableIter it;
@@ -210,8 +210,11 @@
     bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1 &&
                 unkept(c, m, now - quiet);
     bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 4 * boot_s + quiet;
-    bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now) &&
-                g_hash_table_contains(surplus, m);
+    bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
+    if (idle) {
+      if (!surplus) surplus = fc_rent_surplus(t, now);
+      idle = g_hash_table_contains(surplus, m);
+    }
     if (!lost && !never_up && !idle) continue;
     m->closed = true;
     m->releasing = true;
@@ -239,7 +242,7 @@
   else
     (void)fc_wait_fresh(c, fc_now() + 2.0);
 out:
-  g_hash_table_destroy(surplus);
+  if (surplus) g_hash_table_destroy(surplus);
   g_ptr_array_free(ids, TRUE);
 }
 
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -53,6 +53,7 @@
     g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", d->job->spec.id, d->index,
             (guint64)attempt, d->machine->id);
   }
+  c->counts.placed += plan->len;
   if (plan->len > 0) fc_cond_broadcast(&c->view_now);
   g_array_free(plan, TRUE);
 }
@@ -65,14 +66,34 @@
     fc_placement *p = stops->pdata[i];
     p->stopping = true;
     p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+    c->counts.preempted++;
     g_debug("preempt task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
     if (!g_ptr_array_find(push, p->machine, NULL)) g_ptr_array_add(push, p->machine);
   }
   g_ptr_array_free(stops, TRUE);
 }
 
+/* A task of ours, or a gang anywhere, that has found no place? */
+static bool anything_waits(const fc_table *t) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_job *j = value;
+    if (j->phase != FC_PHASE_ACCEPTED) continue;
+    if (j->spec.kind == FC_KIND_GANG && j->placements->len == 0) return true;
+    if (j->placements->len + j->done_count >= j->spec.tasks || !fc_job_owned(t, j, t->self)) continue;
+    GArray *missing = fc_job_missing(t, j, t->self, 1);
+    bool waits = missing->len > 0;
+    g_array_free(missing, TRUE);
+    if (waits) return true;
+  }
+  return false;
+}
+
 static void tick(fc_controller *c) {
   fc_table *t = c->table;
+  c->counts.rounds++;
   fc_workers_expire(c);
   (void)fc_table_check_settled(t);
   GHashTableIter it;
@@ -87,9 +108,9 @@
     if (work) g_ptr_array_add(push, m);
   }
   place(c);
-  preempt(c, push);
-  if (fc_state_reachable(c)) {
-    fc_share_round(c);
+  if (anything_waits(t)) {
+    preempt(c, push);
+    if (fc_state_reachable(c)) fc_share_round(c);
   }
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -131,6 +152,14 @@
          " waiting=%u unclear=%u machines=%u silent=%u unsettled=%u e.g. %s routines=%zu",
          (guint64)t->term.number, t->self, fc_may_act(c), fc_now() - c->fresh_sent, t->settled_latch == t->term.number,
          (guint64)t->quota.term, waiting, unclear, mine, silent, unsettled, unsettled_id, fc_routine_count());
+  const fc_counts *n = &c->counts;
+  g_info("counts rounds=%" G_GUINT64_FORMAT " reads=%" G_GUINT64_FORMAT " reports=%" G_GUINT64_FORMAT
+         " requests=%" G_GUINT64_FORMAT " exchanges=%" G_GUINT64_FORMAT " views=%" G_GUINT64_FORMAT
+         " pushes=%" G_GUINT64_FORMAT " placed=%" G_GUINT64_FORMAT " preempted=%" G_GUINT64_FORMAT
+         " handed_over=%" G_GUINT64_FORMAT " lent=%" G_GUINT64_FORMAT " commits=%" G_GUINT64_FORMAT,
+         (guint64)n->rounds, (guint64)n->reads, (guint64)n->reports, (guint64)n->requests, (guint64)n->exchanges,
+         (guint64)n->views, (guint64)n->pushes, (guint64)n->placed, (guint64)n->preempted, (guint64)n->handed_over,
+         (guint64)n->lent, (guint64)fc_commit_sent(c->commit));
 }
 
 void fc_round_main(void *arg) {
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -92,6 +92,7 @@
       g_strlcpy(a->to[h->slice], c->table->term.members[h->to].name, sizeof a->to[h->slice]);
       g_debug("hand over job=%s slice=%u to=%s", a->id, h->slice, a->to[h->slice]);
     }
+    c->counts.handed_over++;
     j->handing = a->slices;
     j->handed_at = fc_now();
     if (!fc_routine_spawn(handover_main, a)) {
@@ -147,6 +148,7 @@
     g_strlcpy(a->id, l->machine->id, sizeof a->id);
     g_strlcpy(a->to, c->table->term.members[l->to].name, sizeof a->to);
     g_debug("lend machine=%s to=%s", a->id, a->to);
+    c->counts.lent++;
     l->machine->writing = true;
     if (!fc_routine_spawn(loan_main, a)) {
       l->machine->writing = false;
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -189,6 +189,7 @@
       (void)fc_routine_sleep(g_random_double_range(0.2, 0.5));
       continue;
     }
+    c->counts.reads++;
     double sent = fc_now();
     GPtrArray *changes = g_ptr_array_new_with_free_func(fc_change_free);
     uint64_t revision = 0;
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -248,6 +248,7 @@
     g_info("malformed report: %s", error);
     return;
   }
+  c->counts.reports++;
   if (!fc_may_act(c)) goto refused;
   fc_machine *m = fc_table_machine(t, r.machine);
   if ((!m || !m->version) && (!record_machine(c, &r) || !fc_may_act(c))) goto refused;
@@ -326,6 +327,7 @@
       result = fc_worker_order(&at, term, m->session, (const fc_command *)commands->data, commands->len,
                                fc_now() + c->settings->report_s * 0.75, &r);
     g_array_free(commands, TRUE);
+    c->counts.pushes += result != FC_ORDER_UNSENT;
     bool read = result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
     m = fc_table_machine(t, a.id); /* it may be gone by now */
     if (m) decide_strays(m, result);
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -16,7 +16,11 @@
 static bool over_guarantee(const fc_table *t, const usage *u, int team) {
   const fc_team_settings *ts = &t->settings->teams[team];
   const double slack = 1e-6;
-  return u->gpus[team] > ts->gpus + slack || u->cpus[team] > ts->cpus + slack;
+  /* 0 means that nothing of the kind is guaranteed, not that nothing may be
+   * used: a team guaranteed only GPUs was once always over for its CPUs, and
+   * teams stopped each other's tasks round after round. */
+  if (ts->gpus <= 0 && ts->cpus <= 0) return true;
+  return (ts->gpus > 0 && u->gpus[team] > ts->gpus + slack) || (ts->cpus > 0 && u->cpus[team] > ts->cpus + slack);
 }
 
 /* Would the job still be within what its team is guaranteed? */
@@ -33,7 +37,7 @@
   /* Stopping one task of a gang stops them all: too dear for one place. */
   if (p->job->spec.kind == FC_KIND_GANG) return false;
   if (p->job->spec.rank < for_job->spec.rank) return true;
-  return p->job->spec.rank == for_job->spec.rank && p->job->team != for_job->team &&
+  return p->job->spec.rank == for_job->spec.rank && p->job->spec.kind == FC_KIND_ARRAY && p->job->team != for_job->team &&
          within_guarantee(t, u, for_job) && over_guarantee(t, u, p->job->team);
 }
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -4,6 +4,7 @@
 #include <math.h>
 
 #include "scheduler/place.h"
+#include "scheduler/preempt.h"
 #include "scheduler/rent.h"
 #include "world.h"
 
@@ -234,12 +235,55 @@
   }
 }
 
+/* Who may be stopped for whom; the machine is full with four tasks. */
+static void preemption(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *victim_kind, *victim_rank, *victim_team;
+    double blue_guarantee;
+    const char *kind, *rank;
+    unsigned expect;
+  } rows[] = {
+      {"higher rank", "sweep", "standard", "red", 8, "service", "prod", 1},
+      {"same rank, owner within its guarantee", "sweep", "standard", "red", 8, "sweep", "standard", 0},
+      {"same rank, owner over its guarantee", "sweep", "standard", "blue", 2, "sweep", "standard", 1},
+      {"same rank, a service over its guarantee", "service", "standard", "blue", 2, "sweep", "standard", 0},
+      {"lower rank never", "sweep", "high", "blue", 2, "sweep", "standard", 0},
+      {"part of a gang", "gang", "standard", "red", 8, "service", "prod", 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    s.teams[1].gpus = rows[i].blue_guarantee;
+    fc_table *t = world_table(&s);
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    m->heard_at = 90;
+    fc_job *old = world_job(t, "job-000001", rows[i].victim_kind, rows[i].victim_rank, rows[i].victim_team, 4, 1, "");
+    for (uint32_t k = 0; k < 4; k++) {
+      fc_placement *p = fc_table_place(t, m, old->spec.id, k, 1, 10);
+      p->state = FC_TASK_RUNNING;
+      p->running_since = 50 - k; /* the first has run the shortest */
+    }
+    world_job(t, "job-000002", rows[i].kind, rows[i].rank, "red", 1, 1, "");
+    fc_allowance a = unlimited();
+    GPtrArray *stops = fc_preempt_round(t, &a, 90);
+    check_row(rows[i].name, stops->len == rows[i].expect);
+    if (stops->len) check_row(rows[i].name, ((fc_placement *)stops->pdata[0])->index == 0);
+    g_ptr_array_free(stops, TRUE);
+    /* What is being stopped already makes room enough. */
+    stops = fc_preempt_round(t, &a, 90);
+    check_row(rows[i].name, stops->len == 0);
+    g_ptr_array_free(stops, TRUE);
+    fc_table_free(t);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(rank_then_lowest_share), cmocka_unit_test(image_first_then_roomiest),
       cmocka_unit_test(zones_types_kinds),      cmocka_unit_test(never_placed),
       cmocka_unit_test(renting),                cmocka_unit_test(a_new_term),
       cmocka_unit_test(what_has_to_be_settled),
+      cmocka_unit_test(preemption),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
