--- a/src/bookkeeping/demand.c
+++ b/src/bookkeeping/demand.c
@@ -37,6 +37,7 @@
   c->squares = c->squares * f + (double)s->tasks * s->tasks;
   c->at = now;
   c->kind = s->kind;
+  c->rank = s->rank;
   c->cpus = s->cpus;
   c->gpus = s->gpus;
   c->memory_gb = s->memory_gb;
--- a/src/bookkeeping/demand.h
+++ b/src/bookkeeping/demand.h
@@ -9,6 +9,7 @@
 typedef struct fc_demand_class {
   GRefString *name;
   fc_job_kind kind;
+  fc_rank rank;
   double cpus, gpus, memory_gb; /* of a task of the newest job */
   bool spot;
   double weight;         /* jobs, fading with time */
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -113,10 +113,13 @@
   return fc_room_fits(&b->room, &j->spec) && fc_job_allows(&j->spec, mt->name, b->zone, b->spot);
 }
 
-static bool pack_existing(pack *p, spread *s) {
+static bool pack_existing(pack *p, spread *s, bool dear) {
   for (guint i = 0; i < p->bins->len; i++) {
     bin *b = &g_array_index(p->bins, bin, i);
     if (!bin_fits(p, b, s->job) || !zone_fits(s, b->zone)) continue;
+    /* An idle ordinary machine is no room for work that may run on a cheap one:
+     * the work may start there, but the machine is not kept for it. */
+    if (b->idle && !b->spot && s->job->spec.spot && !dear) continue;
     fc_room_take(&b->room, &s->job->spec);
     b->idle = false;
     add_zone(s, b->zone);
@@ -133,7 +136,7 @@
 
 /* The cheapest kind of machine that can hold a task of the job, in `only` when
  * that is given; among equals, where the fewest machines are. */
-static bool rent_for(pack *p, spread *s, const char *only, int owner) {
+static bool rent_for(pack *p, spread *s, const char *only, int owner, bool dear) {
   const fc_table *t = p->table;
   const fc_job *j = s->job;
   bin best = {.type = -1};
@@ -150,7 +153,7 @@
       unsigned held = 0;
       for (guint i = 0; i < p->bins->len; i++) held += strcmp(g_array_index(p->bins, bin, i).zone, zone) == 0;
       for (int spot = 0; spot <= 1; spot++) {
-        if (!fc_job_allows(&j->spec, mt->name, zone, spot)) continue;
+        if (!fc_job_allows(&j->spec, mt->name, zone, spot) || (!spot && !dear)) continue;
         if (p->refused && p->refused((int)k, zone, spot, p->arg)) continue;
         double price = price_of(mt, spot, &j->spec);
         if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held)))
@@ -168,6 +171,9 @@
   return true;
 }
 
+/* A cheap machine, where the job may use one and the cloud has one. */
+static bool rent_cheap(pack *p, spread *s) { return s->job->spec.spot && rent_for(p, s, NULL, -1, false); }
+
 static bool usable_for_gang(const pack *p, const bin *b, const spread *s, const char *zone, int owner) {
   return (b->owner == owner || b->idle) && bin_fits(p, b, s->job) && (!zone || strcmp(b->zone, zone) == 0);
 }
@@ -212,7 +218,7 @@
       b->idle = false;
       packed = true;
     }
-    if (!packed && !rent_for(p, s, zone, owner)) return;
+    if (!packed && !rent_for(p, s, zone, owner, true)) return;
   }
 }
 
@@ -228,7 +234,8 @@
   } else {
     for (guint i = 0; i < missing->len; i++) {
       if (!within_limit(p, j)) break;
-      if (!pack_existing(p, &s) && !rent_for(p, &s, NULL, -1)) break;
+      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && !pack_existing(p, &s, true) && !rent_for(p, &s, NULL, -1, true))
+        break;
     }
   }
   g_array_free(missing, TRUE);
@@ -251,12 +258,14 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_demand_class *c = value;
     if (c->kind == FC_KIND_GANG) continue; /* its machines are sized by the job */
-    unsigned n = fc_demand_margin(&t->demand, c, boot + t->settings->op.round_s, t->settings->op.warm_deviations, now);
+    double deviations = t->settings->op.warm_deviations * (c->rank == FC_RANK_PROD ? 2 : 1);
+    unsigned n = fc_demand_margin(&t->demand, c, boot + t->settings->op.round_s, deviations, now);
     fc_job model = {.spec = {.kind = FC_KIND_ARRAY, .tasks = n, .cpus = c->cpus, .gpus = c->gpus,
                              .memory_gb = c->memory_gb, .spot = c->spot}};
     spread s = {.job = &model};
     for (unsigned k = 0; k < n; k++)
-      if (!pack_existing(p, &s) && !rent_for(p, &s, NULL, -1)) break;
+      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && !pack_existing(p, &s, true) && !rent_for(p, &s, NULL, -1, true))
+        break;
   }
 }
 
