Free the machine that has the image; stay ready while nobody reaches the state service

Cause: services waited 16 to 36 s for an image that busy machines already had. Ruled out: placing delay (0.3 s on average).

--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -21,6 +21,7 @@
 typedef struct fc_peer {
   const fc_peer_settings *settings;
   double promised_until;   /* we commit no term without it before this */
+  double fresh_at;         /* when it last read the state service, as far as it told us */
   double heard_at;         /* when its last acknowledgement came */
   /* Of the present term, by the life that is in it; 0: nothing yet. */
   double covered_at;       /* it has told us of every report it answered before this */
@@ -66,6 +67,7 @@
   fc_counts counts;
   uint64_t attempt_counter;
   uint64_t hire_counter;
+  double started_at;
   double types_at; /* when the machine types were last read */
   GHashTable *recording; /* ids of jobs whose ends are being written */
 } fc_controller;
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -101,6 +101,8 @@
   fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_SUBMISSION, deadline, &revision);
   if (r == FC_STATE_OK) {
     res->status = 201;
+    g_debug("accepted job=%s class=%s tasks=%u slices=%u", spec.id, spec.class_name, spec.tasks,
+            fc_job_slices(&spec, c->settings->op.split_limit));
     fc_job_answer(res->body, spec.id, FC_STATUS_PENDING, 0, 0, false);
   } else if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline) && (j = fc_table_job(c->table, spec.id))) {
     answer_job(res, 200, j, false);
@@ -172,7 +174,17 @@
   later(res, 503, "not written; ask again");
 }
 
-static bool is_ready(const fc_controller *c) { return fc_state_reachable(c) && c->table->types->len > 0; }
+/* While no controller reaches the state service, being taken out of the load
+ * balancer would only add its pauses to the outage: we stay, and refuse at once
+ * what we can't do. When a peer still reaches it, users are better off there. */
+static bool is_ready(const fc_controller *c) {
+  if (fc_state_reachable(c) && c->table->types->len > 0) return true;
+  double now = fc_now();
+  if (c->loaded && now - c->fresh_sent < c->settings->report_s * 2) return c->table->types->len > 0;
+  for (size_t k = 0; k < c->settings->peer_count; k++)
+    if (now - c->peers[k].fresh_at < c->settings->report_s * 2) return false;
+  return now > c->started_at + c->settings->report_s;
+}
 
 static bool method_is(const fc_http_request *req, fc_http_response *res, const char *method) {
   if (strcmp(req->method, method) == 0) return true;
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -103,7 +103,10 @@
   ok = ack.seq == seq && strcmp(ack.sender, peer->settings->name) == 0;
   const fc_term *now_term = &c->table->term;
   int at = ok ? fc_term_find(now_term, ack.sender) : -1;
-  if (ok) peer->heard_at = fc_now();
+  if (ok) {
+    peer->heard_at = fc_now();
+    peer->fresh_at = peer->heard_at - ack.fresh_ms / 1000.0;
+  }
   /* It counts only within the term, and between the lives, it was asked for. */
   if (at >= 0 && now_term->number == term && c->boot == boot && ack.term == term &&
       now_term->members[at].boot == ack.boot) {
@@ -222,7 +225,7 @@
     c->counts.views++;
     apply_view(c, &v);
     fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v),
-                  .revision = c->revision};
+                  .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000), .revision = c->revision};
     fill_kept(c, &ack);
     g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
     fc_view_clear(&v);
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -35,7 +35,20 @@
   return false;
 }
 
-static void place(fc_controller *c) {
+static void send_stops(fc_controller *c, GPtrArray *stops, GPtrArray *push) {
+  for (guint i = 0; i < stops->len; i++) {
+    fc_placement *p = stops->pdata[i];
+    p->stopping = true;
+    p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+    c->counts.preempted++;
+    g_debug("preempt task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
+    if (!g_ptr_array_find(push, p->machine, NULL)) g_ptr_array_add(push, p->machine);
+  }
+  g_ptr_array_free(stops, TRUE);
+}
+
+static void place(fc_controller *c, GPtrArray *push) {
+  GPtrArray *stops = g_ptr_array_new();
   fc_table *t = c->table;
   double now = fc_now();
   fc_allowance allow;
@@ -45,6 +58,7 @@
   uint64_t attempt = 0;
   for (guint i = 0; i < plan->len; i++) {
     const fc_decision *d = &g_array_index(plan, fc_decision, i);
+    if (fc_preempt_for_image(t, d, stops, now)) continue;
     bool same_gang = d->job->spec.kind == FC_KIND_GANG && d->job == gang;
     if (!same_gang) attempt = next_attempt(c);
     gang = d->job;
@@ -56,21 +70,13 @@
   c->counts.placed += plan->len;
   if (plan->len > 0) fc_cond_broadcast(&c->view_now);
   g_array_free(plan, TRUE);
+  send_stops(c, stops, push);
 }
 
 static void preempt(fc_controller *c, GPtrArray *push) {
   fc_allowance allow;
   fc_quota_allowance(c, &allow);
-  GPtrArray *stops = fc_preempt_round(c->table, &allow, fc_now());
-  for (guint i = 0; i < stops->len; i++) {
-    fc_placement *p = stops->pdata[i];
-    p->stopping = true;
-    p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
-    c->counts.preempted++;
-    g_debug("preempt task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
-    if (!g_ptr_array_find(push, p->machine, NULL)) g_ptr_array_add(push, p->machine);
-  }
-  g_ptr_array_free(stops, TRUE);
+  send_stops(c, fc_preempt_round(c->table, &allow, fc_now()), push);
 }
 
 /* A task of ours, or a gang anywhere, that has found no place? */
@@ -107,7 +113,7 @@
     stop_unwanted(c, m, &work);
     if (work) g_ptr_array_add(push, m);
   }
-  place(c);
+  place(c, push);
   if (anything_waits(t)) {
     preempt(c, push);
     if (fc_state_reachable(c)) fc_share_round(c);
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -40,7 +40,10 @@
 static void update_placement(fc_controller *c, fc_placement *p, const fc_task_report *r, double now) {
   bool exited = p->state != FC_TASK_EXITED && r->state == FC_TASK_EXITED;
   p->reported = p->sent = true;
-  if (r->state == FC_TASK_RUNNING && !p->running_since) p->running_since = now;
+  if (r->state == FC_TASK_RUNNING && !p->running_since) {
+    p->running_since = now;
+    g_debug("running task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
+  }
   if (r->state == FC_TASK_RUNNING && p->job) fc_machine_used_image(p->machine, p->job->spec.image);
   p->state = r->state;
   p->cause = r->cause;
@@ -402,6 +405,7 @@
     uint64_t revision = 0;
     fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 10.0, &revision);
     if (res == FC_STATE_OK) {
+      g_debug("recorded job=%s done=%u", a.id, count);
       (void)fc_wait_revision(c, revision, fc_now() + 2.0);
     } else {
       (void)fc_routine_sleep(g_random_double_range(0.05, 0.2));
--- a/src/main.c
+++ b/src/main.c
@@ -49,6 +49,9 @@
   }
   fc_controller *c = g_new0(fc_controller, 1);
   c->settings = settings;
+  c->started_at = c->types_at = fc_now();
+  for (size_t k = 0; k < settings->peer_count; k++) c->peers[k].fresh_at = -1e9;
+  c->fresh_sent = -1e9;
   c->table = fc_table_new(settings);
   c->state = fc_state_new(&settings->state_at);
   c->cloud = fc_cloud_new(&settings->cloud_at);
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -161,6 +161,25 @@
   return hosts;
 }
 
+bool fc_preempt_for_image(const fc_table *t, const fc_decision *d, GPtrArray *stops, double now) {
+  const fc_job *j = d->job;
+  const fc_machine *to = d->machine;
+  if (j->spec.rank < FC_RANK_PROD || j->spec.kind == FC_KIND_GANG || to->type < 0) return false;
+  if (fc_machine_has_image(to, j->spec.image)) return false;
+  const fc_machine_type *mt = t->types->pdata[to->type];
+  double fetch = mt->fetch_gb_per_s > 0 ? j->spec.image_gb / mt->fetch_gb_per_s : 0;
+  /* Waiting has to pay: a stop takes a save and a report or two. */
+  double patience = fetch * 0.5;
+  if (patience < t->settings->report_s * 3 || now > j->seen_at + patience) return false;
+  usage u = {{0}, {0}};
+  GArray *hosts = gather_hosts(t, &u, now);
+  for (guint i = hosts->len; i-- > 0;)
+    if (!fc_machine_has_image(g_array_index(hosts, host, i).machine, j->spec.image)) g_array_remove_index(hosts, i);
+  bool wait = make_room(t, &u, hosts, j, now, stops);
+  g_array_free(hosts, TRUE);
+  return wait;
+}
+
 GPtrArray *fc_preempt_round(const fc_table *t, const fc_allowance *allow, double now) {
   GPtrArray *out = g_ptr_array_new();
   usage u = {{0}, {0}};
--- a/src/scheduler/preempt.h
+++ b/src/scheduler/preempt.h
@@ -13,4 +13,10 @@
  * theirs. Work that saves goes first, then what loses least. */
 GPtrArray *fc_preempt_round(const fc_table *t, const fc_allowance *allow, double now);
 
+/* For a task of high rank that `plan` puts where its image is not: may it be
+ * worth more to wait until a machine that has the image is made free? Fills
+ * `stops` with what has to be stopped there (nothing, when it is being stopped
+ * already) and returns whether to leave the decision out of this round. */
+bool fc_preempt_for_image(const fc_table *t, const fc_decision *d, GPtrArray *stops, double now);
+
 #endif
