--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -80,6 +80,8 @@
   double first_seen;     /* when we first knew of it */
   double notice_until;   /* the cloud takes it then; 0: no notice */
   double idle_since;     /* 0: in use */
+  char reserved_for[32]; /* cleared for this gang: takes nothing else until then */
+  double reserved_until;
   bool closed;           /* takes no new tasks: to be drained or returned */
   bool releasing;
   bool fencing;          /* a direct fencing call is under way */
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -136,11 +136,37 @@
   g_free(a);
 }
 
+/* Stops what is of lower rank than the gang; the machine is lent once it is idle. */
+static void clear_for(fc_controller *c, fc_machine *m, const fc_job *gang) {
+  bool any = false;
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (p->stopping || !fc_placement_live(p) || !p->job || p->job->spec.kind != FC_KIND_ARRAY ||
+        p->job->spec.rank >= gang->spec.rank)
+      continue;
+    p->stopping = true;
+    p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+    c->counts.preempted++;
+    any = true;
+  }
+  if (!any) return;
+  g_debug("clear machine=%s for=%s", m->id, gang->spec.id);
+  fc_workers_push(c, m);
+}
+
 static void lend(fc_controller *c) {
   GArray *plan = fc_share_loans(c->table, fc_now());
   for (guint i = 0; i < plan->len; i++) {
     const fc_loan *l = &g_array_index(plan, fc_loan, i);
-    if (l->machine->ordering || l->machine->writing || l->machine->releasing) continue;
+    fc_machine *m = l->machine;
+    if (m->writing || m->releasing) continue;
+    g_strlcpy(m->reserved_for, l->gang->spec.id, sizeof m->reserved_for);
+    m->reserved_until = fc_now() + c->settings->op.round_s * 2;
+    if (l->clear && m->placements->len > 0) {
+      clear_for(c, m, l->gang);
+      continue;
+    }
+    if (m->ordering || m->placements->len > 0 || l->to == c->table->self) continue;
     loan_arg *a = g_new0(loan_arg, 1);
     a->c = c;
     a->version = l->machine->version;
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -19,6 +19,7 @@
 
 typedef struct round_state {
   const fc_table *table;
+  double now;
   GArray *slots;
   GPtrArray *jobs; /* candidate */
   fc_allowance allow;
@@ -103,6 +104,7 @@
     if (only_zone && strcmp(m->rec.zone, only_zone) != 0) continue;
     if (!fc_room_fits(&sl->room, s) || !fc_job_allows(s, m->rec.type, m->rec.zone, m->rec.spot)) continue;
     if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) continue;
+    if (rs->now < m->reserved_until && strcmp(m->reserved_for, s->id) != 0) continue;
     if (!zone_allowed(rs, j, m->rec.zone)) continue;
     bool image = fc_machine_has_image(m, s->image) ||
                  (sl->planned_images && g_hash_table_contains(sl->planned_images, s->image));
@@ -284,7 +286,7 @@
 }
 
 GArray *fc_place_round(const fc_table *t, const fc_allowance *allow, double now) {
-  round_state rs = {.table = t, .allow = *allow};
+  round_state rs = {.table = t, .now = now, .allow = *allow};
   rs.slots = g_array_new(FALSE, TRUE, sizeof(slot));
   g_array_set_clear_func(rs.slots, slot_clear);
   rs.jobs = g_ptr_array_new_with_free_func(candidate_free);
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -127,12 +127,16 @@
   if (t->self < 0 || t->term.count < 2) return out;
   GArray *room = spares(t, now);
   GPtrArray *jobs = waiting_jobs(t);
-  /* Every part's own queue goes first. */
+  /* Every part's own queue goes first. `here`: a bit for each slice of ours that
+   * finds room in our own part, and so stays. */
+  unsigned *here = g_new0(unsigned, jobs->len + 1);
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
     for (unsigned s = 0; s < j->slices; s++) {
       int owner = fc_job_owner(t, j, s);
-      if (owner >= 0) (void)hold_job(room, t, j, owner, missing_of(t, j, owner, s), true);
+      if (owner < 0) continue;
+      unsigned n = hold_job(room, t, j, owner, missing_of(t, j, owner, s), true);
+      if (owner == t->self && n > 0) here[i] |= 1u << s;
     }
   }
   for (guint i = 0; i < jobs->len; i++) {
@@ -142,7 +146,7 @@
     for (unsigned s = 0; s < j->slices; s++) {
       if (fc_job_owner(t, j, s) != t->self || !(j->clear >> s & 1)) continue;
       unsigned want = missing_of(t, j, t->self, s);
-      if (want == 0 || hold_job(room, t, j, t->self, want, false) > 0) continue;
+      if (want == 0 || (here[i] >> s & 1)) continue;
       int best = -1;
       unsigned best_n = 0;
       for (int m = 0; m < (int)t->term.count; m++) {
@@ -159,6 +163,7 @@
       g_array_append_val(out, h);
     }
   }
+  g_free(here);
   g_ptr_array_free(jobs, TRUE);
   g_array_free(room, TRUE);
   return out;
@@ -172,57 +177,101 @@
   return strcmp(x->spec.id, y->spec.id);
 }
 
-/* Tasks of the gang that `owner` could start in the zone with its own room
- * (`own`) and with everybody's idle machines besides (the result). */
-static unsigned gang_room(GArray *room, const fc_job *j, int owner, const char *zone, unsigned want, unsigned *own) {
+/* The machine's room once arrays of lower rank than the gang have been stopped;
+ * *all: nothing else is on it. */
+static fc_room cleared_room(const spare *s, const fc_job *gang, bool *all) {
+  fc_room r = s->room;
+  *all = true;
+  for (guint i = 0; i < s->machine->placements->len; i++) {
+    const fc_placement *p = s->machine->placements->pdata[i];
+    if (p->state == FC_TASK_EXITED) continue;
+    if (!p->job || p->job->spec.kind != FC_KIND_ARRAY || p->job->spec.rank >= gang->spec.rank) {
+      *all = false;
+      continue;
+    }
+    r.cpus += p->job->spec.cpus;
+    r.gpus += p->job->spec.gpus;
+    r.memory_gb += p->job->spec.memory_gb;
+  }
+  return r;
+}
+
+/* What the gang may use of this machine: its owner any room, others only whole
+ * machines; with `clear`, also what can be cleared. */
+static bool gang_use(const spare *s, const fc_job *j, int owner, const char *zone, bool clear, fc_room *room) {
+  const fc_machine *m = s->machine;
+  if (s->claimed || (zone && strcmp(zone, m->rec.zone) != 0)) return false;
+  if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) return false;
+  if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot)) return false;
+  bool all = is_idle(m);
+  *room = s->room;
+  if (clear) *room = cleared_room(s, j, &all);
+  return (m->owner == owner || all) && fc_room_fits(room, &j->spec);
+}
+
+static unsigned gang_room(const GArray *room, const fc_job *j, int owner, const char *zone, bool clear, unsigned want,
+                          unsigned *own) {
   unsigned n = 0;
   *own = 0;
   for (guint i = 0; i < room->len; i++) {
-    spare *s = &g_array_index(room, spare, i);
-    if (s->claimed) continue;
-    bool mine = s->machine->owner == owner;
-    if (!mine && !is_idle(s->machine)) continue;
-    fc_room r = s->room;
-    while (n < want && fits(s, j, s->machine->owner, zone)) {
-      fc_room_take(&s->room, &j->spec);
+    const spare *s = &g_array_index(room, spare, i);
+    fc_room r;
+    if (!gang_use(s, j, owner, zone, clear, &r)) continue;
+    while (n < want && fc_room_fits(&r, &j->spec)) {
+      fc_room_take(&r, &j->spec);
       n++;
-      *own += mine;
+      *own += s->machine->owner == owner;
     }
-    s->room = r;
   }
   return n;
 }
 
-static void lend_to_gang(const fc_table *t, GArray *room, const fc_job *j, GArray *out) {
-  int owner = fc_job_owner(t, j, 0);
-  unsigned want = j->spec.tasks - j->done_count;
-  const char *best = NULL;
-  unsigned best_own = 0;
+static bool find_zone(const fc_table *t, const GArray *room, const fc_job *j, int owner, bool clear, unsigned want,
+                      const char **best, unsigned *best_own) {
   bool found = false;
   size_t zones = j->spec.one_zone ? t->settings->zone_count : 1;
   for (size_t z = 0; z < zones; z++) {
     const char *zone = j->spec.one_zone ? t->settings->zones[z] : NULL;
-    unsigned own, n = gang_room(room, j, owner, zone, want, &own);
-    if (n < want || (found && own <= best_own)) continue;
+    unsigned own;
+    if (gang_room(room, j, owner, zone, clear, want, &own) < want || (found && own <= *best_own)) continue;
     found = true;
-    best = zone;
-    best_own = own;
+    *best = zone;
+    *best_own = own;
+  }
+  return found;
+}
+
+static void lend_to_gang(const fc_table *t, GArray *room, fc_job *j, double now, GArray *out) {
+  int owner = fc_job_owner(t, j, 0);
+  unsigned want = j->spec.tasks - j->done_count;
+  const char *zone = NULL;
+  unsigned own = 0;
+  bool clear = false;
+  if (!find_zone(t, room, j, owner, false, want, &zone, &own)) {
+    clear = true;
+    if (now < j->seen_at + 2 * t->settings->op.round_s) return;
+    if (!find_zone(t, room, j, owner, true, want, &zone, &own)) return;
+  } else if (own >= want) {
+    return; /* its owner places it alone */
   }
-  if (!found || best_own >= want) return;
+  /* The owner's own machines first, then idle ones, then what has to be cleared:
+   * all members make the same choice from what they know. */
   unsigned got = 0;
-  for (int own = 1; own >= 0; own--) {
+  for (int pass = 0; pass < 4 && got < want; pass++) {
+    bool of_owner = pass == 0 || pass == 2, clearing = pass >= 2;
+    if (clearing && !clear) break;
     for (guint i = 0; i < room->len && got < want; i++) {
       spare *s = &g_array_index(room, spare, i);
-      if (s->claimed || (s->machine->owner == owner) != (own == 1)) continue;
-      if (!own && !is_idle(s->machine)) continue;
-      if (!fits(s, j, s->machine->owner, best)) continue;
+      fc_machine *m = (fc_machine *)s->machine;
+      fc_room r;
+      if ((m->owner == owner) != of_owner || !gang_use(s, j, owner, zone, clearing, &r)) continue;
       s->claimed = true;
-      while (got < want && fits(s, j, s->machine->owner, best)) {
-        fc_room_take(&s->room, &j->spec);
+      while (got < want && fc_room_fits(&r, &j->spec)) {
+        fc_room_take(&r, &j->spec);
         got++;
       }
-      if (own || s->machine->owner != t->self) continue;
-      fc_loan l = {.machine = (fc_machine *)s->machine, .to = owner};
+      if (m->owner != t->self || (of_owner && !clearing)) continue;
+      fc_loan l = {.machine = m, .to = owner, .gang = j, .clear = clearing};
       g_array_append_val(out, l);
     }
   }
@@ -238,7 +287,7 @@
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
     if (now < j->seen_at + t->settings->op.handover_wait_s) continue;
-    if (fc_job_owner(t, j, 0) >= 0) lend_to_gang(t, room, j, out);
+    if (fc_job_owner(t, j, 0) >= 0) lend_to_gang(t, room, j, now, out);
   }
   g_ptr_array_free(jobs, TRUE);
   g_array_free(room, TRUE);
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -24,11 +24,13 @@
 
 typedef struct fc_loan {
   fc_machine *machine;
-  int to;
+  int to; /* may be ourselves, with `clear` */
+  fc_job *gang;
+  bool clear; /* tasks of lower rank have to be stopped there first */
 } fc_loan;
 
-/* Idle machines of ours that a waiting gang elsewhere needs, or that are more
- * than our even share. */
+/* Machines of ours that a waiting gang, here or elsewhere, needs: idle ones, or
+ * where those don't suffice, ones that hold nothing but arrays of lower rank. */
 GArray *fc_share_loans(const fc_table *t, double now);
 
 #endif
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -6,6 +6,7 @@
 #include "scheduler/place.h"
 #include "scheduler/preempt.h"
 #include "scheduler/rent.h"
+#include "scheduler/share.h"
 #include "world.h"
 
 static fc_allowance unlimited(void) {
@@ -277,6 +278,96 @@
   }
 }
 
+/* Two members; we are the first. Two machines, one ours and one theirs or both
+ * ours; a gang of two whole machines that belongs to either. */
+static void lending_to_gangs(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    bool gang_ours, second_ours;
+    const char *kind, *rank; /* of what runs on our machine; NULL: nothing */
+    unsigned loans;
+    bool clear;
+  } rows[] = {
+      {"ours is idle, theirs is the gang", false, false, NULL, NULL, 1, false},
+      {"their machine is theirs to lend", true, false, NULL, NULL, 0, false},
+      {"we hold both and the gang", true, true, NULL, NULL, 0, false},
+      {"both ours go to them", false, true, NULL, NULL, 2, false},
+      {"an array of lower rank is cleared away", false, false, "sweep", "standard", 1, true},
+      {"an array of the same rank is not", false, false, "sweep", "high", 0, false},
+      {"a service is not", false, false, "service", "prod", 0, false},
+      {"a gang is not", false, false, "gang", "standard", 0, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}}, .count = 2};
+    t->term = term;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    fc_machine *n = world_machine(t, "vm-2", "a", false);
+    m->heard_at = n->heard_at = 90;
+    if (!rows[i].second_ours) n->owner = 1;
+    if (rows[i].kind) {
+      fc_job *old = world_job(t, "job-000001", rows[i].kind, rows[i].rank, "red", 1, 1, "");
+      fc_table_place(t, m, old->spec.id, 0, 1, 10)->state = FC_TASK_RUNNING;
+    }
+    fc_job *gang = world_job(t, "job-000002", "gang", "high", "red", 2, 4, "\"samePlace\":true");
+    gang->handed[0] = g_strdup(rows[i].gang_ours ? "paddock-0" : "paddock-1");
+    GArray *loans = fc_share_loans(t, 90);
+    check_row(rows[i].name, loans->len == rows[i].loans);
+    if (loans->len) check_row(rows[i].name, g_array_index(loans, fc_loan, 0).clear == rows[i].clear);
+    g_array_free(loans, TRUE);
+    fc_table_free(t);
+  }
+}
+
+/* A slice goes to a part with room only when that part has been told of
+ * everything of it that may be on a machine. */
+static void handing_over(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    bool running, told, room_here, clear;
+    unsigned expect;
+  } rows[] = {
+      {"nothing runs yet", false, false, false, true, 1}, {"room here", false, false, true, true, 0},
+      {"a task runs, not told", true, false, false, true, 0}, {"a task runs, told", true, true, false, true, 1},
+      {"something may run elsewhere", false, false, false, false, 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}}, .count = 2};
+    t->term = term;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    fc_machine *n = world_machine(t, "vm-2", "a", false);
+    m->heard_at = 90;
+    n->owner = 1;
+    fc_job *full = world_job(t, "job-000001", "service", "prod", "red", 1, 3, "");
+    fc_table_place(t, m, full->spec.id, 0, 1, 10)->state = FC_TASK_RUNNING;
+    fc_job *j = world_job(t, "job-000002", "sweep", "standard", "red", 2, 1, "");
+    j->handed[0] = g_strdup("paddock-0");
+    j->clear = rows[i].clear ? 1 : 0;
+    if (!rows[i].room_here || rows[i].running) fc_table_place(t, m, j->spec.id, 0, 2, 10)->state = FC_TASK_RUNNING;
+    if (!rows[i].running && !rows[i].room_here) {
+      /* full with something else instead */
+      fc_table_unplace(t, fc_machine_find(m, j->spec.id, 0, 2));
+      fc_table_place(t, m, full->spec.id, 9, 3, 10)->state = FC_TASK_RUNNING;
+      full->spec.gpus = 2;
+    }
+    fc_told told = {{0}, {0}};
+    if (rows[i].told) {
+      told.view[1] = 100;
+      told.revision[1] = 100;
+    }
+    GArray *plan = fc_share_handovers(t, &told, 90);
+    check_row(rows[i].name, plan->len == rows[i].expect);
+    if (plan->len) check_row(rows[i].name, g_array_index(plan, fc_handover, 0).to == 1);
+    g_array_free(plan, TRUE);
+    fc_table_free(t);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(rank_then_lowest_share), cmocka_unit_test(image_first_then_roomiest),
@@ -284,6 +375,8 @@
       cmocka_unit_test(renting),                cmocka_unit_test(a_new_term),
       cmocka_unit_test(what_has_to_be_settled),
       cmocka_unit_test(preemption),
+      cmocka_unit_test(lending_to_gangs),
+      cmocka_unit_test(handing_over),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
