--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -82,6 +82,9 @@
 bool fc_wait_revision(fc_controller *c, uint64_t revision, double deadline);
 bool fc_state_reachable(const fc_controller *c);
 
+/* Starts listening and all duties. NULL, with the reason, when it can't. */
+fc_controller *fc_controller_start(const fc_settings *settings, const char **why);
+
 /* Duties. */
 void fc_watch_main(void *controller);
 void fc_commit_duty(void *controller);
--- /dev/null
+++ b/src/controller/start.c
@@ -0,0 +1,37 @@
+/* Assembles one controller from its settings. */
+#include "controller/controller.h"
+#include "controller/duties.h"
+
+fc_controller *fc_controller_start(const fc_settings *s, const char **why) {
+  fc_controller *c = g_new0(fc_controller, 1);
+  c->settings = s;
+  c->started_at = c->types_at = fc_now();
+  /* Nothing has been read by anybody yet. */
+  c->fresh_sent = -1e9;
+  for (size_t k = 0; k < s->peer_count; k++) c->peers[k].fresh_at = c->peers[k].heard_at = -1e9;
+  c->table = fc_table_new(s);
+  c->state = fc_state_new(&s->state_at);
+  c->cloud = fc_cloud_new(&s->cloud_at);
+  c->recording = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  double nodes = (double)(s->peer_count + 1);
+  c->commit = fc_commit_new(c->state, s->state_txn_ops, s->state_write_rps / nodes, s->state_rps / nodes * 0.35,
+                            s->report_s * 0.75);
+  fc_budget_init(&c->cloud_budget, s->cloud_rps / nodes, MAX(1.0, s->cloud_rps / nodes), fc_now());
+  fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s);
+  if (!fc_front_start(c)) {
+    *why = "client_listen: can't listen there";
+    return NULL;
+  }
+  if (!fc_peers_start(c)) {
+    *why = "peer_listen: can't listen there";
+    return NULL;
+  }
+  fc_routine_fn duties[] = {fc_watch_main, fc_commit_duty, fc_member_main, fc_round_main, fc_quota_main, fc_rent_main};
+  for (size_t i = 0; i < G_N_ELEMENTS(duties); i++) {
+    if (!fc_routine_spawn(duties[i], c)) {
+      *why = "out of memory";
+      return NULL;
+    }
+  }
+  return c;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #include "controller/controller.h"
-#include "controller/duties.h"
 
 #define VERSION "0.1.0"
 
@@ -47,36 +46,11 @@
     fprintf(stderr, "fieldcleat: no event loop\n");
     return 1;
   }
-  fc_controller *c = g_new0(fc_controller, 1);
-  c->settings = settings;
-  c->started_at = c->types_at = fc_now();
-  for (size_t k = 0; k < settings->peer_count; k++) c->peers[k].fresh_at = -1e9;
-  c->fresh_sent = -1e9;
-  c->table = fc_table_new(settings);
-  c->state = fc_state_new(&settings->state_at);
-  c->cloud = fc_cloud_new(&settings->cloud_at);
-  c->recording = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  double nodes = (double)(settings->peer_count + 1);
-  c->commit = fc_commit_new(c->state, settings->state_txn_ops, settings->state_write_rps / nodes,
-                            settings->state_rps / nodes * 0.35, settings->report_s * 0.75);
-  fc_budget_init(&c->cloud_budget, settings->cloud_rps / nodes, MAX(1.0, settings->cloud_rps / nodes), fc_now());
-  fc_right_init(&c->right, settings->lease_s * settings->op.member_lease_share, settings->lease_s,
-                settings->cancel_s, settings->report_s);
-  if (!fc_front_start(c)) {
-    fprintf(stderr, "fieldcleat: client_listen: can't listen there\n");
+  const char *why = NULL;
+  if (!fc_controller_start(settings, &why)) {
+    fprintf(stderr, "fieldcleat: %s\n", why);
     return 1;
   }
-  if (!fc_peers_start(c)) {
-    fprintf(stderr, "fieldcleat: peer_listen: can't listen there\n");
-    return 1;
-  }
-  fc_routine_fn duties[] = {fc_watch_main, fc_commit_duty, fc_member_main, fc_round_main, fc_quota_main, fc_rent_main};
-  for (size_t i = 0; i < G_N_ELEMENTS(duties); i++) {
-    if (!fc_routine_spawn(duties[i], c)) {
-      fprintf(stderr, "fieldcleat: out of memory\n");
-      return 1;
-    }
-  }
   g_message("start name=%s zone=%s version=" VERSION, settings->name, settings->zone);
   fc_loop_run();
   return 0;
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -6,6 +6,12 @@
 #include <sys/mman.h>
 #include <time.h>
 
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/asan_interface.h>
+#else
+#define ASAN_UNPOISON_MEMORY_REGION(p, n) ((void)0)
+#endif
+
 /* Boost.Context's switching primitives have a C calling convention but only a
  * C++ header, so they are declared here. They make no system call, unlike the
  * swapcontext() under libpcl (docs/design.md, "Routines"). */
@@ -64,7 +70,12 @@
 size_t fc_routine_count(void) { return g_count; }
 
 static char *stack_take(void) {
-  if (g_spare_count > 0) return g_spare[--g_spare_count];
+  if (g_spare_count > 0) {
+    char *spare = g_spare[--g_spare_count];
+    /* The frames it ended with were never left. */
+    ASAN_UNPOISON_MEMORY_REGION(spare + GUARD_BYTES, STACK_BYTES - GUARD_BYTES);
+    return spare;
+  }
   char *p = mmap(NULL, STACK_BYTES, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
   if (p == MAP_FAILED) return NULL;
   /* A guard page turns an overflow into a crash instead of corrupted tables. */
--- /dev/null
+++ b/tests/sim/sim.h
@@ -0,0 +1,46 @@
+/* A simulated transport: the same calls as src/transport, over virtual time and
+ * a network whose faults are drawn from a seed. Several controllers run in one
+ * process, each in a group of routines of its own that can be killed. */
+#ifndef FC_TESTS_SIM_H
+#define FC_TESTS_SIM_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+void sim_init(uint32_t seed);
+double sim_now(void);
+GRand *sim_rand(void);
+double sim_draw(double least, double most);
+bool sim_chance(double p);
+
+/* Runs fn(arg) after dt; in no process, so that no crash stops it. */
+typedef void (*sim_fn)(void *arg);
+void sim_after(double dt, sim_fn fn, void *arg);
+void sim_run_until(double t);
+
+/* Starts a process at the address (host order); kills it with all it waits for. */
+void sim_process_start(uint32_t ip, sim_fn fn, void *arg);
+void sim_process_kill(uint32_t ip);
+bool sim_process_alive(uint32_t ip);
+
+/* How traffic from one address to another fares at this moment. */
+typedef enum { SIM_CLEAR, SIM_HELD, SIM_RESET } sim_link;
+typedef sim_link (*sim_link_fn)(uint32_t from, uint32_t to);
+void sim_set_links(sim_link_fn fn, double lose_request, double lose_reply);
+
+/* A stand-in's server. It answers by sim_answer(), at once or later. */
+typedef struct sim_request {
+  const char *method, *path, *body;
+  struct sim_exchange *exchange;
+} sim_request;
+typedef void (*sim_server_fn)(const sim_request *r, void *arg);
+void sim_serve(uint32_t ip, sim_server_fn fn, void *arg);
+void sim_answer(struct sim_exchange *x, int status, const char *body);
+
+/* A stand-in's client; status 0: no answer within the time. */
+typedef void (*sim_reply_fn)(int status, const char *body, void *arg);
+void sim_call(uint32_t from, uint32_t to, const char *method, const char *path, const char *body, double timeout,
+              sim_reply_fn fn, void *arg);
+
+#endif
--- /dev/null
+++ b/tests/sim/state.c
@@ -0,0 +1,276 @@
+/* A stand-in for the state service. */
+#include "world.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct entry {
+  json_t *value;
+  uint64_t version, lease;
+} entry;
+
+typedef struct change {
+  uint64_t version;
+  char *key;
+  json_t *value;
+} change;
+
+typedef struct watch {
+  struct sim_exchange *x;
+  char *prefix;
+  uint64_t from;
+  double until;
+} watch;
+
+static GTree *g_keys;
+static GPtrArray *g_history;
+static GHashTable *g_leases; /* id -> double* end */
+static GHashTable *g_lease_s;
+static GPtrArray *g_watches;
+static uint64_t g_revision, g_next_lease;
+static bool g_down;
+
+static gint by_key(gconstpointer a, gconstpointer b, gpointer d) {
+  (void)d;
+  return strcmp(a, b);
+}
+
+static char *dump(json_t *v) {
+  char *s = json_dumps(v, JSON_COMPACT);
+  json_decref(v);
+  return s;
+}
+
+static void answer(struct sim_exchange *x, int status, json_t *v) {
+  char *s = dump(v);
+  sim_answer(x, status, s);
+  free(s);
+}
+
+static json_t *events_after(const char *prefix, uint64_t from) {
+  json_t *events = json_array();
+  /* Newest first: the protocol promises no order. */
+  for (guint i = g_history->len; i-- > 0;) {
+    change *c = g_history->pdata[i];
+    if (c->version <= from) break;
+    if (!g_str_has_prefix(c->key, prefix)) continue;
+    if (c->value) {
+      json_array_append_new(events, json_pack("{ss sO sI}", "set", c->key, "v", c->value, "edition", c->version));
+    } else {
+      json_array_append_new(events, json_pack("{ss sI}", "remove", c->key, "edition", c->version));
+    }
+  }
+  return events;
+}
+
+static void check_watches(void) {
+  if (g_down) return;
+  for (guint i = g_watches->len; i-- > 0;) {
+    watch *w = g_watches->pdata[i];
+    json_t *events = events_after(w->prefix, w->from);
+    if (json_array_size(events) == 0 && sim_now() < w->until) {
+      json_decref(events);
+      continue;
+    }
+    answer(w->x, 200, json_pack("{sI so}", "round", g_revision, "events", events));
+    g_ptr_array_remove_index(g_watches, i);
+    g_free(w->prefix);
+    g_free(w);
+  }
+}
+
+static void put(const char *key, json_t *value, uint64_t lease) {
+  change *c = g_new0(change, 1);
+  c->version = g_revision;
+  c->key = g_strdup(key);
+  c->value = value ? json_incref(value) : NULL;
+  g_ptr_array_add(g_history, c);
+  if (!value) {
+    g_tree_remove(g_keys, key);
+    return;
+  }
+  entry *e = g_new0(entry, 1);
+  e->value = json_incref(value);
+  e->version = g_revision;
+  e->lease = lease;
+  g_tree_replace(g_keys, g_strdup(key), e);
+}
+
+static gboolean collect(gpointer key, gpointer value, gpointer data) {
+  struct { uint64_t lease; GPtrArray *out; } *a = data;
+  if (((entry *)value)->lease == a->lease) g_ptr_array_add(a->out, g_strdup(key));
+  return FALSE;
+}
+
+static void end_lease(uint64_t lease) {
+  struct { uint64_t lease; GPtrArray *out; } a = {lease, g_ptr_array_new_with_free_func(g_free)};
+  g_tree_foreach(g_keys, collect, &a);
+  if (a.out->len) g_revision++;
+  for (guint i = 0; i < a.out->len; i++) put(a.out->pdata[i], NULL, 0);
+  g_ptr_array_free(a.out, TRUE);
+  g_hash_table_remove(g_leases, GSIZE_TO_POINTER(lease));
+}
+
+static void tick(void *arg) {
+  (void)arg;
+  if (!g_down) {
+    GHashTableIter it;
+    gpointer id, end;
+    GArray *over = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_hash_table_iter_init(&it, g_leases);
+    while (g_hash_table_iter_next(&it, &id, &end)) {
+      uint64_t n = GPOINTER_TO_SIZE(id);
+      if (sim_now() > *(double *)end) g_array_append_val(over, n);
+    }
+    for (guint i = 0; i < over->len; i++) end_lease(g_array_index(over, uint64_t, i));
+    g_array_free(over, TRUE);
+  }
+  check_watches();
+  sim_after(0.05, tick, NULL);
+}
+
+void state_down(bool down) {
+  /* After an outage every lease has its full time again. */
+  if (g_down && !down) {
+    GHashTableIter it;
+    gpointer id, end;
+    g_hash_table_iter_init(&it, g_leases);
+    while (g_hash_table_iter_next(&it, &id, &end))
+      *(double *)end = sim_now() + *(double *)g_hash_table_lookup(g_lease_s, id);
+  }
+  g_down = down;
+}
+
+static void commit(const sim_request *r) {
+  json_t *body = json_loads(r->body, 0, NULL);
+  json_t *when = json_object_get(body, "when"), *then = json_object_get(body, "then"), *item;
+  json_t *failed = json_array();
+  size_t i;
+  json_array_foreach(when, i, item) {
+    const char *key = json_string_value(json_object_get(item, "key"));
+    entry *e = g_tree_lookup(g_keys, key);
+    if ((e ? e->version : 0) != (uint64_t)json_integer_value(json_object_get(item, "edition")))
+      json_array_append_new(failed, json_string(key));
+  }
+  json_array_foreach(then, i, item) {
+    json_t *pass = json_object_get(item, "pass");
+    if (pass && !g_hash_table_contains(g_leases, GSIZE_TO_POINTER((size_t)json_integer_value(pass)))) {
+      answer(r->exchange, 400, json_pack("{ss}", "error", "no such lease"));
+      json_decref(failed);
+      json_decref(body);
+      return;
+    }
+  }
+  if (json_array_size(failed) > 0) {
+    answer(r->exchange, 409, json_pack("{so sI}", "failed", failed, "round", g_revision));
+    json_decref(body);
+    return;
+  }
+  json_decref(failed);
+  if (json_array_size(then) > 0) g_revision++;
+  json_array_foreach(then, i, item) {
+    const char *key = json_string_value(json_object_get(item, "set"));
+    if (key) {
+      put(key, json_object_get(item, "v"), (uint64_t)json_integer_value(json_object_get(item, "pass")));
+    } else {
+      put(json_string_value(json_object_get(item, "remove")), NULL, 0);
+    }
+  }
+  answer(r->exchange, 200, json_pack("{sI}", "round", g_revision));
+  json_decref(body);
+  check_watches();
+}
+
+static char *query_value(const char *path, const char *name) {
+  char *mark = g_strconcat(name, "=", NULL);
+  const char *p = strstr(path, mark);
+  char *out = NULL;
+  if (p) {
+    p += strlen(mark);
+    out = g_strndup(p, strcspn(p, "&"));
+  }
+  g_free(mark);
+  return out;
+}
+
+typedef struct listing {
+  const char *prefix, *after;
+  json_t *rows;
+  size_t most;
+  bool more;
+} listing;
+
+static gboolean list_one(gpointer key, gpointer value, gpointer data) {
+  listing *l = data;
+  entry *e = value;
+  if (!g_str_has_prefix(key, l->prefix) || (l->after && strcmp(key, l->after) <= 0)) return FALSE;
+  if (json_array_size(l->rows) == l->most) {
+    l->more = true;
+    return TRUE;
+  }
+  json_array_append_new(l->rows, json_pack("{ss sO sI}", "key", key, "v", e->value, "edition", e->version));
+  return FALSE;
+}
+
+static void serve(const sim_request *r, void *arg) {
+  (void)arg;
+  if (g_down || world_state_refuses(r)) {
+    sim_answer(r->exchange, 503, "{}");
+  } else if (strcmp(r->path, "/commit") == 0) {
+    commit(r);
+  } else if (strcmp(r->path, "/holds") == 0) {
+    json_t *body = json_loads(r->body, 0, NULL);
+    double ttl = (double)json_integer_value(json_object_get(body, "lifeMs")) / 1000;
+    json_decref(body);
+    size_t id = ++g_next_lease;
+    double *end = g_new(double, 1), *s = g_new(double, 1);
+    *end = sim_now() + ttl;
+    *s = ttl;
+    g_hash_table_insert(g_leases, GSIZE_TO_POINTER(id), end);
+    g_hash_table_insert(g_lease_s, GSIZE_TO_POINTER(id), s);
+    answer(r->exchange, 200, json_pack("{sI}", "pass", (json_int_t)id));
+  } else if (g_str_has_prefix(r->path, "/holds/")) {
+    size_t id = strtoul(r->path + 7, NULL, 10);
+    double *end = g_hash_table_lookup(g_leases, GSIZE_TO_POINTER(id));
+    if (end) *end = sim_now() + *(double *)g_hash_table_lookup(g_lease_s, GSIZE_TO_POINTER(id));
+    sim_answer(r->exchange, end ? 200 : 404, "{}");
+  } else if (g_str_has_prefix(r->path, "/changes?")) {
+    watch *w = g_new0(watch, 1);
+    w->x = r->exchange;
+    w->prefix = query_value(r->path, "prefix");
+    char *from = query_value(r->path, "from"), *hold = query_value(r->path, "holdMs");
+    w->from = strtoull(from, NULL, 10);
+    w->until = sim_now() + atof(hold) / 1000;
+    g_free(from);
+    g_free(hold);
+    g_ptr_array_add(g_watches, w);
+    check_watches();
+  } else {
+    listing l = {.rows = json_array()};
+    char *prefix = query_value(r->path, "prefix"), *after = query_value(r->path, "from"),
+         *page = query_value(r->path, "page");
+    l.prefix = prefix;
+    l.after = after;
+    l.most = page ? strtoul(page, NULL, 10) : 1000;
+    g_tree_foreach(g_keys, list_one, &l);
+    answer(r->exchange, 200,
+           json_pack("{so sb sI}", "rows", l.rows, "more", (int)l.more, "round", g_revision));
+    g_free(prefix);
+    g_free(after);
+    g_free(page);
+  }
+}
+
+void state_init(void) {
+  g_keys = g_tree_new_full(by_key, NULL, g_free, NULL);
+  g_history = g_ptr_array_new();
+  g_leases = g_hash_table_new(NULL, NULL);
+  g_lease_s = g_hash_table_new(NULL, NULL);
+  g_watches = g_ptr_array_new();
+  g_revision = 0;
+  g_next_lease = 0;
+  g_down = false;
+  sim_serve(WORLD_STATE_IP, serve, NULL);
+  tick(NULL);
+}
--- /dev/null
+++ b/tests/sim/world.h
@@ -0,0 +1,30 @@
+/* The world around the controllers: stand-ins, written from the published
+ * protocol, that check each of its rules. */
+#ifndef FC_TESTS_WORLD_SIM_H
+#define FC_TESTS_WORLD_SIM_H
+
+#include "sim.h"
+
+#define IP(a, b, c, d) ((uint32_t)(a) << 24 | (uint32_t)(b) << 16 | (uint32_t)(c) << 8 | (uint32_t)(d))
+#define WORLD_NODES 3
+#define WORLD_NODE_IP(i) IP(10, 0, 0, 1 + (i))
+#define WORLD_STATE_IP IP(10, 2, 0, 1)
+#define WORLD_CLOUD_IP IP(10, 2, 0, 2)
+#define WORLD_USER_IP IP(10, 3, 0, 1)
+
+typedef struct world_result {
+  unsigned broken;
+  char first[200]; /* the first broken rule */
+  unsigned submitted, accepted, finished, unfinished, cancelled, starts, lease_kills, crashes, faults;
+} world_result;
+
+/* Plays one day with the faults that the seed draws. */
+world_result world_play(uint32_t seed, double busy_s, double quiet_s);
+
+/* Within the stand-ins. */
+void state_init(void);
+void state_down(bool down);
+bool world_state_refuses(const sim_request *r);
+void world_broke(const char *rule, const char *detail);
+
+#endif
