--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -171,7 +171,7 @@
 
 static bool is_idle(const fc_machine *m) { return m->placements->len == 0; }
 
-static gint by_job_id(gconstpointer a, gconstpointer b) {
+gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b) {
   const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
   if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
   return strcmp(x->spec.id, y->spec.id);
@@ -282,7 +282,7 @@
   if (t->self < 0 || t->term.count < 2) return out;
   GArray *room = spares(t, now);
   GPtrArray *jobs = waiting_jobs(t);
-  g_ptr_array_sort(jobs, by_job_id);
+  g_ptr_array_sort(jobs, fc_job_by_rank_and_id);
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
