--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -401,8 +401,11 @@
   x->path = g_strdup(path);
   x->body = body ? g_strndup(body, len) : g_strdup("");
   if (!sim_chance(g_lose_request)) {
-    /* Now and then slow: a few hundred milliseconds. */
-    sim_after(sim_chance(0.01) ? sim_draw(0.1, 0.5) : sim_draw(0.0003, 0.004), deliver_request, x);
+    /* Now and then slow, and now and then so late that the sender has given up
+     * long ago: it is carried out all the same. */
+    double k = sim_draw(0, 1);
+    double delay = k < 0.006 ? sim_draw(1, 40) : k < 0.016 ? sim_draw(0.1, 0.5) : sim_draw(0.0003, 0.004);
+    sim_after(delay, deliver_request, x);
   }
   return x;
 }
--- /dev/null
+++ b/tests/test_workers.c
@@ -0,0 +1,221 @@
+/* Reports, fencing, adoption and what a worker is told; no network. */
+#include "check.h"
+
+#include "controller/controller.h"
+#include "transport/routine.h"
+#include "world.h"
+
+typedef struct bench {
+  fc_settings settings;
+  fc_controller c;
+} bench;
+
+/* A controller in its right, in term 5, as paddock-0 beside paddock-1. */
+static bench *bench_new(void) {
+  bench *b = g_new0(bench, 1);
+  b->settings = world_settings();
+  b->settings.peer_count = 1;
+  b->settings.peers[0].name = "paddock-1";
+  fc_controller *c = &b->c;
+  c->settings = &b->settings;
+  c->peers[0].settings = &b->settings.peers[0];
+  c->table = world_table(&b->settings);
+  fc_term term = {.number = 5, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
+  fc_table_set_term(c->table, &term, 9, false, 0);
+  c->recording = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  c->boot = 1;
+  c->loaded = true;
+  double now = fc_now();
+  c->peers[0].heard_at = now;
+  fc_right_init(&c->right, 7, 14, 34, 2);
+  fc_right_renewed(&c->right, now);
+  fc_right_fresh(&c->right, now);
+  return b;
+}
+
+static void bench_free(bench *b) {
+  g_hash_table_destroy(b->c.recording);
+  fc_table_free(b->c.table);
+  g_free(b);
+}
+
+static int report(bench *b, unsigned session, unsigned seq, unsigned token, const char *runs, GString *out) {
+  char *text = g_strdup_printf(
+      "{\"paddock\":\"vm-1\",\"endpoint\":\"10.1.0.2:9000\",\"build\":\"g4\",\"ground\":\"a\",\"loaners\":false,"
+      "\"stint\":%u,\"tally\":%u,\"captaincy\":%u,\"recallS\":null,\"runs\":[%s]}",
+      session, seq, token, runs);
+  int status = 0;
+  g_string_truncate(out, 0);
+  fc_workers_report(&b->c, text, strlen(text), &status, out);
+  g_free(text);
+  return status;
+}
+
+static bool says(const GString *out, const char *what) { return strstr(out->str, what) != NULL; }
+
+#define RUNNING(n) "{\"run\":\"job-000001/" #n "\",\"kickoff\":1,\"status\":\"running\"}"
+#define EXITED(n, why) "{\"run\":\"job-000001/" #n "\",\"kickoff\":1,\"status\":\"exited\",\"cause\":\"" why "\"}"
+
+static void who_is_answered(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    int owner;
+    bool lease, owner_heard;
+    unsigned token;
+    int status;
+    const char *text;
+  } rows[] = {
+      {"ours", 0, true, true, 5, 200, "\"captaincy\":5"},
+      {"ours, but we may not act", 0, false, true, 5, 503, ""},
+      {"a token above our term", 0, true, true, 6, 503, ""},
+      {"theirs, and they are there", 1, true, true, 5, 421, "\"coach\":\"paddock-1\""},
+      {"theirs, and we don't hear of them: kept", 1, true, false, 5, 200, "\"calls\":[]"},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    m->owner = rows[i].owner;
+    m->reported = false;
+    if (!rows[i].lease) fc_right_lost(&b->c.right);
+    if (!rows[i].owner_heard) b->c.peers[0].heard_at = -1e9;
+    GString *out = g_string_new(NULL);
+    check_row(rows[i].name, report(b, 1, 1, rows[i].token, "", out) == rows[i].status);
+    check_row(rows[i].name, says(out, rows[i].text));
+    /* Who keeps a machine of another remembers it: its owner must be told. */
+    check_row(rows[i].name, (m->answered_at > 0) == (rows[i].status == 200));
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
+static void a_worker_that_comes_back_from_its_owner_is_kept(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  world_machine(b->c.table, "vm-1", "a", false)->owner = 1;
+  GString *out = g_string_new(NULL);
+  assert_int_equal(report(b, 1, 1, 5, "", out), 421);
+  assert_int_equal(report(b, 1, 2, 5, "", out), 200);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
+/* No command before the worker has shown that it refuses older ones. */
+static void fenced_before_commanded(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  fc_table *t = b->c.table;
+  fc_machine *m = world_machine(t, "vm-1", "a", false);
+  m->settled_term = 0;
+  m->reported = false;
+  world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+  fc_table_place(t, m, "job-000001", 3, 9, 0)->sent = true; /* what an earlier life may have sent */
+  GString *out = g_string_new(NULL);
+  assert_int_equal(report(b, 1, 1, 4, RUNNING(0), out), 200);
+  assert_true(says(out, "\"calls\":[]"));
+  assert_int_equal(m->settled_term, 0);
+  assert_int_equal(report(b, 1, 2, 5, RUNNING(0), out), 200);
+  assert_int_equal(m->settled_term, 5);
+  /* The list is now all there is: what was only thought to be there is gone. */
+  assert_int_equal(m->placements->len, 1);
+  assert_int_equal(((fc_placement *)m->placements->pdata[0])->index, 0);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
+static void reports_in_order(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned session, seq;
+    const char *runs;
+    int status;
+    unsigned left; /* placements afterwards; before: one running, told of with (2, 10) */
+  } rows[] = {
+      {"newer, still there", 2, 11, RUNNING(0), 200, 1}, {"newer, gone", 2, 11, "", 200, 0},
+      {"older of this session is not adopted", 2, 9, "", 200, 1}, {"older session", 1, 99, "", 503, 1},
+      {"new session", 3, 1, "", 200, 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_table *t = b->c.table;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    GString *out = g_string_new(NULL);
+    m->reported = false;
+    assert_int_equal(report(b, 2, 10, 5, RUNNING(0), out), 200);
+    check_row(rows[i].name, report(b, rows[i].session, rows[i].seq, 5, rows[i].runs, out) == rows[i].status);
+    check_row(rows[i].name, m->placements->len == rows[i].left);
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
+/* A start is repeated until it is seen; a task missing from a report proves
+ * nothing while the start may still arrive. */
+static void starts(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  fc_table *t = b->c.table;
+  fc_machine *m = world_machine(t, "vm-1", "a", false);
+  world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+  fc_placement *p = fc_table_place(t, m, "job-000001", 0, 1, 0);
+  GString *out = g_string_new(NULL);
+  report(b, 1, 1, 5, "", out);
+  assert_true(says(out, "start"));
+  report(b, 1, 2, 5, "", out); /* not carried out: sent again */
+  assert_true(says(out, "start"));
+  assert_int_equal(m->placements->len, 1);
+  p->stopping = true; /* not wanted any more: the next report decides */
+  p->stray = FC_STRAY_LOST;
+  report(b, 1, 3, 5, "", out);
+  assert_int_equal(m->placements->len, 1); /* a direct copy may still arrive */
+  p->stray = FC_STRAY_NONE;
+  report(b, 1, 4, 5, "", out);
+  assert_int_equal(m->placements->len, 0);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
+/* An exited task is cleared only when its end is recorded, and never while a
+ * copy of its start may arrive: that would run it again. */
+static void clearing(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *runs;
+    bool done_recorded, stray, cleared;
+  } rows[] = {
+      {"failed", EXITED(0, "error"), false, false, true},
+      {"done and recorded", EXITED(0, "done"), true, false, true},
+      {"done, not recorded", EXITED(0, "done"), false, false, false},
+      {"a copy of its start under way", EXITED(0, "error"), false, true, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_table *t = b->c.table;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    if (rows[i].done_recorded) j->done[0] = 1;
+    /* Somebody is at the writing already: the report itself must not wait. */
+    g_hash_table_add(b->c.recording, g_strdup("job-000001"));
+    fc_placement *p = fc_table_place(t, m, "job-000001", 0, 1, 0);
+    p->sent = p->reported = true;
+    p->stray = rows[i].stray ? FC_STRAY_LOST : FC_STRAY_NONE;
+    GString *out = g_string_new(NULL);
+    m->seen_token = 5;
+    m->session = 1;
+    check_row(rows[i].name, report(b, 1, 1, 5, rows[i].runs, out) == 200);
+    check_row(rows[i].name, says(out, "clear") == rows[i].cleared);
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(who_is_answered),         cmocka_unit_test(a_worker_that_comes_back_from_its_owner_is_kept),
+      cmocka_unit_test(fenced_before_commanded), cmocka_unit_test(reports_in_order),
+      cmocka_unit_test(starts),                  cmocka_unit_test(clearing),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
