--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -55,6 +55,7 @@
   double blocked_until;
   unsigned handing;  /* a bit a slice: its hand-over is being written; not to be placed */
   double handed_at;
+  unsigned handed_count; /* by us */
   unsigned failures; /* tasks that ended by error, lately */
   uint64_t serial; /* order of being seen */
   GHashTable *failed_on; /* machine ids where a task of it failed; NULL: none */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -87,6 +87,7 @@
 
 /* Duties. */
 void fc_watch_main(void *controller);
+void fc_read_index_main(void *controller);
 void fc_commit_duty(void *controller);
 void fc_member_main(void *controller);
 void fc_round_main(void *controller);
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -130,9 +130,9 @@
       fc_conn_close(conn);
       conn = NULL;
     }
-    /* At most ten exchanges in a report interval, at least three. */
+    /* At most ten exchanges in a report interval, at least two. */
     double least = began + c->settings->report_s * 0.1;
-    (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.3 : 0.2));
+    (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.5 : 0.2));
     double now = fc_now();
     if (now < least) (void)fc_routine_sleep(least - now);
   }
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -95,6 +95,7 @@
     c->counts.handed_over++;
     j->handing = a->slices;
     j->handed_at = fc_now();
+    j->handed_count++;
     if (!fc_routine_spawn(handover_main, a)) {
       j->handing = 0;
       g_free(a);
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -174,42 +174,68 @@
   return ok;
 }
 
+/* Reads the changes since what we hold, waiting up to `hold` for the first. */
+static fc_state_result read_changes(fc_controller *c, double hold) {
+  c->counts.reads++;
+  double sent = fc_now();
+  uint64_t revision = 0;
+  GPtrArray *changes = g_ptr_array_new_with_free_func(fc_change_free);
+  fc_state_result r =
+      fc_state_changes(c->state, FC_PREFIX, c->revision, hold, sent + hold + 1.0, changes, &revision);
+  if (!c->loaded) {
+    r = FC_STATE_UNKNOWN; /* everything is being read anew */
+  } else if (r == FC_STATE_OK) {
+    /* The other reader may have been faster: what it brought is passed over, so
+     * that changes are applied once and in order. */
+    for (guint i = 0; i < changes->len; i++) {
+      const fc_change *ch = changes->pdata[i];
+      if (ch->version > c->revision) apply(c, ch, true);
+    }
+    c->revision = MAX(c->revision, revision);
+    if (sent > c->fresh_sent) c->fresh_sent = sent;
+    fc_right_fresh(&c->right, sent);
+    fc_cond_broadcast(&c->changed);
+  } else if (r == FC_STATE_GONE) {
+    c->loaded = false;
+  }
+  g_ptr_array_free(changes, TRUE);
+  return r;
+}
+
+/* Two fifths of our share of the request rate go into reads of changes. */
+static double read_spacing(const fc_controller *c) {
+  return (double)(c->settings->peer_count + 1) / (c->settings->state_rps * 0.4);
+}
+
+/* One long read after the other: tells of changes as they happen. */
 void fc_watch_main(void *arg) {
   fc_controller *c = arg;
-  const fc_settings *s = c->settings;
-  /* Two fifths of our share of the request rate go into reads of changes. */
-  double share = s->state_rps / (double)(s->peer_count + 1);
-  double spacing = 1.0 / (share * 0.4);
-  /* Long enough to save requests when nothing happens, short enough that a
-   * reader who arrives meanwhile is served well within its patience. */
-  double hold = s->report_s * 0.15;
   double backoff = 0;
   while (!fc_routine_cancelled()) {
     if (!c->loaded && !load(c)) {
       (void)fc_routine_sleep(g_random_double_range(0.2, 0.5));
       continue;
     }
-    c->counts.reads++;
-    double sent = fc_now();
-    GPtrArray *changes = g_ptr_array_new_with_free_func(fc_change_free);
-    uint64_t revision = 0;
-    double wait = c->readers > 0 ? 0 : hold;
-    fc_state_result r =
-        fc_state_changes(c->state, FC_PREFIX, c->revision, wait, sent + wait + 1.0, changes, &revision);
-    if (r == FC_STATE_OK && revision >= c->revision) {
-      for (guint i = 0; i < changes->len; i++) apply(c, changes->pdata[i], true);
-      c->revision = revision;
-      c->fresh_sent = sent;
-      fc_right_fresh(&c->right, sent);
-      fc_cond_broadcast(&c->changed);
-      backoff = 0;
-    } else if (r == FC_STATE_GONE) {
-      c->loaded = false;
-    } else {
-      backoff = backoff > 0 ? MIN(backoff * 2, 1.0) : 0.1;
+    double began = fc_now();
+    fc_state_result r = read_changes(c, c->settings->report_s * 0.5);
+    backoff = r == FC_STATE_OK || r == FC_STATE_GONE ? 0 : backoff > 0 ? MIN(backoff * 2, 1.0) : 0.1;
+    double pause = backoff > 0 ? backoff * g_random_double_range(0.5, 1.0) : began + 2 * read_spacing(c) - fc_now();
+    if (pause > 0 && fc_routine_sleep(pause) == FC_WAKE_CANCELLED) break;
+  }
+}
+
+/* The read index: one short read serves every routine that waits at that
+ * moment for proof that the table is current. */
+void fc_read_index_main(void *arg) {
+  fc_controller *c = arg;
+  while (!fc_routine_cancelled()) {
+    if (c->readers == 0 || !c->loaded) {
+      (void)fc_cond_wait(&c->read_now, fc_now() + 1.0);
+      continue;
     }
-    g_ptr_array_free(changes, TRUE);
-    double pause = backoff > 0 ? backoff * g_random_double_range(0.5, 1.0) : sent + spacing - fc_now();
+    double began = fc_now();
+    fc_state_result r = read_changes(c, 0);
+    double pause = r == FC_STATE_OK ? began + 2 * read_spacing(c) - fc_now() : g_random_double_range(0.1, 0.4);
     if (pause > 0 && fc_routine_sleep(pause) == FC_WAKE_CANCELLED) break;
   }
 }
@@ -217,6 +243,7 @@
 bool fc_wait_fresh(fc_controller *c, double deadline) {
   double asked = fc_now();
   c->readers++;
+  fc_cond_broadcast(&c->read_now);
   bool ok = true;
   while (c->fresh_sent < asked || !c->loaded) {
     if (fc_cond_wait(&c->changed, deadline) != FC_WAKE_OK) {
@@ -230,6 +257,7 @@
 
 bool fc_wait_revision(fc_controller *c, uint64_t revision, double deadline) {
   c->readers++;
+  fc_cond_broadcast(&c->read_now);
   bool ok = true;
   while (c->revision < revision || !c->loaded) {
     if (fc_cond_wait(&c->changed, deadline) != FC_WAKE_OK) {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -45,6 +45,7 @@
     g_debug("running task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
   }
   if (r->state == FC_TASK_RUNNING && p->job) fc_machine_used_image(p->machine, p->job->spec.image);
+  if (p->state != r->state || p->cause != r->cause) fc_cond_broadcast(&c->view_now);
   p->state = r->state;
   p->cause = r->cause;
   if (exited) note_exit(c, p);
@@ -101,11 +102,13 @@
     if (gone) {
       fc_table_unplace(t, p);
       fc_cond_broadcast(&c->round_now);
+      fc_cond_broadcast(&c->view_now);
     }
   }
   g_hash_table_destroy(listed);
   if (settles) {
     m->settled_term = t->term.number;
+    fc_cond_broadcast(&c->view_now);
     g_debug("settled machine=%s term=%" G_GUINT64_FORMAT " tasks=%u", m->id, (guint64)t->term.number,
             m->placements->len);
     if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
@@ -115,7 +118,6 @@
   } else {
     m->idle_since = 0;
   }
-  fc_cond_broadcast(&c->view_now);
 }
 
 static bool newer(const fc_machine *m, const fc_worker_report *r) {
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -141,7 +141,9 @@
   }
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
-    if (now < j->seen_at + t->settings->op.handover_wait_s || now < j->handed_at + t->settings->op.round_s) continue;
+    /* Where all parts are full, a job would go round and round. */
+    double pause = t->settings->op.round_s * (1 + MIN(j->handed_count, 7));
+    if (now < j->seen_at + t->settings->op.handover_wait_s || now < j->handed_at + pause) continue;
     if (j->handing || now < j->blocked_until) continue;
     for (unsigned s = 0; s < j->slices; s++) {
       if (fc_job_owner(t, j, s) != t->self || !(j->clear >> s & 1)) continue;
--- a/src/transport/conn.c
+++ b/src/transport/conn.c
@@ -15,7 +15,8 @@
 struct fc_conn {
   int fd;
   ev_io io;
-  int wanted; /* events the routine waits for */
+  int wanted;      /* events the routine waits for */
+  bool wait_first; /* we have just written: an answer can't be there yet */
   fc_routine *waiter;
 };
 
@@ -95,6 +96,11 @@
 
 ssize_t fc_conn_read(fc_conn *c, void *buf, size_t size, double deadline) {
   for (;;) {
+    /* Saves a system call for each message; each is dear where we run. */
+    if (c->wait_first) {
+      c->wait_first = false;
+      if (conn_wait(c, EV_READ, deadline) != FC_WAKE_OK) return -1;
+    }
     ssize_t n = recv(c->fd, buf, size, 0);
     if (n >= 0) return n;
     if (errno == EINTR) continue;
@@ -116,6 +122,7 @@
     if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return false;
     if (conn_wait(c, EV_WRITE, deadline) != FC_WAKE_OK) return false;
   }
+  c->wait_first = true;
   return true;
 }
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -7,6 +7,7 @@
 
 #define POOL_MAX 4u
 #define POOL_IDLE_S 20.0
+#define POOL_TRUSTED_S 0.5 /* so shortly after an answer it is taken to be open */
 
 typedef struct pooled {
   fc_conn *conn;
@@ -104,7 +105,8 @@
   double now = fc_now();
   while (c->pool_count > 0) {
     pooled p = c->pool[--c->pool_count];
-    if (now - p.since < POOL_IDLE_S && !fc_conn_stale(p.conn)) return p.conn;
+    double idle = now - p.since;
+    if (idle < POOL_IDLE_S && (idle < POOL_TRUSTED_S || !fc_conn_stale(p.conn))) return p.conn;
     fc_conn_close(p.conn);
   }
   return fc_conn_connect(&c->to, deadline);
