Nothing starts on a machine before its address is recorded; feared use counts as used

A machine without an address in its record has never held anything; a silent one counts as full in the division of limits instead of being waited for, as long as that fits.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -328,10 +328,10 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    /* A machine recorded in this term holds nothing from before it. Waiting for
-     * such machines too, a fleet that keeps renting never starts anything: there
-     * is always one that has not come up yet. */
-    if (m->version && m->born_term != t->term.number && m->settled_term != t->term.number) return false;
+    /* Nothing was ever started on a machine whose address is not recorded.
+     * Waiting for such machines too, a fleet that keeps renting would start
+     * nothing for long after every change of term: one is always booting. */
+    if (m->announced && m->settled_term != t->term.number) return false;
   }
   t->settled_latch = t->term.number;
   g_hash_table_iter_init(&it, t->jobs);
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -68,7 +68,8 @@
   bool writing;          /* a change of the record is under way */
   int type;              /* index into the types; -1: not known */
   int owner;             /* index into the present term; -1: none */
-  uint64_t born_term;    /* its first record was written in this term; 0: earlier, or not known */
+  bool announced;        /* its record has its address; before that nothing is started on it */
+  bool announcing;       /* that is being written */
   uint64_t settled_term; /* fenced and adopted, or proved gone, in this term */
   uint64_t session, seq; /* of the newest report */
   uint64_t seen_token;   /* the highest the worker has told of */
@@ -163,8 +164,8 @@
 void fc_table_set_term(fc_table *t, const fc_term *term, uint64_t version, bool continuous, double now);
 /* Derives a machine's owner after its record changed. */
 void fc_table_derive_owner(fc_table *t, fc_machine *m, double now);
-/* Latches once every machine that was recorded before the present term is
- * settled in it. */
+/* Latches once every machine that may hold anything from before the present
+ * term is settled in it. */
 bool fc_table_check_settled(fc_table *t);
 
 #endif
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -45,7 +45,8 @@
   }
 }
 
-static void take_tally(const fc_table *t, tally *out) {
+/* `pessimistic`: a machine that is not settled may be full of any team's tasks. */
+static void take_tally(const fc_table *t, bool pessimistic, tally *out) {
   memset(out, 0, sizeof *out);
   GPtrArray *gangs = g_ptr_array_new();
   GHashTableIter it;
@@ -53,6 +54,14 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
+    if (pessimistic && m->announced && m->owner >= 0 && m->settled_term != t->term.number && m->type >= 0) {
+      const fc_machine_type *mt = t->types->pdata[m->type];
+      for (size_t k = 0; k < t->settings->team_count; k++) {
+        out->cpus[m->owner][k].used += mt->cpus;
+        out->gpus[m->owner][k].used += mt->gpus;
+      }
+      continue;
+    }
     for (guint i = 0; m->owner >= 0 && i < m->placements->len; i++) {
       const fc_placement *p = m->placements->pdata[i];
       if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
@@ -107,7 +116,7 @@
 
 /* The first division of this term, from lists that can only have shrunk since:
  * nobody starts anything of these teams before this record. */
-static void divide(const fc_controller *c, const tally *now, fc_quota_record *q) {
+static bool divide(const fc_controller *c, const tally *now, fc_quota_record *q) {
   const fc_table *t = c->table;
   q->term = t->term.number;
   q->member_count = t->term.count;
@@ -122,11 +131,12 @@
       cpus[i] = now->cpus[i][k];
       gpus[i] = now->gpus[i][k];
     }
-    fc_quota_divide(ts->cpus_max, cpus, t->term.count, shares);
+    if (!fc_quota_divide(ts->cpus_max, cpus, t->term.count, shares) && ts->cpus_max > 0) return false;
     for (size_t i = 0; i < t->term.count; i++) q->cpus[i][k] = shares[i];
-    fc_quota_divide(ts->gpus_max, gpus, t->term.count, shares);
+    if (!fc_quota_divide(ts->gpus_max, gpus, t->term.count, shares) && ts->gpus_max > 0) return false;
     for (size_t i = 0; i < t->term.count; i++) q->gpus[i][k] = shares[i];
   }
+  return true;
 }
 
 /* Moves our shares towards what we need; true when something would change. */
@@ -191,6 +201,15 @@
   fc_cond_broadcast(&c->round_now);
 }
 
+/* Has every other member's present life acknowledged this term? */
+static bool all_acked(fc_controller *c) {
+  for (int i = 0; i < (int)c->table->term.count; i++) {
+    const fc_peer *p = fc_peer_of(c, i);
+    if (i != c->table->self && (!p || p->covered_at < c->term_since)) return false;
+  }
+  return true;
+}
+
 void fc_quota_main(void *arg) {
   fc_controller *c = arg;
   bool any = false;
@@ -208,14 +227,19 @@
     memset(q, 0, sizeof *q);
     if (t->quota.term != t->term.number) {
       /* Everybody could write it; the first in the term does at once. */
-      if (!fc_table_check_settled(t) || now < c->term_since + c->settings->op.round_s * 0.5 * t->self) continue;
-      take_tally(t, now_used);
-      divide(c, now_used, q);
+      if (now < c->term_since + c->settings->op.round_s * 0.5 * t->self) continue;
+      /* A hung machine of a dead owner would hold everybody up for a lease: after
+       * a while it counts as full instead. Whatever is settled by then can only
+       * have shrunk since; members we have not heard from are waited for. */
+      bool settled = fc_table_check_settled(t);
+      if (!settled && (now < c->term_since + c->settings->report_s * 1.5 || !all_acked(c))) continue;
+      take_tally(t, !settled, now_used);
+      if (!divide(c, now_used, q) && !settled) continue;
     } else {
       if (now < adjusted_at + c->settings->op.round_s * 0.25) continue;
       adjusted_at = now;
       *q = t->quota;
-      take_tally(t, now_used);
+      take_tally(t, false, now_used);
       if (!adjust(c, now_used, q)) continue;
     }
     lower_caps(c, q);
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -60,13 +60,17 @@
   }
   m = fc_table_machine_add(t, id, fc_now());
   if (m->version >= ch->version) return;
+  bool announced = rec.endpoint[0] != '\0';
   /* An address learned from the worker itself is kept. */
-  if (!rec.endpoint[0]) g_strlcpy(rec.endpoint, m->rec.endpoint, sizeof rec.endpoint);
-  if (!m->version && ordered && t->term_version && ch->version > t->term_version) m->born_term = t->term.number;
+  if (!announced) g_strlcpy(rec.endpoint, m->rec.endpoint, sizeof rec.endpoint);
   m->rec = rec;
   m->version = ch->version;
   m->type = fc_table_type(t, rec.type);
   fc_table_derive_owner(t, m, fc_now());
+  /* Announced within this term: it has never held anything, for anybody. */
+  if (announced && !m->announced && ordered && t->term_version && ch->version > t->term_version)
+    m->settled_term = t->term.number;
+  m->announced = announced;
 }
 
 static void apply(fc_controller *c, const fc_change *ch, bool ordered) {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -184,6 +184,46 @@
   return t->term.members[best].name;
 }
 
+typedef struct announce_arg {
+  fc_controller *c;
+  char id[64];
+} announce_arg;
+
+/* Adds the machine's address to its record. Only then is anything started on
+ * it: a taker-over can reach every machine that may hold something, and knows
+ * that the others hold nothing. */
+static void announce_main(void *arg) {
+  announce_arg a = *(announce_arg *)arg;
+  g_free(arg);
+  fc_controller *c = a.c;
+  fc_machine *m = fc_table_machine(c->table, a.id);
+  if (!m) return;
+  char *key = g_strconcat(FC_PREFIX_MACHINE, a.id, NULL);
+  fc_write *w = fc_write_new();
+  fc_write_if(w, key, m->version);
+  fc_write_if(w, FC_KEY_TERM, c->table->term_version);
+  fc_write_put(w, key, fc_machine_record_encode(&m->rec));
+  g_free(key);
+  uint64_t revision = 0;
+  if (fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + c->settings->report_s, &revision) == FC_STATE_OK)
+    (void)fc_wait_revision(c, revision, fc_now() + c->settings->report_s);
+  m = fc_table_machine(c->table, a.id);
+  if (m) m->announcing = false;
+  fc_cond_broadcast(&c->round_now);
+}
+
+static void announce(fc_controller *c, fc_machine *m) {
+  if (m->announced || m->announcing || m->writing || !m->rec.endpoint[0]) return;
+  announce_arg *a = g_new0(announce_arg, 1);
+  a->c = c;
+  g_strlcpy(a->id, m->id, sizeof a->id);
+  m->announcing = true;
+  if (!fc_routine_spawn(announce_main, a)) {
+    m->announcing = false;
+    g_free(a);
+  }
+}
+
 static bool record_machine(fc_controller *c, const fc_worker_report *r) {
   fc_table *t = c->table;
   fc_machine *m = fc_table_machine_add(t, r->machine, fc_now());
@@ -281,6 +321,7 @@
   /* An older report of this session is not adopted but answered all the same:
    * a direct command's answer may have overtaken it. */
   m->answered_at = fc_now();
+  announce(c, m);
   *status = 200;
   if (m->settled_term == t->term.number) {
     GArray *commands = commands_for(c, m, false, r.seq);
--- a/src/coordination/quota.h
+++ b/src/coordination/quota.h
@@ -14,8 +14,10 @@
 } fc_demand;
 
 /* First division in a term: every part keeps what it uses, the rest is dealt
- * by queued demand, what is left over evenly. */
-void fc_quota_divide(double limit, const fc_demand *parts, size_t count, double *shares);
+ * by queued demand, what is left over evenly. False when the use already passes
+ * the limit: with use that is only feared that can be, and then the shares say
+ * nothing; they could not be raised and lowered safely later on. */
+bool fc_quota_divide(double limit, const fc_demand *parts, size_t count, double *shares);
 /* The share this part should ask for now, given what is unassigned. Never below
  * what it uses, never above what the limit leaves. */
 double fc_quota_adjust(double limit, double assigned_to_others, double own_share, const fc_demand *own);
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -28,7 +28,7 @@
 } round_state;
 
 bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now) {
-  if (t->self < 0 || m->owner != t->self || !m->version || m->settled_term != t->term.number || !m->reported)
+  if (t->self < 0 || m->owner != t->self || !m->announced || m->settled_term != t->term.number || !m->reported)
     return false;
   if (m->closed || m->writing || m->type < 0 || m->notice_until) return false;
   /* Nothing is placed on a machine that has been silent for half a lease. */
--- a/tests/world.h
+++ b/tests/world.h
@@ -41,6 +41,7 @@
   g_strlcpy(m->rec.owner, "paddock-0", sizeof m->rec.owner);
   m->rec.spot = spot;
   m->version = 2;
+  m->announced = true;
   m->type = 0;
   fc_table_derive_owner(t, m, 0);
   m->settled_term = t->term.number;
