--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -89,7 +89,8 @@
   bool fencing;          /* a direct fencing call is under way */
   bool ordering;         /* a direct command is under way */
   bool remote_closed;    /* its owner said so */
-  unsigned errors;       /* tasks that failed here, net of tasks that did well */
+  unsigned errors;       /* jobs that failed here first, net of tasks that did well */
+  bool faulty;           /* so many that it is drained and returned */
   GPtrArray *placements;
   GPtrArray *images;     /* GRefString, most recently used last */
 };
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -190,7 +190,10 @@
   GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
   GHashTable *surplus = NULL; /* made when there is an idle machine */
   unsigned mine = 0, silent = 0;
-  double quiet = c->settings->lease_s + 2 * c->settings->report_s;
+  /* Longer than a worker takes to try another member when it can't reach us
+   * (two failed reports), shorter than its lease: returning it is the quickest
+   * proof that its tasks are gone. */
+  double quiet = MAX(c->settings->lease_s * 0.6, 3 * c->settings->report_s);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
@@ -209,16 +212,17 @@
      * network and returns nothing. */
     bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1 &&
                 unkept(c, m, now - quiet);
-    bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 4 * boot_s + quiet;
+    bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s;
     bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
+    bool faulty = m->faulty && m->placements->len == 0 && m->settled_term == t->term.number;
     if (idle) {
       if (!surplus) surplus = fc_rent_surplus(t, now);
       idle = g_hash_table_contains(surplus, m);
     }
-    if (!lost && !never_up && !idle) continue;
+    if (!lost && !never_up && !idle && !faulty) continue;
     m->closed = true;
     m->releasing = true;
-    g_info("return machine=%s lost=%d never_up=%d idle=%d", m->id, lost, never_up, idle);
+    g_info("return machine=%s lost=%d never_up=%d idle=%d faulty=%d", m->id, lost, never_up, idle, faulty);
     g_ptr_array_add(ids, g_strdup(m->id));
   }
   if (ids->len == 0 || !cloud_turn(c) || !fc_may_act(c)) goto out;
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -27,6 +27,24 @@
   }
 }
 
+/* A machine that is about to be taken, or to be returned as faulty, is drained:
+ * what can save does so, and goes on elsewhere. */
+static void drain(fc_controller *c, fc_machine *m, bool *work) {
+  if (!m->notice_until && !m->faulty) return;
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (p->state == FC_TASK_EXITED || p->stopping || !p->job) continue;
+    const fc_job_spec *s = &p->job->spec;
+    /* What never saves may still end in time; moving it only loses its work. */
+    if (s->checkpoint_s <= 0 && s->kind != FC_KIND_SERVICE && p->state == FC_TASK_RUNNING) continue;
+    /* One task of a gang told alone would lose the others' work. */
+    if (s->kind == FC_KIND_GANG) continue;
+    p->stopping = true;
+    p->grace_s = s->save_s * 1.2 + c->settings->report_s * 0.25;
+    *work = true;
+  }
+}
+
 static bool owes_commands(const fc_machine *m) {
   for (guint i = 0; i < m->placements->len; i++) {
     const fc_placement *p = m->placements->pdata[i];
@@ -111,6 +129,7 @@
     if (m->owner != t->self || !m->version) continue;
     bool work = m->settled_term != t->term.number;
     stop_unwanted(c, m, &work);
+    drain(c, m, &work);
     if (work) g_ptr_array_add(push, m);
   }
   place(c, push);
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -5,16 +5,33 @@
 #include "controller/controller.h"
 #include "coordination/deal.h"
 
+#define FAILS_BY_JOB 3u     /* machines that one job may fail on before it is to blame */
+#define FAILS_BY_MACHINE 2u /* jobs that fail on a machine before it is */
+
+/* Whose fault is it? A machine that fails tasks of several jobs is faulty; a job
+ * that fails on several machines is at fault itself and condemns no more. */
+static void note_failure(fc_controller *c, fc_job *j, fc_machine *m) {
+  if (!j) return;
+  if (!j->failed_on) j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  bool first_here = g_hash_table_add(j->failed_on, g_strdup(m->id));
+  /* Where it failed everywhere it may try everywhere again, ever more slowly. */
+  j->failures++;
+  j->blocked_until = fc_now() + c->settings->report_s * (double)(1u << MIN(j->failures, 6u)) * 0.25;
+  if (g_hash_table_size(j->failed_on) > FAILS_BY_JOB) {
+    g_hash_table_remove_all(j->failed_on);
+    return;
+  }
+  if (first_here && ++m->errors >= FAILS_BY_MACHINE && !m->faulty) {
+    m->faulty = m->closed = true;
+    g_info("faulty machine=%s", m->id);
+  }
+}
+
 static void note_exit(fc_controller *c, fc_placement *p) {
   fc_job *j = p->job;
   fc_machine *m = p->machine;
   if (p->cause == FC_CAUSE_ERROR) {
-    m->errors++;
-    if (j) {
-      j->failures++;
-      if (!j->failed_on) j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-      g_hash_table_add(j->failed_on, g_strdup(m->id));
-    }
+    note_failure(c, j, m);
   } else if (p->cause == FC_CAUSE_DONE) {
     if (m->errors > 0) m->errors--;
     if (j) j->failures = 0;
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -34,7 +34,14 @@
   return true;
 }
 
-static void add_existing(pack *p) {
+/* A machine that takes much longer than usual may never come up: nothing is
+ * planned on it, though it is waited for some time longer. */
+static bool overdue(const fc_table *t, const fc_machine *m, double now) {
+  const fc_machine_type *mt = t->types->pdata[m->type];
+  return !m->announced && now > m->first_seen + 1.7 * mt->boot_s + t->settings->lease_s * 0.5;
+}
+
+static void add_existing(pack *p, double now) {
   const fc_table *t = p->table;
   GHashTableIter it;
   gpointer value;
@@ -47,7 +54,8 @@
       p->cpus[pl->job->team] += pl->job->spec.cpus;
       p->gpus[pl->job->team] += pl->job->spec.gpus;
     }
-    if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until) continue;
+    if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until || overdue(t, m, now))
+      continue;
     bin b = {.type = m->type, .owner = m->owner, .zone = m->rec.zone, .spot = m->rec.spot,
              .idle = m->placements->len == 0, .room = fc_machine_room(t, m), .machine = m};
     g_array_append_val(p->bins, b);
@@ -272,7 +280,7 @@
 static GArray *pack_all(const fc_table *t, fc_refused_fn refused, void *arg, double now) {
   pack p = {.table = t, .refused = refused, .arg = arg};
   p.bins = g_array_new(FALSE, TRUE, sizeof(bin));
-  add_existing(&p);
+  add_existing(&p, now);
   g_array_sort(p.bins, by_use);
   GPtrArray *jobs = g_ptr_array_new();
   GHashTableIter it;
