--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -10,6 +10,7 @@
 #include "bookkeeping/budget.h"
 #include "bookkeeping/commit.h"
 #include "bookkeeping/table.h"
+#include "controller/metrics.h"
 #include "coordination/right.h"
 #include "protocol/cloud_api.h"
 #include "protocol/frame.h"
@@ -34,7 +35,7 @@
   uint64_t rounds, reads, reports, requests, exchanges, views, pushes, placed, preempted, handed_over, lent;
 } fc_counts;
 
-typedef struct fc_controller {
+struct fc_controller {
   const fc_settings *settings;
   fc_table *table;
   fc_state *state;
@@ -65,12 +66,13 @@
   double share_cap_cpus[FC_TEAMS_MAX], share_cap_gpus[FC_TEAMS_MAX];
 
   fc_counts counts;
+  fc_metrics metrics;
   uint64_t attempt_counter;
   uint64_t hire_counter;
   double started_at;
   double types_at; /* when the machine types were last read */
   GHashTable *recording; /* ids of jobs whose ends are being written */
-} fc_controller;
+};
 
 /* May we answer workers, command them and give final answers now? */
 bool fc_may_act(const fc_controller *c);
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "controller/controller.h"
+#include "protocol/routes.h"
 #include "transport/http.h"
 
 static void say(fc_http_response *res, int status, const char *error) {
@@ -27,12 +28,12 @@
 /* Why a job can never run; NULL when it can. */
 static const char *impossible(const fc_controller *c, const fc_job_spec *s) {
   int team = fc_settings_team(c->settings, s->team);
-  if (team < 0) return "club: unknown team";
+  if (team < 0) return "unknown team";
   const fc_team_settings *ts = &c->settings->teams[team];
   double n = s->kind == FC_KIND_ARRAY ? 1 : s->tasks;
   const double slack = 1e-6;
   if ((ts->cpus_max > 0 && s->cpus * n > ts->cpus_max + slack) || (ts->gpus_max > 0 && s->gpus * n > ts->gpus_max + slack))
-    return "club: needs more than the team's limit";
+    return "needs more than the team's limit";
   for (guint i = 0; i < c->table->types->len; i++) {
     const fc_machine_type *mt = c->table->types->pdata[i];
     fc_room room = {mt->cpus, mt->gpus, mt->memory_gb};
@@ -40,7 +41,25 @@
     for (char **z = mt->zones; *z; z++)
       if (fc_job_allows(s, mt->name, *z, false)) return NULL;
   }
-  return "builds: a task fits no allowed machine type";
+  return "a task fits no allowed machine type";
+}
+
+/* A repeat of a known job is answered with its state, whatever else its body
+ * says: what was accepted once never gets a 400. */
+static void refuse_malformed(fc_controller *c, const fc_http_request *req, fc_http_response *res, const char *error) {
+  char id[64];
+  if (!fc_job_id_peek(req->body, req->body_len, id, sizeof id)) {
+    say(res, 400, error);
+  } else if (!c->loaded || !fc_wait_fresh(c, fc_now() + c->settings->report_s)) {
+    later(res, 503, "the state service can't be reached");
+  } else {
+    const fc_job *j = fc_table_job(c->table, id);
+    if (j) {
+      answer_job(res, 200, j, false);
+    } else {
+      say(res, 400, error);
+    }
+  }
 }
 
 static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
@@ -48,8 +67,7 @@
   char error[200];
   double deadline = fc_now() + c->settings->report_s;
   if (!fc_job_spec_parse(req->body, req->body_len, &spec, error, sizeof error)) {
-    /* A repeat of a known job is answered whatever else its body says. */
-    say(res, 400, error);
+    refuse_malformed(c, req, res, error);
     return;
   }
   fc_job *j = c->loaded ? fc_table_job(c->table, spec.id) : NULL;
@@ -137,6 +155,10 @@
 }
 
 static void withdraw(fc_controller *c, const char *id, fc_http_response *res) {
+  if (!fc_job_id_valid(id)) {
+    say(res, 404, "no such job");
+    return;
+  }
   double deadline = fc_now() + c->settings->report_s;
   bool fresh = false;
   for (;;) {
@@ -186,52 +208,43 @@
   return now > c->started_at + c->settings->report_s;
 }
 
-static bool method_is(const fc_http_request *req, fc_http_response *res, const char *method) {
-  if (strcmp(req->method, method) == 0) return true;
-  say(res, 405, "wrong method");
-  res->allow = method;
-  return false;
-}
-
-static void jobs_path(fc_controller *c, const fc_http_request *req, fc_http_response *res, const char *rest) {
-  const char *slash = strchr(rest, '/');
-  if (!slash) {
-    if (method_is(req, res, "GET")) poll(c, rest, res);
-    return;
-  }
-  if (strcmp(slash, "/withdraw") != 0) {
-    say(res, 404, "no such path");
-    return;
-  }
-  if (!method_is(req, res, "POST")) return;
-  char *id = g_strndup(rest, (gsize)(slash - rest));
-  if (fc_job_id_valid(id)) {
-    withdraw(c, id, res);
-  } else {
-    say(res, 404, "no such job");
-  }
-  g_free(id);
-}
-
 static void handle(const fc_http_request *req, fc_http_response *res, void *arg) {
   fc_controller *c = arg;
+  char id[FC_ROUTE_ID_MAX];
+  const char *allow;
+  double began = fc_now();
   c->counts.requests++;
-  if (strcmp(req->path, "/checkin") == 0) {
-    if (method_is(req, res, "POST")) fc_workers_report(c, req->body, req->body_len, &res->status, res->body);
-  } else if (strcmp(req->path, "/api/jobs") == 0) {
-    if (method_is(req, res, "POST")) submit(c, req, res);
-  } else if (g_str_has_prefix(req->path, "/api/jobs/")) {
-    jobs_path(c, req, res, req->path + strlen("/api/jobs/"));
-  } else if (strcmp(req->path, "/ready") == 0) {
-    if (!method_is(req, res, "GET")) return;
-    if (is_ready(c)) {
-      res->status = 200;
-      g_string_append(res->body, "{\"ready\":true}");
-    } else {
-      later(res, 503, "not ready");
-    }
-  } else {
-    say(res, 404, "no such path");
+  switch (fc_route_of(req->method, req->path, id, &allow)) {
+    case FC_ROUTE_REPORT:
+      fc_workers_report(c, req->body, req->body_len, &res->status, res->body);
+      break;
+    case FC_ROUTE_SUBMIT:
+      submit(c, req, res);
+      fc_metrics_time(&c->metrics, FC_TIME_SUBMIT, fc_now() - began);
+      break;
+    case FC_ROUTE_POLL:
+      poll(c, id, res);
+      fc_metrics_time(&c->metrics, FC_TIME_POLL, fc_now() - began);
+      break;
+    case FC_ROUTE_CANCEL:
+      withdraw(c, id, res);
+      break;
+    case FC_ROUTE_READY:
+      if (is_ready(c)) {
+        res->status = 200;
+        g_string_append(res->body, "{\"ready\":true}");
+      } else {
+        later(res, 503, "not ready");
+      }
+      break;
+    case FC_ROUTE_WRONG_METHOD:
+      say(res, 405, "wrong method");
+      res->allow = allow;
+      break;
+    case FC_ROUTE_METRICS: /* at the peer address only */
+    case FC_ROUTE_NONE:
+      say(res, 404, "no such path");
+      break;
   }
 }
 
--- /dev/null
+++ b/src/controller/metrics.c
@@ -0,0 +1,67 @@
+#include "controller/metrics.h"
+
+#include "controller/controller.h"
+
+#define BINS 28u
+#define LEAST_S 0.001
+
+static const char *const k_names[] = {"submit", "poll", "start", "round"};
+
+void fc_metrics_init(fc_metrics *m) {
+  double edges[BINS + 1];
+  edges[0] = 0;
+  for (unsigned i = 1; i <= BINS; i++) edges[i] = i == 1 ? LEAST_S : edges[i - 1] * 1.5;
+  for (int k = 0; k < FC_TIMES; k++) {
+    m->times[k] = gsl_histogram_alloc(BINS);
+    if (!m->times[k]) g_error("out of memory");
+    (void)gsl_histogram_set_ranges(m->times[k], edges, BINS + 1);
+  }
+}
+
+void fc_metrics_time(fc_metrics *m, fc_time which, double seconds) {
+  gsl_histogram *h = m->times[which];
+  if (!h) return;
+  /* What lies past the last bin counts in it. */
+  double most = gsl_histogram_max(h) * 0.999;
+  (void)gsl_histogram_increment(h, seconds < 0 ? 0 : seconds > most ? most : seconds);
+}
+
+static void write_times(const gsl_histogram *h, const char *name, GString *out) {
+  double total = 0;
+  for (size_t i = 0; i < gsl_histogram_bins(h); i++) {
+    double low, high;
+    if (gsl_histogram_get_range(h, i, &low, &high) != 0) continue;
+    total += gsl_histogram_get(h, i);
+    g_string_append_printf(out, "fieldcleat_%s_seconds_bucket{le=\"%.4g\"} %.0f\n", name, high, total);
+  }
+  g_string_append_printf(out, "fieldcleat_%s_seconds_count %.0f\n", name, total);
+}
+
+void fc_metrics_write(const fc_controller *c, GString *out) {
+  const fc_counts *n = &c->counts;
+  const struct {
+    const char *name;
+    double value;
+  } figures[] = {
+      {"term", (double)c->table->term.number},
+      {"may_act", fc_may_act(c)},
+      {"state_age_seconds", fc_now() - c->fresh_sent},
+      {"jobs", g_hash_table_size(c->table->jobs)},
+      {"machines", g_hash_table_size(c->table->machines)},
+      {"routines", (double)fc_routine_count()},
+      {"rounds_total", (double)n->rounds},
+      {"state_reads_total", (double)n->reads},
+      {"state_commits_total", (double)fc_commit_sent(c->commit)},
+      {"reports_total", (double)n->reports},
+      {"requests_total", (double)n->requests},
+      {"peer_exchanges_total", (double)n->exchanges},
+      {"direct_orders_total", (double)n->pushes},
+      {"placed_total", (double)n->placed},
+      {"preempted_total", (double)n->preempted},
+      {"handed_over_total", (double)n->handed_over},
+      {"lent_total", (double)n->lent},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(figures); i++)
+    g_string_append_printf(out, "fieldcleat_%s %.10g\n", figures[i].name, figures[i].value);
+  for (int k = 0; k < FC_TIMES; k++) write_times(c->metrics.times[k], k_names[k], out);
+}
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "controller/controller.h"
+#include "protocol/routes.h"
+#include "transport/http.h"
 
 typedef struct link_arg {
   fc_controller *c;
@@ -20,9 +22,10 @@
 }
 
 /* Reads one frame; the body is the caller's. */
-static uint8_t *read_frame(fc_conn *conn, double deadline, fc_frame_type *type, uint32_t *len) {
-  uint8_t head[FC_FRAME_HEAD];
-  if (!read_exact(conn, head, sizeof head, deadline) || !fc_frame_head(head, type, len)) return NULL;
+static uint8_t *read_frame(fc_conn *conn, double deadline, uint8_t head[FC_FRAME_HEAD], fc_frame_type *type,
+                           uint32_t *len) {
+  memset(head, 0, FC_FRAME_HEAD);
+  if (!read_exact(conn, head, FC_FRAME_HEAD, deadline) || !fc_frame_head(head, type, len)) return NULL;
   uint8_t *body = g_malloc(*len + 1);
   if (read_exact(conn, body, *len, deadline)) return body;
   g_free(body);
@@ -95,7 +98,8 @@
   if (!ok) return false;
   fc_frame_type type;
   uint32_t len;
-  uint8_t *body = read_frame(conn, deadline, &type, &len);
+  uint8_t head[FC_FRAME_HEAD];
+  uint8_t *body = read_frame(conn, deadline, head, &type, &len);
   fc_ack ack = {0};
   ok = body && type == FC_FRAME_ACK && fc_ack_decode(body, len, &ack);
   g_free(body);
@@ -212,12 +216,32 @@
   }
 }
 
+/* Operators read the metrics at the peer address, which users can't reach. */
+static void serve_operator(const fc_http_request *req, fc_http_response *res, void *arg) {
+  char id[FC_ROUTE_ID_MAX];
+  const char *allow;
+  if (fc_route_of(req->method, req->path, id, &allow) == FC_ROUTE_METRICS) {
+    res->status = 200;
+    res->content_type = "text/plain";
+    fc_metrics_write(arg, res->body);
+  } else {
+    res->status = 404;
+    fc_error_answer(res->body, "no such path");
+  }
+}
+
 static void serve_peer(fc_conn *conn, void *arg) {
   fc_controller *c = arg;
   for (;;) {
     fc_frame_type type;
     uint32_t len;
-    uint8_t *body = read_frame(conn, fc_now() + c->settings->lease_s, &type, &len);
+    uint8_t head[FC_FRAME_HEAD];
+    uint8_t *body = read_frame(conn, fc_now() + c->settings->lease_s, head, &type, &len);
+    if (!body && fc_frame_is_http(head)) {
+      fc_http_server_options opt = {.idle_s = c->settings->lease_s, .request_s = c->settings->report_s};
+      fc_http_serve_conn(conn, (const char *)head, sizeof head, &opt, serve_operator, c);
+      return;
+    }
     fc_view v;
     bool ok = body && type == FC_FRAME_VIEW && fc_view_decode(body, len, &v);
     g_free(body);
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -193,7 +193,9 @@
   /* Between rounds that events ask for, so that a burst is placed together. */
   double least = c->settings->op.round_s * 0.05;
   while (!fc_routine_cancelled()) {
+    double began = fc_now();
     if (fc_may_act(c)) tick(c);
+    fc_metrics_time(&c->metrics, FC_TIME_ROUND, fc_now() - began);
     if (fc_now() > logged_at + c->settings->lease_s) {
       log_status(c);
       logged_at = fc_now();
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -59,6 +59,7 @@
   p->reported = p->sent = true;
   if (r->state == FC_TASK_RUNNING && !p->running_since) {
     p->running_since = now;
+    fc_metrics_time(&c->metrics, FC_TIME_START, now - p->since);
     g_debug("running task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
   }
   if (r->state == FC_TASK_RUNNING && p->job) fc_machine_used_image(p->machine, p->job->spec.image);
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -136,6 +136,8 @@
   if (!c->bad && strlen(out) != n) c->bad = true; /* a NUL inside a name */
 }
 
+bool fc_frame_is_http(const uint8_t head[FC_FRAME_HEAD]) { return memcmp(head, "GET /", 5) == 0; }
+
 bool fc_frame_head(const uint8_t head[FC_FRAME_HEAD], fc_frame_type *type, uint32_t *len) {
   cursor c = {.p = head, .left = FC_FRAME_HEAD};
   uint16_t magic = get_u16(&c);
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -56,6 +56,8 @@
 /* Whole frames, head included. Appends to `out`. */
 void fc_view_encode(GByteArray *out, const fc_view *v);
 void fc_ack_encode(GByteArray *out, const fc_ack *a);
+/* Do the first bytes belong to an HTTP request instead? */
+bool fc_frame_is_http(const uint8_t head[FC_FRAME_HEAD]);
 /* The head: false when it is not one of ours; *len is the length of the rest. */
 bool fc_frame_head(const uint8_t head[FC_FRAME_HEAD], fc_frame_type *type, uint32_t *len);
 bool fc_view_decode(const uint8_t *p, size_t len, fc_view *out);
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -75,6 +75,14 @@
   s->deadline_s = fc_read_amount_or(r, "whistleS", 0, AMOUNT_MOST, -1);
 }
 
+bool fc_job_id_peek(const char *text, size_t len, char *id, size_t size) {
+  json_t *v = fc_json_parse(text, len);
+  const char *found = json_string_value(json_object_get(v, "id"));
+  bool ok = fc_job_id_valid(found) && g_strlcpy(id, found, size) < size;
+  json_decref(v);
+  return ok;
+}
+
 bool fc_job_spec_parse(const char *text, size_t len, fc_job_spec *out, char *error, size_t error_size) {
   memset(out, 0, sizeof *out);
   json_t *v = fc_json_parse(text, len);
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -35,6 +35,8 @@
 /* "job-000412": the only form of id there is. */
 bool fc_job_id_valid(const char *id);
 
+/* The id of a submission that may be malformed otherwise; false: none to be had. */
+bool fc_job_id_peek(const char *text, size_t len, char *id, size_t size);
 /* Reads a submission; false with a line that names the field. */
 bool fc_job_spec_parse(const char *text, size_t len, fc_job_spec *out, char *error, size_t error_size);
 void fc_job_spec_clear(fc_job_spec *s);
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -38,6 +38,11 @@
 
 bool fc_http_serve(const fc_endpoint *at, const fc_http_server_options *opt, fc_http_handler handler, void *arg);
 
+/* Serves one connection of another listener, of which the first bytes have been
+ * read already; returns when it is to be closed. */
+void fc_http_serve_conn(fc_conn *c, const char *first, size_t first_len, const fc_http_server_options *opt,
+                        fc_http_handler handler, void *arg);
+
 typedef struct fc_http_client fc_http_client;
 
 typedef struct fc_http_reply {
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -11,6 +11,8 @@
   fc_http_server_options opt;
   fc_http_handler handler;
   void *arg;
+  const char *first; /* bytes that were read before we got the connection */
+  size_t first_len;
 } server;
 
 typedef struct exchange {
@@ -115,7 +117,13 @@
   double deadline = fc_now() + s->opt.idle_s;
   bool timed = false;
   while (!x->complete) {
-    ssize_t n = fc_conn_read(c, buf, sizeof buf, deadline);
+    ssize_t n = (ssize_t)s->first_len;
+    if (n > 0) {
+      memcpy(buf, s->first, s->first_len);
+      s->first_len = 0;
+    } else {
+      n = fc_conn_read(c, buf, sizeof buf, deadline);
+    }
     if (n <= 0) return false;
     if (!timed) {
       timed = true;
@@ -124,7 +132,7 @@
     http_parser_execute(p, &k_settings, buf, (size_t)n);
     enum http_errno err = HTTP_PARSER_ERRNO(p);
     if (err != HPE_OK && err != HPE_PAUSED) {
-      (void)send_plain(c, x->too_large ? 400 : 400, x->too_large ? "request too large" : "malformed HTTP", deadline);
+      (void)send_plain(c, 400, x->too_large ? "request too large" : "malformed HTTP", deadline);
       return false;
     }
   }
@@ -166,6 +174,12 @@
   }
 }
 
+void fc_http_serve_conn(fc_conn *c, const char *first, size_t first_len, const fc_http_server_options *opt,
+                        fc_http_handler handler, void *arg) {
+  server s = {.opt = *opt, .handler = handler, .arg = arg, .first = first, .first_len = first_len};
+  serve(c, &s);
+}
+
 bool fc_http_serve(const fc_endpoint *at, const fc_http_server_options *opt, fc_http_handler handler, void *arg) {
   server *s = g_new0(server, 1);
   s->opt = *opt;
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -487,6 +487,11 @@
   return true;
 }
 
+void fc_http_serve_conn(fc_conn *c, const char *first, size_t first_len, const fc_http_server_options *opt,
+                        fc_http_handler handler, void *arg) {
+  (void)c, (void)first, (void)first_len, (void)opt, (void)handler, (void)arg; /* nobody asks here */
+}
+
 /* ---- conn.h: streams between controllers ---- */
 
 struct fc_conn {
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -7,6 +7,7 @@
 #include "protocol/job.h"
 #include "protocol/json.h"
 #include "protocol/records.h"
+#include "protocol/routes.h"
 #include "protocol/worker.h"
 
 static const char k_good[] =
@@ -216,11 +217,38 @@
   json_decref(v);
 }
 
+static void routes(void **state) {
+  (void)state;
+  static const struct {
+    const char *method, *path;
+    fc_route route;
+    const char *id; /* or the allowed method */
+  } rows[] = {
+      {"POST", "/api/jobs", FC_ROUTE_SUBMIT, NULL},
+      {"GET", "/api/jobs", FC_ROUTE_WRONG_METHOD, "POST"},
+      {"GET", "/api/jobs/job-000001", FC_ROUTE_POLL, "job-000001"},
+      {"DELETE", "/api/jobs/job-000001", FC_ROUTE_WRONG_METHOD, "GET"},
+      {"POST", "/api/jobs/job-000001/withdraw", FC_ROUTE_CANCEL, "job-000001"},
+      {"GET", "/api/jobs/job-000001/withdraw", FC_ROUTE_WRONG_METHOD, "POST"},
+      {"POST", "/api/jobs/job-000001/other", FC_ROUTE_NONE, NULL},
+      {"GET", "/api/jobs/", FC_ROUTE_NONE, NULL},
+      {"POST", "/checkin", FC_ROUTE_REPORT, NULL},
+      {"GET", "/ready", FC_ROUTE_READY, NULL},
+      {"GET", "/", FC_ROUTE_NONE, NULL},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    char id[FC_ROUTE_ID_MAX] = "";
+    const char *allow = NULL;
+    check_row(rows[i].path, fc_route_of(rows[i].method, rows[i].path, id, &allow) == rows[i].route);
+    if (rows[i].id) check_row(rows[i].path, strcmp(allow ? allow : id, rows[i].id) == 0);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(submissions),    cmocka_unit_test(deep_json_is_refused), cmocka_unit_test(job_records_round_trip),
       cmocka_unit_test(ranges),         cmocka_unit_test(worker_reports),       cmocka_unit_test(frames),
-      cmocka_unit_test(terms_round_trip),
+      cmocka_unit_test(terms_round_trip), cmocka_unit_test(routes),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
