--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -250,8 +250,51 @@
   g_ptr_array_free(ids, TRUE);
 }
 
+/* Should a listed machine be returned that no record knows? Late copies of a
+ * hire leave such machines; those that come up report and get a record, the
+ * others would be paid for until somebody asks. Nothing was ever started on
+ * them: that takes a record. */
+static bool is_stray_machine(const fc_controller *c, const fc_listed_machine *l) {
+  const fc_table *t = c->table;
+  const fc_machine *m = fc_table_machine(t, l->id);
+  if (m && (m->version || m->reported)) return false;
+  int type = fc_table_type(t, l->type);
+  double boot = type >= 0 ? ((fc_machine_type *)t->types->pdata[type])->boot_s : c->settings->lease_s;
+  return l->age_s > 3 * boot + 3 * c->settings->cloud_list_lag_s + c->settings->lease_s;
+}
+
+/* Walks through the cloud's list. It is late and proves nothing by what is
+ * missing; it only shows machines that we do not know. */
+static void sweep(fc_controller *c) {
+  char *after = NULL;
+  bool more = true;
+  GPtrArray *stray = g_ptr_array_new_with_free_func(g_free);
+  while (more && stray->len < 20 && cloud_turn(c) && fc_may_act(c)) {
+    GPtrArray *page = g_ptr_array_new_with_free_func(fc_listed_machine_free);
+    more = false;
+    fc_cloud_result r = fc_cloud_list(c->cloud, after, 500, fc_now() + 3.0, page, &more);
+    /* A hire under way may be what a machine belongs to. */
+    bool sure = r == FC_CLOUD_OK && g_hash_table_size(c->table->hires) == 0;
+    for (guint i = 0; i < page->len; i++) {
+      const fc_listed_machine *l = page->pdata[i];
+      if (sure && is_stray_machine(c, l)) g_ptr_array_add(stray, g_strdup(l->id));
+      g_free(after);
+      after = g_strdup(l->id);
+    }
+    if (r != FC_CLOUD_OK || page->len == 0) more = false;
+    g_ptr_array_free(page, TRUE);
+  }
+  if (stray->len > 0 && cloud_turn(c) && fc_may_act(c)) {
+    fc_cloud_result r = fc_cloud_release(c->cloud, (const char *const *)stray->pdata, stray->len, fc_now() + 4.0);
+    g_info("return stray machines count=%u first=%s result=%d", stray->len, (char *)stray->pdata[0], r);
+  }
+  g_ptr_array_free(stray, TRUE);
+  g_free(after);
+}
+
 void fc_rent_main(void *arg) {
   fc_controller *c = arg;
+  double swept_at = fc_now();
   refusals ref = {.until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free)};
   while (!fc_routine_cancelled()) {
     /* Prices move; a late one only costs money. */
@@ -261,6 +304,10 @@
         carry_out_all(c, &ref);
         if (g_hash_table_size(c->table->hires) == 0 && fc_may_act(c)) rent(c, &ref);
         carry_out_all(c, &ref);
+        if (fc_now() > swept_at + MAX(c->settings->lease_s, c->settings->cloud_list_lag_s) * 3) {
+          swept_at = fc_now();
+          if (fc_may_act(c)) sweep(c);
+        }
       }
       if (fc_may_act(c)) give_back(c);
     }
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -436,6 +436,11 @@
     bits[p->index / 8] |= (uint8_t)(1u << (p->index % 8));
     any = true;
   }
+  /* A gang completes together: if one task is done, all are. Waiting for each
+   * task's own report left a gang open for ever when a machine was lost between
+   * (fault test, seed 23): the rest could not start as a gang again. */
+  if (any && j->spec.kind == FC_KIND_GANG)
+    for (uint32_t i = 0; i < j->spec.tasks; i++) bits[i / 8] |= (uint8_t)(1u << (i % 8));
   return any;
 }
 
