--- a/src/bookkeeping/demand.c
+++ b/src/bookkeeping/demand.c
@@ -10,9 +10,9 @@
   g_free(c);
 }
 
-void fc_demand_init(fc_demand_stats *d) {
+void fc_demand_init(fc_demand_stats *d, double memory_s) {
   d->classes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, class_free);
-  d->memory_s = 300;
+  d->memory_s = memory_s;
 }
 
 void fc_demand_free(fc_demand_stats *d) { g_hash_table_destroy(d->classes); }
--- a/src/bookkeeping/demand.h
+++ b/src/bookkeeping/demand.h
@@ -22,7 +22,7 @@
   double memory_s;     /* how long an arrival is remembered */
 } fc_demand_stats;
 
-void fc_demand_init(fc_demand_stats *d);
+void fc_demand_init(fc_demand_stats *d, double memory_s);
 void fc_demand_free(fc_demand_stats *d);
 void fc_demand_arrival(fc_demand_stats *d, const fc_job_spec *s, double now);
 /* How many tasks of the class more than the average may arrive within
--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -32,7 +32,8 @@
   t->types = g_ptr_array_new_with_free_func(fc_machine_type_free);
   t->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  fc_demand_init(&t->demand);
+  /* About two boots of a machine: longer, and yesterday's burst is paid for. */
+  fc_demand_init(&t->demand, settings->lease_s * 8);
   t->self = -1;
   return t;
 }
