Work goes on through an outage of any length while every controller lives

Now a life that has not entered promises too, a lapsed right is not mended by promises, and the bound moves on while every other controller says it has learned of no cancellation.

--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -186,6 +186,7 @@
     uint64_t revision = 0;
     fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_REPORT, deadline, &revision);
     if (r == FC_STATE_OK) {
+      c->cancel_at = fc_now();
       res->status = 200;
       fc_job_answer(res->body, id, FC_STATUS_CANCELLED, 0, 0, false);
       return;
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -93,6 +93,7 @@
   make_view(c, seq, out);
   double sent = fc_now(), deadline = sent + c->settings->report_s;
   uint64_t term = c->table->term.number, boot = c->boot, view = c->table->view;
+  size_t k = (size_t)(peer - c->peers);
   bool ok = fc_conn_write(conn, out->data, out->len, deadline);
   g_byte_array_free(out, TRUE);
   if (!ok) return false;
@@ -108,14 +109,18 @@
   const fc_term *now_term = &c->table->term;
   int at = ok ? fc_term_find(now_term, ack.sender) : -1;
   if (ok) {
-    peer->heard_at = fc_now();
-    peer->fresh_at = peer->heard_at - ack.fresh_ms / 1000.0;
+    double now = fc_now();
+    peer->heard_at = now;
+    peer->fresh_at = now - ack.fresh_ms / 1000.0;
+    fc_right_quiet(&c->right, k, sent, now - ack.quiet_ms / 1000.0);
+    /* Whatever life or term it is in: it answers for what it promises us. */
+    if (ack.promise_ms > 0 && now_term->number == term && c->boot == boot)
+      fc_right_promised(&c->right, now_term, c->peer_of, c->table->self, k, now, sent, ack.promise_ms / 1000.0);
   }
   /* It counts only within the term, and between the lives, it was asked for. */
   if (at >= 0 && now_term->number == term && c->boot == boot && ack.term == term &&
       now_term->members[at].boot == ack.boot) {
     take_ack(c, peer, &ack, sent, view);
-    if (ack.promise_ms > 0) fc_right_promised(&c->right, (size_t)at, ack.boot, sent, ack.promise_ms / 1000.0);
   }
   fc_ack_clear(&ack);
   return ok;
@@ -184,19 +189,19 @@
 
 static uint32_t give_promise(fc_controller *c, const fc_view *v) {
   const fc_table *t = c->table;
-  int sender = fc_term_find(&t->term, v->sender);
   /* A term transaction of unknown outcome may exclude it at any time. */
-  if (c->term_unknown || t->self < 0 || sender < 0 || v->term != t->term.number ||
-      v->boot != t->term.members[sender].boot || t->term.members[t->self].boot != c->boot)
-    return 0;
+  if (c->term_unknown) return 0;
   double promise = c->right.lease_s;
-  for (size_t k = 0; k < c->settings->peer_count; k++) {
-    if (strcmp(c->settings->peers[k].name, v->sender) != 0) continue;
-    double until = fc_now() + promise * (1 + FC_DRIFT);
-    if (until > c->peers[k].promised_until) c->peers[k].promised_until = until;
-    return (uint32_t)(promise * 1000);
-  }
-  return 0;
+  bool entered = c->boot && t->self >= 0 && t->term.members[t->self].boot == c->boot;
+  /* Before we have entered we can exclude nobody; our entry keeps everybody, and
+   * then we wait longer than this promise (fc_right_entry_wait). */
+  if (!entered) return (uint32_t)(promise * 1000);
+  int sender = fc_term_find(&t->term, v->sender);
+  if (sender < 0 || v->boot != t->term.members[sender].boot) return 0;
+  fc_peer *p = fc_peer_of(c, sender);
+  if (!p) return 0;
+  p->promised_until = MAX(p->promised_until, fc_now() + promise * (1 + FC_DRIFT));
+  return (uint32_t)(promise * 1000);
 }
 
 /* Machines of other members whose reports we have answered within two leases. */
@@ -249,6 +254,7 @@
     c->counts.views++;
     apply_view(c, &v);
     fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v),
+                  .quiet_ms = (uint32_t)(MIN(fc_now() - c->cancel_at, 1e6) * 1000),
                   .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000), .revision = c->revision};
     fill_kept(c, &ack);
     g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -5,7 +5,7 @@
 fc_controller *fc_controller_start(const fc_settings *s, const char **why) {
   fc_controller *c = g_new0(fc_controller, 1);
   c->settings = s;
-  c->started_at = c->types_at = fc_now();
+  c->started_at = c->cancel_at = c->types_at = fc_now();
   /* Nothing has been read by anybody yet. */
   c->fresh_sent = -1e9;
   for (size_t k = 0; k < s->peer_count; k++) c->peers[k].fresh_at = c->peers[k].heard_at = -1e9;
@@ -18,7 +18,8 @@
   c->commit = fc_commit_new(c->state, s->state_txn_ops, s->state_write_rps / nodes, s->state_rps / nodes * 0.35,
                             s->report_s * 0.75);
   fc_budget_init(&c->cloud_budget, s->cloud_rps / nodes, MAX(1.0, s->cloud_rps / nodes), fc_now());
-  fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s);
+  fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s,
+                s->peer_count);
   if (!fc_front_start(c)) {
     *why = "client_listen: can't listen there";
     return NULL;
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -28,6 +28,10 @@
   if (now_at >= 0 && term.members[now_at].boot != c->boot) c->table->self = -1;
   c->term_unknown = false; /* it was conditional on the version that is now past */
   fc_right_new_term(&c->right);
+  for (int i = 0; i < (int)term.count; i++) {
+    const fc_peer *p = fc_peer_of(c, i);
+    c->peer_of[i] = p ? (int)(p - c->peers) : -1;
+  }
   g_info("term number=%" G_GUINT64_FORMAT " members=%zu self=%d continuous=%d", (guint64)term.number, term.count,
          c->table->self, continuous);
   fc_cond_broadcast(&c->view_now);
@@ -40,6 +44,8 @@
     g_critical("job record unreadable key=%s", ch->key);
     return;
   }
+  const fc_job *known = fc_table_job(c->table, id);
+  if (r.phase == FC_PHASE_CANCELLED && (!known || known->phase != FC_PHASE_CANCELLED)) c->cancel_at = fc_now();
   bool fresh = ordered && c->table->term_version && ch->version > c->table->term_version;
   fc_job *j = fc_table_put_job(c->table, id, &r, ch->version, fresh, fc_now());
   fc_job_record_clear(&r);
@@ -280,7 +286,7 @@
 bool fc_may_act(const fc_controller *c) {
   const fc_table *t = c->table;
   if (!c->loaded || t->self < 0 || !c->boot || t->term.members[t->self].boot != c->boot) return false;
-  return fc_now() < fc_right_until(&c->right, &t->term, t->self);
+  return fc_now() < fc_right_until(&c->right, &t->term, c->peer_of, t->self);
 }
 
 void fc_commit_duty(void *arg) {
--- a/src/coordination/right.h
+++ b/src/coordination/right.h
@@ -12,34 +12,43 @@
 /* Two steady clocks differ by at most this much of a duration. */
 #define FC_DRIFT 0.001
 
-typedef struct fc_promise {
-  uint64_t boot;         /* the promiser's life that gave it */
-  double received_until; /* it commits no term without us before this */
-} fc_promise;
+/* What one other controller of the settings has said to us. */
+typedef struct fc_word {
+  double promised_until; /* it commits no term without us before this */
+  double quiet_from;     /* it has learned of no cancellation between this ... */
+  double quiet_until;    /* ... and this */
+} fc_word;
 
 typedef struct fc_right {
-  double lease_s;       /* of the member's own lease in the state service */
-  double lease_until;   /* counted from when the renewal was sent */
-  double fresh_at;      /* when the read was sent that last proved the cache current */
-  double stale_most_s;  /* longest time to act without such a proof */
-  fc_promise peers[FC_MEMBERS_MAX]; /* by index in the present term */
+  double lease_s;      /* of the member's own lease in the state service */
+  double lease_until;  /* counted from when the renewal was sent */
+  double fresh_at;     /* when the read was sent that last proved the cache current */
+  double stale_most_s; /* longest time to act without such a proof */
+  fc_word words[FC_MEMBERS_MAX]; /* by index in the settings' list of peers */
+  size_t peer_count;
 } fc_right;
 
-void fc_right_init(fc_right *r, double lease_s, double worker_lease_s, double cancel_s, double report_s);
+void fc_right_init(fc_right *r, double lease_s, double worker_lease_s, double cancel_s, double report_s,
+                   size_t peer_count);
 /* The own lease was granted or renewed by a request sent at `sent`. */
 void fc_right_renewed(fc_right *r, double sent);
 void fc_right_lost(fc_right *r);
 /* A read sent at `sent` proved that nothing is missing in the cache. */
 void fc_right_fresh(fc_right *r, double sent);
-/* A new term: promises were given for the old one. */
+/* A new term. */
 void fc_right_new_term(fc_right *r);
-/* Peer `i`, alive as `boot`, promised for `promise_s` in answer to what we
- * sent at `sent`. */
-void fc_right_promised(fc_right *r, size_t i, uint64_t boot, double sent, double promise_s);
+/* Peer `k` promised for `promise_s`, in answer to what we sent at `sent`. A
+ * right that has lapsed by `now` is not mended by promises: in the gap a term
+ * without us may have been sent, to be applied late. `peer_of` maps members of
+ * `t` to peers (-1: ourselves). */
+void fc_right_promised(fc_right *r, const fc_term *t, const int *peer_of, int self, size_t k, double now,
+                       double sent, double promise_s);
+/* Peer `k`, asked at `sent`, has learned of no cancellation since `quiet_from`. */
+void fc_right_quiet(fc_right *r, size_t k, double sent, double quiet_from);
 /* How long a member waits after its own entry before it excludes anybody: by
  * then whoever missed that entry has stopped, whatever it was promised. */
 double fc_right_entry_wait(const fc_right *r);
 /* The time up to which this member of `t` may act. */
-double fc_right_until(const fc_right *r, const fc_term *t, int self);
+double fc_right_until(const fc_right *r, const fc_term *t, const int *peer_of, int self);
 
 #endif
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -73,6 +73,7 @@
   put_u64(out, a->term);
   put_u64(out, a->seq);
   put_u32(out, a->promise_ms);
+  put_u32(out, a->quiet_ms);
   put_u32(out, a->fresh_ms);
   put_u64(out, a->revision);
   put_u16(out, (uint16_t)a->kept_count);
@@ -206,6 +207,7 @@
   out->term = get_u64(&c);
   out->seq = get_u64(&c);
   out->promise_ms = get_u32(&c);
+  out->quiet_ms = get_u32(&c);
   out->fresh_ms = get_u32(&c);
   out->revision = get_u64(&c);
   size_t n = get_u16(&c);
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -47,6 +47,7 @@
   char sender[64];
   uint64_t boot, term, seq;
   uint32_t promise_ms; /* 0: none. "I commit no term without you" for so long */
+  uint32_t quiet_ms;   /* since the sender last learned of a cancellation, or started */
   uint32_t fresh_ms;   /* since the sender last read the state service */
   uint64_t revision;   /* what the sender's table held when it applied the view */
   fc_frame_kept *kept; /* machines of others whose reports it has answered lately */
