--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -80,6 +80,8 @@
 bool fc_may_act(const fc_controller *c);
 /* The peer behind a member of the term; NULL: ourselves, or one unknown to us. */
 fc_peer *fc_peer_of(fc_controller *c, int member);
+/* Does the member act, and know what is new? True for ourselves. */
+bool fc_member_fit(fc_controller *c, int member);
 /* Waits until everything that was committed before this call is in the table. */
 bool fc_wait_fresh(fc_controller *c, double deadline);
 /* Waits until the table holds the given revision. */
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "controller/controller.h"
+#include "coordination/deal.h"
 #include "protocol/routes.h"
 #include "transport/http.h"
 
@@ -62,6 +63,21 @@
   }
 }
 
+/* A slice that the deal gives to a member which is away, or can't read the state
+ * service, would lie there until it is back: it is dealt among the others. */
+static void hand_to_fit(fc_controller *c, const fc_job_spec *s, unsigned slices, char **handed) {
+  const fc_term *t = &c->table->term;
+  fc_term fit = *t;
+  fit.count = 0;
+  for (size_t i = 0; i < t->count; i++)
+    if (fc_member_fit(c, (int)i)) fit.members[fit.count++] = t->members[i];
+  for (unsigned i = 0; i < slices && fit.count > 0; i++) {
+    int owner = fc_deal_job(t, s->id, i, slices, NULL);
+    if (owner < 0 || fc_member_fit(c, owner)) continue;
+    handed[i] = fit.members[fc_deal_job(&fit, s->id, i, slices, NULL)].name;
+  }
+}
+
 static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
   fc_job_spec spec;
   char error[200];
@@ -100,7 +116,10 @@
     goto out;
   }
   char *key = g_strconcat(FC_PREFIX_JOB, spec.id, NULL);
-  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, fc_job_slices(&spec, c->settings->op.split_limit), NULL);
+  unsigned slices = fc_job_slices(&spec, c->settings->op.split_limit);
+  char *handed[FC_SLICES_MAX] = {NULL};
+  hand_to_fit(c, &spec, slices, handed);
+  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, slices, handed);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
   bool too_large = size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -74,6 +74,14 @@
   return NULL;
 }
 
+bool fc_member_fit(fc_controller *c, int member) {
+  if (member == c->table->self) return true;
+  const fc_peer *p = fc_peer_of(c, member);
+  if (!p) return false;
+  double now = fc_now(), most = c->settings->report_s * 2;
+  return now - p->heard_at < most && now - p->fresh_at < most;
+}
+
 /* What an acknowledgement of the present term, by a life that is in it, to a
  * view sent at `sent` tells us. */
 static void take_ack(fc_controller *c, fc_peer *peer, const fc_ack *ack, double sent, uint64_t view) {
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -68,15 +68,20 @@
   g_free(a);
 }
 
-static void hand_over(fc_controller *c) {
-  fc_told told = {{0}, {0}};
+static fc_told what_is_told(fc_controller *c) {
+  fc_told told = {{0}, {0}, {0}};
   for (int i = 0; i < (int)c->table->term.count; i++) {
     const fc_peer *p = fc_peer_of(c, i);
     if (!p) continue;
     told.view[i] = p->acked_view;
     told.revision[i] = p->acked_revision;
+    told.fit[i] = fc_member_fit(c, i);
   }
-  GArray *plan = fc_share_handovers(c->table, &told, fc_now());
+  return told;
+}
+
+static void hand_over(fc_controller *c, const fc_told *told) {
+  GArray *plan = fc_share_handovers(c->table, told, fc_now());
   for (guint i = 0; i < plan->len; i++) {
     fc_job *j = g_array_index(plan, fc_handover, i).job;
     if (j->handing) continue; /* its first slice took the others along */
@@ -155,8 +160,8 @@
   fc_workers_push(c, m);
 }
 
-static void lend(fc_controller *c) {
-  GArray *plan = fc_share_loans(c->table, fc_now());
+static void lend(fc_controller *c, const fc_told *told) {
+  GArray *plan = fc_share_loans(c->table, told, fc_now());
   for (guint i = 0; i < plan->len; i++) {
     const fc_loan *l = &g_array_index(plan, fc_loan, i);
     fc_machine *m = l->machine;
@@ -186,6 +191,7 @@
 }
 
 void fc_share_round(fc_controller *c) {
-  hand_over(c);
-  lend(c);
+  fc_told told = what_is_told(c);
+  hand_over(c, &told);
+  lend(c, &told);
 }
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -152,7 +152,7 @@
       int best = -1;
       unsigned best_n = 0;
       for (int m = 0; m < (int)t->term.count; m++) {
-        if (m == t->self || !knows(t, told, j, s, m)) continue;
+        if (m == t->self || !told->fit[m] || !knows(t, told, j, s, m)) continue;
         unsigned n = hold_job(room, t, j, m, want, false);
         if (j->spec.kind == FC_KIND_GANG && n < want) continue;
         if (n <= best_n) continue;
@@ -279,7 +279,7 @@
   }
 }
 
-GArray *fc_share_loans(const fc_table *t, double now) {
+GArray *fc_share_loans(const fc_table *t, const fc_told *told, double now) {
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_loan));
   if (t->self < 0 || t->term.count < 2) return out;
   GArray *room = spares(t, now);
@@ -289,7 +289,8 @@
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
     if (now < j->seen_at + t->settings->op.handover_wait_s) continue;
-    if (fc_job_owner(t, j, 0) >= 0) lend_to_gang(t, room, j, now, out);
+    int owner = fc_job_owner(t, j, 0);
+    if (owner >= 0 && (owner == t->self || told->fit[owner])) lend_to_gang(t, room, j, now, out);
   }
   g_ptr_array_free(jobs, TRUE);
   g_array_free(room, TRUE);
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -14,6 +14,7 @@
 typedef struct fc_told {
   uint64_t view[FC_MEMBERS_MAX];     /* newest view of ours it has applied */
   uint64_t revision[FC_MEMBERS_MAX]; /* state of its table when it did */
+  bool fit[FC_MEMBERS_MAX];          /* acts, and knows what is new */
 } fc_told;
 
 typedef struct fc_handover {
@@ -34,6 +35,6 @@
 
 /* Machines of ours that a waiting gang, here or elsewhere, needs: idle ones, or
  * where those don't suffice, ones that hold nothing but arrays of lower rank. */
-GArray *fc_share_loans(const fc_table *t, double now);
+GArray *fc_share_loans(const fc_table *t, const fc_told *told, double now);
 
 #endif
