--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -271,9 +271,9 @@
     fc_job model = {.spec = {.kind = FC_KIND_ARRAY, .tasks = n, .cpus = c->cpus, .gpus = c->gpus,
                              .memory_gb = c->memory_gb, .spot = c->spot}};
     spread s = {.job = &model};
+    /* Ordinary machines are not kept warm for work that may use cheap ones. */
     for (unsigned k = 0; k < n; k++)
-      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && !pack_existing(p, &s, true) && !rent_for(p, &s, NULL, -1, true))
-        break;
+      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && (c->spot || !rent_for(p, &s, NULL, -1, true))) break;
   }
 }
 
