--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -70,6 +70,7 @@
   uint64_t attempt_counter;
   uint64_t hire_counter;
   double started_at;
+  double looked_at; /* when places beyond free room were last looked for */
   double cancel_at; /* when we last learned of a cancellation */
   int peer_of[FC_MEMBERS_MAX]; /* member of the term -> index of the peer; -1: none */
   double types_at; /* when the machine types were last read */
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -133,7 +133,11 @@
     if (work) g_ptr_array_add(push, m);
   }
   place(c, push);
-  if (anything_waits(t)) {
+  /* With a long queue the dear part of a round is to look for other places; it
+   * need not follow every event. */
+  double now = fc_now();
+  if (now >= c->looked_at + c->settings->op.round_s * 0.25 && anything_waits(t)) {
+    c->looked_at = now;
     preempt(c, push);
     if (fc_state_reachable(c)) fc_share_round(c);
   }
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -38,6 +38,17 @@
   return out;
 }
 
+/* Is there any room in other parts? In a long queue mostly not. */
+static bool room_elsewhere(const fc_table *t, const GArray *room) {
+  for (guint i = 0; i < room->len; i++) {
+    const spare *s = &g_array_index(room, spare, i);
+    const fc_machine_type *mt = t->types->pdata[s->machine->type];
+    bool some = s->room.cpus > 0 && s->room.memory_gb > 0 && (mt->gpus <= 0 || s->room.gpus > 0);
+    if (s->machine->owner != t->self && some) return true;
+  }
+  return false;
+}
+
 static GPtrArray *waiting_jobs(const fc_table *t) {
   GPtrArray *out = g_ptr_array_new();
   GHashTableIter it;
@@ -103,6 +114,7 @@
 }
 
 static unsigned missing_of(const fc_table *t, const fc_job *j, int member, unsigned slice) {
+  if (j->done_count + j->placements->len >= j->spec.tasks) return 0;
   GArray *missing = fc_job_missing(t, j, member, 256);
   unsigned n = 0;
   for (guint i = 0; i < missing->len; i++) n += fc_job_slice_of(j, g_array_index(missing, uint32_t, i)) == slice;
@@ -126,6 +138,10 @@
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_handover));
   if (t->self < 0 || t->term.count < 2) return out;
   GArray *room = spares(t, now);
+  if (!room_elsewhere(t, room)) {
+    g_array_free(room, TRUE);
+    return out;
+  }
   GPtrArray *jobs = waiting_jobs(t);
   /* Every part's own queue goes first. `here`: a bit for each slice of ours that
    * finds room in our own part, and so stays. */
