--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -177,8 +177,7 @@
   g_queue_push_head(&c->queue[FC_RANK_REPORT], w);
 }
 
-static void settle(fc_commit *c, GPtrArray *batch, fc_state_result result, uint64_t revision,
-                   const GPtrArray *failed) {
+static void settle(fc_commit *c, GPtrArray *batch, fc_state_result result, uint64_t revision, const GPtrArray *failed) {
   bool blamed = false;
   if (result == FC_STATE_CONFLICT) {
     for (guint b = 0; b < batch->len; b++) {
@@ -241,8 +240,7 @@
   }
 }
 
-fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline,
-                                uint64_t *revision) {
+fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision) {
   w->deadline = deadline;
   w->waiter = fc_routine_self();
   g_queue_push_tail(&c->queue[rank], w);
@@ -271,4 +269,6 @@
   return ahead < c->writes.per_s * wait_s + c->writes.burst;
 }
 
-uint64_t fc_commit_sent(const fc_commit *c) { return c->sent; }
+uint64_t fc_commit_sent(const fc_commit *c) {
+  return c->sent;
+}
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -27,8 +27,7 @@
 /* Waits until the write is decided. Consumes `w`. CONFLICT: a condition of this
  * write failed. DOWN: certainly not executed (also: not before the deadline).
  * UNKNOWN: read before deciding. */
-fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline,
-                                uint64_t *revision);
+fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision);
 /* Does the queue of this rank have room for another write within wait_s? */
 bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s);
 /* Transactions sent so far, for the metrics. */
--- a/src/bookkeeping/demand.c
+++ b/src/bookkeeping/demand.c
@@ -15,7 +15,9 @@
   d->memory_s = memory_s;
 }
 
-void fc_demand_free(fc_demand_stats *d) { g_hash_table_destroy(d->classes); }
+void fc_demand_free(fc_demand_stats *d) {
+  g_hash_table_destroy(d->classes);
+}
 
 static double fading(const fc_demand_stats *d, const fc_demand_class *c, double now) {
   return exp(-(now - c->at) / d->memory_s);
--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -49,8 +49,12 @@
   g_free(t);
 }
 
-fc_job *fc_table_job(const fc_table *t, const char *id) { return g_hash_table_lookup(t->jobs, id); }
-fc_machine *fc_table_machine(const fc_table *t, const char *id) { return g_hash_table_lookup(t->machines, id); }
+fc_job *fc_table_job(const fc_table *t, const char *id) {
+  return g_hash_table_lookup(t->jobs, id);
+}
+fc_machine *fc_table_machine(const fc_table *t, const char *id) {
+  return g_hash_table_lookup(t->machines, id);
+}
 
 int fc_table_type(const fc_table *t, const char *name) {
   for (guint i = 0; i < t->types->len; i++) {
@@ -147,7 +151,9 @@
   return false;
 }
 
-bool fc_job_task_done(const fc_job *j, uint32_t index) { return j->done[index / 8] >> (index % 8) & 1; }
+bool fc_job_task_done(const fc_job *j, uint32_t index) {
+  return j->done[index / 8] >> (index % 8) & 1;
+}
 
 fc_placement *fc_table_place(fc_table *t, fc_machine *m, const char *job_id, uint32_t index, uint64_t attempt,
                              double now) {
@@ -189,7 +195,9 @@
   g_hash_table_remove(t->machines, m->id);
 }
 
-bool fc_placement_live(const fc_placement *p) { return p->state != FC_TASK_EXITED; }
+bool fc_placement_live(const fc_placement *p) {
+  return p->state != FC_TASK_EXITED;
+}
 
 void fc_room_take(fc_room *r, const fc_job_spec *s) {
   r->cpus -= s->cpus;
@@ -307,8 +315,8 @@
     /* A machine that stays with the process that has settled it needs no new
      * fence: nobody else could command it in between. That must be recorded;
      * a dealt owner may have changed and changed back. */
-    bool kept = continuous && m->owner == old_self && old_self >= 0 && t->self >= 0 &&
-                m->settled_term == old.number && strcmp(m->rec.owner, t->settings->name) == 0;
+    bool kept = continuous && m->owner == old_self && old_self >= 0 && t->self >= 0 && m->settled_term == old.number &&
+                strcmp(m->rec.owner, t->settings->name) == 0;
     m->owner = m->version ? fc_deal_machine(term, m->id, m->rec.owner) : -1;
     if (kept && m->owner == t->self) {
       m->settled_term = term->number;
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -27,16 +27,16 @@
   uint64_t attempt;
   fc_task_state state;
   fc_exit_cause cause;
-  bool reported;      /* the machine has named it in a report */
-  bool sent;          /* a start may have reached the machine */
-  uint64_t sent_seq;  /* the report whose answer carried the start last */
+  bool reported;     /* the machine has named it in a report */
+  bool sent;         /* a start may have reached the machine */
+  uint64_t sent_seq; /* the report whose answer carried the start last */
   uint64_t sent_session;
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
-  bool stopping;      /* a stop is to be sent until the task exits */
+  bool stopping;                                                /* a stop is to be sent until the task exits */
   double grace_s;
-  uint64_t told;      /* our views from this one on show it */
-  bool recorded;      /* its end is in the state service, or needs no record */
-  double since;       /* when it was placed or adopted */
+  uint64_t told;        /* our views from this one on show it */
+  bool recorded;        /* its end is in the state service, or needs no record */
+  double since;         /* when it was placed or adopted */
   double running_since; /* 0: not yet */
 } fc_placement;
 
@@ -51,13 +51,13 @@
   int team; /* index into the settings; -1: not there any more */
   GPtrArray *placements;
   unsigned clear; /* a bit a slice: nothing of it can be anywhere that we do not know of */
-  double seen_at;  /* steady time when we first saw it */
+  double seen_at; /* steady time when we first saw it */
   double blocked_until;
-  unsigned handing;  /* a bit a slice: its hand-over is being written; not to be placed */
+  unsigned handing; /* a bit a slice: its hand-over is being written; not to be placed */
   double handed_at;
   unsigned handed_count; /* by us */
-  unsigned failures; /* tasks that ended by error, lately */
-  uint64_t serial; /* order of being seen */
+  unsigned failures;     /* tasks that ended by error, lately */
+  uint64_t serial;       /* order of being seen */
   GHashTable *failed_on; /* machine ids where a task of it failed; NULL: none */
 };
 
@@ -84,15 +84,15 @@
   double idle_since;     /* 0: in use */
   char reserved_for[32]; /* cleared for this gang: takes nothing else until then */
   double reserved_until;
-  bool closed;           /* takes no new tasks: to be drained or returned */
+  bool closed; /* takes no new tasks: to be drained or returned */
   bool releasing;
-  bool fencing;          /* a direct fencing call is under way */
-  bool ordering;         /* a direct command is under way */
-  bool remote_closed;    /* its owner said so */
-  unsigned errors;       /* jobs that failed here first, net of tasks that did well */
-  bool faulty;           /* so many that it is drained and returned */
+  bool fencing;       /* a direct fencing call is under way */
+  bool ordering;      /* a direct command is under way */
+  bool remote_closed; /* its owner said so */
+  unsigned errors;    /* jobs that failed here first, net of tasks that did well */
+  bool faulty;        /* so many that it is drained and returned */
   GPtrArray *placements;
-  GPtrArray *images;     /* GRefString, most recently used last */
+  GPtrArray *images; /* GRefString, most recently used last */
 };
 
 typedef struct fc_table {
@@ -110,7 +110,7 @@
   uint64_t settled_latch; /* term in which every machine has been settled */
   uint64_t next_serial;
   uint64_t view; /* number of the newest view of our machines */
-  int self; /* index in the term; -1: not a member */
+  int self;      /* index in the term; -1: not a member */
 } fc_table;
 
 fc_table *fc_table_new(const fc_settings *settings);
@@ -124,8 +124,7 @@
 
 /* A job's record as stored; newer versions only. `fresh`: the record was first
  * seen as a change inside the present term, so nobody placed it before. */
-fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
-                         double now);
+fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh, double now);
 bool fc_job_task_done(const fc_job *j, uint32_t index);
 /* Removes the machine and every placement on it: it is proved gone. */
 void fc_table_remove_machine(fc_table *t, fc_machine *m);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -21,9 +21,9 @@
 
 typedef struct fc_peer {
   const fc_peer_settings *settings;
-  double promised_until;   /* we commit no term without it before this */
-  double fresh_at;         /* when it last read the state service, as far as it told us */
-  double heard_at;         /* when its last acknowledgement came */
+  double promised_until; /* we commit no term without it before this */
+  double fresh_at;       /* when it last read the state service, as far as it told us */
+  double heard_at;       /* when its last acknowledgement came */
   /* Of the present term, by the life that is in it; 0: nothing yet. */
   double covered_at;       /* it has told us of every report it answered before this */
   uint64_t acked_view;     /* the newest view of ours that it has applied */
@@ -53,13 +53,13 @@
   double term_since; /* when we learned of the present term */
 
   bool loaded;
-  uint64_t revision;  /* everything up to here is in the table */
-  double fresh_sent;  /* when the last successful read of changes was sent */
-  unsigned readers;   /* routines that wait for a fresh read */
-  fc_cond changed;    /* a read of changes was applied */
-  fc_cond round_now;  /* a job or room arrived: place at once */
-  fc_cond view_now;   /* peers should hear of a change */
-  fc_cond read_now;   /* somebody waits for a fresh read */
+  uint64_t revision; /* everything up to here is in the table */
+  double fresh_sent; /* when the last successful read of changes was sent */
+  unsigned readers;  /* routines that wait for a fresh read */
+  fc_cond changed;   /* a read of changes was applied */
+  fc_cond round_now; /* a job or room arrived: place at once */
+  fc_cond view_now;  /* peers should hear of a change */
+  fc_cond read_now;  /* somebody waits for a fresh read */
   fc_cond wake_writer;
 
   /* While a write of ours is undecided, the lower of it and the record counts. */
@@ -70,11 +70,11 @@
   uint64_t attempt_counter;
   uint64_t hire_counter;
   double started_at;
-  double looked_at; /* when places beyond free room were last looked for */
-  double cancel_at; /* when we last learned of a cancellation */
+  double looked_at;            /* when places beyond free room were last looked for */
+  double cancel_at;            /* when we last learned of a cancellation */
   int peer_of[FC_MEMBERS_MAX]; /* member of the term -> index of the peer; -1: none */
-  double types_at; /* when the machine types were last read */
-  GHashTable *recording; /* ids of jobs whose ends are being written */
+  double types_at;             /* when the machine types were last read */
+  GHashTable *recording;       /* ids of jobs whose ends are being written */
 };
 
 /* May we answer workers, command them and give final answers now? */
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -24,7 +24,9 @@
   fc_job_answer(res->body, j->spec.id, st, j->done_count, running, counts);
 }
 
-static bool final(const fc_job *j) { return j->phase != FC_PHASE_ACCEPTED; }
+static bool final(const fc_job *j) {
+  return j->phase != FC_PHASE_ACCEPTED;
+}
 
 /* Why a job can never run; NULL when it can. */
 static const char *impossible(const fc_controller *c, const fc_job_spec *s) {
@@ -33,7 +35,8 @@
   const fc_team_settings *ts = &c->settings->teams[team];
   double n = s->kind == FC_KIND_ARRAY ? 1 : s->tasks;
   const double slack = 1e-6;
-  if ((ts->cpus_max > 0 && s->cpus * n > ts->cpus_max + slack) || (ts->gpus_max > 0 && s->gpus * n > ts->gpus_max + slack))
+  if ((ts->cpus_max > 0 && s->cpus * n > ts->cpus_max + slack) ||
+      (ts->gpus_max > 0 && s->gpus * n > ts->gpus_max + slack))
     return "needs more than the team's limit";
   for (guint i = 0; i < c->table->types->len; i++) {
     const fc_machine_type *mt = c->table->types->pdata[i];
--- a/src/controller/member.c
+++ b/src/controller/member.c
@@ -3,7 +3,9 @@
 
 #include "controller/controller.h"
 
-static double jitter(double s) { return s * g_random_double_range(0.5, 1.0); }
+static double jitter(double s) {
+  return s * g_random_double_range(0.5, 1.0);
+}
 
 static bool open_lease(fc_controller *c) {
   double sent = fc_now();
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -261,9 +261,13 @@
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
     c->counts.views++;
     apply_view(c, &v);
-    fc_ack ack = {.boot = c->boot, .term = c->table->term.number, .seq = v.seq, .promise_ms = give_promise(c, &v),
+    fc_ack ack = {.boot = c->boot,
+                  .term = c->table->term.number,
+                  .seq = v.seq,
+                  .promise_ms = give_promise(c, &v),
                   .quiet_ms = (uint32_t)(MIN(fc_now() - c->cancel_at, 1e6) * 1000),
-                  .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000), .revision = c->revision};
+                  .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000),
+                  .revision = c->revision};
     fill_kept(c, &ack);
     g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
     fc_view_clear(&v);
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -9,7 +9,9 @@
 #include "scheduler/place.h"
 #include "scheduler/share.h"
 
-static bool limited(const fc_team_settings *ts) { return ts->cpus_max > 0 || ts->gpus_max > 0; }
+static bool limited(const fc_team_settings *ts) {
+  return ts->cpus_max > 0 || ts->gpus_max > 0;
+}
 
 /* What every member uses and what its queue asks for besides, in one pass. */
 typedef struct tally {
@@ -122,8 +124,7 @@
   q->member_count = t->term.count;
   fc_demand cpus[FC_MEMBERS_MAX], gpus[FC_MEMBERS_MAX];
   double shares[FC_MEMBERS_MAX];
-  for (size_t i = 0; i < t->term.count; i++)
-    g_strlcpy(q->members[i], t->term.members[i].name, sizeof q->members[i]);
+  for (size_t i = 0; i < t->term.count; i++) g_strlcpy(q->members[i], t->term.members[i].name, sizeof q->members[i]);
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     if (!limited(ts)) continue;
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -79,8 +79,8 @@
   if (!cloud_turn(c) || !fc_may_act(c)) return;
   GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
   fc_cloud_result r = fc_cloud_hire(c->cloud, name, h->type, h->zone, h->spot, h->count, fc_now() + 4.0, ids);
-  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", name, h->type, h->zone, h->spot,
-         h->count, r, ids->len);
+  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", name, h->type, h->zone, h->spot, h->count, r,
+         ids->len);
   if (r == FC_CLOUD_NO_CAPACITY) note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s);
   if (r == FC_CLOUD_OK && ids->len < h->count)
     note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s * 0.5);
@@ -142,8 +142,8 @@
   g_strlcpy(h.zone, want->zone, sizeof h.zone);
   g_strlcpy(h.owner, want->owner >= 0 ? t->term.members[want->owner].name : "*", sizeof h.owner);
   /* The life's number never comes again, so neither does the name. */
-  char *name = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, (guint64)c->boot,
-                               (guint64)++c->hire_counter);
+  char *name =
+      g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, (guint64)c->boot, (guint64)++c->hire_counter);
   char *key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
   fc_write *w = fc_write_new();
   fc_write_if(w, FC_KEY_TERM, t->term_version);
@@ -212,7 +212,8 @@
      * network and returns nothing. */
     bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1 &&
                 unkept(c, m, now - quiet);
-    bool never_up = !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s;
+    bool never_up =
+        !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s;
     bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
     bool faulty = m->faulty && m->placements->len == 0 && m->settled_term == t->term.number;
     if (idle) {
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -7,7 +7,9 @@
 #include "scheduler/preempt.h"
 
 /* Attempts of one task never repeat: the term is new for every owner and life. */
-static uint64_t next_attempt(fc_controller *c) { return c->table->term.number << 20 | ++c->attempt_counter; }
+static uint64_t next_attempt(fc_controller *c) {
+  return c->table->term.number << 20 | ++c->attempt_counter;
+}
 
 /* Tasks that must not run any more. */
 static void stop_unwanted(fc_controller *c, fc_machine *m, bool *work) {
@@ -82,8 +84,8 @@
     gang = d->job;
     (void)fc_table_place(t, d->machine, d->job->spec.id, d->index, attempt, now);
     fc_machine_used_image(d->machine, d->job->spec.image);
-    g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", d->job->spec.id, d->index,
-            (guint64)attempt, d->machine->id);
+    g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", d->job->spec.id, d->index, (guint64)attempt,
+            d->machine->id);
   }
   c->counts.placed += plan->len;
   if (plan->len > 0) fc_cond_broadcast(&c->view_now);
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -18,8 +18,7 @@
   c->commit = fc_commit_new(c->state, s->state_txn_ops, s->state_write_rps / nodes, s->state_rps / nodes * 0.35,
                             s->report_s * 0.75);
   fc_budget_init(&c->cloud_budget, s->cloud_rps / nodes, MAX(1.0, s->cloud_rps / nodes), fc_now());
-  fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s,
-                s->peer_count);
+  fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s, s->peer_count);
   if (!fc_front_start(c)) {
     *why = "client_listen: can't listen there";
     return NULL;
@@ -28,7 +27,8 @@
     *why = "peer_listen: can't listen there";
     return NULL;
   }
-  fc_routine_fn duties[] = {fc_watch_main, fc_read_index_main, fc_commit_duty, fc_member_main, fc_round_main, fc_quota_main, fc_rent_main};
+  fc_routine_fn duties[] = {fc_watch_main, fc_read_index_main, fc_commit_duty, fc_member_main,
+                            fc_round_main, fc_quota_main,      fc_rent_main};
   for (size_t i = 0; i < G_N_ELEMENTS(duties); i++) {
     if (!fc_routine_spawn(duties[i], c)) {
       *why = "out of memory";
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -190,8 +190,7 @@
   double sent = fc_now();
   uint64_t revision = 0;
   GPtrArray *changes = g_ptr_array_new_with_free_func(fc_change_free);
-  fc_state_result r =
-      fc_state_changes(c->state, FC_PREFIX, c->revision, hold, sent + hold + 1.0, changes, &revision);
+  fc_state_result r = fc_state_changes(c->state, FC_PREFIX, c->revision, hold, sent + hold + 1.0, changes, &revision);
   if (!c->loaded) {
     r = FC_STATE_UNKNOWN; /* everything is being read anew */
   } else if (r == FC_STATE_OK) {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -383,8 +383,7 @@
     if (!m || m->owner != t->self || t->term.number != term || !fc_may_act(c)) break;
     if (!fc_endpoint_parse(m->rec.endpoint, &at)) break;
     bool fencing = m->settled_term != term;
-    GArray *commands =
-        fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command)) : commands_for(c, m, true, 0);
+    GArray *commands = fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command)) : commands_for(c, m, true, 0);
     fc_order_result result = FC_ORDER_UNSENT;
     fc_worker_report r;
     if (fencing || commands->len > 0)
--- a/src/coordination/right.c
+++ b/src/coordination/right.c
@@ -16,9 +16,13 @@
   r->stale_most_s = (cancel_s - worker_lease_s - margin) * (1 - FC_DRIFT);
 }
 
-void fc_right_renewed(fc_right *r, double sent) { r->lease_until = sent + r->lease_s * (1 - FC_DRIFT); }
+void fc_right_renewed(fc_right *r, double sent) {
+  r->lease_until = sent + r->lease_s * (1 - FC_DRIFT);
+}
 
-void fc_right_lost(fc_right *r) { r->lease_until = -1; }
+void fc_right_lost(fc_right *r) {
+  r->lease_until = -1;
+}
 
 void fc_right_fresh(fc_right *r, double sent) {
   if (sent > r->fresh_at) r->fresh_at = sent;
@@ -28,8 +32,8 @@
   for (size_t k = 0; k < FC_MEMBERS_MAX; k++) r->words[k].promised_until = -1;
 }
 
-void fc_right_promised(fc_right *r, const fc_term *t, const int *peer_of, int self, size_t k, double now,
-                       double sent, double promise_s) {
+void fc_right_promised(fc_right *r, const fc_term *t, const int *peer_of, int self, size_t k, double now, double sent,
+                       double promise_s) {
   if (now > fc_right_until(r, t, peer_of, self)) {
     fc_right_new_term(r);
     return;
--- a/src/coordination/right.h
+++ b/src/coordination/right.h
@@ -20,10 +20,10 @@
 } fc_word;
 
 typedef struct fc_right {
-  double lease_s;      /* of the member's own lease in the state service */
-  double lease_until;  /* counted from when the renewal was sent */
-  double fresh_at;     /* when the read was sent that last proved the cache current */
-  double stale_most_s; /* longest time to act without such a proof */
+  double lease_s;                /* of the member's own lease in the state service */
+  double lease_until;            /* counted from when the renewal was sent */
+  double fresh_at;               /* when the read was sent that last proved the cache current */
+  double stale_most_s;           /* longest time to act without such a proof */
   fc_word words[FC_MEMBERS_MAX]; /* by index in the settings' list of peers */
   size_t peer_count;
 } fc_right;
@@ -41,8 +41,8 @@
  * right that has lapsed by `now` is not mended by promises: in the gap a term
  * without us may have been sent, to be applied late. `peer_of` maps members of
  * `t` to peers (-1: ourselves). */
-void fc_right_promised(fc_right *r, const fc_term *t, const int *peer_of, int self, size_t k, double now,
-                       double sent, double promise_s);
+void fc_right_promised(fc_right *r, const fc_term *t, const int *peer_of, int self, size_t k, double now, double sent,
+                       double promise_s);
 /* Peer `k`, asked at `sent`, has learned of no cancellation since `quiet_from`. */
 void fc_right_quiet(fc_right *r, size_t k, double sent, double quiet_from);
 /* How long a member waits after its own entry before it excludes anybody: by
--- a/src/protocol/cloud_api.c
+++ b/src/protocol/cloud_api.c
@@ -169,8 +169,8 @@
 
 fc_cloud_result fc_cloud_list(fc_cloud *c, const char *after, unsigned limit, double deadline, GPtrArray *out,
                               bool *more) {
-  char *path = after ? g_strdup_printf("/hosts?from=%s&page=%u", after, limit)
-                     : g_strdup_printf("/hosts?page=%u", limit);
+  char *path =
+      after ? g_strdup_printf("/hosts?from=%s&page=%u", after, limit) : g_strdup_printf("/hosts?page=%u", limit);
   json_t *v = NULL;
   fc_cloud_result result = call(c, "GET", path, NULL, deadline, &v);
   g_free(path);
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -6,7 +6,9 @@
 #define MACHINES_MOST 4096u
 #define TASKS_MOST 4096u
 
-static void put_u8(GByteArray *b, uint8_t v) { g_byte_array_append(b, &v, 1); }
+static void put_u8(GByteArray *b, uint8_t v) {
+  g_byte_array_append(b, &v, 1);
+}
 
 static void put_u16(GByteArray *b, uint16_t v) {
   guint16 n = GUINT16_TO_BE(v);
@@ -137,7 +139,9 @@
   if (!c->bad && strlen(out) != n) c->bad = true; /* a NUL inside a name */
 }
 
-bool fc_frame_is_http(const uint8_t head[FC_FRAME_HEAD]) { return memcmp(head, "GET /", 5) == 0; }
+bool fc_frame_is_http(const uint8_t head[FC_FRAME_HEAD]) {
+  return memcmp(head, "GET /", 5) == 0;
+}
 
 bool fc_frame_head(const uint8_t head[FC_FRAME_HEAD], fc_frame_type *type, uint32_t *len) {
   cursor c = {.p = head, .left = FC_FRAME_HEAD};
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -48,7 +48,9 @@
   }
 }
 
-static GRefString *intern(const char *text) { return text ? g_ref_string_new_intern(text) : NULL; }
+static GRefString *intern(const char *text) {
+  return text ? g_ref_string_new_intern(text) : NULL;
+}
 
 static void spec_read(fc_reader *r, fc_job_spec *s) {
   const char *id = fc_read_string(r, "id", NAME_MOST);
@@ -123,11 +125,10 @@
   }
   return json_pack("{ss ss ss ss ss si sf sf sf ss sf so? ss? sb sb sb sf sf sf so?}", "id", s->id, "squad",
                    s->class_name, "club", s->team, "play", k_kinds[s->kind], "rank", k_ranks[s->rank], "runs",
-                   (int)s->tasks, "cpus", s->cpus, "gpus", s->gpus, "memGb", s->memory_gb, "kit", s->image,
-                   "pullGb", s->image_gb, "builds", types, "ground", s->zone, "samePlace", (int)s->one_zone,
-                   "scatter", (int)s->spread, "loaners", (int)s->spot, "expectS", s->estimate_s, "markS",
-                   s->checkpoint_s, "stowS", s->save_s, "whistleS",
-                   s->deadline_s < 0 ? NULL : json_real(s->deadline_s));
+                   (int)s->tasks, "cpus", s->cpus, "gpus", s->gpus, "memGb", s->memory_gb, "kit", s->image, "pullGb",
+                   s->image_gb, "builds", types, "ground", s->zone, "samePlace", (int)s->one_zone, "scatter",
+                   (int)s->spread, "loaners", (int)s->spot, "expectS", s->estimate_s, "markS", s->checkpoint_s, "stowS",
+                   s->save_s, "whistleS", s->deadline_s < 0 ? NULL : json_real(s->deadline_s));
 }
 
 unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit) {
@@ -201,7 +202,9 @@
   g_string_append_c(out, '}');
 }
 
-void fc_error_answer(GString *out, const char *what) { fc_json_append(out, json_pack("{ss}", "error", what)); }
+void fc_error_answer(GString *out, const char *what) {
+  fc_json_append(out, json_pack("{ss}", "error", what));
+}
 
 char *fc_ranges_encode(const uint8_t *bits, uint32_t tasks) {
   GString *out = g_string_new(NULL);
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -40,7 +40,9 @@
   if (!json_is_object(object)) g_strlcpy(r->error, "not an object", sizeof r->error);
 }
 
-bool fc_reader_ok(const fc_reader *r) { return r->error[0] == '\0'; }
+bool fc_reader_ok(const fc_reader *r) {
+  return r->error[0] == '\0';
+}
 
 void fc_reader_fail(fc_reader *r, const char *field, const char *what) {
   if (fc_reader_ok(r)) g_snprintf(r->error, sizeof r->error, "%s: %s", field, what);
--- a/src/protocol/operator.cc
+++ b/src/protocol/operator.cc
@@ -20,20 +20,17 @@
 
 const Entry kNumbers[] = {
     {"scheduler", "round_s", 0.1, 60, false, [](fc_operator_settings *o, double v) { o->round_s = v; }},
-    {"scheduler", "handover_wait_s", 0, 3600, false,
-     [](fc_operator_settings *o, double v) { o->handover_wait_s = v; }},
+    {"scheduler", "handover_wait_s", 0, 3600, false, [](fc_operator_settings *o, double v) { o->handover_wait_s = v; }},
     {"scheduler", "split_limit", 1, 1000, true,
      [](fc_operator_settings *o, double v) { o->split_limit = static_cast<unsigned>(v); }},
     {"membership", "lease_share", 0.2, 0.9, false,
      [](fc_operator_settings *o, double v) { o->member_lease_share = v; }},
-    {"machines", "warm_deviations", 0, 10, false,
-     [](fc_operator_settings *o, double v) { o->warm_deviations = v; }},
-    {"machines", "idle_keep_share", 0, 100, false,
-     [](fc_operator_settings *o, double v) { o->idle_keep_share = v; }},
+    {"machines", "warm_deviations", 0, 10, false, [](fc_operator_settings *o, double v) { o->warm_deviations = v; }},
+    {"machines", "idle_keep_share", 0, 100, false, [](fc_operator_settings *o, double v) { o->idle_keep_share = v; }},
 };
 
-bool set_entry(const char *table, const toml::key &key, const toml::node &node, fc_operator_settings *out,
-               char *error, size_t size) {
+bool set_entry(const char *table, const toml::key &key, const toml::node &node, fc_operator_settings *out, char *error,
+               size_t size) {
   std::string name(key.str());
   if (std::string(table) == "machines" && name == "rent") {
     if (!node.is_boolean()) {
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -21,10 +21,10 @@
 json_t *fc_term_encode(const fc_term *t) {
   json_t *members = json_array();
   for (size_t i = 0; i < t->count; i++)
-    json_array_append_new(
-        members, json_pack("{ss sI}", "name", t->members[i].name, "boot", (json_int_t)t->members[i].boot));
-  return json_pack("{si sI sI so}", "f", FORMAT, "term", (json_int_t)t->number, "seed", (json_int_t)t->seed,
-                   "members", members);
+    json_array_append_new(members,
+                          json_pack("{ss sI}", "name", t->members[i].name, "boot", (json_int_t)t->members[i].boot));
+  return json_pack("{si sI sI so}", "f", FORMAT, "term", (json_int_t)t->number, "seed", (json_int_t)t->seed, "members",
+                   members);
 }
 
 bool fc_term_decode(const json_t *v, fc_term *out) {
@@ -53,8 +53,8 @@
 }
 
 json_t *fc_machine_record_encode(const fc_machine_record *m) {
-  return json_pack("{si ss ss ss ss* sb}", "f", FORMAT, "type", m->type, "zone", m->zone, "owner", m->owner,
-                   "at", m->endpoint[0] ? m->endpoint : NULL, "spot", (int)m->spot);
+  return json_pack("{si ss ss ss ss* sb}", "f", FORMAT, "type", m->type, "zone", m->zone, "owner", m->owner, "at",
+                   m->endpoint[0] ? m->endpoint : NULL, "spot", (int)m->spot);
 }
 
 bool fc_machine_record_decode(const json_t *v, fc_machine_record *out) {
@@ -71,8 +71,8 @@
 }
 
 json_t *fc_hire_record_encode(const fc_hire_record *h) {
-  return json_pack("{si ss ss ss sb si}", "f", FORMAT, "type", h->type, "zone", h->zone, "owner", h->owner,
-                   "spot", (int)h->spot, "count", (int)h->count);
+  return json_pack("{si ss ss ss sb si}", "f", FORMAT, "type", h->type, "zone", h->zone, "owner", h->owner, "spot",
+                   (int)h->spot, "count", (int)h->count);
 }
 
 bool fc_hire_record_decode(const json_t *v, fc_hire_record *out) {
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -32,13 +32,13 @@
 
 /* The operators' own; every one has a default. */
 typedef struct fc_operator_settings {
-  double round_s;         /* seconds between placing rounds */
-  double handover_wait_s; /* wait beside idle room before a job is handed over */
-  unsigned split_limit;   /* virtual jobs an array may be halved into */
+  double round_s;            /* seconds between placing rounds */
+  double handover_wait_s;    /* wait beside idle room before a job is handed over */
+  unsigned split_limit;      /* virtual jobs an array may be halved into */
   double member_lease_share; /* of the workers' lease */
   double idle_keep_share;    /* idle time before return, of boot time + minimum charge */
   double warm_deviations;    /* room kept for arrivals: standard deviations over a boot */
-  bool rent;              /* rent machines at all */
+  bool rent;                 /* rent machines at all */
 } fc_operator_settings;
 
 typedef struct fc_settings {
--- a/src/protocol/state_api.c
+++ b/src/protocol/state_api.c
@@ -48,15 +48,16 @@
 }
 
 void fc_txn_put_leased(fc_txn *t, const char *key, json_t *value, uint64_t lease) {
-  json_array_append_new(t->writes,
-                        json_pack("{ss so sI}", "set", key, "v", value, "pass", (json_int_t)lease));
+  json_array_append_new(t->writes, json_pack("{ss so sI}", "set", key, "v", value, "pass", (json_int_t)lease));
 }
 
 void fc_txn_delete(fc_txn *t, const char *key) {
   json_array_append_new(t->writes, json_pack("{ss}", "remove", key));
 }
 
-size_t fc_txn_writes(const fc_txn *t) { return json_array_size(t->writes); }
+size_t fc_txn_writes(const fc_txn *t) {
+  return json_array_size(t->writes);
+}
 
 fc_state *fc_state_new(const fc_endpoint *at) {
   fc_state *s = g_new0(fc_state, 1);
@@ -114,8 +115,7 @@
   return fc_reader_ok(&r);
 }
 
-fc_state_result fc_state_commit(fc_state *s, const fc_txn *t, double deadline, uint64_t *revision,
-                                GPtrArray *failed) {
+fc_state_result fc_state_commit(fc_state *s, const fc_txn *t, double deadline, uint64_t *revision, GPtrArray *failed) {
   json_t *body = json_pack("{sO sO}", "when", t->conditions, "then", t->writes);
   json_t *v = NULL;
   fc_state_result result = call(s, "POST", "/commit", body, deadline, &v);
@@ -216,8 +216,7 @@
 
 fc_state_result fc_state_lease_open(fc_state *s, double ttl_s, double deadline, uint64_t *lease) {
   json_t *v = NULL;
-  fc_state_result result =
-      call(s, "POST", "/holds", json_pack("{si}", "lifeMs", (int)(ttl_s * 1000)), deadline, &v);
+  fc_state_result result = call(s, "POST", "/holds", json_pack("{si}", "lifeMs", (int)(ttl_s * 1000)), deadline, &v);
   if (result == FC_STATE_OK) {
     fc_reader r;
     fc_reader_init(&r, v);
--- a/src/protocol/worker.c
+++ b/src/protocol/worker.c
@@ -101,8 +101,8 @@
   g_string_append(out, "\"calls\":[");
   for (size_t i = 0; i < count; i++) {
     const fc_command *c = &commands[i];
-    g_string_append_printf(out, "%s{\"call\":\"%s\",\"run\":\"%s/%u\",\"kickoff\":%" G_GUINT64_FORMAT,
-                           i ? "," : "", k_ops[c->op], c->job, c->index, (guint64)c->attempt);
+    g_string_append_printf(out, "%s{\"call\":\"%s\",\"run\":\"%s/%u\",\"kickoff\":%" G_GUINT64_FORMAT, i ? "," : "",
+                           k_ops[c->op], c->job, c->index, (guint64)c->attempt);
     if (c->op == FC_COMMAND_STOP) {
       char num[G_ASCII_DTOSTR_BUF_SIZE];
       g_string_append_printf(out, ",\"leewayS\":%s", g_ascii_formatd(num, sizeof num, "%.3f", c->grace_s));
@@ -118,8 +118,8 @@
 }
 
 void fc_worker_orders(GString *out, uint64_t token, uint64_t session, const fc_command *commands, size_t count) {
-  g_string_append_printf(out, "{\"captaincy\":%" G_GUINT64_FORMAT ",\"stint\":%" G_GUINT64_FORMAT ",",
-                         (guint64)token, (guint64)session);
+  g_string_append_printf(out, "{\"captaincy\":%" G_GUINT64_FORMAT ",\"stint\":%" G_GUINT64_FORMAT ",", (guint64)token,
+                         (guint64)session);
   append_commands(out, commands, count);
 }
 
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -3,7 +3,6 @@
 #include <math.h>
 #include <string.h>
 
-
 typedef struct slot {
   fc_machine *machine;
   const fc_machine_type *type;
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -37,8 +37,8 @@
   /* Stopping one task of a gang stops them all: too dear for one place. */
   if (p->job->spec.kind == FC_KIND_GANG) return false;
   if (p->job->spec.rank < for_job->spec.rank) return true;
-  return p->job->spec.rank == for_job->spec.rank && p->job->spec.kind == FC_KIND_ARRAY && p->job->team != for_job->team &&
-         within_guarantee(t, u, for_job) && over_guarantee(t, u, p->job->team);
+  return p->job->spec.rank == for_job->spec.rank && p->job->spec.kind == FC_KIND_ARRAY &&
+         p->job->team != for_job->team && within_guarantee(t, u, for_job) && over_guarantee(t, u, p->job->team);
 }
 
 /* Seconds of work that stopping it throws away, saving included. */
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -54,10 +54,16 @@
       p->cpus[pl->job->team] += pl->job->spec.cpus;
       p->gpus[pl->job->team] += pl->job->spec.gpus;
     }
-    if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until || overdue(t, m, now))
+    if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until ||
+        overdue(t, m, now))
       continue;
-    bin b = {.type = m->type, .owner = m->owner, .zone = m->rec.zone, .spot = m->rec.spot,
-             .idle = m->placements->len == 0, .room = fc_machine_room(t, m), .machine = m};
+    bin b = {.type = m->type,
+             .owner = m->owner,
+             .zone = m->rec.zone,
+             .spot = m->rec.spot,
+             .idle = m->placements->len == 0,
+             .room = fc_machine_room(t, m),
+             .machine = m};
     g_array_append_val(p->bins, b);
   }
   /* Requests under way will bring machines too. */
@@ -68,8 +74,12 @@
     if (type < 0) continue;
     const fc_machine_type *mt = t->types->pdata[type];
     for (unsigned i = 0; i < h->count; i++) {
-      bin b = {.type = type, .owner = fc_term_find(&t->term, h->owner), .zone = h->zone, .spot = h->spot,
-               .idle = true, .room = {mt->cpus, mt->gpus, mt->memory_gb}};
+      bin b = {.type = type,
+               .owner = fc_term_find(&t->term, h->owner),
+               .zone = h->zone,
+               .spot = h->spot,
+               .idle = true,
+               .room = {mt->cpus, mt->gpus, mt->memory_gb}};
       g_array_append_val(p->bins, b);
     }
   }
@@ -164,8 +174,7 @@
         if (!fc_job_allows(&j->spec, mt->name, zone, spot) || (!spot && !dear)) continue;
         if (p->refused && p->refused((int)k, zone, spot, p->arg)) continue;
         double price = price_of(mt, spot, &j->spec);
-        if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held)))
-          continue;
+        if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held))) continue;
         best = (bin){.type = (int)k, .owner = owner, .zone = zone, .spot = spot, .rented = true, .room = room};
         best_price = price;
         best_held = held;
@@ -180,7 +189,9 @@
 }
 
 /* A cheap machine, where the job may use one and the cloud has one. */
-static bool rent_cheap(pack *p, spread *s) { return s->job->spec.spot && rent_for(p, s, NULL, -1, false); }
+static bool rent_cheap(pack *p, spread *s) {
+  return s->job->spec.spot && rent_for(p, s, NULL, -1, false);
+}
 
 static bool usable_for_gang(const pack *p, const bin *b, const spread *s, const char *zone, int owner) {
   return (b->owner == owner || b->idle) && bin_fits(p, b, s->job) && (!zone || strcmp(b->zone, zone) == 0);
@@ -242,7 +253,8 @@
   } else {
     for (guint i = 0; i < missing->len; i++) {
       if (!within_limit(p, j)) break;
-      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && !pack_existing(p, &s, true) && !rent_for(p, &s, NULL, -1, true))
+      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && !pack_existing(p, &s, true) &&
+          !rent_for(p, &s, NULL, -1, true))
         break;
     }
   }
@@ -268,8 +280,12 @@
     if (c->kind == FC_KIND_GANG) continue; /* its machines are sized by the job */
     double deviations = t->settings->op.warm_deviations * (c->rank == FC_RANK_PROD ? 2 : 1);
     unsigned n = fc_demand_margin(&t->demand, c, boot + t->settings->op.round_s, deviations, now);
-    fc_job model = {.spec = {.kind = FC_KIND_ARRAY, .tasks = n, .cpus = c->cpus, .gpus = c->gpus,
-                             .memory_gb = c->memory_gb, .spot = c->spot}};
+    fc_job model = {.spec = {.kind = FC_KIND_ARRAY,
+                             .tasks = n,
+                             .cpus = c->cpus,
+                             .gpus = c->gpus,
+                             .memory_gb = c->memory_gb,
+                             .spot = c->spot}};
     spread s = {.job = &model};
     /* Ordinary machines are not kept warm for work that may use cheap ones. */
     for (unsigned k = 0; k < n; k++)
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -187,7 +187,9 @@
   return out;
 }
 
-static bool is_idle(const fc_machine *m) { return m->placements->len == 0; }
+static bool is_idle(const fc_machine *m) {
+  return m->placements->len == 0;
+}
 
 gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b) {
   const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -21,10 +21,10 @@
 
 typedef struct fc_http_response {
   int status;
-  GString *body;       /* JSON unless content_type says otherwise */
-  int retry_after_s;   /* 0: no header */
+  GString *body;     /* JSON unless content_type says otherwise */
+  int retry_after_s; /* 0: no header */
   const char *content_type;
-  const char *allow;   /* with 405 */
+  const char *allow; /* with 405 */
   bool close;
 } fc_http_response;
 
@@ -46,8 +46,8 @@
 typedef struct fc_http_client fc_http_client;
 
 typedef struct fc_http_reply {
-  int status;   /* 0: no answer; the request may or may not have been carried out */
-  bool unsent;  /* no connection: the request was certainly not carried out */
+  int status;  /* 0: no answer; the request may or may not have been carried out */
+  bool unsent; /* no connection: the request was certainly not carried out */
   GString *body;
   int retry_after_s;
 } fc_http_reply;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -142,8 +142,7 @@
     reply->unsent = true;
     return false;
   }
-  answer a = {
-      .body = reply->body, .most_body = c->most_body, .field = g_string_new(NULL), .value = g_string_new(NULL)};
+  answer a = {.body = reply->body, .most_body = c->most_body, .field = g_string_new(NULL), .value = g_string_new(NULL)};
   GString *out = g_string_sized_new(256 + body_len);
   g_string_append_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, c->host);
   if (body) {
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -64,10 +64,18 @@
   return (double)ts.tv_sec + (double)ts.tv_nsec * 1e-9;
 }
 
-struct ev_loop *fc_loop(void) { return g_loop; }
-fc_routine *fc_routine_self(void) { return g_self; }
-bool fc_routine_cancelled(void) { return g_self && g_self->cancelled; }
-size_t fc_routine_count(void) { return g_count; }
+struct ev_loop *fc_loop(void) {
+  return g_loop;
+}
+fc_routine *fc_routine_self(void) {
+  return g_self;
+}
+bool fc_routine_cancelled(void) {
+  return g_self && g_self->cancelled;
+}
+size_t fc_routine_count(void) {
+  return g_count;
+}
 
 static char *stack_take(void) {
   if (g_spare_count > 0) {
@@ -171,7 +179,9 @@
   return true;
 }
 
-void fc_loop_run(void) { ev_run(g_loop, 0); }
+void fc_loop_run(void) {
+  ev_run(g_loop, 0);
+}
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events) {
   (void)loop;
--- a/tests/check.h
+++ b/tests/check.h
@@ -13,9 +13,9 @@
 #include <string.h>
 
 /* Fails with the name of the row of a table. */
-#define check_row(name, cond)                                          \
-  do {                                                                 \
-    if (!(cond)) fail_msg("row '%s': not so: %s", (name), #cond);      \
+#define check_row(name, cond)                                     \
+  do {                                                            \
+    if (!(cond)) fail_msg("row '%s': not so: %s", (name), #cond); \
   } while (0)
 
 #endif
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -98,13 +98,19 @@
 }
 
 static gboolean collect(gpointer key, gpointer value, gpointer data) {
-  struct { uint64_t lease; GPtrArray *out; } *a = data;
+  struct {
+    uint64_t lease;
+    GPtrArray *out;
+  } *a = data;
   if (((entry *)value)->lease == a->lease) g_ptr_array_add(a->out, g_strdup(key));
   return FALSE;
 }
 
 static void end_lease(uint64_t lease) {
-  struct { uint64_t lease; GPtrArray *out; } a = {lease, g_ptr_array_new_with_free_func(g_free)};
+  struct {
+    uint64_t lease;
+    GPtrArray *out;
+  } a = {lease, g_ptr_array_new_with_free_func(g_free)};
   g_tree_foreach(g_keys, collect, &a);
   if (a.out->len) g_revision++;
   for (guint i = 0; i < a.out->len; i++) put(a.out->pdata[i], NULL, 0);
@@ -254,8 +260,7 @@
     l.after = after;
     l.most = page ? strtoul(page, NULL, 10) : 1000;
     g_tree_foreach(g_keys, list_one, &l);
-    answer(r->exchange, 200,
-           json_pack("{so sb sI}", "rows", l.rows, "more", (int)l.more, "round", g_revision));
+    answer(r->exchange, 200, json_pack("{so sb sI}", "rows", l.rows, "more", (int)l.more, "round", g_revision));
     g_free(prefix);
     g_free(after);
     g_free(page);
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -92,10 +92,18 @@
   g_process = NULL;
 }
 
-double sim_now(void) { return g_now; }
-GRand *sim_rand(void) { return g_rand; }
-double sim_draw(double least, double most) { return g_rand_double_range(g_rand, least, most); }
-bool sim_chance(double p) { return g_rand_double(g_rand) < p; }
+double sim_now(void) {
+  return g_now;
+}
+GRand *sim_rand(void) {
+  return g_rand;
+}
+double sim_draw(double least, double most) {
+  return g_rand_double_range(g_rand, least, most);
+}
+bool sim_chance(double p) {
+  return g_rand_double(g_rand) < p;
+}
 
 static void at(double t, sim_fn fn, void *arg) {
   event *e = g_new(event, 1);
@@ -103,7 +111,9 @@
   g_sequence_insert_sorted(g_events, e, by_time, NULL);
 }
 
-void sim_after(double dt, sim_fn fn, void *arg) { at(g_now + dt, fn, arg); }
+void sim_after(double dt, sim_fn fn, void *arg) {
+  at(g_now + dt, fn, arg);
+}
 
 void sim_run_until(double t) {
   while (!g_sequence_is_empty(g_events)) {
@@ -119,8 +129,12 @@
 
 /* ---- routines ---- */
 
-bool fc_loop_init(void) { return true; }
-struct ev_loop *fc_loop(void) { return NULL; }
+bool fc_loop_init(void) {
+  return true;
+}
+struct ev_loop *fc_loop(void) {
+  return NULL;
+}
 void fc_loop_run(void) {}
 double fc_now(void) {
   /* Steady clocks run up to 0.05% fast, each at its own rate. */
@@ -133,10 +147,18 @@
   return local / (1 + drift);
 }
 
-fc_routine *fc_routine_self(void) { return g_self; }
-bool fc_routine_cancelled(void) { return false; }
-size_t fc_routine_count(void) { return g_process ? g_process->routines->len : 0; }
-void fc_routine_cancel(fc_routine *r) { (void)r; }
+fc_routine *fc_routine_self(void) {
+  return g_self;
+}
+bool fc_routine_cancelled(void) {
+  return false;
+}
+size_t fc_routine_count(void) {
+  return g_process ? g_process->routines->len : 0;
+}
+void fc_routine_cancel(fc_routine *r) {
+  (void)r;
+}
 
 static void entry(transfer_t t) {
   g_main = t.fctx;
@@ -193,7 +215,9 @@
   return r;
 }
 
-fc_routine *fc_routine_spawn(fc_routine_fn fn, void *arg) { return spawn_in(g_process, fn, arg); }
+fc_routine *fc_routine_spawn(fc_routine_fn fn, void *arg) {
+  return spawn_in(g_process, fn, arg);
+}
 
 typedef struct timer {
   fc_routine *routine;
@@ -318,7 +342,9 @@
   void *fn_arg;
 } sim_exchange;
 
-static char *place_key(uint32_t ip, uint16_t port) { return g_strdup_printf("%u:%u", ip, port); }
+static char *place_key(uint32_t ip, uint16_t port) {
+  return g_strdup_printf("%u:%u", ip, port);
+}
 
 static void deliver_reply(void *arg) {
   sim_exchange *x = arg;
@@ -361,8 +387,8 @@
   char *path = g_strdup(x->path);
   char *query = strchr(path, '?');
   if (query) *query++ = '\0';
-  fc_http_request req = {.method = x->method, .path = path, .query = query ? query : "", .body = x->body,
-                         .body_len = strlen(x->body)};
+  fc_http_request req = {
+      .method = x->method, .path = path, .query = query ? query : "", .body = x->body, .body_len = strlen(x->body)};
   fc_http_response res = {.status = 500, .body = g_string_new(NULL)};
   s->handler(&req, &res, s->arg);
   x->retry_after_s = res.retry_after_s;
@@ -403,7 +429,7 @@
   if (!sim_chance(g_lose_request)) {
     /* Now and then slow, and now and then so late that the sender has given up
      * long ago: it is carried out all the same. */
-    double k = sim_draw(0, 1);
+    double k = g_lose_request > 0 ? sim_draw(0, 1) : 1; /* a good network */
     double delay = k < 0.006 ? sim_draw(1, 40) : k < 0.016 ? sim_draw(0.1, 0.5) : sim_draw(0.0003, 0.004);
     sim_after(delay, deliver_request, x);
   }
@@ -446,7 +472,9 @@
   return c;
 }
 
-void fc_http_client_free(fc_http_client *c) { g_free(c); }
+void fc_http_client_free(fc_http_client *c) {
+  g_free(c);
+}
 
 bool fc_http_call(fc_http_client *c, const char *method, const char *path, const char *body, size_t body_len,
                   double deadline, fc_http_reply *reply) {
@@ -625,7 +653,9 @@
   return true;
 }
 
-bool fc_conn_stale(fc_conn *c) { return !c->other; }
+bool fc_conn_stale(fc_conn *c) {
+  return !c->other;
+}
 
 void fc_conn_close(fc_conn *c) {
   if (!c || c->closed) return;
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -88,17 +88,25 @@
   return w ? w->zone : -1;
 }
 
-static int node_of(uint32_t ip) { return ip >> 16 == (10u << 8 | 0) ? (int)(ip & 0xff) - 1 : -1; }
+static int node_of(uint32_t ip) {
+  return ip >> 16 == (10u << 8 | 0) ? (int)(ip & 0xff) - 1 : -1;
+}
 
 static bool cut_matches(const cut *c, uint32_t a, uint32_t b) {
   bool a_node = node_of(a) == c->node && c->node >= 0;
   switch (c->kind) {
-    case CUT_ZONES: return zone_of(a) >= 0 && zone_of(b) >= 0 && zone_of(a) != zone_of(b);
-    case CUT_NODE: return a_node;
-    case CUT_NODE_STATE: return a_node && b == WORLD_STATE_IP;
-    case CUT_NODE_PEERS: return a_node && node_of(b) >= 0;
-    case CUT_NODE_WORKERS: return a_node && g_hash_table_contains(g_by_ip, GUINT_TO_POINTER(b));
-    default: return a == c->ip;
+    case CUT_ZONES:
+      return zone_of(a) >= 0 && zone_of(b) >= 0 && zone_of(a) != zone_of(b);
+    case CUT_NODE:
+      return a_node;
+    case CUT_NODE_STATE:
+      return a_node && b == WORLD_STATE_IP;
+    case CUT_NODE_PEERS:
+      return a_node && node_of(b) >= 0;
+    case CUT_NODE_WORKERS:
+      return a_node && g_hash_table_contains(g_by_ip, GUINT_TO_POINTER(b));
+    default:
+      return a == c->ip;
   }
 }
 
@@ -273,7 +281,9 @@
   return s;
 }
 
-static bool alive(const worker *w) { return w->up && !w->gone && sim_now() >= w->hang_until; }
+static bool alive(const worker *w) {
+  return w->up && !w->gone && sim_now() >= w->hang_until;
+}
 
 static void check_lease(worker *w) {
   if (sim_now() <= w->last_ok + LEASE_S) return;
@@ -303,8 +313,10 @@
     const char *name = json_string_value(json_object_get(v, "coach"));
     int n = atoi(name + strlen("paddock-"));
     w->next_report = sim_now() + (n == w->node ? 1 : sim_draw(0, 0.5));
-    if (n == w->node) w->node = (w->node + 1) % WORLD_NODES;
-    else w->node = n;
+    if (n == w->node)
+      w->node = (w->node + 1) % WORLD_NODES;
+    else
+      w->node = n;
   } else {
     w->node = (w->node + 1) % WORLD_NODES;
     w->next_report = sim_now() + 1;
@@ -395,8 +407,7 @@
   } else if (t->state == T_RUNNING && strcmp(j->kind, "sweep") == 0 && now >= t->until) {
     finish(w, t);
   }
-  if (t->job && t->state != T_EXITED && t->state != T_FETCHING && j->told_cancelled &&
-      now > j->cancelled_at + CANCEL_S)
+  if (t->job && t->state != T_EXITED && t->state != T_FETCHING && j->told_cancelled && now > j->cancelled_at + CANCEL_S)
     world_broke("ran_cancelled", j->id);
 }
 
@@ -508,9 +519,9 @@
     for (guint i = 0; i < g_order->len; i++) {
       const worker *w = g_order->pdata[i];
       if (w->gone || sim_now() < w->born + 10) continue; /* the list is late */
-      json_array_append_new(list, json_pack("{ss ss ss sb ss sf}", "id", w->id, "build", "g4", "ground",
-                                            k_zones[w->zone], "loaners", (int)w->spot, "status",
-                                            w->up ? "running" : "starting", "ageS", sim_now() - w->born));
+      json_array_append_new(
+          list, json_pack("{ss ss ss sb ss sf}", "id", w->id, "build", "g4", "ground", k_zones[w->zone], "loaners",
+                          (int)w->spot, "status", w->up ? "running" : "starting", "ageS", sim_now() - w->born));
     }
     json_t *v = json_pack("{so sb}", "paddocks", list, "more", 0);
     char *s = json_dumps(v, JSON_COMPACT);
@@ -522,7 +533,9 @@
 
 /* ---- users ---- */
 
-static int any_node(void) { return g_rand_int_range(sim_rand(), 0, WORLD_NODES); }
+static int any_node(void) {
+  return g_rand_int_range(sim_rand(), 0, WORLD_NODES);
+}
 
 static void user_poll(void *arg);
 static void user_cancel(void *arg);
@@ -653,7 +666,8 @@
   j->kind = k < 0.45 ? "sweep" : k < 0.75 ? "service" : "gang";
   j->rank = strcmp(j->kind, "service") == 0 ? "prod" : strcmp(j->kind, "gang") == 0 ? "high" : "standard";
   j->team = sim_chance(0.5) ? "red" : "blue";
-  j->tasks = strcmp(j->kind, "sweep") == 0 ? 1 + (unsigned)(sim_draw(0, 1) * sim_draw(0, 10)) : 1 + (unsigned)sim_draw(0, 3);
+  j->tasks =
+      strcmp(j->kind, "sweep") == 0 ? 1 + (unsigned)(sim_draw(0, 1) * sim_draw(0, 10)) : 1 + (unsigned)sim_draw(0, 3);
   j->gpus = strcmp(j->kind, "gang") == 0 && sim_chance(0.3) ? 4 : 1;
   j->cpus = j->gpus * sim_draw(2, 9);
   j->run_s = sim_draw(3, 25);
@@ -663,8 +677,10 @@
   j->done = g_new0(bool, j->tasks);
   j->submit_at = sim_draw(0, busy_s);
   /* Services are cancelled in the end, others now and then. */
-  if (strcmp(j->kind, "service") == 0) j->cancel_at = sim_draw(20, 100);
-  else if (sim_chance(0.1)) j->cancel_at = sim_draw(0, 40);
+  if (strcmp(j->kind, "service") == 0)
+    j->cancel_at = sim_draw(20, 100);
+  else if (sim_chance(0.1))
+    j->cancel_at = sim_draw(0, 40);
   char *s = g_strdup_printf(
       "{\"id\":\"%s\",\"squad\":\"%s\",\"club\":\"%s\",\"play\":\"%s\",\"rank\":\"%s\",\"runs\":%u,\"cpus\":%f,"
       "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":null,\"ground\":null,\"samePlace\":%s,"
@@ -787,7 +803,7 @@
   fc_operator_defaults(&s->op);
 }
 
-world_result world_play(uint32_t seed, double busy_s, double quiet_s) {
+void world_set_up(uint32_t seed, double lose) {
   g_verbose = g_getenv("WORLD_VERBOSE") != NULL;
   memset(&g_result, 0, sizeof g_result);
   memset(g_refuse_until, 0, sizeof g_refuse_until);
@@ -799,13 +815,23 @@
   g_cuts = g_array_new(FALSE, FALSE, sizeof(cut));
   g_next_machine = g_next_ip = 0;
   sim_init(seed);
-  sim_set_links(link_now, 0.002, 0.002);
+  sim_set_links(link_now, lose, lose);
   state_init();
   sim_serve(WORLD_CLOUD_IP, cloud_serve, NULL);
-  for (int n = 0; n < WORLD_NODES; n++) {
-    settings_of(n);
-    sim_after(sim_draw(0, 0.3), node_boot, &g_settings[n]);
-  }
+  for (int n = 0; n < WORLD_NODES; n++) settings_of(n);
+}
+
+void world_start_nodes(void) {
+  for (int n = 0; n < WORLD_NODES; n++) sim_after(sim_draw(0, 0.3), node_boot, &g_settings[n]);
+}
+
+unsigned world_machines(void) {
+  return g_order->len;
+}
+
+world_result world_play(uint32_t seed, double busy_s, double quiet_s) {
+  world_set_up(seed, 0.002);
+  world_start_nodes();
   for (int i = 0; i < 3; i++) (void)worker_new(i % 2, false, 0);
   for (unsigned i = 1; i <= (unsigned)(busy_s / 8); i++) job_new(i, busy_s);
   ask_unknown(NULL);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -21,6 +21,11 @@
 /* Plays one day with the faults that the seed draws. */
 world_result world_play(uint32_t seed, double busy_s, double quiet_s);
 
+/* For tests that play their own scene: the stand-ins, then the controllers. */
+void world_set_up(uint32_t seed, double lose);
+void world_start_nodes(void);
+unsigned world_machines(void); /* rented ever */
+
 /* Within the stand-ins. */
 void state_init(void);
 void state_down(bool down);
--- /dev/null
+++ b/tests/test_answers.c
@@ -0,0 +1,143 @@
+/* What users, and a taker-over, get from whole controllers; over the simulated
+ * transport, so that "at once" can be measured. */
+#include "check.h"
+
+#include <stdlib.h>
+
+#include "sim/world.h"
+
+typedef struct reply {
+  int status;
+  char body[400];
+  double at;
+  bool came;
+} reply;
+
+static void on_reply(int status, const char *body, void *arg) {
+  reply *r = arg;
+  r->status = status;
+  g_strlcpy(r->body, body, sizeof r->body);
+  r->at = sim_now();
+  r->came = true;
+}
+
+static reply call_to(uint32_t ip, const char *method, const char *path, const char *body) {
+  static reply r; /* outlives a call that is given up */
+  memset(&r, 0, sizeof r);
+  double sent = sim_now();
+  sim_call(WORLD_USER_IP, ip, method, path, body, 8, on_reply, &r);
+  while (!r.came) sim_run_until(sim_now() + 0.01);
+  r.at -= sent;
+  return r;
+}
+
+#define JOB(id, team, gpus)                                                  \
+  "{\"id\":\"" id "\",\"squad\":\"c\",\"club\":\"" team                      \
+  "\",\"play\":\"sweep\",\"rank\":\"standard\",\"runs\":2,"                  \
+  "\"cpus\":1,\"gpus\":" gpus                                                \
+  ",\"memGb\":1,\"kit\":\"i\",\"pullGb\":1,\"builds\":null,\"ground\":null," \
+  "\"samePlace\":false,\"scatter\":false,\"loaners\":true,\"expectS\":1,\"markS\":0,\"stowS\":0,\"whistleS\":null}"
+
+static const char k_job[] = JOB("job-000001", "red", "1");
+
+static void users_get(void **state) {
+  (void)state;
+  world_set_up(1, 0);
+  world_start_nodes();
+  sim_run_until(sim_now() + 5);
+  static const struct {
+    const char *name, *method, *path, *body;
+    int node, status;
+    const char *says;
+  } rows[] = {
+      {"a new job", "POST", "/api/jobs", k_job, 0, 201, "pending"},
+      {"the same to another controller", "POST", "/api/jobs", k_job, 1, 200, "\"id\":\"job-000001\""},
+      {"known, with another body", "POST", "/api/jobs", JOB("job-000001", "none", "99"), 2, 200, "job-000001"},
+      {"known, malformed otherwise", "POST", "/api/jobs", "{\"id\":\"job-000001\"}", 2, 200, "job-000001"},
+      {"unknown team", "POST", "/api/jobs", JOB("job-000002", "none", "1"), 0, 422, "team"},
+      {"fits no machine", "POST", "/api/jobs", JOB("job-000003", "red", "5"), 0, 422, "machine"},
+      {"malformed", "POST", "/api/jobs", "{\"id\":\"job-000004\"}", 0, 400, "squad"},
+      {"not JSON", "POST", "/api/jobs", "hello", 0, 400, "JSON"},
+      {"nobody's job", "GET", "/api/jobs/job-999999", "", 1, 404, ""},
+      {"refused jobs are nobody's", "GET", "/api/jobs/job-000002", "", 1, 404, ""},
+      {"asked at once elsewhere", "GET", "/api/jobs/job-000001", "", 2, 200, "\"done\":"},
+      {"no such path", "GET", "/api/job", "", 0, 404, ""},
+      {"wrong method", "PUT", "/api/jobs", "", 0, 405, ""},
+      {"cancelled", "POST", "/api/jobs/job-000001/withdraw", "", 1, 200, "cancelled"},
+      {"cancelled again", "POST", "/api/jobs/job-000001/withdraw", "", 2, 200, "cancelled"},
+      {"stays cancelled", "GET", "/api/jobs/job-000001", "", 0, 200, "cancelled"},
+      {"submitted again after the end", "POST", "/api/jobs", k_job, 0, 200, "cancelled"},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    reply r = call_to(WORLD_NODE_IP(rows[i].node), rows[i].method, rows[i].path, rows[i].body);
+    if (r.status != rows[i].status) print_message("row '%s': %d %s\n", rows[i].name, r.status, r.body);
+    check_row(rows[i].name, r.status == rows[i].status && strstr(r.body, rows[i].says));
+    check_row(rows[i].name, r.at < 1);
+  }
+}
+
+/* Without the state service: final answers go on, everything that would be a
+ * guess is refused, and nothing is held until the user gives up. */
+static void users_get_in_an_outage(void **state) {
+  (void)state;
+  world_set_up(2, 0);
+  world_start_nodes();
+  sim_run_until(sim_now() + 5);
+  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", k_job).status, 201);
+  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs/job-000001/withdraw", "").status, 200);
+  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", JOB("job-000002", "red", "1")).status, 201);
+  assert_int_equal(call_to(WORLD_NODE_IP(1), "GET", "/api/jobs/job-000002", "").status, 200);
+  assert_int_equal(call_to(WORLD_NODE_IP(1), "GET", "/api/jobs/job-000001", "").status, 200);
+  state_down(true);
+  sim_run_until(sim_now() + 6);
+  static const struct {
+    const char *name, *method, *path, *body;
+    int status;
+  } rows[] = {
+      {"a final state, from any that knows it", "GET", "/api/jobs/job-000001", "", 200},
+      {"one that may have changed", "GET", "/api/jobs/job-000002", "", 503},
+      {"one that may exist by now", "GET", "/api/jobs/job-000003", "", 503},
+      {"a new job", "POST", "/api/jobs", JOB("job-000003", "red", "1"), 503},
+      {"a cancellation", "POST", "/api/jobs/job-000002/withdraw", "", 503},
+      {"health: nobody reaches the state service", "GET", "/ready", "", 200},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    reply r = call_to(WORLD_NODE_IP(1), rows[i].method, rows[i].path, rows[i].body);
+    if (r.status != rows[i].status) print_message("row '%s': %d %s\n", rows[i].name, r.status, r.body);
+    check_row(rows[i].name, r.status == rows[i].status);
+    check_row(rows[i].name, r.at <= 2.1); /* a user waits 2 s for a poll, 5 s for the rest */
+  }
+}
+
+/* An intent that a dead controller left is carried out under the same name, so
+ * that its machines are learned of and not rented twice. */
+static void an_intent_is_taken_over(void **state) {
+  (void)state;
+  world_set_up(3, 0);
+  const char *hire = "{\"hire\":\"r-9-1\",\"build\":\"g4\",\"ground\":\"a\",\"loaners\":false,\"count\":2}";
+  assert_int_equal(call_to(WORLD_CLOUD_IP, "POST", "/hosts", hire).status, 200);
+  assert_int_equal(world_machines(), 2);
+  const char *intent =
+      "{\"when\":[],\"then\":[{\"set\":\"fc1/hire/r-9-1\",\"v\":{\"f\":1,\"type\":\"g4\",\"zone\":\"a\","
+      "\"owner\":\"*\",\"spot\":false,\"count\":2}}]}";
+  assert_int_equal(call_to(WORLD_STATE_IP, "POST", "/commit", intent).status, 200);
+  world_start_nodes();
+  sim_run_until(sim_now() + 12);
+  assert_int_equal(world_machines(), 2);
+  reply left = call_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/hire/&page=10", "");
+  assert_non_null(strstr(left.body, "\"rows\":[]"));
+  reply known = call_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/machine/&page=10", "");
+  assert_non_null(strstr(known.body, "fc1/machine/vm-000000"));
+  assert_non_null(strstr(known.body, "fc1/machine/vm-000001"));
+}
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void) {
+  return "detect_leaks=0";
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(users_get), cmocka_unit_test(users_get_in_an_outage),
+                                     cmocka_unit_test(an_intent_is_taken_over)};
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_coordination.c
+++ b/tests/test_coordination.c
@@ -135,8 +135,10 @@
     fc_demand demand;
     double expect;
   } steps[] = {
-      {"gives back what it does not need", 10, 20, {5, 3}, 8}, {"never below its use", 10, 20, {20, 0}, 20},
-      {"takes only what is left", 20, 5, {5, 50}, 10},          {"keeps what it has when all is taken", 30, 5, {2, 50}, 5},
+      {"gives back what it does not need", 10, 20, {5, 3}, 8},
+      {"never below its use", 10, 20, {20, 0}, 20},
+      {"takes only what is left", 20, 5, {5, 50}, 10},
+      {"keeps what it has when all is taken", 30, 5, {2, 50}, 5},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
     check_row(steps[i].name, fc_quota_adjust(30, steps[i].others, steps[i].own, &steps[i].demand) == steps[i].expect);
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -13,9 +13,11 @@
   unsigned unfinished = 0, starts = 0;
   for (uint32_t seed = first; seed < first + count; seed++) {
     world_result r = world_play(seed, 240, 220);
-    print_message("seed %u: %u faults, %u crashes, %u starts, %u lease kills; %u jobs: %u accepted, %u done, %u "
-                  "cancelled, %u open\n", seed, r.faults, r.crashes, r.starts, r.lease_kills, r.submitted, r.accepted,
-                  r.finished, r.cancelled, r.unfinished);
+    print_message(
+        "seed %u: %u faults, %u crashes, %u starts, %u lease kills; %u jobs: %u accepted, %u done, %u "
+        "cancelled, %u open\n",
+        seed, r.faults, r.crashes, r.starts, r.lease_kills, r.submitted, r.accepted, r.finished, r.cancelled,
+        r.unfinished);
     if (r.broken) fail_msg("seed %u broke %u rules, first at %s", seed, r.broken, r.first);
     assert_int_equal(r.accepted, r.submitted);
     unfinished += r.unfinished;
@@ -28,7 +30,9 @@
 
 /* Simulated processes die without freeing anything: that is their nature here. */
 const char *__asan_default_options(void);
-const char *__asan_default_options(void) { return "detect_leaks=0"; }
+const char *__asan_default_options(void) {
+  return "detect_leaks=0";
+}
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(days_with_faults)};
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -119,10 +119,14 @@
     bool good;
     const char *again;
   } rows[] = {
-      {"", true, ""},          {"0", true, "0"},           {"0-9", true, "0-9"}, {"1,2,3", true, "1-3"},
-      {"0-3,7", true, "0-3,7"}, {"9,1", true, "1,9"},       {"10", false, NULL},  {"0-10", false, NULL},
-      {"3-1", false, NULL},    {"1,", false, NULL},        {"-1", false, NULL},  {"1-", false, NULL},
-      {"a", false, NULL},      {"99999999999", false, NULL}, {"1 2", false, NULL},
+      {"", true, ""},           {"0", true, "0"},
+      {"0-9", true, "0-9"},     {"1,2,3", true, "1-3"},
+      {"0-3,7", true, "0-3,7"}, {"9,1", true, "1,9"},
+      {"10", false, NULL},      {"0-10", false, NULL},
+      {"3-1", false, NULL},     {"1,", false, NULL},
+      {"-1", false, NULL},      {"1-", false, NULL},
+      {"a", false, NULL},       {"99999999999", false, NULL},
+      {"1 2", false, NULL},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     uint8_t bits[2] = {0, 0};
@@ -246,9 +250,14 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(submissions),    cmocka_unit_test(deep_json_is_refused), cmocka_unit_test(job_records_round_trip),
-      cmocka_unit_test(ranges),         cmocka_unit_test(worker_reports),       cmocka_unit_test(frames),
-      cmocka_unit_test(terms_round_trip), cmocka_unit_test(routes),
+      cmocka_unit_test(submissions),
+      cmocka_unit_test(deep_json_is_refused),
+      cmocka_unit_test(job_records_round_trip),
+      cmocka_unit_test(ranges),
+      cmocka_unit_test(worker_reports),
+      cmocka_unit_test(frames),
+      cmocka_unit_test(terms_round_trip),
+      cmocka_unit_test(routes),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -114,33 +114,60 @@
     const char *name;
     int what;
   } rows[] = {
-      {"machine to be returned", CLOSED},     {"machine not fenced in this term", UNSETTLED},
-      {"another controller's machine", NOT_OURS}, {"machine silent for half a lease", SILENT},
-      {"machine about to be taken", NOTICE},  {"machine whose address is not recorded", UNRECORDED},
-      {"job that may run somewhere", UNCLEAR}, {"team at its share", OVER_LIMIT},
-      {"spot machine not allowed", SPOT},     {"task that is on a machine", RUNNING},
-      {"cancelled job", CANCELLED},           {"control: it is placed", NONE},
+      {"machine to be returned", CLOSED},
+      {"machine not fenced in this term", UNSETTLED},
+      {"another controller's machine", NOT_OURS},
+      {"machine silent for half a lease", SILENT},
+      {"machine about to be taken", NOTICE},
+      {"machine whose address is not recorded", UNRECORDED},
+      {"job that may run somewhere", UNCLEAR},
+      {"team at its share", OVER_LIMIT},
+      {"spot machine not allowed", SPOT},
+      {"task that is on a machine", RUNNING},
+      {"cancelled job", CANCELLED},
+      {"control: it is placed", NONE},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     fc_settings s = world_settings();
     fc_table *t = world_table(&s);
     fc_machine *m = world_machine(t, "vm-1", "a", rows[i].what == SPOT);
-    fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 1, 1,
-                          rows[i].what == SPOT ? "\"loaners\":false" : "");
+    fc_job *j =
+        world_job(t, "job-000001", "sweep", "standard", "red", 1, 1, rows[i].what == SPOT ? "\"loaners\":false" : "");
     fc_allowance a = unlimited();
     double now = 1;
     switch (rows[i].what) {
-      case CLOSED: m->closed = true; break;
-      case UNSETTLED: m->settled_term = 0; break;
-      case NOT_OURS: m->owner = -1; break;
-      case SILENT: now = 8; break;
-      case NOTICE: m->notice_until = 100; break;
-      case UNRECORDED: m->announced = false; break;
-      case UNCLEAR: j->clear = 0; break;
-      case OVER_LIMIT: a.gpus[0] = 0.5; break;
-      case RUNNING: fc_table_place(t, m, j->spec.id, 0, 1, 0)->state = FC_TASK_FETCHING; break;
-      case CANCELLED: j->phase = FC_PHASE_CANCELLED; break;
-      default: break;
+      case CLOSED:
+        m->closed = true;
+        break;
+      case UNSETTLED:
+        m->settled_term = 0;
+        break;
+      case NOT_OURS:
+        m->owner = -1;
+        break;
+      case SILENT:
+        now = 8;
+        break;
+      case NOTICE:
+        m->notice_until = 100;
+        break;
+      case UNRECORDED:
+        m->announced = false;
+        break;
+      case UNCLEAR:
+        j->clear = 0;
+        break;
+      case OVER_LIMIT:
+        a.gpus[0] = 0.5;
+        break;
+      case RUNNING:
+        fc_table_place(t, m, j->spec.id, 0, 1, 0)->state = FC_TASK_FETCHING;
+        break;
+      case CANCELLED:
+        j->phase = FC_PHASE_CANCELLED;
+        break;
+      default:
+        break;
     }
     GArray *plan = fc_place_round(t, &a, now);
     check_row(rows[i].name, (plan->len == 1) == (rows[i].what == NONE));
@@ -374,9 +401,12 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(rank_then_lowest_share), cmocka_unit_test(image_first_then_roomiest),
-      cmocka_unit_test(zones_types_kinds),      cmocka_unit_test(never_placed),
-      cmocka_unit_test(renting),                cmocka_unit_test(a_new_term),
+      cmocka_unit_test(rank_then_lowest_share),
+      cmocka_unit_test(image_first_then_roomiest),
+      cmocka_unit_test(zones_types_kinds),
+      cmocka_unit_test(never_placed),
+      cmocka_unit_test(renting),
+      cmocka_unit_test(a_new_term),
       cmocka_unit_test(what_has_to_be_settled),
       cmocka_unit_test(preemption),
       cmocka_unit_test(lending_to_gangs),
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -52,7 +52,9 @@
   return status;
 }
 
-static bool says(const GString *out, const char *what) { return strstr(out->str, what) != NULL; }
+static bool says(const GString *out, const char *what) {
+  return strstr(out->str, what) != NULL;
+}
 
 #define RUNNING(n) "{\"run\":\"job-000001/" #n "\",\"kickoff\":1,\"status\":\"running\"}"
 #define EXITED(n, why) "{\"run\":\"job-000001/" #n "\",\"kickoff\":1,\"status\":\"exited\",\"cause\":\"" why "\"}"
@@ -133,8 +135,10 @@
     int status;
     unsigned left; /* placements afterwards; before: one running, told of with (2, 10) */
   } rows[] = {
-      {"newer, still there", 2, 11, RUNNING(0), 200, 1}, {"newer, gone", 2, 11, "", 200, 0},
-      {"older of this session is not adopted", 2, 9, "", 200, 1}, {"older session", 1, 99, "", 503, 1},
+      {"newer, still there", 2, 11, RUNNING(0), 200, 1},
+      {"newer, gone", 2, 11, "", 200, 0},
+      {"older of this session is not adopted", 2, 9, "", 200, 1},
+      {"older session", 1, 99, "", 503, 1},
       {"new session", 3, 1, "", 200, 0},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -214,9 +218,12 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(who_is_answered),         cmocka_unit_test(a_worker_that_comes_back_from_its_owner_is_kept),
-      cmocka_unit_test(fenced_before_commanded), cmocka_unit_test(reports_in_order),
-      cmocka_unit_test(starts),                  cmocka_unit_test(clearing),
+      cmocka_unit_test(who_is_answered),
+      cmocka_unit_test(a_worker_that_comes_back_from_its_owner_is_kept),
+      cmocka_unit_test(fenced_before_commanded),
+      cmocka_unit_test(reports_in_order),
+      cmocka_unit_test(starts),
+      cmocka_unit_test(clearing),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -24,8 +24,14 @@
 static inline fc_table *world_table(const fc_settings *s) {
   fc_table *t = fc_table_new(s);
   fc_machine_type *mt = g_new0(fc_machine_type, 1);
-  *mt = (fc_machine_type){.name = g_strdup("g4"), .cpus = 40, .gpus = 4, .memory_gb = 400, .price = 10,
-                          .spot_price = 3, .boot_s = 60, .fetch_gb_per_s = 0.5};
+  *mt = (fc_machine_type){.name = g_strdup("g4"),
+                          .cpus = 40,
+                          .gpus = 4,
+                          .memory_gb = 400,
+                          .price = 10,
+                          .spot_price = 3,
+                          .boot_s = 60,
+                          .fetch_gb_per_s = 0.5};
   mt->zones = g_strsplit("a b", " ", -1);
   g_ptr_array_add(t->types, mt);
   fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}}, .count = 1};
