--- a/src/protocol/cloud_api.c
+++ b/src/protocol/cloud_api.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "protocol/json.h"
-#include "transport/http.h"
+#include "protocol/json_call.h"
 
 #define REPLY_MOST (1024u * 1024u)
 #define NAME_MOST 63u
@@ -28,34 +28,22 @@
 
 static fc_cloud_result call(fc_cloud *c, const char *method, const char *path, json_t *body, double deadline,
                             json_t **out) {
-  *out = NULL;
-  GString *text = NULL;
-  if (body) {
-    text = g_string_new(NULL);
-    fc_json_append(text, body);
-  }
-  fc_http_reply reply;
-  bool answered = fc_http_call(c->http, method, path, text ? text->str : NULL, text ? text->len : 0, deadline, &reply);
-  if (text) g_string_free(text, TRUE);
+  fc_json_reply r = fc_json_call(c->http, method, path, body, deadline);
   fc_cloud_result result = FC_CLOUD_REFUSED;
-  if (!answered) {
-    result = reply.unsent ? FC_CLOUD_DOWN : FC_CLOUD_UNKNOWN;
-  } else if (reply.status == 200) {
-    result = FC_CLOUD_OK;
-    *out = reply.body->len ? fc_json_parse(reply.body->str, reply.body->len) : json_object();
-    if (!json_is_object(*out)) {
-      json_decref(*out);
-      *out = NULL;
-      result = FC_CLOUD_UNKNOWN;
-    }
-  } else if (reply.status == 429) {
+  *out = NULL;
+  if (r.status == 0) {
+    result = r.unsent ? FC_CLOUD_DOWN : FC_CLOUD_UNKNOWN;
+  } else if (r.status == 200) {
+    result = r.object ? FC_CLOUD_OK : FC_CLOUD_UNKNOWN;
+    *out = json_incref(r.object);
+  } else if (r.status == 429) {
     result = FC_CLOUD_BUSY;
-  } else if (reply.status == 503) {
-    result = strstr(reply.body->str, "no capacity") ? FC_CLOUD_NO_CAPACITY : FC_CLOUD_DOWN;
-  } else if (reply.status >= 500) {
+  } else if (r.status == 503) {
+    result = strstr(r.text->str, "no capacity") ? FC_CLOUD_NO_CAPACITY : FC_CLOUD_DOWN;
+  } else if (r.status >= 500) {
     result = FC_CLOUD_UNKNOWN;
   }
-  fc_http_reply_clear(&reply);
+  fc_json_reply_clear(&r);
   return result;
 }
 
--- a/src/protocol/state_api.c
+++ b/src/protocol/state_api.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "protocol/json.h"
-#include "transport/http.h"
+#include "protocol/json_call.h"
 
 #define COUNT_MOST ((uint64_t)INT64_MAX)
 #define REPLY_MOST (8u * 1024u * 1024u)
@@ -74,37 +74,25 @@
 /* Makes the call; on OK or CONFLICT *out holds the parsed answer. */
 static fc_state_result call(fc_state *s, const char *method, const char *path, json_t *body, double deadline,
                             json_t **out) {
-  *out = NULL;
-  GString *text = NULL;
-  if (body) {
-    text = g_string_new(NULL);
-    fc_json_append(text, body);
-  }
-  fc_http_reply reply;
-  bool answered = fc_http_call(s->http, method, path, text ? text->str : NULL, text ? text->len : 0, deadline, &reply);
-  if (text) g_string_free(text, TRUE);
+  fc_json_reply r = fc_json_call(s->http, method, path, body, deadline);
   fc_state_result result = FC_STATE_REFUSED;
-  if (!answered) {
-    result = reply.unsent ? FC_STATE_DOWN : FC_STATE_UNKNOWN;
-  } else if (reply.status == 200 || reply.status == 409) {
-    result = reply.status == 200 ? FC_STATE_OK : FC_STATE_CONFLICT;
-    *out = reply.body->len ? fc_json_parse(reply.body->str, reply.body->len) : json_object();
+  *out = NULL;
+  if (r.status == 0) {
+    result = r.unsent ? FC_STATE_DOWN : FC_STATE_UNKNOWN;
+  } else if (r.status == 200 || r.status == 409) {
     /* An answer we cannot read says nothing about what was done. */
-    if (!json_is_object(*out)) {
-      json_decref(*out);
-      *out = NULL;
-      result = FC_STATE_UNKNOWN;
-    }
-  } else if (reply.status == 404 || reply.status == 410) {
+    result = !r.object ? FC_STATE_UNKNOWN : r.status == 200 ? FC_STATE_OK : FC_STATE_CONFLICT;
+    *out = json_incref(r.object);
+  } else if (r.status == 404 || r.status == 410) {
     result = FC_STATE_GONE;
-  } else if (reply.status == 429) {
+  } else if (r.status == 429) {
     result = FC_STATE_BUSY;
-  } else if (reply.status == 503) {
+  } else if (r.status == 503) {
     result = FC_STATE_DOWN;
-  } else if (reply.status >= 500) {
+  } else if (r.status >= 500) {
     result = FC_STATE_UNKNOWN;
   }
-  fc_http_reply_clear(&reply);
+  fc_json_reply_clear(&r);
   return result;
 }
 
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -39,6 +39,42 @@
          fc_job_owned(t, j, t->self);
 }
 
+gint fc_job_by_importance(gconstpointer a, gconstpointer b) {
+  const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
+  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
+  return x->serial < y->serial ? -1 : x->serial > y->serial;
+}
+
+GPtrArray *fc_jobs_open(const fc_table *t) {
+  GPtrArray *out = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    if (j->phase == FC_PHASE_ACCEPTED && j->team >= 0 && j->done_count < j->spec.tasks) g_ptr_array_add(out, j);
+  }
+  g_ptr_array_sort(out, fc_job_by_importance);
+  return out;
+}
+
+/* The rules, given how many tasks are in the zone and in all. */
+static bool zone_rules(const fc_job_spec *s, unsigned here, unsigned all) {
+  if (s->one_zone && all != here) return false;
+  return !s->spread || here + 1 <= (s->tasks + 1) / 2;
+}
+
+bool fc_job_zone_open(const fc_job *j, const char *zone) {
+  unsigned here = 0, all = 0;
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (!fc_placement_live(p)) continue;
+    all++;
+    here += strcmp(p->machine->rec.zone, zone) == 0;
+  }
+  return zone_rules(&j->spec, here, all);
+}
+
 GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most) {
   GArray *out = g_array_new(FALSE, FALSE, sizeof(uint32_t));
   size_t bytes = (j->spec.tasks + 7) / 8;
@@ -85,10 +121,7 @@
 }
 
 static bool zone_allowed(const round_state *rs, const fc_job *j, const char *zone) {
-  const fc_job_spec *s = &j->spec;
-  if (s->one_zone && live_in_zone(j, NULL, rs->out) != live_in_zone(j, zone, rs->out)) return false;
-  if (s->spread && live_in_zone(j, zone, rs->out) + 1 > (s->tasks + 1) / 2) return false;
-  return true;
+  return zone_rules(&j->spec, live_in_zone(j, zone, rs->out), live_in_zone(j, NULL, rs->out));
 }
 
 /* Image holder first, else the roomiest in the allowed zones. */
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -21,6 +21,12 @@
 bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now);
 /* Jobs of this part that want tasks started now. */
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now);
+/* May another task of the job start in the zone, by the job's rules about zones
+ * and all its tasks that may be anywhere? */
+bool fc_job_zone_open(const fc_job *j, const char *zone);
+/* Accepted jobs with tasks left, most important first, then first come. */
+GPtrArray *fc_jobs_open(const fc_table *t);
+gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Tasks of the job that are neither finished nor anywhere, of the slices that
  * belong to `member` (-1: of all); caps the list. */
 GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most);
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -89,18 +89,6 @@
   return all;
 }
 
-static bool zone_allowed(const fc_job *j, const char *zone) {
-  unsigned all = 0, here = 0;
-  for (guint i = 0; i < j->placements->len; i++) {
-    const fc_placement *p = j->placements->pdata[i];
-    if (!fc_placement_live(p)) continue;
-    all++;
-    here += strcmp(p->machine->rec.zone, zone) == 0;
-  }
-  if (j->spec.one_zone && all != here) return false;
-  return !j->spec.spread || here + 1 <= (j->spec.tasks + 1) / 2;
-}
-
 /* Finds a place for one task: room that is being freed already, or the cheapest
  * victims, which are added to `out`. */
 static bool make_room(const fc_table *t, const usage *u, GArray *hosts, const fc_job *j, double now, GPtrArray *out) {
@@ -110,7 +98,7 @@
   for (guint i = 0; i < hosts->len; i++) {
     host *h = &g_array_index(hosts, host, i);
     const fc_machine *m = h->machine;
-    if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot) || !zone_allowed(j, m->rec.zone)) continue;
+    if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot) || !fc_job_zone_open(j, m->rec.zone)) continue;
     if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) continue;
     double total;
     GArray *set = victims_on(t, u, h, j, now, &total);
@@ -184,21 +172,13 @@
   GPtrArray *out = g_ptr_array_new();
   usage u = {{0}, {0}};
   GArray *hosts = gather_hosts(t, &u, now);
-  GPtrArray *jobs = g_ptr_array_new();
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init(&it, t->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    fc_job *j = value;
-    if (j->spec.kind == FC_KIND_GANG || !fc_job_placeable(t, j, now) || j->handing) continue;
-    /* Idle room elsewhere is cheaper: give the hand-over time to find it. */
-    if (now < j->seen_at + t->settings->op.handover_wait_s + t->settings->op.round_s * 0.5) continue;
-    g_ptr_array_add(jobs, j);
-  }
-  g_ptr_array_sort(jobs, fc_job_by_importance);
+  GPtrArray *jobs = fc_jobs_open(t);
   fc_allowance left = *allow;
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
+    if (j->spec.kind == FC_KIND_GANG || !fc_job_placeable(t, j, now) || j->handing) continue;
+    /* Idle room elsewhere is cheaper: give the hand-over time to find it. */
+    if (now < j->seen_at + t->settings->op.handover_wait_s + t->settings->op.round_s * 0.5) continue;
     GArray *missing = fc_job_missing(t, j, t->self, 64);
     for (guint k = 0; k < missing->len; k++) {
       if (!(j->clear >> fc_job_slice_of(j, g_array_index(missing, uint32_t, k)) & 1)) continue;
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -261,12 +261,6 @@
   g_array_free(missing, TRUE);
 }
 
-gint fc_job_by_importance(gconstpointer a, gconstpointer b) {
-  const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
-  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
-  return x->serial < y->serial ? -1 : x->serial > y->serial;
-}
-
 /* Room for what may arrive, beyond the average, while a machine boots. */
 static void pack_margin(pack *p, double now) {
   const fc_table *t = p->table;
@@ -298,15 +292,7 @@
   p.bins = g_array_new(FALSE, TRUE, sizeof(bin));
   add_existing(&p, now);
   g_array_sort(p.bins, by_use);
-  GPtrArray *jobs = g_ptr_array_new();
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init(&it, t->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    fc_job *j = value;
-    if (j->phase == FC_PHASE_ACCEPTED && j->team >= 0) g_ptr_array_add(jobs, j);
-  }
-  g_ptr_array_sort(jobs, fc_job_by_importance);
+  GPtrArray *jobs = fc_jobs_open(t);
   for (guint i = 0; i < jobs->len; i++) pack_job(&p, jobs->pdata[i]);
   g_ptr_array_free(jobs, TRUE);
   pack_margin(&p, now);
--- a/src/scheduler/rent.h
+++ b/src/scheduler/rent.h
@@ -25,8 +25,6 @@
 /* Machines (fc_machine pointers) that neither the queue nor the room kept for
  * arrivals needs. */
 GHashTable *fc_rent_surplus(const fc_table *t, double now);
-/* Sorts fc_job pointers: most important first, then first come. */
-gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Free since so long that renting again is cheaper than keeping it? */
 bool fc_rent_idle(const fc_table *t, const fc_machine *m, double now);
 
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -49,19 +49,6 @@
   return false;
 }
 
-static GPtrArray *waiting_jobs(const fc_table *t) {
-  GPtrArray *out = g_ptr_array_new();
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init(&it, t->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    fc_job *j = value;
-    if (j->phase == FC_PHASE_ACCEPTED && j->team >= 0 && j->done_count < j->spec.tasks) g_ptr_array_add(out, j);
-  }
-  g_ptr_array_sort(out, fc_job_by_importance);
-  return out;
-}
-
 static bool fits(const spare *s, const fc_job *j, int owner, const char *zone) {
   const fc_machine *m = s->machine;
   if (m->owner != owner || (zone && strcmp(zone, m->rec.zone) != 0)) return false;
@@ -69,26 +56,12 @@
   return fc_room_fits(&s->room, &j->spec) && fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot);
 }
 
-static unsigned live_in(const fc_job *j, const char *zone) {
-  unsigned n = 0;
-  for (guint i = 0; i < j->placements->len; i++) {
-    const fc_placement *p = j->placements->pdata[i];
-    n += fc_placement_live(p) && (!zone || strcmp(p->machine->rec.zone, zone) == 0);
-  }
-  return n;
-}
-
-static bool zone_open(const fc_job *j, const char *zone) {
-  if (j->spec.one_zone && live_in(j, NULL) != live_in(j, zone)) return false;
-  return !j->spec.spread || live_in(j, zone) + 1 <= (j->spec.tasks + 1) / 2;
-}
-
 /* How many of `want` tasks the member's spare room holds; takes them when asked. */
 static unsigned hold(GArray *room, const fc_job *j, int owner, const char *zone, unsigned want, bool take) {
   unsigned n = 0;
   for (guint i = 0; i < room->len && n < want; i++) {
     spare *s = &g_array_index(room, spare, i);
-    if (!zone_open(j, s->machine->rec.zone)) continue;
+    if (!fc_job_zone_open(j, s->machine->rec.zone)) continue;
     fc_room before = s->room;
     while (n < want && fits(s, j, owner, zone)) {
       fc_room_take(&s->room, &j->spec);
@@ -142,7 +115,7 @@
     g_array_free(room, TRUE);
     return out;
   }
-  GPtrArray *jobs = waiting_jobs(t);
+  GPtrArray *jobs = fc_jobs_open(t);
   /* Every part's own queue goes first. `here`: a bit for each slice of ours that
    * finds room in our own part, and so stays. */
   unsigned *here = g_new0(unsigned, jobs->len + 1);
@@ -301,7 +274,7 @@
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_loan));
   if (t->self < 0 || t->term.count < 2) return out;
   GArray *room = spares(t, now);
-  GPtrArray *jobs = waiting_jobs(t);
+  GPtrArray *jobs = fc_jobs_open(t);
   g_ptr_array_sort(jobs, fc_job_by_rank_and_id);
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
