--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -29,6 +29,25 @@
   }
 }
 
+/* The orderly stop of a gang: all tasks are told at once, directly, or one told
+ * alone would lose the others' work. Where some are on another member's machines
+ * (after a change of term) it is left to run to its end. */
+static void stop_gang(fc_controller *c, const fc_job *j, double grace) {
+  fc_table *t = c->table;
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (p->machine->owner != t->self || p->machine->settled_term != t->term.number || p->machine->ordering) return;
+  }
+  for (guint i = 0; i < j->placements->len; i++) {
+    fc_placement *p = j->placements->pdata[i];
+    if (!fc_placement_live(p) || p->stopping) continue;
+    p->stopping = true;
+    p->grace_s = grace;
+    fc_workers_push(c, p->machine);
+  }
+  g_debug("stop gang job=%s grace=%.1f", j->spec.id, grace);
+}
+
 /* A machine that is about to be taken, or to be returned as faulty, is drained:
  * what can save does so, and goes on elsewhere. */
 static void drain(fc_controller *c, fc_machine *m, bool *work) {
@@ -39,10 +58,13 @@
     const fc_job_spec *s = &p->job->spec;
     /* What never saves may still end in time; moving it only loses its work. */
     if (s->checkpoint_s <= 0 && s->kind != FC_KIND_SERVICE && p->state == FC_TASK_RUNNING) continue;
-    /* One task of a gang told alone would lose the others' work. */
-    if (s->kind == FC_KIND_GANG) continue;
+    double grace = s->save_s * 1.2 + c->settings->report_s * 0.25;
+    if (s->kind == FC_KIND_GANG) {
+      stop_gang(c, p->job, grace);
+      continue;
+    }
     p->stopping = true;
-    p->grace_s = s->save_s * 1.2 + c->settings->report_s * 0.25;
+    p->grace_s = grace;
     *work = true;
   }
 }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -196,7 +196,14 @@
   g_ptr_array_add(w->tasks, t);
 }
 
+static GHashTable *g_causes; /* how often tasks have ended for each cause */
+
+unsigned world_ended(const char *cause) {
+  return GPOINTER_TO_UINT(g_hash_table_lookup(g_causes, cause));
+}
+
 static void exit_task(worker *w, task *t, const char *cause) {
+  g_hash_table_insert(g_causes, (gpointer)cause, GUINT_TO_POINTER(world_ended(cause) + 1));
   t->state = T_EXITED;
   t->cause = cause;
   w->changed = true;
@@ -673,7 +680,7 @@
   j->run_s = sim_draw(3, 25);
   j->one_zone = strcmp(j->kind, "gang") == 0 && sim_chance(0.7);
   j->spread = strcmp(j->kind, "service") == 0 && sim_chance(0.5);
-  j->spot = strcmp(j->kind, "sweep") == 0;
+  j->spot = strcmp(j->kind, "sweep") == 0 || (strcmp(j->kind, "gang") == 0 && sim_chance(0.5));
   j->done = g_new0(bool, j->tasks);
   j->submit_at = sim_draw(0, busy_s);
   /* Services are cancelled in the end, others now and then. */
@@ -803,7 +810,34 @@
   fc_operator_defaults(&s->op);
 }
 
+bool world_give_notice(double in_s) {
+  for (guint i = 0; i < g_order->len; i++) {
+    worker *w = g_order->pdata[i];
+    if (w->gone || !w->up || !w->spot || w->tasks->len == 0) continue;
+    w->notice_at = sim_now();
+    w->taken_at = sim_now() + in_s;
+    w->changed = true;
+    return true;
+  }
+  return false;
+}
+
+/* A job that only the workers know of so far: users upload descriptions. */
+void world_add_job(const char *id, const char *kind, unsigned tasks, double gpus, double run_s) {
+  job *j = g_new0(job, 1);
+  g_strlcpy(j->id, id, sizeof j->id);
+  j->kind = kind;
+  j->team = "red";
+  j->tasks = tasks;
+  j->gpus = j->cpus = gpus;
+  j->run_s = run_s;
+  j->spot = j->submitting = true;
+  j->done = g_new0(bool, tasks);
+  g_hash_table_insert(g_jobs, j->id, j);
+}
+
 void world_set_up(uint32_t seed, double lose) {
+  g_causes = g_hash_table_new(g_str_hash, g_str_equal);
   g_verbose = g_getenv("WORLD_VERBOSE") != NULL;
   memset(&g_result, 0, sizeof g_result);
   memset(g_refuse_until, 0, sizeof g_refuse_until);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -25,6 +25,9 @@
 void world_set_up(uint32_t seed, double lose);
 void world_start_nodes(void);
 unsigned world_machines(void); /* rented ever */
+void world_add_job(const char *id, const char *kind, unsigned tasks, double gpus, double run_s);
+bool world_give_notice(double in_s); /* to a cheap machine in use */
+unsigned world_ended(const char *cause);
 
 /* Within the stand-ins. */
 void state_init(void);
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -131,6 +131,31 @@
   assert_non_null(strstr(known.body, "fc1/machine/vm-000001"));
 }
 
+/* A machine about to be taken holds one task of a gang: all are told at once,
+ * none is left to find that its mates are gone. */
+static void a_gang_is_stopped_in_order(void **state) {
+  (void)state;
+  world_set_up(4, 0);
+  world_start_nodes();
+  sim_run_until(sim_now() + 3);
+  world_add_job("job-000007", "gang", 2, 4, 60);
+  const char *gang =
+      "{\"id\":\"job-000007\",\"squad\":\"c\",\"club\":\"red\",\"play\":\"gang\",\"rank\":\"high\",\"runs\":2,"
+      "\"cpus\":4,\"gpus\":4,\"memGb\":1,\"kit\":\"i\",\"pullGb\":1,\"builds\":null,\"ground\":null,"
+      "\"samePlace\":false,\"scatter\":false,\"loaners\":true,\"expectS\":60,\"markS\":10,\"stowS\":2,\"whistleS\":"
+      "null}";
+  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", gang).status, 201);
+  double patience = sim_now() + 60;
+  while (sim_now() < patience &&
+         !strstr(call_to(WORLD_NODE_IP(1), "GET", "/api/jobs/job-000007", "").body, "\"running\":2"))
+    sim_run_until(sim_now() + 1);
+  assert_true(sim_now() < patience);
+  assert_true(world_give_notice(20));
+  sim_run_until(sim_now() + 15);
+  assert_int_equal(world_ended("stopped"), 2);
+  assert_int_equal(world_ended("mates_gone"), 0);
+}
+
 const char *__asan_default_options(void);
 const char *__asan_default_options(void) {
   return "detect_leaks=0";
@@ -138,6 +163,7 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(users_get), cmocka_unit_test(users_get_in_an_outage),
-                                     cmocka_unit_test(an_intent_is_taken_over)};
+                                     cmocka_unit_test(an_intent_is_taken_over),
+                                     cmocka_unit_test(a_gang_is_stopped_in_order)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
