--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "controller/controller.h"
-#include "coordination/deal.h"
 #include "protocol/routes.h"
+#include "scheduler/share.h"
 #include "transport/http.h"
 
 static void say(fc_http_response *res, int status, const char *error) {
@@ -66,21 +66,6 @@
   }
 }
 
-/* A slice that the deal gives to a member which is away, or can't read the state
- * service, would lie there until it is back: it is dealt among the others. */
-static void hand_to_fit(fc_controller *c, const fc_job_spec *s, unsigned slices, char **handed) {
-  const fc_term *t = &c->table->term;
-  fc_term fit = *t;
-  fit.count = 0;
-  for (size_t i = 0; i < t->count; i++)
-    if (fc_member_fit(c, (int)i)) fit.members[fit.count++] = t->members[i];
-  for (unsigned i = 0; i < slices && fit.count > 0; i++) {
-    int owner = fc_deal_job(t, s->id, i, slices, NULL);
-    if (owner < 0 || fc_member_fit(c, owner)) continue;
-    handed[i] = fit.members[fc_deal_job(&fit, s->id, i, slices, NULL)].name;
-  }
-}
-
 static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
   fc_job_spec spec;
   char error[200];
@@ -121,7 +106,9 @@
   char *key = g_strconcat(FC_PREFIX_JOB, spec.id, NULL);
   unsigned slices = fc_job_slices(&spec, c->settings->op.split_limit);
   char *handed[FC_SLICES_MAX] = {NULL};
-  hand_to_fit(c, &spec, slices, handed);
+  bool fit[FC_MEMBERS_MAX];
+  for (size_t i = 0; i < c->table->term.count; i++) fit[i] = fc_member_fit(c, (int)i);
+  fc_share_deal(c->table, fit, &spec, slices, handed);
   json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, slices, handed);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "coordination/deal.h"
+
 #include "scheduler/place.h"
 #include "scheduler/rent.h"
 
@@ -56,6 +58,38 @@
   return fc_room_fits(&s->room, &j->spec) && fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot);
 }
 
+static bool holds(const fc_table *t, int member, const fc_job_spec *spec) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->owner != member || !m->version || m->type < 0 || m->closed || m->remote_closed) continue;
+    const fc_machine_type *mt = t->types->pdata[m->type];
+    fc_room whole = {mt->cpus, mt->gpus, mt->memory_gb};
+    if (fc_room_fits(&whole, spec) && fc_job_allows(spec, m->rec.type, m->rec.zone, m->rec.spot)) return true;
+  }
+  return false;
+}
+
+void fc_share_deal(const fc_table *t, const bool *fit, const fc_job_spec *spec, unsigned slices, char **handed) {
+  fc_term good = t->term, able = t->term;
+  good.count = able.count = 0;
+  for (size_t i = 0; i < t->term.count; i++) {
+    if (!fit[i]) continue;
+    able.members[able.count++] = t->term.members[i];
+    if (holds(t, (int)i, spec)) good.members[good.count++] = t->term.members[i];
+  }
+  /* Where nobody holds any yet, one will be rented: as dealt among the able. */
+  const fc_term *among = good.count > 0 ? &good : &able;
+  for (unsigned i = 0; i < slices && among->count > 0; i++) {
+    int owner = fc_deal_job(&t->term, spec->id, i, slices, NULL);
+    if (owner < 0 || fc_term_find(among, t->term.members[owner].name) >= 0) continue;
+    int to = fc_deal_job(among, spec->id, i, slices, NULL);
+    handed[i] = (char *)t->term.members[fc_term_find(&t->term, among->members[to].name)].name;
+  }
+}
+
 /* How many of `want` tasks the member's spare room holds; takes them when asked. */
 static unsigned hold(GArray *room, const fc_job *j, int owner, const char *zone, unsigned want, bool take) {
   unsigned n = 0;
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -17,6 +17,12 @@
   bool fit[FC_MEMBERS_MAX];          /* acts, and knows what is new */
 } fc_told;
 
+/* The deal of a new job: its slices go to parts that hold a machine of its type
+ * and zone, and to members that are fit (away, or unable to read the state
+ * service, they would leave it lying). handed[i] is set to a member's name where
+ * that is not where the term alone deals the slice. */
+void fc_share_deal(const fc_table *t, const bool *fit, const fc_job_spec *spec, unsigned slices, char **handed);
+
 typedef struct fc_handover {
   fc_job *job;
   unsigned slice;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -399,6 +399,41 @@
   }
 }
 
+/* Two members; the job may run in zone b only. Which of them may get it? */
+static void dealing_new_jobs(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    bool holds_0, holds_1, fit_0, fit_1, may_0, may_1;
+  } rows[] = {
+      {"both hold its zone", true, true, true, true, true, true},
+      {"only the second holds it", false, true, true, true, false, true},
+      {"only the first, which is away", true, false, false, true, false, true},
+      {"nobody holds any yet", false, false, true, true, true, true},
+      {"both away: as dealt", true, true, false, false, true, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}}, .count = 2};
+    t->term = term;
+    world_machine(t, "vm-1", rows[i].holds_0 ? "b" : "a", false)->owner = 0;
+    world_machine(t, "vm-2", rows[i].holds_1 ? "b" : "a", false)->owner = 1;
+    bool fit[] = {rows[i].fit_0, rows[i].fit_1}, got[2] = {false, false};
+    for (int k = 0; k < 40; k++) {
+      char id[32], *handed[1] = {NULL};
+      g_snprintf(id, sizeof id, "job-%06d", k);
+      fc_job *j = world_job(t, id, "gang", "high", "red", 2, 1, "\"ground\":\"b\"");
+      fc_share_deal(t, fit, &j->spec, 1, handed);
+      g_free(j->handed[0]);
+      j->handed[0] = g_strdup(handed[0]);
+      got[fc_job_owner(t, j, 0)] = true;
+    }
+    check_row(rows[i].name, got[0] == rows[i].may_0 && got[1] == rows[i].may_1);
+    fc_table_free(t);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(rank_then_lowest_share),
@@ -410,6 +445,7 @@
       cmocka_unit_test(what_has_to_be_settled),
       cmocka_unit_test(preemption),
       cmocka_unit_test(lending_to_gangs),
+      cmocka_unit_test(dealing_new_jobs),
       cmocka_unit_test(handing_over),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
