--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -224,7 +224,10 @@
   const char *allow;
   double began = fc_now();
   c->counts.requests++;
-  switch (fc_route_of(req->method, req->path, id, &allow)) {
+  fc_route route = fc_route_of(req->method, req->path, id, &allow);
+  /* The last connections are for workers: users can come back for the next. */
+  res->close = req->crowded && route != FC_ROUTE_REPORT;
+  switch (route) {
     case FC_ROUTE_REPORT:
       fc_workers_report(c, req->body, req->body_len, &res->status, res->body);
       break;
--- a/src/transport/conn.c
+++ b/src/transport/conn.c
@@ -12,7 +12,10 @@
 
 #include "transport/routine.h"
 
+typedef struct listener listener;
+
 struct fc_conn {
+  const listener *from; /* NULL: we connected */
   int fd;
   ev_io io;
   int wanted;      /* events the routine waits for */
@@ -139,12 +142,16 @@
   free(c);
 }
 
-typedef struct listener {
+struct listener {
   ev_io io;
   fc_conn_fn on_conn;
   void *arg;
   size_t open, most;
-} listener;
+};
+
+bool fc_conn_crowded(const fc_conn *c) {
+  return c->from && c->from->open * 5 >= c->from->most * 4;
+}
 
 typedef struct accepted {
   listener *listener;
@@ -180,6 +187,7 @@
     }
     a->listener = l;
     a->conn = c;
+    c->from = l;
     l->open++;
     if (!fc_routine_spawn(accepted_main, a)) {
       l->open--;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -17,6 +17,7 @@
   const char *query; /* "" when there is none */
   const char *body;  /* ends with a NUL that is not counted */
   size_t body_len;
+  bool crowded; /* few connections are left: better to close this one */
 } fc_http_request;
 
 typedef struct fc_http_response {
