One place for conditional record writes, orderly stops and what a gang may clear

Read once more: the job's and the machine's record were written conditionally in six places, a stop with time to save in four, and the rule of what may be cleared for a gang in two. Dead fields and calls are gone. Two figures were wrong and are mended: placed_total counted decisions that were left out of the round, and the exit line always said saved=0. Behaviour is otherwise as it was.

--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -30,7 +30,6 @@
   bool reported;     /* the machine has named it in a report */
   bool sent;         /* a start may have reached the machine */
   uint64_t sent_seq; /* the report whose answer carried the start last */
-  uint64_t sent_session;
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
   bool stopping;                                                /* a stop is to be sent until the task exits */
   double grace_s;
@@ -86,7 +85,6 @@
   double reserved_until;
   bool closed; /* takes no new tasks: to be drained or returned */
   bool releasing;
-  bool fencing;       /* a direct fencing call is under way */
   bool ordering;      /* a direct command is under way */
   bool remote_closed; /* its owner said so */
   unsigned errors;    /* jobs that failed here first, net of tasks that did well */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -10,6 +10,7 @@
 #include "bookkeeping/budget.h"
 #include "bookkeeping/commit.h"
 #include "bookkeeping/table.h"
+#include "bookkeeping/writes.h"
 #include "controller/metrics.h"
 #include "coordination/right.h"
 #include "protocol/cloud_api.h"
@@ -60,7 +61,6 @@
   fc_cond round_now; /* a job or room arrived: place at once */
   fc_cond view_now;  /* peers should hear of a change */
   fc_cond read_now;  /* somebody waits for a fresh read */
-  fc_cond wake_writer;
 
   /* While a write of ours is undecided, the lower of it and the record counts. */
   double share_cap_cpus[FC_TEAMS_MAX], share_cap_gpus[FC_TEAMS_MAX];
@@ -107,6 +107,9 @@
 /* Sends what the machine is owed (starts, stops, clears) or, when it is not
  * settled yet, an empty command that fences it. */
 void fc_workers_push(fc_controller *c, fc_machine *m);
+/* Marks the task to be stopped with time to save; it is told by the next push or
+ * answer. */
+void fc_workers_stop(const fc_controller *c, fc_placement *p);
 /* Writes the ends of a job's tasks to the state service. */
 void fc_workers_record(fc_controller *c, const char *job_id);
 /* The member with the fewest machines of the kind; `count` (zeroed) collects
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -185,13 +185,7 @@
       say(res, 404, "no such job");
       return;
     }
-    char *key = g_strconcat(FC_PREFIX_JOB, id, NULL);
-    char *ranges = fc_ranges_encode(j->done, j->spec.tasks);
-    fc_write *w = fc_write_new();
-    fc_write_if(w, key, j->version);
-    fc_write_put(w, key, fc_job_record_encode(&j->spec, FC_PHASE_CANCELLED, ranges, j->slices, j->handed));
-    g_free(key);
-    g_free(ranges);
+    fc_write *w = fc_write_job(j, j->version, FC_PHASE_CANCELLED, j->done, j->handed);
     uint64_t revision = 0;
     fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_REPORT, deadline, &revision);
     if (r == FC_STATE_OK) {
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -32,7 +32,7 @@
 /* The orderly stop of a gang: all tasks are told at once, directly, or one told
  * alone would lose the others' work. Where some are on another member's machines
  * (after a change of term) it is left to run to its end. */
-static void stop_gang(fc_controller *c, const fc_job *j, double grace) {
+static void stop_gang(fc_controller *c, const fc_job *j) {
   fc_table *t = c->table;
   for (guint i = 0; i < j->placements->len; i++) {
     const fc_placement *p = j->placements->pdata[i];
@@ -41,11 +41,10 @@
   for (guint i = 0; i < j->placements->len; i++) {
     fc_placement *p = j->placements->pdata[i];
     if (!fc_placement_live(p) || p->stopping) continue;
-    p->stopping = true;
-    p->grace_s = grace;
+    fc_workers_stop(c, p);
     fc_workers_push(c, p->machine);
   }
-  g_debug("stop gang job=%s grace=%.1f", j->spec.id, grace);
+  g_debug("stop gang job=%s", j->spec.id);
 }
 
 /* A machine that is about to be taken, or to be returned as faulty, is drained:
@@ -58,13 +57,11 @@
     const fc_job_spec *s = &p->job->spec;
     /* What never saves may still end in time; moving it only loses its work. */
     if (s->checkpoint_s <= 0 && s->kind != FC_KIND_SERVICE && p->state == FC_TASK_RUNNING) continue;
-    double grace = s->save_s * 1.2 + c->settings->report_s * 0.25;
     if (s->kind == FC_KIND_GANG) {
-      stop_gang(c, p->job, grace);
+      stop_gang(c, p->job);
       continue;
     }
-    p->stopping = true;
-    p->grace_s = grace;
+    fc_workers_stop(c, p);
     *work = true;
   }
 }
@@ -80,8 +77,7 @@
 static void send_stops(fc_controller *c, GPtrArray *stops, GPtrArray *push) {
   for (guint i = 0; i < stops->len; i++) {
     fc_placement *p = stops->pdata[i];
-    p->stopping = true;
-    p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+    fc_workers_stop(c, p);
     c->counts.preempted++;
     g_debug("preempt task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
     if (!g_ptr_array_find(push, p->machine, NULL)) g_ptr_array_add(push, p->machine);
@@ -106,10 +102,10 @@
     gang = d->job;
     (void)fc_table_place(t, d->machine, d->job->spec.id, d->index, attempt, now);
     fc_machine_used_image(d->machine, d->job->spec.image);
+    c->counts.placed++; /* decisions left out of this round are none */
     g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", d->job->spec.id, d->index, (guint64)attempt,
             d->machine->id);
   }
-  c->counts.placed += plan->len;
   if (plan->len > 0) fc_cond_broadcast(&c->view_now);
   g_array_free(plan, TRUE);
   send_stops(c, stops, push);
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -47,14 +47,8 @@
   if (!j || j->version != a->version) return NULL;
   char *handed[FC_SLICES_MAX];
   for (unsigned i = 0; i < FC_SLICES_MAX; i++) handed[i] = (a->slices >> i & 1) ? (char *)a->to[i] : j->handed[i];
-  char *ranges = fc_ranges_encode(j->done, j->spec.tasks);
-  char *key = g_strconcat(FC_PREFIX_JOB, a->id, NULL);
-  fc_write *w = fc_write_new();
-  fc_write_if(w, key, a->version);
+  fc_write *w = fc_write_job(j, a->version, j->phase, j->done, handed);
   fc_write_if(w, FC_KEY_TERM, a->term);
-  fc_write_put(w, key, fc_job_record_encode(&j->spec, j->phase, ranges, j->slices, handed));
-  g_free(ranges);
-  g_free(key);
   return w;
 }
 
@@ -122,13 +116,7 @@
   if (!m || m->version != a->version) return NULL;
   fc_machine_record rec = m->rec;
   g_strlcpy(rec.owner, a->to, sizeof rec.owner);
-  char *key = g_strconcat(FC_PREFIX_MACHINE, a->id, NULL);
-  fc_write *w = fc_write_new();
-  fc_write_if(w, key, a->version);
-  fc_write_if(w, FC_KEY_TERM, a->term);
-  fc_write_put(w, key, fc_machine_record_encode(&rec));
-  g_free(key);
-  return w;
+  return fc_write_machine(a->id, a->version, a->term, &rec);
 }
 
 /* Gives a machine with nothing on it to another member. From the moment the
@@ -147,11 +135,8 @@
   bool any = false;
   for (guint i = 0; i < m->placements->len; i++) {
     fc_placement *p = m->placements->pdata[i];
-    if (p->stopping || !fc_placement_live(p) || !p->job || p->job->spec.kind != FC_KIND_ARRAY ||
-        p->job->spec.rank >= gang->spec.rank)
-      continue;
-    p->stopping = true;
-    p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+    if (p->stopping || !fc_placement_live(p) || !fc_share_clearable(p, gang)) continue;
+    fc_workers_stop(c, p);
     c->counts.preempted++;
     any = true;
   }
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -36,8 +36,8 @@
     if (m->errors > 0) m->errors--;
     if (j) j->failures = 0;
   }
-  g_debug("exit task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d saved=%d", p->job_id, p->index,
-          (guint64)p->attempt, m->id, p->cause, 0);
+  g_debug("exit task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d", p->job_id, p->index, (guint64)p->attempt,
+          m->id, p->cause);
   fc_cond_broadcast(&c->round_now);
 }
 
@@ -93,10 +93,7 @@
   for (size_t i = 0; i < r->task_count; i++) {
     const fc_task_report *tr = &r->tasks[i];
     fc_placement *p = fc_machine_find(m, tr->job, tr->index, tr->attempt);
-    if (!p) {
-      p = fc_table_place(t, m, tr->job, tr->index, tr->attempt, now);
-      p->sent_session = r->session;
-    }
+    if (!p) p = fc_table_place(t, m, tr->job, tr->index, tr->attempt, now);
     update_placement(c, p, tr, now);
     g_hash_table_add(listed, p);
   }
@@ -168,7 +165,6 @@
       if (direct && p->stray != FC_STRAY_NONE) continue;
       cmd.op = FC_COMMAND_START;
       p->sent = true;
-      p->sent_session = m->session;
       if (direct) {
         p->stray = FC_STRAY_FLYING;
       } else {
@@ -216,12 +212,7 @@
   fc_controller *c = a.c;
   fc_machine *m = fc_table_machine(c->table, a.id);
   if (!m) return;
-  char *key = g_strconcat(FC_PREFIX_MACHINE, a.id, NULL);
-  fc_write *w = fc_write_new();
-  fc_write_if(w, key, m->version);
-  fc_write_if(w, FC_KEY_TERM, c->table->term_version);
-  fc_write_put(w, key, fc_machine_record_encode(&m->rec));
-  g_free(key);
+  fc_write *w = fc_write_machine(a.id, m->version, c->table->term_version, &m->rec);
   uint64_t revision = 0;
   if (fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + c->settings->report_s, &revision) == FC_STATE_OK)
     (void)fc_wait_revision(c, revision, fc_now() + c->settings->report_s);
@@ -253,12 +244,7 @@
   g_strlcpy(rec.zone, r->zone, sizeof rec.zone);
   unsigned count[FC_MEMBERS_MAX] = {0};
   g_strlcpy(rec.owner, fc_even_owner(t, r->machine, r->type, r->zone, r->spot, count), sizeof rec.owner);
-  char *key = g_strconcat(FC_PREFIX_MACHINE, r->machine, NULL);
-  fc_write *w = fc_write_new();
-  fc_write_if(w, key, 0);
-  fc_write_if(w, FC_KEY_TERM, t->term_version);
-  fc_write_put(w, key, fc_machine_record_encode(&rec));
-  g_free(key);
+  fc_write *w = fc_write_machine(r->machine, 0, t->term_version, &rec);
   uint64_t revision = 0;
   fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 2.0, &revision);
   /* The table may have changed meanwhile: look the machine up again. */
@@ -419,6 +405,11 @@
   }
 }
 
+void fc_workers_stop(const fc_controller *c, fc_placement *p) {
+  p->stopping = true;
+  p->grace_s = p->job->spec.save_s * 1.2 + c->settings->report_s * 0.25;
+}
+
 typedef struct record_arg {
   fc_controller *c;
   char id[32];
@@ -457,16 +448,9 @@
     }
     uint32_t count = 0;
     for (uint32_t i = 0; i < j->spec.tasks; i++) count += bits[i / 8] >> (i % 8) & 1;
-    char *ranges = fc_ranges_encode(bits, j->spec.tasks);
+    fc_phase phase = count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED;
+    fc_write *w = fc_write_job(j, j->version, phase, bits, j->handed);
     g_free(bits);
-    char *key = g_strconcat(FC_PREFIX_JOB, a.id, NULL);
-    fc_write *w = fc_write_new();
-    fc_write_if(w, key, j->version);
-    fc_write_put(w, key,
-                 fc_job_record_encode(&j->spec, count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED, ranges,
-                                      j->slices, j->handed));
-    g_free(key);
-    g_free(ranges);
     uint64_t revision = 0;
     fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 10.0, &revision);
     if (res == FC_STATE_OK) {
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -241,9 +241,3 @@
     if (strcmp(s->teams[i].name, name) == 0) return (int)i;
   return -1;
 }
-
-int fc_settings_zone(const fc_settings *s, const char *name) {
-  for (size_t i = 0; i < s->zone_count; i++)
-    if (strcmp(s->zones[i], name) == 0) return (int)i;
-  return -1;
-}
--- a/src/protocol/state_api.c
+++ b/src/protocol/state_api.c
@@ -228,7 +228,3 @@
 fc_state_result fc_state_lease_renew(fc_state *s, uint64_t lease, double deadline) {
   return lease_call(s, "POST", "/extend", lease, deadline);
 }
-
-fc_state_result fc_state_lease_end(fc_state *s, uint64_t lease, double deadline) {
-  return lease_call(s, "DELETE", "", lease, deadline);
-}
--- a/src/protocol/state_api.h
+++ b/src/protocol/state_api.h
@@ -51,6 +51,5 @@
                                  GPtrArray *out, uint64_t *revision);
 fc_state_result fc_state_lease_open(fc_state *s, double ttl_s, double deadline, uint64_t *lease);
 fc_state_result fc_state_lease_renew(fc_state *s, uint64_t lease, double deadline);
-fc_state_result fc_state_lease_end(fc_state *s, uint64_t lease, double deadline);
 
 #endif
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -3,9 +3,7 @@
 #include <string.h>
 
 #include "coordination/deal.h"
-
 #include "scheduler/place.h"
-#include "scheduler/rent.h"
 
 typedef struct spare {
   const fc_machine *machine;
@@ -204,6 +202,10 @@
   return strcmp(x->spec.id, y->spec.id);
 }
 
+bool fc_share_clearable(const fc_placement *p, const fc_job *gang) {
+  return p->job && p->job->spec.kind == FC_KIND_ARRAY && p->job->spec.rank < gang->spec.rank;
+}
+
 /* The machine's room once arrays of lower rank than the gang have been stopped;
  * *all: nothing else is on it. */
 static fc_room cleared_room(const spare *s, const fc_job *gang, bool *all) {
@@ -212,7 +214,7 @@
   for (guint i = 0; i < s->machine->placements->len; i++) {
     const fc_placement *p = s->machine->placements->pdata[i];
     if (p->state == FC_TASK_EXITED) continue;
-    if (!p->job || p->job->spec.kind != FC_KIND_ARRAY || p->job->spec.rank >= gang->spec.rank) {
+    if (!fc_share_clearable(p, gang)) {
       *all = false;
       continue;
     }
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -39,6 +39,8 @@
   bool clear; /* tasks of lower rank have to be stopped there first */
 } fc_loan;
 
+/* May the task be stopped to clear its machine for the gang? */
+bool fc_share_clearable(const fc_placement *p, const fc_job *gang);
 /* Machines of ours that a waiting gang, here or elsewhere, needs: idle ones, or
  * where those don't suffice, ones that hold nothing but arrays of lower rank. */
 GArray *fc_share_loans(const fc_table *t, const fc_told *told, double now);
