--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -220,6 +220,12 @@
   return r;
 }
 
+bool fc_machine_in_touch(const fc_table *t, const fc_machine *m, double now) {
+  if (!m->reported || now > m->heard_at + t->settings->lease_s * 0.5) return false;
+  /* Its next report, or the answer to a probe, shows whether it has heard. */
+  return !m->deaf_since || now < m->deaf_since + t->settings->lease_s * 0.25;
+}
+
 bool fc_room_fits(const fc_room *r, const fc_job_spec *s) {
   const double slack = 1e-6;
   return r->cpus + slack >= s->cpus && r->gpus + slack >= s->gpus && r->memory_gb + slack >= s->memory_gb;
@@ -259,6 +265,13 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
     if (m->owner != owner) continue;
+    if (m->announced && m->settled_term != t->term.number && m->type >= 0) {
+      /* It may be full of the team's tasks. */
+      const fc_machine_type *mt = t->types->pdata[m->type];
+      *cpus += mt->cpus;
+      *gpus += mt->gpus;
+      continue;
+    }
     for (guint i = 0; i < m->placements->len; i++) {
       const fc_placement *p = m->placements->pdata[i];
       if (!fc_placement_live(p) || !p->job || p->job->team != team) continue;
@@ -286,7 +299,7 @@
   /* Whoever owns it now has to fence and adopt it first. */
   m->settled_term = 0;
   m->owned_since = now;
-  m->closed = false;
+  m->closed = m->remote_closed = false; /* said by an owner before */
   m->reported = false;
 }
 
@@ -324,7 +337,7 @@
       m->settled_term = 0;
       m->owned_since = now;
       m->reported = false;
-      m->closed = false;
+      m->closed = m->remote_closed = false;
     }
   }
 }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -27,9 +27,9 @@
   uint64_t attempt;
   fc_task_state state;
   fc_exit_cause cause;
-  bool reported;     /* the machine has named it in a report */
-  bool sent;         /* a start may have reached the machine */
-  uint64_t sent_seq; /* the report whose answer carried the start last */
+  bool reported;                                                /* the machine has named it in a report */
+  bool sent;                                                    /* a start may have reached the machine */
+  uint64_t sent_seq;                                            /* the report whose answer carried the start last */
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
   bool stopping;                                                /* a stop is to be sent until the task exits */
   double grace_s;
@@ -70,14 +70,20 @@
   bool announced;        /* its record has its address; before that nothing is started on it */
   bool announcing;       /* that is being written */
   uint64_t settled_term; /* fenced and adopted, or proved gone, in this term */
-  uint64_t session, seq; /* of the newest report */
+  uint64_t session, seq; /* of the newest report, whoever owned it then: copies may come late */
   uint64_t seen_token;   /* the highest the worker has told of */
-  bool reported;         /* a report has come to us in this life */
+  bool reported;         /* a report has come to us since we became its owner */
+  double session_from;   /* when we first heard of the session: its lease began no later */
   double answered_at;    /* when we last answered a report with 200 */
   double kept_at;        /* when another member last did, as far as it told us */
   double redirected_at;  /* when we last sent its worker to its owner */
   double owned_since;    /* when we became its owner, as far as we know */
   double heard_at;       /* when the last report or direct answer came */
+  double deaf_since;     /* its reports come since then without a sign that it hears us; 0: it does */
+  double kept_hears_at;  /* when another member kept it and it showed that it hears */
+  bool probe;            /* to be asked directly whether it hears, and what it holds */
+  bool reborn;           /* started anew in this term: its reports can't be told from its earlier life's */
+  bool odd;              /* a report contradicted its record; that has been logged */
   double first_seen;     /* when we first knew of it */
   double notice_until;   /* the cloud takes it then; 0: no notice */
   double idle_since;     /* 0: in use */
@@ -143,6 +149,8 @@
 bool fc_room_fits(const fc_room *r, const fc_job_spec *s);
 void fc_room_take(fc_room *r, const fc_job_spec *s);
 void fc_machine_used_image(fc_machine *m, GRefString *image);
+/* Heard of lately, and not without a sign that it hears us too. */
+bool fc_machine_in_touch(const fc_table *t, const fc_machine *m, double now);
 bool fc_machine_has_image(const fc_machine *m, const char *image);
 
 unsigned fc_job_slice_of(const fc_job *j, uint32_t index);
@@ -153,7 +161,8 @@
 
 /* May the job run on such a machine at all? */
 bool fc_job_allows(const fc_job_spec *s, const char *type, const char *zone, bool spot);
-/* What the tasks on machines of member `owner` use of a team's limit. */
+/* What the tasks on machines of member `owner` use of a team's limit, at most:
+ * machines that are not settled count as full. */
 void fc_table_usage(const fc_table *t, int owner, int team, double *cpus, double *gpus);
 fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running);
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -22,9 +22,10 @@
 
 typedef struct fc_peer {
   const fc_peer_settings *settings;
-  double promised_until; /* we commit no term without it before this */
-  double fresh_at;       /* when it last read the state service, as far as it told us */
-  double heard_at;       /* when its last acknowledgement came */
+  double promised_until;        /* we commit no term without it before this */
+  double fresh_at;              /* when it last read the state service, as far as it told us */
+  double heard_at;              /* when its last acknowledgement came */
+  uint64_t view_boot, view_seq; /* the newest view applied, and the life that sent it */
   /* Of the present term, by the life that is in it; 0: nothing yet. */
   double covered_at;       /* it has told us of every report it answered before this */
   uint64_t acked_view;     /* the newest view of ours that it has applied */
@@ -64,6 +65,8 @@
 
   /* While a write of ours is undecided, the lower of it and the record counts. */
   double share_cap_cpus[FC_TEAMS_MAX], share_cap_gpus[FC_TEAMS_MAX];
+  uint64_t share_cap_version; /* that write is conditional on it */
+  bool share_capped;
 
   fc_counts counts;
   fc_metrics metrics;
@@ -110,6 +113,8 @@
 /* Marks the task to be stopped with time to save; it is told by the next push or
  * answer. */
 void fc_workers_stop(const fc_controller *c, fc_placement *p);
+/* Marks the machine to be asked directly when there is reason to; true: it is. */
+bool fc_workers_doubt(const fc_controller *c, fc_machine *m);
 /* Writes the ends of a job's tasks to the state service. */
 void fc_workers_record(fc_controller *c, const char *job_id);
 /* The member with the fewest machines of the kind; `count` (zeroed) collects
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -207,8 +207,14 @@
   if (fc_state_reachable(c) && c->table->types->len > 0) return true;
   double now = fc_now();
   if (c->loaded && now - c->fresh_sent < c->settings->report_s * 2) return c->table->types->len > 0;
-  for (size_t k = 0; k < c->settings->peer_count; k++)
+  bool alone = c->settings->peer_count > 0;
+  for (size_t k = 0; k < c->settings->peer_count; k++) {
     if (now - c->peers[k].fresh_at < c->settings->report_s * 2) return false;
+    if (now - c->peers[k].heard_at < c->settings->lease_s) alone = false;
+  }
+  /* Without the state service and without any other controller it is more likely
+   * us than them. */
+  if (alone && !fc_may_act(c)) return false;
   return now > c->started_at + c->settings->report_s;
 }
 
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -92,7 +92,15 @@
   peer->acked_revision = ack->revision;
   for (size_t i = 0; i < ack->kept_count; i++) {
     fc_machine *m = fc_table_machine(t, ack->kept[i].machine);
-    if (m) m->kept_at = MAX(m->kept_at, now - ack->kept[i].age_ms / 1000.0);
+    if (!m) continue;
+    const fc_frame_kept *k = &ack->kept[i];
+    double at = now - k->age_ms / 1000.0;
+    /* A report older than one that has come to us was sent before that came,
+     * and the lease runs from there: a late copy does not push its end back. */
+    bool old = k->session < m->session || (k->session == m->session && k->seq < m->seq);
+    if (old && m->reported) at = MIN(at, m->heard_at);
+    m->kept_at = MAX(m->kept_at, at);
+    if (k->hears && !old) m->kept_hears_at = MAX(m->kept_hears_at, at);
   }
 }
 
@@ -186,6 +194,12 @@
   int sender = fc_term_find(&t->term, v->sender);
   /* Only the present term's view by a present member's present life counts. */
   if (sender < 0 || sender == t->self || v->term != t->term.number || v->boot != t->term.members[sender].boot) return;
+  /* A view held back on a connection that was given up may come after newer ones:
+   * applied, it hid a task that the sender then handed over (fault test, seed 50). */
+  fc_peer *from = fc_peer_of(c, sender);
+  if (!from || (from->view_boot == v->boot && v->seq <= from->view_seq)) return;
+  from->view_boot = v->boot;
+  from->view_seq = v->seq;
   for (size_t i = 0; i < v->machine_count; i++) {
     const fc_frame_machine *f = &v->machines[i];
     fc_machine *m = fc_table_machine(t, f->id);
@@ -226,6 +240,9 @@
     fc_frame_kept *k = &ack->kept[ack->kept_count++];
     g_strlcpy(k->machine, m->id, sizeof k->machine);
     k->age_ms = (uint32_t)((now - m->answered_at) * 1000);
+    k->hears = !m->deaf_since;
+    k->session = m->session;
+    k->seq = m->seq;
   }
 }
 
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -140,8 +140,18 @@
   return true;
 }
 
+/* `most` counts what may be on machines that are not settled, `now` does not. A
+ * share is lowered only below what may be used at most: lowered by what was
+ * known, it freed room for others that a silent machine still used (fault test,
+ * seed 642). It is raised only by what is known to be wanted. */
+static double adjusted(double limit, double others, double share, const fc_demand *now, const fc_demand *most) {
+  double lower = fc_quota_adjust(limit, others, share, most);
+  if (lower <= share) return lower;
+  return MAX(share, fc_quota_adjust(limit, others, share, now));
+}
+
 /* Moves our shares towards what we need; true when something would change. */
-static bool adjust(fc_controller *c, const tally *now, fc_quota_record *q) {
+static bool adjust(fc_controller *c, const tally *now, const tally *most, fc_quota_record *q) {
   const fc_table *t = c->table;
   int at = quota_index(q, c->settings->name);
   if (at < 0) return false;
@@ -149,15 +159,16 @@
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     if (!limited(ts)) continue;
-    const fc_demand *cpus = &now->cpus[t->self][k], *gpus = &now->gpus[t->self][k];
     double others_cpus = 0, others_gpus = 0;
     for (size_t i = 0; i < q->member_count; i++) {
       if ((int)i == at) continue;
       others_cpus += q->cpus[i][k];
       others_gpus += q->gpus[i][k];
     }
-    double new_cpus = fc_quota_adjust(ts->cpus_max, others_cpus, q->cpus[at][k], cpus);
-    double new_gpus = fc_quota_adjust(ts->gpus_max, others_gpus, q->gpus[at][k], gpus);
+    double new_cpus =
+        adjusted(ts->cpus_max, others_cpus, q->cpus[at][k], &now->cpus[t->self][k], &most->cpus[t->self][k]);
+    double new_gpus =
+        adjusted(ts->gpus_max, others_gpus, q->gpus[at][k], &now->gpus[t->self][k], &most->gpus[t->self][k]);
     if (ts->cpus_max > 0 && fabs(new_cpus - q->cpus[at][k]) > 1e-6) {
       q->cpus[at][k] = new_cpus;
       changed = true;
@@ -171,12 +182,14 @@
 }
 
 static void lift_caps(fc_controller *c) {
+  c->share_capped = false;
   for (size_t k = 0; k < c->settings->team_count; k++) c->share_cap_cpus[k] = c->share_cap_gpus[k] = INFINITY;
 }
 
 /* Any write that is undecided may be the one that counts: the lowest caps us. */
 static void lower_caps(fc_controller *c, const fc_quota_record *q) {
   int at = quota_index(q, c->settings->name);
+  c->share_capped = true;
   for (size_t k = 0; at >= 0 && k < c->settings->team_count; k++) {
     c->share_cap_cpus[k] = MIN(c->share_cap_cpus[k], q->cpus[at][k]);
     c->share_cap_gpus[k] = MIN(c->share_cap_gpus[k], q->gpus[at][k]);
@@ -189,16 +202,14 @@
   fc_write_if(w, FC_KEY_TERM, c->table->term_version);
   fc_write_put(w, FC_KEY_QUOTA, fc_quota_record_encode(q, c->settings));
   uint64_t revision = 0;
-  uint64_t version = c->table->quota_version;
+  c->share_cap_version = c->table->quota_version;
   fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 2.0, &revision);
   if (r == FC_STATE_OK) {
     (void)fc_wait_revision(c, revision, fc_now() + 2.0);
   } else {
     (void)fc_wait_fresh(c, fc_now() + 2.0);
   }
-  /* A write of unknown outcome can be applied until the record has moved past
-   * the version it was conditional on; so long the caps stay. */
-  if ((r != FC_STATE_OK && r != FC_STATE_UNKNOWN) || c->table->quota_version != version) lift_caps(c);
+  if (r != FC_STATE_OK && r != FC_STATE_UNKNOWN) lift_caps(c);
   fc_cond_broadcast(&c->round_now);
 }
 
@@ -219,10 +230,13 @@
   if (!any) return;
   double adjusted_at = 0;
   fc_quota_record *q = g_new0(fc_quota_record, 1);
-  tally *now_used = g_new0(tally, 1);
+  tally *now_used = g_new0(tally, 1), *most_used = g_new0(tally, 1);
   while (!fc_routine_cancelled()) {
     (void)fc_routine_sleep(c->settings->op.round_s * 0.1);
     fc_table *t = c->table;
+    /* A write of unknown outcome can be applied until the record has moved past
+     * the version it was conditional on; so long the caps stay. */
+    if (t->quota_version != c->share_cap_version) lift_caps(c);
     if (!fc_may_act(c) || !fc_state_reachable(c)) continue;
     double now = fc_now();
     memset(q, 0, sizeof *q);
@@ -241,11 +255,16 @@
       adjusted_at = now;
       *q = t->quota;
       take_tally(t, false, now_used);
-      if (!adjust(c, now_used, q)) continue;
+      take_tally(t, true, most_used);
+      /* Where nothing is to change, the record is written as it is, or a write of
+       * unknown outcome would keep its caps up for good (fault test, seed 510: a
+       * gang waited for ever beside its share). */
+      if (!adjust(c, now_used, most_used, q) && !c->share_capped) continue;
     }
     lower_caps(c, q);
     write_quota(c, q);
   }
   g_free(now_used);
+  g_free(most_used);
   g_free(q);
 }
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -173,7 +173,7 @@
 
 /* Has nobody else answered it since? Another member may reach it when we can't. */
 static bool unkept(fc_controller *c, const fc_machine *m, double since) {
-  if (m->kept_at > since) return false;
+  if (m->kept_hears_at > since) return false;
   for (int i = 0; i < (int)c->table->term.count; i++) {
     if (i == c->table->self) continue;
     const fc_peer *peer = fc_peer_of(c, i);
@@ -182,6 +182,13 @@
   return true;
 }
 
+/* Silent since then, or deaf: its reports come, but it has not shown since then
+ * that it hears answers or commands. Both cost its tasks the same. */
+static bool out_of_touch(const fc_machine *m, double since) {
+  if (m->owned_since > since) return false;
+  return m->heard_at < since || (m->deaf_since && m->deaf_since < since);
+}
+
 /* Returns machines: closed first, so that nothing is placed on them; gone from
  * the table only after the cloud has confirmed. */
 static void give_back(fc_controller *c) {
@@ -201,7 +208,7 @@
     fc_machine *m = value;
     if (m->owner != t->self || !m->version || !m->reported) continue;
     mine++;
-    silent += now > m->heard_at + quiet;
+    silent += out_of_touch(m, now - quiet);
   }
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < 8) {
@@ -210,8 +217,7 @@
     double boot_s = m->type >= 0 ? ((fc_machine_type *)t->types->pdata[m->type])->boot_s : 0;
     /* A controller whose machines mostly fall silent together suspects its own
      * network and returns nothing. */
-    bool lost = m->reported && now > MAX(m->heard_at, m->owned_since) + quiet && silent * 2 <= mine + 1 &&
-                unkept(c, m, now - quiet);
+    bool lost = m->reported && out_of_touch(m, now - quiet) && silent * 2 <= mine + 1 && unkept(c, m, now - quiet);
     bool never_up =
         !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s;
     bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -147,7 +147,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
     if (m->owner != t->self || !m->version) continue;
-    bool work = m->settled_term != t->term.number;
+    bool work = m->settled_term != t->term.number || fc_workers_doubt(c, m);
     stop_unwanted(c, m, &work);
     drain(c, m, &work);
     if (work) g_ptr_array_add(push, m);
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -81,11 +81,14 @@
     /* Older commands are refused from here on, so none can arrive late. */
     for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->stray = FC_STRAY_NONE;
   }
+  if (!m->reported || r->session != m->session) m->session_from = now;
   m->session = r->session;
   m->seq = r->seq;
   m->seen_token = r->token;
   m->reported = true;
   m->heard_at = now;
+  if (!by_report || settles) m->deaf_since = 0; /* it answers us, or has this term's token */
+  if (settles) m->reborn = false;               /* its earlier life never had this token */
   if (r->notice_s >= 0 && !m->notice_until) m->notice_until = now + r->notice_s;
   if (r->endpoint[0]) g_strlcpy(m->rec.endpoint, r->endpoint, sizeof m->rec.endpoint);
   if (m->settled_term != t->term.number && !settles) return; /* not fenced: proves nothing yet */
@@ -135,8 +138,10 @@
   }
 }
 
+/* The order holds over owners and terms: a copy of a report may come minutes
+ * late, also to a member that has just taken the machine over. */
 static bool newer(const fc_machine *m, const fc_worker_report *r) {
-  if (!m->reported) return true;
+  if (r->token < m->seen_token) return false; /* a worker's tokens only rise */
   return r->session > m->session || (r->session == m->session && r->seq > m->seq);
 }
 
@@ -178,6 +183,26 @@
   return out;
 }
 
+/* A worker without an answer for FC_WORKER_PATIENCE_S reports to the next member.
+ * So one that is here again sooner than that has heard our last answer; that its
+ * reports arrive shows nothing (a machine may be deaf). */
+static void note_hearing(const fc_controller *c, fc_machine *m) {
+  double now = fc_now(), gap = now - m->answered_at;
+  if (m->answered_at && gap < FC_WORKER_PATIENCE_S && gap < c->settings->report_s * 2) {
+    m->deaf_since = 0;
+  } else if (!m->deaf_since) {
+    m->deaf_since = now;
+  }
+}
+
+/* Asks a machine directly whether it hears: one whose reports come without a
+ * sign that it has heard us, or one that may have been started anew. */
+bool fc_workers_doubt(const fc_controller *c, fc_machine *m) {
+  if (!m->reported || m->settled_term != c->table->term.number) return false;
+  if (m->deaf_since && fc_now() > m->deaf_since + c->settings->lease_s * 0.2) m->probe = true;
+  return m->probe;
+}
+
 /* A machine nobody has recorded yet goes to the member with the fewest of its
  * type and zone; nothing is started on it before that is in the state service. */
 const char *fc_even_owner(const fc_table *t, const char *id, const char *type, const char *zone, bool spot,
@@ -233,8 +258,32 @@
   }
 }
 
+/* Is there really such a machine? A report without a record may be a late rental,
+ * or a late copy from a machine that was returned: only the machine itself can
+ * tell. Without this a returned machine came back into the table. */
+static bool is_there(fc_controller *c, const fc_worker_report *r) {
+  fc_endpoint at;
+  fc_worker_report now;
+  if (!fc_endpoint_parse(r->endpoint, &at)) return false;
+  fc_order_result res =
+      fc_worker_order(&at, c->table->term.number, r->session, NULL, 0, fc_now() + c->settings->report_s * 0.5, &now);
+  if (res != FC_ORDER_DONE && res != FC_ORDER_REFUSED) return false;
+  bool same = strcmp(now.machine, r->machine) == 0;
+  fc_worker_report_clear(&now);
+  return same;
+}
+
+static bool known_place(const fc_controller *c, const fc_worker_report *r) {
+  int type = fc_table_type(c->table, r->type);
+  if (type < 0) return false;
+  const fc_machine_type *mt = c->table->types->pdata[type];
+  return g_strv_contains((const gchar *const *)mt->zones, r->zone);
+}
+
 static bool record_machine(fc_controller *c, const fc_worker_report *r) {
   fc_table *t = c->table;
+  /* Of a type or zone that nobody knows: never used; the sweep returns it. */
+  if (!known_place(c, r) || !is_there(c, r) || !fc_may_act(c)) return false;
   fc_machine *m = fc_table_machine_add(t, r->machine, fc_now());
   if (m->writing) return false;
   m->writing = true;
@@ -273,6 +322,9 @@
 /* Any member in its right may keep a worker's lease alive and stop what must not
  * run; starting and clearing are the owner's alone. */
 static void keep(fc_controller *c, fc_machine *m, const fc_worker_report *r, GString *out) {
+  note_hearing(c, m);
+  m->session = r->session;
+  m->seq = r->seq;
   GArray *commands = g_array_new(FALSE, TRUE, sizeof(fc_command));
   for (size_t i = 0; i < r->task_count; i++) {
     const fc_task_report *tr = &r->tasks[i];
@@ -287,6 +339,14 @@
   g_array_free(commands, TRUE);
 }
 
+/* Does the report name the machine that the record describes? */
+static bool agrees(fc_machine *m, const fc_worker_report *r) {
+  if (strcmp(m->rec.type, r->type) == 0 && strcmp(m->rec.zone, r->zone) == 0 && m->rec.spot == r->spot) return true;
+  if (!m->odd) g_warning("report contradicts the record machine=%s type=%s zone=%s", m->id, r->type, r->zone);
+  m->odd = true;
+  return false;
+}
+
 void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out) {
   fc_worker_report r;
   char error[200];
@@ -306,28 +366,46 @@
    * would be dropped and hold the worker here while its lease runs out. */
   if (!m || !m->version || r.token > t->term.number) goto refused;
   if (m->writing) goto refused; /* it may belong to another already */
+  if (!agrees(m, &r)) goto refused;
   if (m->owner != t->self) {
     if (owner_reachable(c, m)) {
       m->redirected_at = fc_now();
       *status = 421;
       fc_worker_redirect(out, t->term.members[m->owner].name);
+    } else if (!newer(m, &r)) {
+      goto refused; /* a copy: no sign of life, and nobody waits for the answer */
     } else {
       keep(c, m, &r, out);
       *status = 200;
     }
     goto out;
   }
-  if (newer(m, &r)) {
+  bool is_newer = newer(m, &r), commands_too = is_newer || m->reborn;
+  if (m->reborn && m->settled_term == t->term.number) {
+    /* A late report of its earlier life would look newer than its own: only its
+     * answers to direct commands tell what it holds (fault test, seed 38). */
+    note_hearing(c, m);
+    m->answered_at = fc_now();
+    m->probe = true;
+    fc_workers_push(c, m);
+  } else if (is_newer) {
+    note_hearing(c, m);
     adopt(c, m, &r, true);
-  } else if (r.session != m->session) {
-    goto refused; /* a late copy from a life that is over */
+    m->answered_at = fc_now();
+  } else {
+    /* A direct command's answer has overtaken it, or it is a late copy, or the
+     * machine was started anew and counts from the beginning: ask it. */
+    m->probe = true;
+    fc_workers_push(c, m);
+    if (r.session != m->session) goto refused; /* from a life that is over */
+    /* Answered without commands: a copy's answer reaches nobody, and a start
+     * would count as sent. The lease runs from when the report was sent, which
+     * is before what we heard last: a copy does not push its end back. */
+    m->answered_at = MAX(m->answered_at, m->heard_at);
   }
-  /* An older report of this session is not adopted but answered all the same:
-   * a direct command's answer may have overtaken it. */
-  m->answered_at = fc_now();
   announce(c, m);
   *status = 200;
-  if (m->settled_term == t->term.number) {
+  if (commands_too && m->settled_term == t->term.number) {
     GArray *commands = commands_for(c, m, false, r.seq);
     fc_worker_answer(out, t->term.number, (const fc_command *)commands->data, commands->len);
     g_array_free(commands, TRUE);
@@ -357,6 +435,20 @@
   }
 }
 
+/* What the machine's earlier life held is gone; only a direct start that may
+ * still arrive, and would be carried out, stays. */
+static void forget_life(fc_machine *m, const fc_worker_report *r) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (p->sent) p->reported = p->stray == FC_STRAY_NONE; /* reported, and now not listed: gone */
+  }
+  m->session = r->session;
+  m->seq = r->seq - 1;
+  m->seen_token = r->token;
+  m->reborn = true;
+  m->session_from = fc_now();
+}
+
 static void push_main(void *arg) {
   push_arg a = *(push_arg *)arg;
   g_free(arg);
@@ -368,11 +460,13 @@
     fc_endpoint at;
     if (!m || m->owner != t->self || t->term.number != term || !fc_may_act(c)) break;
     if (!fc_endpoint_parse(m->rec.endpoint, &at)) break;
-    bool fencing = m->settled_term != term;
+    bool fencing = m->settled_term != term, probing = m->probe;
+    double asked = fc_now();
+    m->probe = false;
     GArray *commands = fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command)) : commands_for(c, m, true, 0);
     fc_order_result result = FC_ORDER_UNSENT;
     fc_worker_report r;
-    if (fencing || commands->len > 0)
+    if (fencing || probing || commands->len > 0)
       result = fc_worker_order(&at, term, m->session, (const fc_command *)commands->data, commands->len,
                                fc_now() + c->settings->report_s * 0.75, &r);
     g_array_free(commands, TRUE);
@@ -382,6 +476,12 @@
     if (m) decide_strays(m, result);
     bool again = false;
     if (m && read && t->term.number == term && m->owner == t->self && strcmp(r.machine, m->id) == 0) {
+      /* Every word of a worker is newer than what we had heard when we asked; if
+       * not, it was started anew and counts from the beginning. */
+      if (!newer(m, &r) && asked > m->heard_at) {
+        if (!m->reborn) g_info("started anew machine=%s tasks=%u", m->id, m->placements->len);
+        forget_life(m, &r);
+      }
       if (newer(m, &r)) adopt(c, m, &r, false);
       /* A new session, or the first word from this machine: fence with it. */
       again = fencing && result == FC_ORDER_REFUSED && r.token <= term && m->settled_term != term;
@@ -488,6 +588,10 @@
  * not; what dead lives answered, they did before we learned of the term. */
 static double lease_over_at(fc_controller *c, const fc_machine *m) {
   double last = MAX(MAX(m->answered_at, m->kept_at), MAX(m->owned_since, c->term_since));
+  /* A new session has its full time from its own beginning, though nobody has
+   * answered it yet: what was started on it by direct commands alone was once
+   * taken for gone, and started elsewhere (fault test, seed 43). */
+  last = MAX(last, m->session_from);
   double over = last + c->settings->lease_s * (1 + 2 * FC_DRIFT) + c->settings->report_s * 0.25;
   for (int i = 0; i < (int)c->table->term.count; i++) {
     if (i == c->table->self) continue;
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -82,6 +82,9 @@
   for (size_t i = 0; i < a->kept_count; i++) {
     put_text(out, a->kept[i].machine);
     put_u32(out, a->kept[i].age_ms);
+    put_u8(out, a->kept[i].hears);
+    put_u64(out, a->kept[i].session);
+    put_u64(out, a->kept[i].seq);
   }
   finish(out, at);
 }
@@ -221,6 +224,9 @@
     for (size_t i = 0; i < n; i++) {
       get_text(&c, out->kept[i].machine, sizeof out->kept[i].machine);
       out->kept[i].age_ms = get_u32(&c);
+      out->kept[i].hears = get_u8(&c) != 0;
+      out->kept[i].session = get_u64(&c);
+      out->kept[i].seq = get_u64(&c);
     }
   } else {
     c.bad = true;
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -9,7 +9,7 @@
 
 #include "protocol/worker.h"
 
-#define FC_FRAME_VERSION 1
+#define FC_FRAME_VERSION 2
 #define FC_FRAME_HEAD 8u
 #define FC_FRAME_MOST (256u * 1024u)
 
@@ -40,7 +40,9 @@
 
 typedef struct fc_frame_kept {
   char machine[64];
-  uint32_t age_ms; /* since the last answer */
+  uint32_t age_ms;       /* since the last answer */
+  bool hears;            /* it has shown that it heard an answer before */
+  uint64_t session, seq; /* of the newest report answered */
 } fc_frame_kept;
 
 typedef struct fc_ack {
--- a/src/protocol/worker.h
+++ b/src/protocol/worker.h
@@ -8,6 +8,9 @@
 
 #include "transport/conn.h"
 
+/* How long a worker waits for the answer to a report. */
+#define FC_WORKER_PATIENCE_S 4.0
+
 typedef enum {
   FC_TASK_FETCHING,
   FC_TASK_WAITING,
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -27,11 +27,9 @@
 } round_state;
 
 bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now) {
-  if (t->self < 0 || m->owner != t->self || !m->announced || m->settled_term != t->term.number || !m->reported)
-    return false;
+  if (t->self < 0 || m->owner != t->self || !m->announced || m->settled_term != t->term.number) return false;
   if (m->closed || m->writing || m->type < 0 || m->notice_until) return false;
-  /* Nothing is placed on a machine that has been silent for half a lease. */
-  return now <= m->heard_at + t->settings->lease_s * 0.5;
+  return fc_machine_in_touch(t, m, now);
 }
 
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now) {
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -14,7 +14,7 @@
 static bool usable(const fc_table *t, const fc_machine *m, double now) {
   if (!m->announced || m->owner < 0 || m->type < 0 || m->settled_term != t->term.number) return false;
   if (m->closed || m->remote_closed || m->notice_until || m->writing) return false;
-  return m->owner != t->self || (m->reported && now < m->heard_at + t->settings->lease_s * 0.5);
+  return m->owner != t->self || fc_machine_in_touch(t, m, now);
 }
 
 static gint by_id(gconstpointer a, gconstpointer b) {
--- /dev/null
+++ b/tests/sim/parts.h
@@ -0,0 +1,93 @@
+/* What the stand-ins share with each other: jobs, workers, the rules' checks. */
+#ifndef FC_TESTS_PARTS_H
+#define FC_TESTS_PARTS_H
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+#define LEASE_S 14.0
+#define REPORT_S 2.0
+#define CANCEL_S 34.0
+#define GANG_WAIT_S 30.0
+#define GANG_PEER_S 5.0
+#define STEP_S 0.25
+
+typedef struct job {
+  char id[32];
+  unsigned tasks;
+  const char *kind, *rank, *team;
+  double cpus, gpus, run_s;
+  bool one_zone, spread, spot;
+  char *body;
+  bool told_accepted, cancel_asked, told_cancelled, told_done;
+  double cancelled_at;
+  double submit_at, cancel_at; /* cancel_at 0: never */
+  bool *done;
+  unsigned done_count;
+  bool submitting, over;
+  double answered_at; /* when a question about it was last answered */
+  double started_at;  /* when its first task had its image; 0: not yet */
+} job;
+
+typedef enum { T_FETCHING, T_WAITING, T_RUNNING, T_EXITED } tstate;
+
+typedef struct task {
+  job *job;
+  char job_id[32];
+  unsigned index;
+  uint64_t attempt;
+  tstate state;
+  const char *cause;
+  double until, since; /* fetch or run ends then; waiting or broken since */
+  double broken_at;
+} task;
+
+typedef struct worker {
+  char id[32];
+  uint32_t ip;
+  int zone;
+  bool spot, up, gone;
+  double born, up_at, hang_until, deaf_until, notice_at, taken_at;
+  uint64_t session, seq, token, told_token;
+  double last_ok; /* when the last answered report was sent */
+  GPtrArray *tasks;
+  int node;
+  double next_report, sent_at, last_sent;
+  uint64_t sent_session;
+  unsigned life, sent_life; /* one more each time it is back at once */
+  bool in_flight, changed;
+} worker;
+
+typedef struct cut {
+  enum { CUT_ZONES, CUT_NODE, CUT_NODE_STATE, CUT_NODE_PEERS, CUT_NODE_WORKERS, CUT_NODE_ALONE, CUT_WORKER } kind;
+  int node;
+  uint32_t ip;
+  double until;
+  sim_link mode;
+} cut;
+
+extern const char *const world_zones[2];
+extern GHashTable *g_jobs, *g_workers, *g_by_ip;
+extern GPtrArray *g_order; /* workers in order of creation */
+extern world_result g_result;
+extern double g_copies;     /* share of reports that are delivered again, late */
+extern double g_quiet_from; /* all troubles are over by then; 0: not decided */
+extern bool g_verbose;
+
+int world_any_node(void);
+/* workers.c */
+worker *worker_new(int zone, bool spot, double boot_s);
+/* The machine is off and back at once, with nothing on it, under the same name. */
+void worker_reborn(worker *w);
+void workers_init(void);
+/* cloud.c */
+void cloud_init(void);
+/* users.c */
+void users_init(void);
+void ask_unknown(void *arg);
+void job_new(unsigned n, double busy_s);
+
+#endif
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -23,6 +23,7 @@
 void sim_process_start(uint32_t ip, sim_fn fn, void *arg);
 void sim_process_kill(uint32_t ip);
 bool sim_process_alive(uint32_t ip);
+uint32_t sim_here(void); /* the process that runs now; 0: none */
 
 /* How traffic from one address to another fares at this moment. */
 typedef enum { SIM_CLEAR, SIM_HELD, SIM_RESET } sim_link;
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -311,6 +311,10 @@
   while (p->routines->len > 0) release(p->routines->pdata[0]);
 }
 
+uint32_t sim_here(void) {
+  return g_process ? g_process->ip : 0;
+}
+
 bool sim_process_alive(uint32_t ip) {
   process *p = g_hash_table_lookup(g_processes, GUINT_TO_POINTER(ip));
   return p && p->alive;
--- /dev/null
+++ b/tests/sim/workers.c
@@ -0,0 +1,390 @@
+/* Workers: they carry out commands, keep leases, and check the rules where a
+ * task starts. */
+#include "parts.h"
+
+static unsigned g_next_machine, g_next_ip;
+
+static const char *const k_tstate[] = {"pulling", "waiting", "running", "exited"};
+
+/* From the moment it has its image until it exits, or its lease is over. */
+static bool on_machine(const worker *w, const task *t) {
+  if (w->gone || !w->up) return false;
+  if (t->state != T_WAITING && t->state != T_RUNNING) return false;
+  return sim_now() <= w->last_ok + LEASE_S;
+}
+
+static void each_on_machine(void (*fn)(worker *w, task *t, void *arg), void *arg) {
+  for (guint i = 0; i < g_order->len; i++) {
+    worker *w = g_order->pdata[i];
+    for (guint k = 0; k < w->tasks->len; k++) {
+      task *t = w->tasks->pdata[k];
+      if (on_machine(w, t)) fn(w, t, arg);
+    }
+  }
+}
+
+typedef struct start_check {
+  worker *w;
+  task *t;
+  double cpus, gpus;
+  unsigned in_zone, elsewhere;
+} start_check;
+
+static void check_other(worker *w, task *t, void *arg) {
+  start_check *c = arg;
+  if (!t->job) return;
+  if (strcmp(t->job->team, c->t->job->team) == 0) {
+    c->cpus += t->job->cpus;
+    c->gpus += t->job->gpus;
+  }
+  if (t->job != c->t->job) return;
+  if (t->index == c->t->index && (w != c->w || t != c->t)) {
+    char detail[160];
+    g_snprintf(detail, sizeof detail, "%s/%u on %s and %s", t->job->id, t->index, w->id, c->w->id);
+    world_broke("ran_twice", detail);
+  }
+  c->in_zone += w->zone == c->w->zone;
+  c->elsewhere += w->zone != c->w->zone;
+}
+
+/* The task has its image: from here it is on its machine. */
+static void check_start(worker *w, task *t) {
+  g_result.starts++;
+  job *j = t->job;
+  if (!j->started_at) j->started_at = sim_now();
+  start_check c = {.w = w, .t = t};
+  each_on_machine(check_other, &c); /* counts this task too */
+  if (g_verbose)
+    g_printerr("%.2f on machine %s/%u %s team=%s gpus=%.0f in use=%.0f\n", sim_now(), j->id, t->index, w->id, j->team,
+               j->gpus, c.gpus);
+  if (strcmp(j->team, "blue") == 0 && c.gpus > 12 + 1e-6) world_broke("quota", j->id);
+  if (w->spot && !j->spot) world_broke("wrong_place", "spot");
+  if (j->one_zone && c.elsewhere > 0) world_broke("wrong_place", j->id);
+  if (j->spread && c.in_zone > (j->tasks + 1) / 2) world_broke("wrong_place", j->id);
+  if (j->told_cancelled && sim_now() > j->cancelled_at + CANCEL_S) world_broke("ran_cancelled", j->id);
+  if (!j->told_accepted && !j->submitting) world_broke("invented", j->id);
+}
+
+static void add_exited(worker *w, const char *id, unsigned index, uint64_t attempt, const char *cause) {
+  task *t = g_new0(task, 1);
+  g_strlcpy(t->job_id, id, sizeof t->job_id);
+  t->job = g_hash_table_lookup(g_jobs, id);
+  t->index = index;
+  t->attempt = attempt;
+  t->state = T_EXITED;
+  t->cause = cause;
+  g_ptr_array_add(w->tasks, t);
+}
+
+static GHashTable *g_causes; /* how often tasks have ended for each cause */
+
+unsigned world_ended(const char *cause) {
+  return GPOINTER_TO_UINT(g_hash_table_lookup(g_causes, cause));
+}
+
+static void exit_task(worker *w, task *t, const char *cause) {
+  g_hash_table_insert(g_causes, (gpointer)cause, GUINT_TO_POINTER(world_ended(cause) + 1));
+  t->state = T_EXITED;
+  t->cause = cause;
+  w->changed = true;
+}
+
+static void command_start(worker *w, const char *id, unsigned index, uint64_t attempt) {
+  double cpus = 40, gpus = 4;
+  for (guint i = 0; i < w->tasks->len; i++) {
+    task *t = w->tasks->pdata[i];
+    bool same = strcmp(t->job_id, id) == 0 && t->index == index;
+    if (same && t->attempt == attempt) return;
+    if (t->state == T_EXITED) continue;
+    if (same) {
+      add_exited(w, id, index, attempt, "busy");
+      return;
+    }
+    cpus -= t->job->cpus;
+    gpus -= t->job->gpus;
+  }
+  job *j = g_hash_table_lookup(g_jobs, id);
+  w->changed = true;
+  if (!j) {
+    add_exited(w, id, index, attempt, "unknown");
+  } else if (j->cpus > cpus + 1e-6 || j->gpus > gpus + 1e-6) {
+    add_exited(w, id, index, attempt, "no_room");
+  } else {
+    task *t = g_new0(task, 1);
+    g_strlcpy(t->job_id, id, sizeof t->job_id);
+    t->job = j;
+    t->index = index;
+    t->attempt = attempt;
+    t->state = T_FETCHING;
+    t->until = sim_now() + sim_draw(0.2, 3);
+    g_ptr_array_add(w->tasks, t);
+  }
+}
+
+static void execute(worker *w, json_t *calls) {
+  size_t i;
+  json_t *call;
+  json_array_foreach(calls, i, call) {
+    const char *op = json_string_value(json_object_get(call, "call"));
+    const char *run = json_string_value(json_object_get(call, "run"));
+    uint64_t attempt = (uint64_t)json_integer_value(json_object_get(call, "kickoff"));
+    char id[32];
+    const char *slash = strchr(run, '/');
+    g_strlcpy(id, run, MIN(sizeof id, (size_t)(slash - run) + 1));
+    unsigned index = (unsigned)atoi(slash + 1);
+    if (strcmp(op, "start") == 0) {
+      command_start(w, id, index, attempt);
+      continue;
+    }
+    for (guint k = w->tasks->len; k-- > 0;) {
+      task *t = w->tasks->pdata[k];
+      if (strcmp(t->job_id, id) != 0 || t->index != index || t->attempt != attempt) continue;
+      if (strcmp(op, "halt") == 0 && t->state != T_EXITED) exit_task(w, t, "stopped");
+      if (strcmp(op, "clear") == 0 && t->state == T_EXITED) {
+        g_ptr_array_remove_index(w->tasks, k);
+        g_free(t);
+      }
+    }
+  }
+}
+
+static char *report_of(worker *w) {
+  json_t *runs = json_array();
+  for (guint i = 0; i < w->tasks->len; i++) {
+    task *t = w->tasks->pdata[i];
+    char run[64];
+    g_snprintf(run, sizeof run, "%s/%u", t->job_id, t->index);
+    json_array_append_new(runs, json_pack("{ss sI ss ss*}", "run", run, "kickoff", (json_int_t)t->attempt, "status",
+                                          k_tstate[t->state], "cause", t->state == T_EXITED ? t->cause : NULL));
+  }
+  char at[40];
+  g_snprintf(at, sizeof at, "10.1.%u.%u:9000", w->ip >> 8 & 0xff, w->ip & 0xff);
+  json_t *v = json_pack("{ss ss ss ss sb sI sI sI so}", "paddock", w->id, "endpoint", at, "build", "g4", "ground",
+                        world_zones[w->zone], "loaners", (int)w->spot, "stint", (json_int_t)w->session, "tally",
+                        (json_int_t)++w->seq, "captaincy", (json_int_t)w->token, "runs", runs);
+  if (w->notice_at > 0) json_object_set_new(v, "recallS", json_real(MAX(0, w->taken_at - sim_now())));
+  char *s = json_dumps(v, JSON_COMPACT);
+  json_decref(v);
+  return s;
+}
+
+static bool alive(const worker *w) {
+  return w->up && !w->gone && sim_now() >= w->hang_until;
+}
+
+static void check_lease(worker *w) {
+  if (sim_now() <= w->last_ok + LEASE_S) return;
+  for (guint i = 0; i < w->tasks->len; i++) g_free(w->tasks->pdata[i]);
+  g_result.lease_kills += w->tasks->len;
+  g_ptr_array_set_size(w->tasks, 0);
+  w->session++;
+  w->last_ok = sim_now();
+  w->changed = true;
+}
+
+static void on_report_reply(int status, const char *body, void *arg) {
+  worker *w = arg;
+  if (w->sent_life != w->life) return; /* the connection is gone with the earlier life */
+  w->in_flight = false;
+  if (!alive(w)) return;
+  check_lease(w);
+  json_t *v = status == 200 || status == 421 ? json_loads(body, 0, NULL) : NULL;
+  if (status == 200 && v && w->sent_session == w->session) {
+    uint64_t token = (uint64_t)json_integer_value(json_object_get(v, "captaincy"));
+    if (token >= w->token) {
+      if (token > w->token) w->changed = true;
+      w->token = token;
+      w->last_ok = w->sent_at;
+      execute(w, json_object_get(v, "calls"));
+    }
+  } else if (status == 421 && v && json_object_get(v, "coach")) {
+    const char *name = json_string_value(json_object_get(v, "coach"));
+    int n = atoi(name + strlen("paddock-"));
+    w->next_report = sim_now() + (n == w->node ? 1 : sim_draw(0, 0.5));
+    if (n == w->node)
+      w->node = (w->node + 1) % WORLD_NODES;
+    else
+      w->node = n;
+  } else {
+    w->node = (w->node + 1) % WORLD_NODES;
+    w->next_report = sim_now() + 1;
+  }
+  json_decref(v);
+}
+
+/* A report that is delivered once more, seconds to leases late, perhaps to
+ * another controller, perhaps when the machine has long been returned. Nobody
+ * reads the answer. */
+typedef struct copy {
+  uint32_t from, to;
+  char *body;
+} copy;
+
+static void on_copy_reply(int status, const char *body, void *arg) {
+  (void)status;
+  (void)body;
+  (void)arg;
+}
+
+static void deliver_copy(void *arg) {
+  copy *c = arg;
+  sim_call(c->from, c->to, "POST", "/checkin", c->body, 4, on_copy_reply, NULL);
+  g_free(c->body);
+  g_free(c);
+}
+
+static void worker_report(worker *w) {
+  w->in_flight = true;
+  w->sent_at = w->last_sent = sim_now();
+  w->sent_session = w->session;
+  w->sent_life = w->life;
+  w->changed = false;
+  w->next_report = sim_now() + REPORT_S * sim_draw(0.75, 1.25);
+  char *s = report_of(w);
+  sim_call(w->ip, WORLD_NODE_IP(w->node), "POST", "/checkin", s, 4, on_report_reply, w);
+  if (sim_chance(g_copies)) {
+    copy *c = g_new(copy, 1);
+    *c = (copy){w->ip, WORLD_NODE_IP(sim_chance(0.5) ? w->node : world_any_node()), g_strdup(s)};
+    sim_after(sim_draw(0.5, 3 * LEASE_S), deliver_copy, c);
+  }
+  free(s);
+}
+
+void worker_reborn(worker *w) {
+  for (guint i = 0; i < w->tasks->len; i++) g_free(w->tasks->pdata[i]);
+  g_ptr_array_set_size(w->tasks, 0);
+  w->life++;
+  w->session = 1;
+  w->seq = w->token = 0;
+  w->last_ok = w->next_report = sim_now();
+  w->in_flight = false;
+  w->node = world_any_node();
+}
+
+void workers_init(void) {
+  g_causes = g_hash_table_new(g_str_hash, g_str_equal);
+  g_workers = g_hash_table_new(g_str_hash, g_str_equal);
+  g_by_ip = g_hash_table_new(NULL, NULL);
+  g_order = g_ptr_array_new();
+  g_next_machine = g_next_ip = 0;
+}
+
+static void worker_orders(const sim_request *r, void *arg) {
+  worker *w = arg;
+  check_lease(w);
+  json_t *v = json_loads(r->body, 0, NULL);
+  bool ok = (uint64_t)json_integer_value(json_object_get(v, "captaincy")) >= w->token &&
+            (uint64_t)json_integer_value(json_object_get(v, "stint")) == w->session;
+  if (ok) {
+    uint64_t token = (uint64_t)json_integer_value(json_object_get(v, "captaincy"));
+    if (token > w->token) w->changed = true;
+    w->token = token;
+    execute(w, json_object_get(v, "calls"));
+  }
+  json_decref(v);
+  char *s = report_of(w);
+  sim_answer(r->exchange, ok ? 200 : 409, s);
+  free(s);
+}
+
+typedef struct gang_view {
+  task *t;
+  unsigned present, ready;
+} gang_view;
+
+static void see_gang(worker *w, task *t, void *arg) {
+  gang_view *g = arg;
+  if (t->job != g->t->job || t->attempt != g->t->attempt || w->hang_until > sim_now()) return;
+  g->present++;
+}
+
+static void finish(worker *w, task *t) {
+  job *j = t->job;
+  if (!j->done[t->index]) {
+    j->done[t->index] = true;
+    j->done_count++;
+  }
+  exit_task(w, t, "done");
+}
+
+static void task_step(worker *w, task *t) {
+  job *j = t->job;
+  double now = sim_now();
+  if (t->state == T_FETCHING && now >= t->until) {
+    bool gang = strcmp(j->kind, "gang") == 0;
+    t->state = gang ? T_WAITING : T_RUNNING;
+    t->since = now;
+    t->until = now + j->run_s;
+    w->changed = true;
+    check_start(w, t);
+    /* The result of a finished task is kept. */
+    if (j->done[t->index]) finish(w, t);
+  }
+  if (strcmp(j->kind, "gang") == 0 && (t->state == T_WAITING || t->state == T_RUNNING)) {
+    gang_view g = {.t = t};
+    each_on_machine(see_gang, &g);
+    if (t->state == T_WAITING && g.present == j->tasks) {
+      t->state = T_RUNNING;
+      t->until = now + j->run_s;
+      w->changed = true;
+    } else if (t->state == T_WAITING && now > t->since + GANG_WAIT_S) {
+      exit_task(w, t, "incomplete");
+    } else if (t->state == T_RUNNING && g.present < j->tasks && !j->done[0]) {
+      if (!t->broken_at) t->broken_at = now;
+      if (now > t->broken_at + GANG_PEER_S * 0.8) exit_task(w, t, "mates_gone");
+    } else if (t->state == T_RUNNING && now >= t->until) {
+      /* They complete together. */
+      for (unsigned i = 0; i < j->tasks; i++) j->done[i] = true;
+      j->done_count = j->tasks;
+      finish(w, t);
+    }
+  } else if (t->state == T_RUNNING && strcmp(j->kind, "sweep") == 0 && now >= t->until) {
+    finish(w, t);
+  }
+  if (t->job && t->state != T_EXITED && t->state != T_FETCHING && j->told_cancelled && now > j->cancelled_at + CANCEL_S)
+    world_broke("ran_cancelled", j->id);
+}
+
+static void worker_step(void *arg) {
+  worker *w = arg;
+  if (w->gone) return;
+  double now = sim_now();
+  if (!w->up && now >= w->up_at) {
+    w->up = true;
+    w->last_ok = now;
+    w->session = 1;
+    w->next_report = now;
+  }
+  if (w->taken_at > 0 && now >= w->taken_at) {
+    w->gone = true;
+    return;
+  }
+  if (alive(w)) {
+    check_lease(w);
+    for (guint i = 0; i < w->tasks->len; i++) {
+      task *t = w->tasks->pdata[i];
+      if (t->state != T_EXITED) task_step(w, t);
+    }
+    bool due = now >= w->next_report || (w->changed && now >= w->last_sent + 0.5);
+    if (!w->in_flight && due && w->up) worker_report(w);
+  }
+  sim_after(STEP_S, worker_step, w);
+}
+
+worker *worker_new(int zone, bool spot, double boot_s) {
+  worker *w = g_new0(worker, 1);
+  g_snprintf(w->id, sizeof w->id, "vm-%06u", g_next_machine++);
+  w->ip = IP(10, 1, 0, 0) + ++g_next_ip;
+  w->zone = zone;
+  w->spot = spot;
+  w->born = sim_now();
+  w->up_at = sim_now() + boot_s;
+  w->tasks = g_ptr_array_new();
+  w->node = g_rand_int_range(sim_rand(), 0, WORLD_NODES);
+  g_hash_table_insert(g_workers, w->id, w);
+  g_hash_table_insert(g_by_ip, GUINT_TO_POINTER(w->ip), w);
+  g_ptr_array_add(g_order, w);
+  sim_serve(w->ip, worker_orders, w);
+  sim_after(STEP_S, worker_step, w);
+  return w;
+}
