--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -220,6 +220,16 @@
   return r;
 }
 
+bool fc_machine_vacant(const fc_machine *m) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    bool over = p->state == FC_TASK_EXITED && p->recorded;
+    bool given_up = p->stopping && !p->reported && p->stray == FC_STRAY_LOST;
+    if (!over && !given_up) return false;
+  }
+  return true;
+}
+
 bool fc_machine_in_touch(const fc_table *t, const fc_machine *m, double now) {
   if (!m->reported || now > m->heard_at + t->settings->lease_s * 0.5) return false;
   /* Its next report, or the answer to a probe, shows whether it has heard. */
@@ -299,7 +309,7 @@
   /* Whoever owns it now has to fence and adopt it first. */
   m->settled_term = 0;
   m->owned_since = now;
-  m->closed = m->remote_closed = false; /* said by an owner before */
+  m->closed = m->remote_closed = m->releasing = false; /* said by an owner before */
   m->reported = false;
 }
 
@@ -337,7 +347,7 @@
       m->settled_term = 0;
       m->owned_since = now;
       m->reported = false;
-      m->closed = m->remote_closed = false;
+      m->closed = m->remote_closed = m->releasing = false;
     }
   }
 }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -149,6 +149,9 @@
 bool fc_room_fits(const fc_room *r, const fc_job_spec *s);
 void fc_room_take(fc_room *r, const fc_job_spec *s);
 void fc_machine_used_image(fc_machine *m, GRefString *image);
+/* Nothing on it that anybody still needs: what is left has ended and is recorded,
+ * or is a start that was given up and may yet arrive. */
+bool fc_machine_vacant(const fc_machine *m);
 /* Heard of lately, and not without a sign that it hears us too. */
 bool fc_machine_in_touch(const fc_table *t, const fc_machine *m, double now);
 bool fc_machine_has_image(const fc_machine *m, const char *image);
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -18,41 +18,28 @@
   fc_demand cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX], gpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
 } tally;
 
-/* Gangs start all at once: two parts that each hold half of what a gang needs
- * would both wait for ever (seen by the fault test, seed 15). So parts ask for
- * gangs in one order, the same for all, and only for as many as the limit can
- * hold beside what runs. */
-static void want_gangs(const fc_table *t, GPtrArray *gangs, tally *out) {
-  double cpus[FC_TEAMS_MAX] = {0}, gpus[FC_TEAMS_MAX] = {0};
-  for (size_t m = 0; m < t->term.count; m++) {
-    for (size_t k = 0; k < t->settings->team_count; k++) {
-      cpus[k] += out->cpus[m][k].used;
-      gpus[k] += out->gpus[m][k].used;
-    }
-  }
-  g_ptr_array_sort(gangs, fc_job_by_rank_and_id);
-  for (guint i = 0; i < gangs->len; i++) {
-    const fc_job *j = gangs->pdata[i];
-    const fc_team_settings *ts = &t->settings->teams[j->team];
-    int owner = fc_job_owner(t, j, 0);
-    double n = j->spec.tasks - j->done_count;
-    const double slack = 1e-6;
-    if (owner < 0 || (ts->cpus_max > 0 && cpus[j->team] + n * j->spec.cpus > ts->cpus_max + slack) ||
-        (ts->gpus_max > 0 && gpus[j->team] + n * j->spec.gpus > ts->gpus_max + slack))
-      continue;
-    cpus[j->team] += n * j->spec.cpus;
-    gpus[j->team] += n * j->spec.gpus;
-    out->cpus[owner][j->team].wanted += n * j->spec.cpus;
-    out->gpus[owner][j->team].wanted += n * j->spec.gpus;
-  }
+/* Gangs start all at once: two parts that each hold half of what one needs would
+ * both wait for ever (fault test, seed 15). So it is asked for one gang of a team
+ * at a time, the same on all members. */
+static void want_gang(const fc_table *t, const fc_job *j, tally *out) {
+  int owner = fc_job_owner(t, j, 0);
+  if (owner < 0) return;
+  double n = j->spec.tasks - j->done_count;
+  out->cpus[owner][j->team].wanted += n * j->spec.cpus;
+  out->gpus[owner][j->team].wanted += n * j->spec.gpus;
 }
 
 /* `pessimistic`: a machine that is not settled may be full of any team's tasks. */
 static void take_tally(const fc_table *t, bool pessimistic, tally *out) {
   memset(out, 0, sizeof *out);
-  GPtrArray *gangs = g_ptr_array_new();
   GHashTableIter it;
   gpointer value;
+  const fc_job *turn[FC_TEAMS_MAX];
+  for (size_t k = 0; k < t->settings->team_count; k++) {
+    turn[k] = fc_gang_turn(t, (int)k);
+    if (turn[k]) want_gang(t, turn[k], out);
+  }
+  double now = fc_now();
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
@@ -75,10 +62,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
     if (j->team < 0 || j->phase != FC_PHASE_ACCEPTED || !limited(&t->settings->teams[j->team])) continue;
-    if (j->spec.kind == FC_KIND_GANG) {
-      if (j->placements->len == 0) g_ptr_array_add(gangs, (gpointer)j);
-      continue;
-    }
+    if (j->spec.kind == FC_KIND_GANG || fc_gang_before(t, turn[j->team], j, now)) continue;
     GArray *missing = fc_job_missing(t, j, -1, 1024);
     for (guint i = 0; i < missing->len; i++) {
       int owner = fc_job_owner(t, j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
@@ -88,8 +72,6 @@
     }
     g_array_free(missing, TRUE);
   }
-  want_gangs(t, gangs, out);
-  g_ptr_array_free(gangs, TRUE);
 }
 
 static int quota_index(const fc_quota_record *q, const char *member) {
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -189,6 +189,17 @@
   return m->heard_at < since || (m->deaf_since && m->deaf_since < since);
 }
 
+/* A direct start that was lost may arrive minutes later, and its task may not be
+ * started elsewhere before that is ruled out. Returning the machine rules it out;
+ * without that the task waited for ever (fault test, seed 555). */
+static bool holds_lost_start(const fc_machine *m, double since) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    if (p->stray == FC_STRAY_LOST && p->stopping && !p->reported && p->since < since) return true;
+  }
+  return false;
+}
+
 /* Returns machines: closed first, so that nothing is placed on them; gone from
  * the table only after the cloud has confirmed. */
 static void give_back(fc_controller *c) {
@@ -221,15 +232,19 @@
     bool never_up =
         !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s;
     bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
-    bool faulty = m->faulty && m->placements->len == 0 && m->settled_term == t->term.number;
+    if (!m->faulty && holds_lost_start(m, now - c->settings->lease_s * 2)) m->faulty = m->closed = true;
+    bool faulty = m->faulty && fc_machine_vacant(m) && m->settled_term == t->term.number;
     if (idle) {
       if (!surplus) surplus = fc_rent_surplus(t, now);
       idle = g_hash_table_contains(surplus, m);
     }
-    if (!lost && !never_up && !idle && !faulty) continue;
+    /* Begun and not ended: the machine may be gone and its record still there
+     * (fault test, seed 183: the record stayed for good). */
+    if (!lost && !never_up && !idle && !faulty && !m->releasing) continue;
     m->closed = true;
+    if (!m->releasing)
+      g_info("return machine=%s lost=%d never_up=%d idle=%d faulty=%d", m->id, lost, never_up, idle, faulty);
     m->releasing = true;
-    g_info("return machine=%s lost=%d never_up=%d idle=%d faulty=%d", m->id, lost, never_up, idle, faulty);
     g_ptr_array_add(ids, g_strdup(m->id));
   }
   if (ids->len == 0 || !cloud_turn(c) || !fc_may_act(c)) goto out;
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -114,7 +114,9 @@
 static void preempt(fc_controller *c, GPtrArray *push) {
   fc_allowance allow;
   fc_quota_allowance(c, &allow);
-  send_stops(c, fc_preempt_round(c->table, &allow, fc_now()), push);
+  GPtrArray *stops = fc_preempt_round(c->table, &allow, fc_now());
+  fc_preempt_for_limit(c->table, stops, fc_now());
+  send_stops(c, stops, push);
 }
 
 /* A task of ours, or a gang anywhere, that has found no place? */
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -131,7 +131,7 @@
             m->placements->len);
     if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
   }
-  if (m->placements->len == 0) {
+  if (fc_machine_vacant(m)) {
     if (!m->idle_since) m->idle_since = now;
   } else {
     m->idle_since = 0;
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -22,6 +22,7 @@
   GArray *slots;
   GPtrArray *jobs; /* candidate */
   fc_allowance allow;
+  const fc_job *turn[FC_TEAMS_MAX];
   double used_cpus[FC_TEAMS_MAX], used_gpus[FC_TEAMS_MAX]; /* everywhere */
   GArray *out;
 } round_state;
@@ -73,6 +74,67 @@
   return zone_rules(&j->spec, here, all);
 }
 
+gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b) {
+  const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
+  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
+  return strcmp(x->spec.id, y->spec.id);
+}
+
+static bool gang_waits(const fc_job *j) {
+  return j->spec.kind == FC_KIND_GANG && j->phase == FC_PHASE_ACCEPTED && j->placements->len == 0 &&
+         j->done_count < j->spec.tasks;
+}
+
+/* What of the team's use can't be stopped for a gang of the rank. */
+static fc_room fixed_use(const fc_table *t, int team, fc_rank rank) {
+  fc_room use = {0, 0, 0};
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_job *j = value;
+    if (j->team != team || (j->spec.kind == FC_KIND_ARRAY && j->spec.rank < rank)) continue;
+    unsigned n = 0;
+    for (guint i = 0; i < j->placements->len; i++) n += fc_placement_live(j->placements->pdata[i]);
+    use.cpus += j->spec.cpus * n;
+    use.gpus += j->spec.gpus * n;
+  }
+  return use;
+}
+
+const fc_job *fc_gang_turn(const fc_table *t, int team) {
+  const fc_team_settings *ts = &t->settings->teams[team];
+  if (ts->cpus_max <= 0 && ts->gpus_max <= 0) return NULL;
+  GPtrArray *gangs = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_job *j = value;
+    if (j->team == team && gang_waits(j)) g_ptr_array_add(gangs, (gpointer)j);
+  }
+  g_ptr_array_sort(gangs, fc_job_by_rank_and_id);
+  const fc_job *turn = NULL;
+  const double slack = 1e-6;
+  for (guint i = 0; i < gangs->len && !turn; i++) {
+    const fc_job *j = gangs->pdata[i];
+    fc_room use = fixed_use(t, team, j->spec.rank);
+    double n = j->spec.tasks;
+    if (ts->cpus_max > 0 && use.cpus + n * j->spec.cpus > ts->cpus_max + slack) continue;
+    if (ts->gpus_max > 0 && use.gpus + n * j->spec.gpus > ts->gpus_max + slack) continue;
+    turn = j;
+  }
+  g_ptr_array_free(gangs, TRUE);
+  return turn;
+}
+
+bool fc_gang_before(const fc_table *t, const fc_job *gang, const fc_job *j, double now) {
+  if (!gang || j == gang || j->team != gang->team) return false;
+  if (j->spec.kind == FC_KIND_GANG) return true;
+  return j->spec.kind == FC_KIND_ARRAY && j->spec.rank < gang->spec.rank &&
+         now > gang->seen_at + t->settings->op.handover_wait_s;
+}
+
 GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most) {
   GArray *out = g_array_new(FALSE, FALSE, sizeof(uint32_t));
   size_t bytes = (j->spec.tasks + 7) / 8;
@@ -215,6 +277,7 @@
 /* False when the job can get nothing more this round. */
 static bool place_some(round_state *rs, candidate *c) {
   fc_job *j = c->job;
+  if (fc_gang_before(rs->table, rs->turn[j->team], j, rs->now)) return false;
   if (j->spec.kind == FC_KIND_GANG) {
     if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return false;
     if (!allowed(rs, j, c->missing->len)) return false;
@@ -322,6 +385,7 @@
   rs.jobs = g_ptr_array_new_with_free_func(candidate_free);
   rs.out = g_array_new(FALSE, TRUE, sizeof(fc_decision));
   gather(&rs, now);
+  for (size_t k = 0; k < t->settings->team_count; k++) rs.turn[k] = fc_gang_turn(t, (int)k);
   while (rs.jobs->len > 0) {
     candidate *c = pick(&rs);
     if (!place_some(&rs, c)) g_ptr_array_remove(rs.jobs, c);
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -27,10 +27,22 @@
 /* Accepted jobs with tasks left, most important first, then first come. */
 GPtrArray *fc_jobs_open(const fc_table *t);
 gint fc_job_by_importance(gconstpointer a, gconstpointer b);
+/* Sorts fc_job pointers in an order that is the same on every member. */
+gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b);
 /* Tasks of the job that are neither finished nor anywhere, of the slices that
  * belong to `member` (-1: of all); caps the list. */
 GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most);
 
+/* The gang whose turn it is with the team's limit, of those that wait anywhere:
+ * the first, in an order that is the same on every member, which fits beside what
+ * can't be stopped for it. NULL: none, or the team has no limit. Until it runs no
+ * other gang of the team gathers room, and arrays of lower rank start nothing:
+ * two gangs that each gather half wait for ever, and so does one whose limit is
+ * used up task by task (fault test, seed 249). */
+const fc_job *fc_gang_turn(const fc_table *t, int team);
+/* Must the job leave the team's limit to that gang? */
+bool fc_gang_before(const fc_table *t, const fc_job *gang, const fc_job *j, double now);
+
 /* One round of the part: fills the free room of this member's usable machines,
  * most important rank first, then the team with the lowest share of its
  * guarantee. Decisions of one gang follow each other and are complete. */
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -149,6 +149,52 @@
   return hosts;
 }
 
+static gint by_task(gconstpointer a, gconstpointer b) {
+  const fc_placement *x = *(const fc_placement *const *)a, *y = *(const fc_placement *const *)b;
+  int by_job = strcmp(x->job_id, y->job_id);
+  return by_job != 0 ? by_job : x->index < y->index ? -1 : x->index > y->index;
+}
+
+static void stop_for_gang(const fc_table *t, const fc_job *gang, GPtrArray *stops) {
+  const fc_team_settings *ts = &t->settings->teams[gang->team];
+  GPtrArray *may = g_ptr_array_new();
+  double cpus = gang->spec.tasks * gang->spec.cpus, gpus = gang->spec.tasks * gang->spec.gpus;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_job *j = value;
+    if (j->team != gang->team) continue;
+    bool stoppable = j->spec.kind == FC_KIND_ARRAY && j->spec.rank < gang->spec.rank;
+    for (guint i = 0; i < j->placements->len; i++) {
+      fc_placement *p = j->placements->pdata[i];
+      if (!fc_placement_live(p)) continue;
+      cpus += j->spec.cpus;
+      gpus += j->spec.gpus;
+      if (stoppable) g_ptr_array_add(may, p);
+    }
+  }
+  g_ptr_array_sort(may, by_task);
+  const double slack = 1e-6;
+  for (guint i = 0; i < may->len; i++) {
+    if ((ts->cpus_max <= 0 || cpus <= ts->cpus_max + slack) && (ts->gpus_max <= 0 || gpus <= ts->gpus_max + slack))
+      break;
+    fc_placement *p = may->pdata[i];
+    cpus -= p->job->spec.cpus;
+    gpus -= p->job->spec.gpus;
+    if (p->machine->owner == t->self && !p->stopping) g_ptr_array_add(stops, p);
+  }
+  g_ptr_array_free(may, TRUE);
+}
+
+void fc_preempt_for_limit(const fc_table *t, GPtrArray *stops, double now) {
+  for (size_t k = 0; k < t->settings->team_count; k++) {
+    const fc_job *gang = fc_gang_turn(t, (int)k);
+    /* What runs may end by itself; a lease is as long as most troubles take. */
+    if (gang && now > gang->seen_at + t->settings->lease_s) stop_for_gang(t, gang, stops);
+  }
+}
+
 bool fc_preempt_for_image(const fc_table *t, const fc_decision *d, GPtrArray *stops, double now) {
   const fc_job *j = d->job;
   const fc_machine *to = d->machine;
--- a/src/scheduler/preempt.h
+++ b/src/scheduler/preempt.h
@@ -13,6 +13,10 @@
  * theirs. Work that saves goes first, then what loses least. */
 GPtrArray *fc_preempt_round(const fc_table *t, const fc_allowance *allow, double now);
 
+/* Placements of this part to be stopped so that the gang whose turn it is fits its
+ * team's limit. All members choose the same of all parts, and stop their own. */
+void fc_preempt_for_limit(const fc_table *t, GPtrArray *stops, double now);
+
 /* For a task of high rank that `plan` puts where its image is not: may it be
  * worth more to wait until a machine that has the image is made free? Fills
  * `stops` with what has to be stopped there (nothing, when it is being stopped
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -61,7 +61,7 @@
              .owner = m->owner,
              .zone = m->rec.zone,
              .spot = m->rec.spot,
-             .idle = m->placements->len == 0,
+             .idle = fc_machine_vacant(m),
              .room = fc_machine_room(t, m),
              .machine = m};
     g_array_append_val(p->bins, b);
@@ -293,7 +293,17 @@
   add_existing(&p, now);
   g_array_sort(p.bins, by_use);
   GPtrArray *jobs = fc_jobs_open(t);
-  for (guint i = 0; i < jobs->len; i++) pack_job(&p, jobs->pdata[i]);
+  /* What a team's limit is kept for goes first, and nothing is rented for what
+   * has to wait for that. */
+  const fc_job *turn[FC_TEAMS_MAX];
+  for (size_t k = 0; k < t->settings->team_count; k++) {
+    turn[k] = fc_gang_turn(t, (int)k);
+    if (turn[k]) pack_job(&p, turn[k]);
+  }
+  for (guint i = 0; i < jobs->len; i++) {
+    const fc_job *j = jobs->pdata[i];
+    if (j != turn[j->team] && !fc_gang_before(t, turn[j->team], j, now)) pack_job(&p, j);
+  }
   g_ptr_array_free(jobs, TRUE);
   pack_margin(&p, now);
   return p.bins;
@@ -331,7 +341,7 @@
 }
 
 bool fc_rent_idle(const fc_table *t, const fc_machine *m, double now) {
-  if (m->placements->len > 0 || !m->idle_since || m->type < 0) return false;
+  if (!fc_machine_vacant(m) || !m->idle_since || m->type < 0) return false;
   const fc_machine_type *mt = t->types->pdata[m->type];
   /* Renting again costs the boot and the least charge; keeping it costs time. */
   double keep = (mt->boot_s + MINIMUM_CHARGE_S) * t->settings->op.idle_keep_share;
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -196,12 +196,6 @@
   return m->placements->len == 0;
 }
 
-gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b) {
-  const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
-  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
-  return strcmp(x->spec.id, y->spec.id);
-}
-
 bool fc_share_clearable(const fc_placement *p, const fc_job *gang) {
   return p->job && p->job->spec.kind == FC_KIND_ARRAY && p->job->spec.rank < gang->spec.rank;
 }
@@ -316,6 +310,7 @@
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
     if (now < j->seen_at + t->settings->op.handover_wait_s) continue;
+    if (fc_gang_before(t, fc_gang_turn(t, j->team), j, now)) continue;
     int owner = fc_job_owner(t, j, 0);
     if (owner >= 0 && (owner == t->self || told->fit[owner])) lend_to_gang(t, room, j, now, out);
   }
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -7,9 +7,6 @@
 
 #include "bookkeeping/table.h"
 
-/* Sorts fc_job pointers in an order that is the same on every member. */
-gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b);
-
 /* What each member of the term has acknowledged of us. */
 typedef struct fc_told {
   uint64_t view[FC_MEMBERS_MAX];     /* newest view of ours it has applied */
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -136,6 +136,10 @@
   sim_after(0.05, tick, NULL);
 }
 
+bool state_has(const char *key) {
+  return g_tree_lookup(g_keys, key) != NULL;
+}
+
 void state_down(bool down) {
   /* After an outage every lease has its full time again. */
   if (g_down && !down) {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -273,6 +273,16 @@
   return g_order->len;
 }
 
+/* A machine that was returned is not taken back into use by a late report. */
+static void check_returned(void) {
+  for (guint i = 0; i < g_order->len; i++) {
+    const worker *w = g_order->pdata[i];
+    char *key = g_strconcat("fc1/machine/", w->id, NULL);
+    if (w->gone && state_has(key)) world_broke("returned machine on record", w->id);
+    g_free(key);
+  }
+}
+
 world_result world_play(uint32_t seed, double busy_s, double quiet_s) {
   world_set_up(seed, 0.002);
   world_start_nodes();
@@ -285,6 +295,7 @@
   g_quiet_from = end + 45; /* the longest trouble */
   sim_after(15, fault, &end);
   sim_run_until(end + quiet_s);
+  check_returned();
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, g_jobs);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -32,6 +32,7 @@
 /* Within the stand-ins. */
 void state_init(void);
 void state_down(bool down);
+bool state_has(const char *key);
 bool world_state_refuses(const sim_request *r);
 void world_broke(const char *rule, const char *detail);
 
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -9,7 +9,7 @@
 static void days_with_faults(void **state) {
   (void)state;
   const char *only = g_getenv("FAULT_SEED"), *many = g_getenv("FAULT_SEEDS");
-  uint32_t first = only ? (uint32_t)atoi(only) : 1, count = only ? 1 : many ? (uint32_t)atoi(many) : 12;
+  uint32_t first = only ? (uint32_t)atoi(only) : 1, count = only ? 1 : many ? (uint32_t)atoi(many) : 64;
   unsigned unfinished = 0, starts = 0;
   for (uint32_t seed = first; seed < first + count; seed++) {
     world_result r = world_play(seed, 240, 220);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -434,6 +434,53 @@
   }
 }
 
+/* One gang of a team at a time gets what is left of its limit (16 GPUs). */
+static void gangs_take_turns(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned services, arrays; /* the team's tasks that run */
+    const char *turn;
+  } rows[] = {
+      {"the first by name", 0, 0, "job-000001"},
+      {"arrays of lower rank can be stopped", 0, 12, "job-000001"},
+      {"beside services only the smaller one fits", 6, 0, "job-000002"},
+      {"none fits", 14, 0, ""},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    fc_job *big = world_job(t, "job-000001", "gang", "high", "blue", 3, 4, "");
+    fc_job *small = world_job(t, "job-000002", "gang", "high", "blue", 2, 4, "");
+    fc_job *service = world_job(t, "job-000003", "service", "prod", "blue", 20, 1, "");
+    fc_job *array = world_job(t, "job-000004", "sweep", "standard", "blue", 20, 1, "");
+    fc_job *other = world_job(t, "job-000005", "sweep", "standard", "red", 2, 1, "");
+    for (unsigned k = 0; k < rows[i].services; k++) fc_table_place(t, m, service->spec.id, k, 1, 0);
+    for (unsigned k = 0; k < rows[i].arrays; k++) fc_table_place(t, m, array->spec.id, k, 1, 0);
+    const fc_job *turn = fc_gang_turn(t, 1);
+    check_row(rows[i].name, strcmp(turn ? turn->spec.id : "", rows[i].turn) == 0);
+    assert_null(fc_gang_turn(t, 0)); /* a team without a limit: no turns */
+    if (!turn) {
+      fc_table_free(t);
+      continue;
+    }
+    /* The others of the team leave the limit to it; not its services, and not
+     * other teams' work. */
+    check_row(rows[i].name, fc_gang_before(t, turn, turn == big ? small : big, 10));
+    check_row(rows[i].name, fc_gang_before(t, turn, array, 10));
+    check_row(rows[i].name, !fc_gang_before(t, turn, service, 10) && !fc_gang_before(t, turn, other, 10));
+    /* Just as many arrays are stopped for it as it takes, and not at once. */
+    GPtrArray *stops = g_ptr_array_new();
+    fc_preempt_for_limit(t, stops, 1);
+    check_row(rows[i].name, stops->len == 0);
+    fc_preempt_for_limit(t, stops, 30);
+    check_row(rows[i].name, stops->len == (rows[i].arrays ? 8 : 0)); /* 12 + 12 - 16 */
+    g_ptr_array_free(stops, TRUE);
+    fc_table_free(t);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(rank_then_lowest_share),
@@ -447,6 +494,7 @@
       cmocka_unit_test(lending_to_gangs),
       cmocka_unit_test(dealing_new_jobs),
       cmocka_unit_test(handing_over),
+      cmocka_unit_test(gangs_take_turns),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -2,6 +2,7 @@
 #include "check.h"
 
 #include "controller/controller.h"
+#include "scheduler/place.h"
 #include "transport/routine.h"
 #include "world.h"
 
@@ -216,6 +217,159 @@
   }
 }
 
+/* A copy of a report may come at any later time, also to a member that has just
+ * become the owner: it changes nothing, and nothing counts as told by it. */
+static void late_copies(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned session, seq, token;
+    int status;
+  } rows[] = {
+      {"of this session", 2, 9, 5, 200},
+      {"of this session, before this term", 2, 9, 4, 200},
+      {"newer by count, but from before the token was seen", 2, 99, 4, 200},
+      {"of an earlier session", 1, 99, 5, 503},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_table *t = b->c.table;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    GString *out = g_string_new(NULL);
+    assert_int_equal(report(b, 2, 10, 5, RUNNING(0), out), 200);
+    fc_placement *p = fc_table_place(t, m, "job-000001", 1, 2, 0);
+    double answered = m->answered_at = m->heard_at = m->heard_at - 3;
+    check_row(rows[i].name, report(b, rows[i].session, rows[i].seq, rows[i].token, RUNNING(3), out) == rows[i].status);
+    check_row(rows[i].name, !says(out, "start") && !p->sent);
+    check_row(rows[i].name, m->placements->len == 2 && m->seq == 10);
+    check_row(rows[i].name, m->answered_at == answered); /* the lease's end is where it was */
+    check_row(rows[i].name, m->probe);                   /* the machine itself is asked */
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
+/* Ownership moves and memory stays: the new owner is not taken in by a copy. */
+static void late_copy_after_the_machine_moved(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  fc_table *t = b->c.table;
+  fc_machine *m = world_machine(t, "vm-1", "a", false);
+  m->owner = 1;
+  b->c.peers[0].heard_at = -1e9; /* we keep it for its owner */
+  GString *out = g_string_new(NULL);
+  assert_int_equal(report(b, 1, 20, 5, "", out), 200);
+  double answered = m->answered_at;
+  assert_int_equal(report(b, 1, 19, 5, "", out), 503); /* nobody waits for this answer */
+  assert_true(m->answered_at == answered);
+  fc_table_derive_owner(t, m, 1);
+  assert_int_equal(m->owner, 0);
+  (void)report(b, 1, 18, 5, RUNNING(0), out);
+  assert_int_equal(m->placements->len, 0);
+  assert_true(m->settled_term != t->term.number);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
+/* Reports that arrive show that a worker can send. Whether it hears is shown by
+ * how soon it is here again. */
+static void deaf_machines(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double since_answer, deaf_for; /* before the report; < 0: not in doubt */
+    bool in_doubt, usable;
+  } rows[] = {
+      {"here again in time", 2, -1, false, true},
+      {"here again in time after a doubt", 2, 9, false, true},
+      {"after its patience", 5, -1, true, true}, /* one answer may be lost */
+      {"after its patience once more", 5, 6, true, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_table *t = b->c.table;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    double now = fc_now() + 100;
+    m->answered_at = fc_now() - rows[i].since_answer;
+    if (rows[i].deaf_for >= 0) m->deaf_since = fc_now() - rows[i].deaf_for;
+    GString *out = g_string_new(NULL);
+    assert_int_equal(report(b, 1, 1, 5, "", out), 200);
+    now = m->heard_at;
+    check_row(rows[i].name, (m->deaf_since != 0) == rows[i].in_doubt);
+    check_row(rows[i].name, fc_machine_usable(t, m, now) == rows[i].usable);
+    /* In doubt it is asked directly, and an answer clears it (fc_workers_doubt). */
+    check_row(rows[i].name, fc_workers_doubt(&b->c, m) == !rows[i].usable);
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
+/* Started anew under the same session number: a copy from its earlier life counts
+ * higher than all it says itself, and must not hide what runs there. */
+static void machine_started_anew(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  fc_table *t = b->c.table;
+  fc_machine *m = world_machine(t, "vm-1", "a", false);
+  world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+  m->reborn = true;
+  m->session = 1;
+  m->seq = 3;
+  m->seen_token = 5;
+  fc_placement *p = fc_table_place(t, m, "job-000001", 0, 1, 0);
+  p->sent = p->reported = true;
+  GString *out = g_string_new(NULL);
+  assert_int_equal(report(b, 1, 90, 5, "", out), 200);
+  assert_int_equal(m->placements->len, 1);
+  assert_int_equal(m->seq, 3);
+  assert_true(m->probe);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
+/* A lease is over when nobody has answered for so long; but a session that began
+ * since then has its own. */
+static void lease_over(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double answered, session; /* ago */
+    bool over;
+  } rows[] = {
+      {"answered lately", 5, 100, false},
+      {"not for a lease", 20, 100, true},
+      {"not for a lease, in a new session", 20, 5, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_table *t = b->c.table;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_table_place(t, m, "job-000001", 0, 1, 0)->sent = true;
+    double now = fc_now();
+    b->c.peers[0].covered_at = now + 100;
+    b->c.term_since = m->owned_since = now - 100;
+    m->answered_at = now - rows[i].answered;
+    m->session_from = now - rows[i].session;
+    fc_workers_expire(&b->c);
+    check_row(rows[i].name, (m->placements->len == 0) == rows[i].over);
+    bench_free(b);
+  }
+}
+
+/* A report that does not fit the machine's record: refused at once, nothing placed. */
+static void contradicting_report(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  fc_machine *m = world_machine(b->c.table, "vm-1", "b", false); /* it will say zone a */
+  GString *out = g_string_new(NULL);
+  assert_int_equal(report(b, 1, 1, 5, "", out), 503);
+  assert_int_equal(m->seq, 0);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(who_is_answered),
@@ -224,6 +378,12 @@
       cmocka_unit_test(reports_in_order),
       cmocka_unit_test(starts),
       cmocka_unit_test(clearing),
+      cmocka_unit_test(late_copies),
+      cmocka_unit_test(late_copy_after_the_machine_moved),
+      cmocka_unit_test(deaf_machines),
+      cmocka_unit_test(machine_started_anew),
+      cmocka_unit_test(lease_over),
+      cmocka_unit_test(contradicting_report),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
