--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bookkeeping/budget.h"
+#include "protocol/records.h"
 #include "transport/routine.h"
 
 typedef struct piece {
@@ -27,7 +28,7 @@
   double answer_s;
   GQueue queue[FC_RANKS];
   fc_cond work;
-  uint64_t sent;
+  fc_commit_counts counts;
 };
 
 static void piece_clear(gpointer p) {
@@ -170,6 +171,22 @@
   return t;
 }
 
+const char *const fc_write_kind_names[FC_WRITE_KINDS] = {"job", "machine", "hire", "quota", "other"};
+
+static fc_write_kind kind_of(const char *key) {
+  if (g_str_has_prefix(key, FC_PREFIX_JOB)) return FC_KIND_JOBS;
+  if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) return FC_KIND_MACHINES;
+  if (g_str_has_prefix(key, FC_PREFIX_HIRE)) return FC_KIND_HIRES;
+  return strcmp(key, FC_KEY_QUOTA) == 0 ? FC_KIND_SHARES : FC_KIND_OTHERS;
+}
+
+static void count_kinds(fc_commit *c, const GPtrArray *batch) {
+  for (guint b = 0; b < batch->len; b++) {
+    const fc_write *w = batch->pdata[b];
+    for (guint i = 0; i < w->writes->len; i++) c->counts.writes[kind_of(g_array_index(w->writes, piece, i).key)]++;
+  }
+}
+
 static void requeue(fc_commit *c, fc_write *w) {
   w->in_flight = false;
   /* Ahead of its rank: it has waited longest. The rank is kept in the queue it
@@ -215,6 +232,7 @@
     fc_txn *t = build(batch);
     double n = (double)fc_txn_writes(t);
     if (n > c->writes.burst) n = c->writes.burst;
+    double began = fc_now();
     for (;;) {
       double now = fc_now();
       double wait = fc_budget_wait(&c->writes, n, 0, now);
@@ -227,7 +245,9 @@
     (void)fc_budget_take(&c->requests, 1, 0, fc_now());
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
     uint64_t revision = 0;
-    c->sent++;
+    c->counts.transactions++;
+    count_kinds(c, batch);
+    c->counts.waited_s += fc_now() - began;
     fc_state_result result = fc_state_commit(c->state, t, fc_now() + c->answer_s, &revision, failed);
     settle(c, batch, result, revision, failed);
     g_ptr_array_free(failed, TRUE);
@@ -269,6 +289,6 @@
   return ahead < c->writes.per_s * wait_s + c->writes.burst;
 }
 
-uint64_t fc_commit_sent(const fc_commit *c) {
-  return c->sent;
+fc_commit_counts fc_commit_count(const fc_commit *c) {
+  return c->counts;
 }
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -30,7 +30,23 @@
 fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision);
 /* Does the queue of this rank have room for another write within wait_s? */
 bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s);
-/* Transactions sent so far, for the metrics. */
-uint64_t fc_commit_sent(const fc_commit *c);
+typedef enum {
+  FC_KIND_JOBS,
+  FC_KIND_MACHINES,
+  FC_KIND_HIRES,
+  FC_KIND_SHARES,
+  FC_KIND_OTHERS,
+  FC_WRITE_KINDS
+} fc_write_kind;
+
+/* What was sent so far, for the metrics; repeats count. */
+typedef struct fc_commit_counts {
+  uint64_t transactions;
+  uint64_t writes[FC_WRITE_KINDS];
+  double waited_s; /* for the rates, all transactions together */
+} fc_commit_counts;
+
+fc_commit_counts fc_commit_count(const fc_commit *c);
+extern const char *const fc_write_kind_names[FC_WRITE_KINDS];
 
 #endif
--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -39,6 +39,7 @@
 
 void fc_metrics_write(const fc_controller *c, GString *out) {
   const fc_counts *n = &c->counts;
+  fc_commit_counts writes = fc_commit_count(c->commit);
   const struct {
     const char *name;
     double value;
@@ -51,7 +52,8 @@
       {"routines", (double)fc_routine_count()},
       {"rounds_total", (double)n->rounds},
       {"state_reads_total", (double)n->reads},
-      {"state_commits_total", (double)fc_commit_sent(c->commit)},
+      {"state_commits_total", (double)writes.transactions},
+      {"state_commit_wait_seconds_total", writes.waited_s},
       {"reports_total", (double)n->reports},
       {"requests_total", (double)n->requests},
       {"peer_exchanges_total", (double)n->exchanges},
@@ -63,5 +65,8 @@
   };
   for (size_t i = 0; i < G_N_ELEMENTS(figures); i++)
     g_string_append_printf(out, "fieldcleat_%s %.10g\n", figures[i].name, figures[i].value);
+  for (int k = 0; k < FC_WRITE_KINDS; k++)
+    g_string_append_printf(out, "fieldcleat_state_writes_total{kind=\"%s\"} %.10g\n", fc_write_kind_names[k],
+                           (double)writes.writes[k]);
   for (int k = 0; k < FC_TIMES; k++) write_times(c->metrics.times[k], k_names[k], out);
 }
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -126,12 +126,25 @@
  * share is lowered only below what may be used at most: lowered by what was
  * known, it freed room for others that a silent machine still used (fault test,
  * seed 642). It is raised only by what is known to be wanted. */
-static double adjusted(double limit, double others, double share, const fc_demand *now, const fc_demand *most) {
+static double adjusted(double limit, const fc_quota_others *others, double share, const fc_demand *now,
+                       const fc_demand *most) {
   double lower = fc_quota_adjust(limit, others, share, most);
   if (lower <= share) return lower;
   return MAX(share, fc_quota_adjust(limit, others, share, now));
 }
 
+static void add_other(fc_quota_others *o, double share, const fc_demand *d) {
+  o->assigned += share;
+  o->lacking += MAX(0, d->used + d->wanted - share);
+  o->count++;
+}
+
+static bool changes(double *share, double to) {
+  if (fabs(to - *share) <= 1e-6) return false;
+  *share = to;
+  return true;
+}
+
 /* Moves our shares towards what we need; true when something would change. */
 static bool adjust(fc_controller *c, const tally *now, const tally *most, fc_quota_record *q) {
   const fc_table *t = c->table;
@@ -140,25 +153,17 @@
   bool changed = false;
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
-    if (!limited(ts)) continue;
-    double others_cpus = 0, others_gpus = 0;
+    fc_quota_others cpus = {0}, gpus = {0};
     for (size_t i = 0; i < q->member_count; i++) {
-      if ((int)i == at) continue;
-      others_cpus += q->cpus[i][k];
-      others_gpus += q->gpus[i][k];
-    }
-    double new_cpus =
-        adjusted(ts->cpus_max, others_cpus, q->cpus[at][k], &now->cpus[t->self][k], &most->cpus[t->self][k]);
-    double new_gpus =
-        adjusted(ts->gpus_max, others_gpus, q->gpus[at][k], &now->gpus[t->self][k], &most->gpus[t->self][k]);
-    if (ts->cpus_max > 0 && fabs(new_cpus - q->cpus[at][k]) > 1e-6) {
-      q->cpus[at][k] = new_cpus;
-      changed = true;
-    }
-    if (ts->gpus_max > 0 && fabs(new_gpus - q->gpus[at][k]) > 1e-6) {
-      q->gpus[at][k] = new_gpus;
-      changed = true;
+      int m = fc_term_find(&t->term, q->members[i]);
+      if ((int)i == at || m < 0) continue;
+      add_other(&cpus, q->cpus[i][k], &now->cpus[m][k]);
+      add_other(&gpus, q->gpus[i][k], &now->gpus[m][k]);
     }
+    const fc_demand *cn = &now->cpus[t->self][k], *cm = &most->cpus[t->self][k];
+    const fc_demand *gn = &now->gpus[t->self][k], *gm = &most->gpus[t->self][k];
+    if (ts->cpus_max > 0) changed |= changes(&q->cpus[at][k], adjusted(ts->cpus_max, &cpus, q->cpus[at][k], cn, cm));
+    if (ts->gpus_max > 0) changed |= changes(&q->gpus[at][k], adjusted(ts->gpus_max, &gpus, q->gpus[at][k], gn, gm));
   }
   return changed;
 }
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -207,10 +207,16 @@
   g_info("counts rounds=%" G_GUINT64_FORMAT " reads=%" G_GUINT64_FORMAT " reports=%" G_GUINT64_FORMAT
          " requests=%" G_GUINT64_FORMAT " exchanges=%" G_GUINT64_FORMAT " views=%" G_GUINT64_FORMAT
          " pushes=%" G_GUINT64_FORMAT " placed=%" G_GUINT64_FORMAT " preempted=%" G_GUINT64_FORMAT
-         " handed_over=%" G_GUINT64_FORMAT " lent=%" G_GUINT64_FORMAT " commits=%" G_GUINT64_FORMAT,
+         " handed_over=%" G_GUINT64_FORMAT " lent=%" G_GUINT64_FORMAT,
          (guint64)n->rounds, (guint64)n->reads, (guint64)n->reports, (guint64)n->requests, (guint64)n->exchanges,
          (guint64)n->views, (guint64)n->pushes, (guint64)n->placed, (guint64)n->preempted, (guint64)n->handed_over,
-         (guint64)n->lent, (guint64)fc_commit_sent(c->commit));
+         (guint64)n->lent);
+  fc_commit_counts w = fc_commit_count(c->commit);
+  g_info("writes transactions=%" G_GUINT64_FORMAT " job=%" G_GUINT64_FORMAT " machine=%" G_GUINT64_FORMAT
+         " hire=%" G_GUINT64_FORMAT " quota=%" G_GUINT64_FORMAT " other=%" G_GUINT64_FORMAT " waited_s=%.1f",
+         (guint64)w.transactions, (guint64)w.writes[FC_KIND_JOBS], (guint64)w.writes[FC_KIND_MACHINES],
+         (guint64)w.writes[FC_KIND_HIRES], (guint64)w.writes[FC_KIND_SHARES], (guint64)w.writes[FC_KIND_OTHERS],
+         w.waited_s);
 }
 
 void fc_round_main(void *arg) {
--- a/src/coordination/quota.c
+++ b/src/coordination/quota.c
@@ -18,10 +18,17 @@
   return true;
 }
 
-double fc_quota_adjust(double limit, double assigned_to_others, double own_share, const fc_demand *own) {
+double fc_quota_adjust(double limit, const fc_quota_others *others, double own_share, const fc_demand *own) {
   double need = own->used + own->wanted;
-  double most = limit - assigned_to_others;
-  if (need <= own_share) return need;
-  double share = need < most ? need : most;
-  return share > own_share ? share : own_share;
+  double unassigned = limit - others->assigned - own_share;
+  if (need > own_share) {
+    double even = unassigned / (double)(others->count + 1);
+    double grow = need - own_share > even ? need - own_share : even;
+    if (grow > unassigned) grow = unassigned;
+    return grow > 0 ? own_share + grow : own_share;
+  }
+  double missing = others->lacking - unassigned, spare = own_share - need;
+  if (missing <= 0) return own_share;
+  double give = missing > spare / 2 ? missing : spare / 2;
+  return own_share - (give < spare ? give : spare);
 }
--- a/src/coordination/quota.h
+++ b/src/coordination/quota.h
@@ -18,8 +18,16 @@
  * the limit: with use that is only feared that can be, and then the shares say
  * nothing; they could not be raised and lowered safely later on. */
 bool fc_quota_divide(double limit, const fc_demand *parts, size_t count, double *shares);
-/* The share this part should ask for now, given what is unassigned. Never below
- * what it uses, never above what the limit leaves. */
-double fc_quota_adjust(double limit, double assigned_to_others, double own_share, const fc_demand *own);
+/* What all the others hold and lack. */
+typedef struct fc_quota_others {
+  double assigned, lacking;
+  size_t count;
+} fc_quota_others;
+
+/* The share this part should ask for now. Never below what it uses, never above
+ * what the limit leaves. Every change is a write that others wait behind: a part
+ * that needs more takes its part of what is free along, and gives back only when
+ * others lack more than is free, and then half of what it can spare at least. */
+double fc_quota_adjust(double limit, const fc_quota_others *others, double own_share, const fc_demand *own);
 
 #endif
