--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -4,6 +4,7 @@
 
 #include "controller/controller.h"
 #include "coordination/deal.h"
+#include "scheduler/place.h"
 
 #define FAILS_BY_JOB 3u     /* machines that one job may fail on before it is to blame */
 #define FAILS_BY_MACHINE 2u /* jobs that fail on a machine before it is */
@@ -534,11 +535,28 @@
   return any;
 }
 
+/* Is anything of our slices still to come? */
+static bool more_to_come(const fc_controller *c, const fc_job *j) {
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (fc_placement_live(p) && p->machine->owner == c->table->self) return true;
+  }
+  GArray *missing = fc_job_missing(c->table, j, c->table->self, 1);
+  bool more = missing->len > 0;
+  g_array_free(missing, TRUE);
+  return more;
+}
+
 static void record_main(void *arg) {
   record_arg a = *(record_arg *)arg;
   g_free(arg);
   fc_controller *c = a.c;
   for (;;) {
+    /* Ends are written batched, once a round; the last ones at once, for somebody
+     * waits to be told. An array of 150 would be written 150 times. */
+    const fc_job *waits = fc_table_job(c->table, a.id);
+    if (waits && waits->phase == FC_PHASE_ACCEPTED && more_to_come(c, waits))
+      (void)fc_routine_sleep(c->settings->op.round_s * g_random_double_range(0.75, 1.25));
     fc_job *j = fc_table_job(c->table, a.id);
     if (!j || j->phase != FC_PHASE_ACCEPTED || fc_routine_cancelled()) break;
     uint8_t *bits = g_malloc0((j->spec.tasks + 7) / 8);
