--- a/src/bookkeeping/budget.c
+++ b/src/bookkeeping/budget.c
@@ -14,6 +14,11 @@
   b->at = now;
 }
 
+void fc_budget_rate(fc_budget *b, double per_s, double now) {
+  refill(b, now);
+  b->per_s = per_s;
+}
+
 bool fc_budget_take(fc_budget *b, double n, double reserve, double now) {
   refill(b, now);
   if (b->level < n + reserve - ROUNDING) return false;
--- a/src/bookkeeping/budget.h
+++ b/src/bookkeeping/budget.h
@@ -9,6 +9,7 @@
 } fc_budget;
 
 void fc_budget_init(fc_budget *b, double per_s, double burst, double now);
+void fc_budget_rate(fc_budget *b, double per_s, double now);
 /* Takes n when there are as many; a rank that leaves `reserve` untouched goes
  * without before those above it do. */
 bool fc_budget_take(fc_budget *b, double n, double reserve, double now);
--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -25,6 +25,7 @@
   fc_state *state;
   unsigned txn_ops;
   fc_budget writes, requests;
+  double even_writes, even_requests; /* per second, when all ask for as much */
   double answer_s;
   GQueue queue[FC_RANKS];
   fc_cond work;
@@ -77,11 +78,27 @@
   double now = fc_now();
   fc_budget_init(&c->writes, writes_per_s, burst, now);
   fc_budget_init(&c->requests, requests_per_s, requests_per_s < 1 ? 1 : requests_per_s, now);
+  c->even_writes = writes_per_s;
+  c->even_requests = requests_per_s;
   c->answer_s = answer_s;
   for (int r = 0; r < FC_RANKS; r++) g_queue_init(&c->queue[r]);
   return c;
 }
 
+void fc_commit_share(fc_commit *c, double share, double even) {
+  double now = fc_now();
+  fc_budget_rate(&c->writes, c->even_writes * share / even, now);
+  /* Of requests a member needs some to read and to renew its lease as well. */
+  fc_budget_rate(&c->requests, c->even_requests * MAX(1, MIN(share / even, 1.5)), now);
+}
+
+unsigned fc_commit_backlog(const fc_commit *c) {
+  unsigned n = 0;
+  for (int r = 0; r < FC_RANKS; r++)
+    for (const GList *l = c->queue[r].head; l; l = l->next) n += ((const fc_write *)l->data)->writes->len;
+  return n;
+}
+
 static void decide(fc_write *w, fc_state_result result, uint64_t revision) {
   w->decided = true;
   w->in_flight = false;
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -16,6 +16,11 @@
 
 fc_commit *fc_commit_new(fc_state *state, unsigned txn_ops, double writes_per_s, double requests_per_s,
                          double answer_s);
+/* This member's share of both rates: `share` of all, `even` of all at the start.
+ * What may be saved up for a burst stays as it was. */
+void fc_commit_share(fc_commit *c, double share, double even);
+/* Writes that wait to be sent. */
+unsigned fc_commit_backlog(const fc_commit *c);
 /* The routine that sends; runs until cancelled. */
 void fc_commit_main(void *commit);
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -22,9 +22,11 @@
 
 typedef struct fc_peer {
   const fc_peer_settings *settings;
-  double promised_until;        /* we commit no term without it before this */
-  double fresh_at;              /* when it last read the state service, as far as it told us */
-  double heard_at;              /* when its last acknowledgement came */
+  double promised_until; /* we commit no term without it before this */
+  double fresh_at;       /* when it last read the state service, as far as it told us */
+  double heard_at;       /* when its last acknowledgement came */
+  unsigned backlog;      /* writes that waited there when it last told us */
+  double backlog_at;
   uint64_t view_boot, view_seq; /* the newest view applied, and the life that sent it */
   /* Of the present term, by the life that is in it; 0: nothing yet. */
   double covered_at;       /* it has told us of every report it answered before this */
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -49,6 +49,7 @@
   fc_table *t = c->table;
   t->view++;
   fc_view v = {.boot = c->boot, .term = t->term.number, .seq = seq};
+  v.backlog = (uint16_t)MIN(fc_commit_backlog(c->commit), UINT16_MAX);
   g_strlcpy(v.sender, c->settings->name, sizeof v.sender);
   v.machines = g_new0(fc_frame_machine, g_hash_table_size(t->machines));
   GHashTableIter it;
@@ -209,6 +210,23 @@
   if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
 }
 
+/* The rates of the state service are one for all members: each takes its part by
+ * what waits where, as far as they have told each other. Should the parts add up
+ * to too much for a moment, the service refuses and the write is sent again. */
+static void take_backlog(fc_controller *c, const fc_view *v) {
+  double now = fc_now(), mine = 1 + fc_commit_backlog(c->commit), all = mine;
+  for (size_t k = 0; k < c->settings->peer_count; k++) {
+    fc_peer *p = &c->peers[k];
+    if (strcmp(p->settings->name, v->sender) == 0) {
+      p->backlog = v->backlog;
+      p->backlog_at = now;
+    }
+    /* One that has not told us lately may be cut off from us alone. */
+    all += 1 + (now < p->backlog_at + c->settings->report_s ? p->backlog : 0);
+  }
+  fc_commit_share(c->commit, mine / all, 1.0 / (double)(c->settings->peer_count + 1));
+}
+
 static uint32_t give_promise(fc_controller *c, const fc_view *v) {
   const fc_table *t = c->table;
   /* A term transaction of unknown outcome may exclude it at any time. */
@@ -278,6 +296,7 @@
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
     c->counts.views++;
     apply_view(c, &v);
+    take_backlog(c, &v);
     fc_ack ack = {.boot = c->boot,
                   .term = c->table->term.number,
                   .seq = v.seq,
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -51,6 +51,7 @@
   put_u64(out, v->boot);
   put_u64(out, v->term);
   put_u64(out, v->seq);
+  put_u16(out, v->backlog);
   put_u16(out, (uint16_t)v->machine_count);
   for (size_t i = 0; i < v->machine_count; i++) {
     const fc_frame_machine *m = &v->machines[i];
@@ -187,6 +188,7 @@
   out->boot = get_u64(&c);
   out->term = get_u64(&c);
   out->seq = get_u64(&c);
+  out->backlog = get_u16(&c);
   size_t n = get_u16(&c);
   if (!c.bad && n <= MACHINES_MOST) {
     out->machines = g_new0(fc_frame_machine, n);
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -34,6 +34,7 @@
 typedef struct fc_view {
   char sender[64];
   uint64_t boot, term, seq;
+  uint16_t backlog; /* writes that wait at the sender */
   fc_frame_machine *machines;
   size_t machine_count;
 } fc_view;
