--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -92,6 +92,10 @@
   fc_budget_rate(&c->requests, c->even_requests * MAX(1, MIN(share / even, 1.5)), now);
 }
 
+unsigned fc_commit_most(const fc_commit *c) {
+  return c->txn_ops;
+}
+
 unsigned fc_commit_backlog(const fc_commit *c) {
   unsigned n = 0;
   for (int r = 0; r < FC_RANKS; r++)
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -33,6 +33,8 @@
  * write failed. DOWN: certainly not executed (also: not before the deadline).
  * UNKNOWN: read before deciding. */
 fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision);
+/* Writes that one transaction holds at most. */
+unsigned fc_commit_most(const fc_commit *c);
 /* Does the queue of this rank have room for another write within wait_s? */
 bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s);
 typedef enum {
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -72,24 +72,19 @@
   g_ptr_array_free(types, TRUE);
 }
 
-/* Carries out one recorded intent, ours or one left by a dead controller, and
- * replaces the intent by the machines' records in one transaction. */
-static void carry_out(fc_controller *c, const char *name, const fc_hire_record *h, refusals *ref) {
+/* The records of machines just rented, in as many transactions as it takes. Should
+ * we end in between, whoever repeats the hire gets the same names and writes those
+ * that are missing. */
+static bool record_hired(fc_controller *c, const fc_hire_record *h, const GPtrArray *ids) {
   fc_table *t = c->table;
-  if (!cloud_turn(c) || !fc_may_act(c)) return;
-  GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-  fc_cloud_result r = fc_cloud_hire(c->cloud, name, h->type, h->zone, h->spot, h->count, fc_now() + 4.0, ids);
-  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", name, h->type, h->zone, h->spot, h->count, r,
-         ids->len);
-  if (r == FC_CLOUD_NO_CAPACITY) note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s);
-  if (r == FC_CLOUD_OK && ids->len < h->count)
-    note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s * 0.5);
-  if (r == FC_CLOUD_OK || r == FC_CLOUD_NO_CAPACITY || r == FC_CLOUD_REFUSED) {
-    char *hire_key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+  unsigned given[FC_MEMBERS_MAX] = {0};
+  uint64_t revision = 0, term = t->term_version;
+  bool ok = true;
+  for (guint i = 0; i < ids->len && ok;) {
     fc_write *w = fc_write_new();
-    fc_write_if(w, FC_KEY_TERM, t->term_version);
-    unsigned given[FC_MEMBERS_MAX] = {0};
-    for (guint i = 0; i < ids->len; i++) {
+    fc_write_if(w, FC_KEY_TERM, term);
+    unsigned n = 0;
+    for (; i < ids->len && n < fc_commit_most(c->commit); i++) {
       fc_machine *m = fc_table_machine(t, ids->pdata[i]);
       if (m && m->version) continue; /* its worker was faster */
       fc_machine_record rec = {.spot = h->spot};
@@ -99,21 +94,49 @@
       unsigned counts[FC_MEMBERS_MAX];
       memcpy(counts, given, sizeof counts);
       const char *owner = fc_even_owner(t, ids->pdata[i], h->type, h->zone, h->spot, counts);
-      for (size_t k = 0; k < t->term.count; k++)
-        if (strcmp(t->term.members[k].name, owner) == 0) given[k] += 1000;
+      int to = fc_term_find(&t->term, owner);
+      if (to >= 0) given[to] += 1000;
       g_strlcpy(rec.owner, even ? owner : h->owner, sizeof rec.owner);
       char *key = g_strconcat(FC_PREFIX_MACHINE, (const char *)ids->pdata[i], NULL);
       fc_write_if(w, key, 0);
       fc_write_put(w, key, fc_machine_record_encode(&rec));
       g_free(key);
+      n++;
     }
-    fc_write_delete(w, hire_key);
-    g_free(hire_key);
-    uint64_t revision = 0;
-    if (fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK)
-      (void)fc_wait_revision(c, revision, fc_now() + 2.0);
-    else
-      (void)fc_wait_fresh(c, fc_now() + 2.0); /* the intent is still there: repeated */
+    ok = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK;
+  }
+  /* Not all written: the intent is still there, and is repeated. */
+  if (ok) return ids->len == 0 || fc_wait_revision(c, revision, fc_now() + 2.0);
+  (void)fc_wait_fresh(c, fc_now() + 2.0);
+  return false;
+}
+
+static bool end_hire(fc_controller *c, const char *name) {
+  char *key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+  fc_write *w = fc_write_new();
+  fc_write_if(w, FC_KEY_TERM, c->table->term_version);
+  fc_write_delete(w, key);
+  g_free(key);
+  uint64_t revision = 0;
+  if (fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK)
+    return fc_wait_revision(c, revision, fc_now() + 2.0);
+  (void)fc_wait_fresh(c, fc_now() + 2.0);
+  return false;
+}
+
+/* Carries out one recorded intent, ours or one left by a dead controller, and
+ * replaces the intent by the machines' records in one transaction. */
+static void carry_out(fc_controller *c, const char *name, const fc_hire_record *h, refusals *ref) {
+  if (!cloud_turn(c) || !fc_may_act(c)) return;
+  GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+  fc_cloud_result r = fc_cloud_hire(c->cloud, name, h->type, h->zone, h->spot, h->count, fc_now() + 4.0, ids);
+  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", name, h->type, h->zone, h->spot, h->count, r,
+         ids->len);
+  if (r == FC_CLOUD_NO_CAPACITY) note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s);
+  if (r == FC_CLOUD_OK && ids->len < h->count)
+    note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s * 0.5);
+  if (r == FC_CLOUD_OK || r == FC_CLOUD_NO_CAPACITY || r == FC_CLOUD_REFUSED) {
+    (void)(record_hired(c, h, ids) && end_hire(c, name));
   }
   g_ptr_array_free(ids, TRUE);
 }
@@ -159,14 +182,10 @@
 static void rent(fc_controller *c, refusals *ref) {
   refused_arg arg = {.table = c->table, .refusals = ref};
   GArray *wants = fc_rent_wants(c->table, is_refused, &arg, fc_now());
-  /* One transaction has to hold all the records that a request turns into. */
-  unsigned most = MIN(c->settings->state_txn_ops - 1, FC_HIRE_MOST);
-  unsigned burst = (unsigned)MAX(2.0, c->settings->state_write_rps / (double)(c->settings->peer_count + 1));
-  most = MAX(1, MIN(most, burst - 1));
   for (guint i = 0; i < wants->len; i++) {
     const fc_want *w = &g_array_index(wants, fc_want, i);
     if (w->owner >= (int)c->table->term.count) break;
-    if (!intend(c, w, MIN(w->count, most))) break;
+    if (!intend(c, w, MIN(w->count, FC_HIRE_MOST))) break;
   }
   g_array_free(wants, TRUE);
 }
