--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -1,5 +1,6 @@
 #include "bookkeeping/table.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "coordination/deal.h"
@@ -34,6 +35,7 @@
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   /* About two boots of a machine: longer, and yesterday's burst is paid for. */
   fc_demand_init(&t->demand, settings->lease_s * 8);
+  for (size_t k = 0; k < FC_TEAMS_MAX; k++) t->carried_cpus[k] = t->carried_gpus[k] = INFINITY;
   t->self = -1;
   return t;
 }
@@ -267,28 +269,60 @@
   return false;
 }
 
-void fc_table_usage(const fc_table *t, int owner, int team, double *cpus, double *gpus) {
-  *cpus = *gpus = 0;
+fc_room fc_machine_whole(const fc_table *t, const fc_machine *m) {
+  if (m->type < 0) return (fc_room){1e12, 1e12, 1e12};
+  const fc_machine_type *mt = t->types->pdata[m->type];
+  return (fc_room){mt->cpus, mt->gpus, mt->memory_gb};
+}
+
+int fc_quota_member(const fc_quota_record *q, const char *member) {
+  for (size_t i = 0; i < q->member_count; i++)
+    if (strcmp(q->members[i], member) == 0) return (int)i;
+  return -1;
+}
+
+void fc_table_put_quota(fc_table *t, const fc_quota_record *q, uint64_t version) {
+  bool begins = q->term != t->quota.term;
+  t->quota = *q;
+  t->quota_version = version;
+  if (!begins) return;
+  int at = q->carried ? fc_quota_member(q, t->settings->name) : -1;
+  for (size_t k = 0; k < FC_TEAMS_MAX; k++) {
+    t->carried_cpus[k] = at >= 0 ? q->cpus[at][k] : INFINITY;
+    t->carried_gpus[k] = at >= 0 ? q->gpus[at][k] : INFINITY;
+  }
+}
+
+/* In use: started in this term, or before, or feared to be. The last two together
+ * were within the share that was carried over. */
+static double at_most(double fresh, double old, double feared, double carried) {
+  return fresh + MIN(old + feared, MAX(old, carried));
+}
+
+void fc_table_usage(const fc_table *t, int team, double *cpus, double *gpus) {
+  fc_room fresh = {0, 0, 0}, old = {0, 0, 0}, feared = {0, 0, 0};
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    if (m->owner != owner) continue;
-    if (m->announced && m->settled_term != t->term.number && m->type >= 0) {
-      /* It may be full of the team's tasks. */
-      const fc_machine_type *mt = t->types->pdata[m->type];
-      *cpus += mt->cpus;
-      *gpus += mt->gpus;
+    if (m->owner != t->self) continue;
+    if (m->announced && m->settled_term != t->term.number) {
+      fc_room whole = fc_machine_whole(t, m);
+      feared.cpus += whole.cpus;
+      feared.gpus += whole.gpus;
       continue;
     }
     for (guint i = 0; i < m->placements->len; i++) {
       const fc_placement *p = m->placements->pdata[i];
       if (!fc_placement_live(p) || !p->job || p->job->team != team) continue;
-      *cpus += p->job->spec.cpus;
-      *gpus += p->job->spec.gpus;
+      fc_room *r = fc_attempt_term(p->attempt) == t->term.number ? &fresh : &old;
+      r->cpus += p->job->spec.cpus;
+      r->gpus += p->job->spec.gpus;
     }
   }
+  *cpus = at_most(fresh.cpus, old.cpus, feared.cpus, t->carried_cpus[team]);
+  *gpus = at_most(fresh.gpus, old.gpus, feared.gpus, t->carried_gpus[team]);
 }
 
 fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running) {
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -39,6 +39,15 @@
   double running_since; /* 0: not yet */
 } fc_placement;
 
+/* Attempts of one task never repeat: the term they are started in is new for every
+ * owner and life. */
+static inline uint64_t fc_attempt(uint64_t term, uint64_t count) {
+  return term << 20 | count;
+}
+static inline uint64_t fc_attempt_term(uint64_t attempt) {
+  return attempt >> 20;
+}
+
 struct fc_job {
   fc_job_spec spec;
   fc_phase phase;
@@ -110,6 +119,9 @@
   uint64_t term_version; /* of the stored record; 0: none seen */
   fc_quota_record quota;
   uint64_t quota_version;
+  /* What this part may have been using, of each team, when the term began: its
+   * share of the term before, where that was carried over; INFINITY: not known. */
+  double carried_cpus[FC_TEAMS_MAX], carried_gpus[FC_TEAMS_MAX];
   fc_demand_stats demand;
   uint64_t settled_latch; /* term in which every machine has been settled */
   uint64_t next_serial;
@@ -164,9 +176,16 @@
 
 /* May the job run on such a machine at all? */
 bool fc_job_allows(const fc_job_spec *s, const char *type, const char *zone, bool spot);
-/* What the tasks on machines of member `owner` use of a team's limit, at most:
- * machines that are not settled count as full. */
-void fc_table_usage(const fc_table *t, int owner, int team, double *cpus, double *gpus);
+/* The shares as stored. */
+void fc_table_put_quota(fc_table *t, const fc_quota_record *q, uint64_t version);
+int fc_quota_member(const fc_quota_record *q, const char *member); /* -1: none */
+/* All that the machine may hold, far more than any limit while its type is not
+ * known: a controller that has just started knows none, and once took machines
+ * full of tasks for empty (fault test, seed 686). */
+fc_room fc_machine_whole(const fc_table *t, const fc_machine *m);
+/* What the tasks on this part's machines use of a team's limit, at most: machines
+ * that are not settled count as full, as far as what was carried over allows. */
+void fc_table_usage(const fc_table *t, int team, double *cpus, double *gpus);
 fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running);
 
 /* A new term: owners are derived again. `continuous`: this process was a
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -43,11 +43,11 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    if (pessimistic && m->announced && m->owner >= 0 && m->settled_term != t->term.number && m->type >= 0) {
-      const fc_machine_type *mt = t->types->pdata[m->type];
+    if (pessimistic && m->announced && m->owner >= 0 && m->settled_term != t->term.number) {
+      fc_room whole = fc_machine_whole(t, m);
       for (size_t k = 0; k < t->settings->team_count; k++) {
-        out->cpus[m->owner][k].used += mt->cpus;
-        out->gpus[m->owner][k].used += mt->gpus;
+        out->cpus[m->owner][k].used += whole.cpus;
+        out->gpus[m->owner][k].used += whole.gpus;
       }
       continue;
     }
@@ -74,22 +74,16 @@
   }
 }
 
-static int quota_index(const fc_quota_record *q, const char *member) {
-  for (size_t i = 0; i < q->member_count; i++)
-    if (strcmp(q->members[i], member) == 0) return (int)i;
-  return -1;
-}
-
 void fc_quota_allowance(const fc_controller *c, fc_allowance *out) {
   const fc_table *t = c->table;
   bool valid = t->quota_version && t->quota.term == t->term.number;
-  int at = valid ? quota_index(&t->quota, c->settings->name) : -1;
+  int at = valid ? fc_quota_member(&t->quota, c->settings->name) : -1;
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     out->cpus[k] = out->gpus[k] = INFINITY;
     if (!limited(ts)) continue;
     double cpus, gpus;
-    fc_table_usage(t, t->self, (int)k, &cpus, &gpus);
+    fc_table_usage(t, (int)k, &cpus, &gpus);
     /* While a lower share of ours is being written, only that one counts. */
     double share_cpus = at >= 0 ? MIN(t->quota.cpus[at][k], c->share_cap_cpus[k]) : 0;
     double share_gpus = at >= 0 ? MIN(t->quota.gpus[at][k], c->share_cap_gpus[k]) : 0;
@@ -122,20 +116,37 @@
   return true;
 }
 
-/* `most` counts what may be on machines that are not settled, `now` does not. A
- * share is lowered only below what may be used at most: lowered by what was
- * known, it freed room for others that a silent machine still used (fault test,
- * seed 642). It is raised only by what is known to be wanted. */
+/* The shares of the term before hold on where its members are the same: every
+ * machine is still owned by the same name, and what runs on a name's machines,
+ * known or not, is within its share. Nobody needs to be waited for: dividing anew
+ * takes a list from every machine, and a cut between zones held up all teams with
+ * limits for as long as it lasted (dala-almaty-grown, rough). */
+static bool carry_over(const fc_table *t, fc_quota_record *q) {
+  if (!t->quota_version || t->quota.member_count != t->term.count) return false;
+  for (size_t i = 0; i < t->term.count; i++)
+    if (fc_quota_member(&t->quota, t->term.members[i].name) < 0) return false;
+  *q = t->quota;
+  q->term = t->term.number;
+  q->carried = true;
+  return true;
+}
+
+/* A share is lowered only below what may be in use at most (`most`): lowered by
+ * what was known, it freed room for others that a silent machine still used (fault
+ * test, seed 642). Where what is feared has no better bound than whole machines,
+ * the share is raised only by what is known (`now`). */
 static double adjusted(double limit, const fc_quota_others *others, double share, const fc_demand *now,
-                       const fc_demand *most) {
-  double lower = fc_quota_adjust(limit, others, share, most);
-  if (lower <= share) return lower;
+                       const fc_demand *most, bool bounded) {
+  double to = fc_quota_adjust(limit, others, share, most);
+  if (to <= share || bounded) return to;
   return MAX(share, fc_quota_adjust(limit, others, share, now));
 }
 
-static void add_other(fc_quota_others *o, double share, const fc_demand *d) {
+/* A member with machines that are not settled may be using all of its share. */
+static void add_other(fc_quota_others *o, double share, const fc_demand *d, bool in_doubt) {
+  double used = in_doubt ? MAX(d->used, share) : d->used;
   o->assigned += share;
-  o->lacking += MAX(0, d->used + d->wanted - share);
+  o->lacking += MAX(0, used + d->wanted - share);
   o->count++;
 }
 
@@ -145,25 +156,41 @@
   return true;
 }
 
+/* Members that own a machine which is not settled, as far as we know. */
+static void find_doubts(const fc_table *t, bool *in_doubt) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->owner >= 0 && m->announced && m->settled_term != t->term.number) in_doubt[m->owner] = true;
+  }
+}
+
 /* Moves our shares towards what we need; true when something would change. */
-static bool adjust(fc_controller *c, const tally *now, const tally *most, fc_quota_record *q) {
+static bool adjust(fc_controller *c, const tally *now, fc_quota_record *q) {
   const fc_table *t = c->table;
-  int at = quota_index(q, c->settings->name);
+  int at = fc_quota_member(q, c->settings->name);
   if (at < 0) return false;
-  bool changed = false;
+  bool changed = false, in_doubt[FC_MEMBERS_MAX] = {false};
+  find_doubts(t, in_doubt);
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     fc_quota_others cpus = {0}, gpus = {0};
     for (size_t i = 0; i < q->member_count; i++) {
       int m = fc_term_find(&t->term, q->members[i]);
       if ((int)i == at || m < 0) continue;
-      add_other(&cpus, q->cpus[i][k], &now->cpus[m][k]);
-      add_other(&gpus, q->gpus[i][k], &now->gpus[m][k]);
+      add_other(&cpus, q->cpus[i][k], &now->cpus[m][k], in_doubt[m]);
+      add_other(&gpus, q->gpus[i][k], &now->gpus[m][k], in_doubt[m]);
     }
-    const fc_demand *cn = &now->cpus[t->self][k], *cm = &most->cpus[t->self][k];
-    const fc_demand *gn = &now->gpus[t->self][k], *gm = &most->gpus[t->self][k];
-    if (ts->cpus_max > 0) changed |= changes(&q->cpus[at][k], adjusted(ts->cpus_max, &cpus, q->cpus[at][k], cn, cm));
-    if (ts->gpus_max > 0) changed |= changes(&q->gpus[at][k], adjusted(ts->gpus_max, &gpus, q->gpus[at][k], gn, gm));
+    const fc_demand *cn = &now->cpus[t->self][k], *gn = &now->gpus[t->self][k];
+    fc_demand cm = *cn, gm = *gn;
+    fc_table_usage(t, (int)k, &cm.used, &gm.used);
+    bool bounded = isfinite(t->carried_gpus[k]);
+    if (ts->cpus_max > 0)
+      changed |= changes(&q->cpus[at][k], adjusted(ts->cpus_max, &cpus, q->cpus[at][k], cn, &cm, bounded));
+    if (ts->gpus_max > 0)
+      changed |= changes(&q->gpus[at][k], adjusted(ts->gpus_max, &gpus, q->gpus[at][k], gn, &gm, bounded));
   }
   return changed;
 }
@@ -175,7 +202,7 @@
 
 /* Any write that is undecided may be the one that counts: the lowest caps us. */
 static void lower_caps(fc_controller *c, const fc_quota_record *q) {
-  int at = quota_index(q, c->settings->name);
+  int at = fc_quota_member(q, c->settings->name);
   c->share_capped = true;
   for (size_t k = 0; at >= 0 && k < c->settings->team_count; k++) {
     c->share_cap_cpus[k] = MIN(c->share_cap_cpus[k], q->cpus[at][k]);
@@ -217,7 +244,7 @@
   if (!any) return;
   double adjusted_at = 0;
   fc_quota_record *q = g_new0(fc_quota_record, 1);
-  tally *now_used = g_new0(tally, 1), *most_used = g_new0(tally, 1);
+  tally *now_used = g_new0(tally, 1);
   while (!fc_routine_cancelled()) {
     (void)fc_routine_sleep(c->settings->op.round_s * 0.1);
     fc_table *t = c->table;
@@ -233,25 +260,25 @@
       /* A hung machine of a dead owner would hold everybody up for a lease: after
        * a while it counts as full instead. Whatever is settled by then can only
        * have shrunk since; members we have not heard from are waited for. */
-      bool settled = fc_table_check_settled(t);
-      if (!settled && (now < c->term_since + c->settings->report_s * 1.5 || !all_acked(c))) continue;
-      take_tally(t, !settled, now_used);
-      if (!divide(c, now_used, q) && !settled) continue;
+      bool settled = fc_table_check_settled(t), carried = carry_over(t, q);
+      if (!carried && !settled && (now < c->term_since + c->settings->report_s * 1.5 || !all_acked(c))) continue;
+      if (!carried) {
+        take_tally(t, !settled, now_used);
+        if (!divide(c, now_used, q) && !settled) continue;
+      }
     } else {
       if (now < adjusted_at + c->settings->op.round_s * 0.25) continue;
       adjusted_at = now;
       *q = t->quota;
       take_tally(t, false, now_used);
-      take_tally(t, true, most_used);
       /* Where nothing is to change, the record is written as it is, or a write of
        * unknown outcome would keep its caps up for good (fault test, seed 510: a
        * gang waited for ever beside its share). */
-      if (!adjust(c, now_used, most_used, q) && !c->share_capped) continue;
+      if (!adjust(c, now_used, q) && !c->share_capped) continue;
     }
     lower_caps(c, q);
     write_quota(c, q);
   }
   g_free(now_used);
-  g_free(most_used);
   g_free(q);
 }
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -209,12 +209,16 @@
 }
 
 /* A direct start that was lost may arrive minutes later, and its task may not be
- * started elsewhere before that is ruled out. Returning the machine rules it out;
- * without that the task waited for ever (fault test, seed 555). */
+ * started elsewhere before that is ruled out; a gang not even when the attempt has
+ * ended, for a copy of the start would begin it again. Returning the machine rules
+ * it out; without that the job waited for ever (fault test, seeds 555 and 847). */
 static bool holds_lost_start(const fc_machine *m, double since) {
   for (guint i = 0; i < m->placements->len; i++) {
     const fc_placement *p = m->placements->pdata[i];
-    if (p->stray == FC_STRAY_LOST && p->stopping && !p->reported && p->since < since) return true;
+    if (p->stray != FC_STRAY_LOST || p->since > since) continue;
+    if (p->stopping && !p->reported) return true;
+    if (p->state == FC_TASK_EXITED && p->job && p->job->spec.kind == FC_KIND_GANG && p->job->phase == FC_PHASE_ACCEPTED)
+      return true;
   }
   return false;
 }
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -6,9 +6,8 @@
 #include "scheduler/place.h"
 #include "scheduler/preempt.h"
 
-/* Attempts of one task never repeat: the term is new for every owner and life. */
 static uint64_t next_attempt(fc_controller *c) {
-  return c->table->term.number << 20 | ++c->attempt_counter;
+  return fc_attempt(c->table->term.number, ++c->attempt_counter);
 }
 
 /* Tasks that must not run any more. */
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -86,11 +86,12 @@
     apply_term(c, ch);
   } else if (strcmp(key, FC_KEY_QUOTA) == 0) {
     if (ch->value && ch->version > t->quota_version) {
-      if (!fc_quota_record_decode(ch->value, c->settings, &t->quota)) {
-        memset(&t->quota, 0, sizeof t->quota); /* nothing is anybody's share */
+      fc_quota_record q;
+      if (!fc_quota_record_decode(ch->value, c->settings, &q)) {
+        memset(&q, 0, sizeof q); /* nothing is anybody's share */
         g_critical("quota record unreadable");
       }
-      t->quota_version = ch->version;
+      fc_table_put_quota(t, &q, ch->version);
     }
   } else if (g_str_has_prefix(key, FC_PREFIX_JOB)) {
     apply_job(c, key + strlen(FC_PREFIX_JOB), ch, ordered);
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -97,7 +97,8 @@
     }
     json_object_set_new(shares, q->members[m], teams);
   }
-  return json_pack("{si sI so}", "f", FORMAT, "term", (json_int_t)q->term, "shares", shares);
+  return json_pack("{si sI sb so}", "f", FORMAT, "term", (json_int_t)q->term, "carried", (int)q->carried, "shares",
+                   shares);
 }
 
 bool fc_quota_record_decode(const json_t *v, const fc_settings *s, fc_quota_record *out) {
@@ -105,6 +106,7 @@
   fc_reader r;
   start(&r, v);
   out->term = fc_read_count(&r, "term", 1, COUNT_MOST);
+  out->carried = fc_read_bool_or(&r, "carried", false);
   const json_t *shares = fc_read_object(&r, "shares");
   if (!fc_reader_ok(&r)) return false;
   const char *name;
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -57,6 +57,7 @@
 /* Shares of the teams' limits, valid in one term only. */
 typedef struct fc_quota_record {
   uint64_t term;
+  bool carried; /* first written as the shares of the term before, not divided anew */
   char members[FC_MEMBERS_MAX][64];
   size_t member_count;
   double cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
