Jobs that are long over leave memory; a quiet service no longer calls itself cut off

Memory and the time to start grew with every job there ever was. Jobs over for jobs.over_keep_s move in one transaction to keys outside the held prefix and are answered from there.

--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -8,8 +8,9 @@
 
 #include "protocol/state_api.h"
 
-/* Overload: reports of workers first, then decisions, then submissions. */
-typedef enum { FC_RANK_REPORT, FC_RANK_DECISION, FC_RANK_SUBMISSION, FC_RANKS } fc_write_rank;
+/* Overload: reports of workers first, then decisions, then submissions; upkeep is
+ * what nobody waits for. */
+typedef enum { FC_RANK_REPORT, FC_RANK_DECISION, FC_RANK_SUBMISSION, FC_RANK_UPKEEP, FC_RANKS } fc_write_rank;
 
 typedef struct fc_commit fc_commit;
 typedef struct fc_write fc_write;
--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -123,6 +123,7 @@
   j->done_count = 0;
   for (uint32_t i = 0; i < j->spec.tasks; i++) j->done_count += fc_job_task_done(j, i);
   j->phase = r->phase;
+  if (j->phase != FC_PHASE_ACCEPTED && !j->over_at) j->over_at = now;
   j->version = version;
   for (unsigned i = 0; i < j->slices; i++) {
     if (g_strcmp0(j->handed[i], r->handed[i]) == 0) continue;
@@ -139,6 +140,11 @@
   return j;
 }
 
+void fc_table_remove_job(fc_table *t, fc_job *j) {
+  for (guint i = 0; i < j->placements->len; i++) ((fc_placement *)j->placements->pdata[i])->job = NULL;
+  g_hash_table_remove(t->jobs, j->spec.id);
+}
+
 unsigned fc_job_slice_of(const fc_job *j, uint32_t index) {
   return (unsigned)((uint64_t)index * j->slices / j->spec.tasks);
 }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -60,6 +60,7 @@
   GPtrArray *placements;
   unsigned clear; /* a bit a slice: nothing of it can be anywhere that we do not know of */
   double seen_at; /* steady time when we first saw it */
+  double over_at; /* when we first saw that it is over; 0: it is not */
   double blocked_until;
   unsigned handing; /* a bit a slice: its hand-over is being written; not to be placed */
   double handed_at;
@@ -124,6 +125,7 @@
    * share of the term before, where that was carried over; INFINITY: not known. */
   double carried_cpus[FC_TEAMS_MAX], carried_gpus[FC_TEAMS_MAX];
   fc_demand_stats demand;
+  bool archive;           /* jobs that are over may have been put away */
   uint64_t settled_latch; /* term in which every machine has been settled */
   uint64_t next_serial;
   uint64_t view; /* number of the newest view of our machines */
@@ -142,6 +144,8 @@
 /* A job's record as stored; newer versions only. `fresh`: the record was first
  * seen as a change inside the present term, so nobody placed it before. */
 fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh, double now);
+/* The job has been put away: nobody looks for its placements any more. */
+void fc_table_remove_job(fc_table *t, fc_job *j);
 bool fc_job_task_done(const fc_job *j, uint32_t index);
 /* Removes the machine and every placement on it: it is proved gone. */
 void fc_table_remove_machine(fc_table *t, fc_machine *m);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -46,6 +46,7 @@
   fc_cloud *cloud;
   fc_commit *commit;
   fc_budget cloud_budget;
+  fc_budget lookup_budget; /* for questions about jobs that are not in memory */
   fc_right right;
   fc_peer peers[FC_MEMBERS_MAX];
 
@@ -94,6 +95,10 @@
 bool fc_wait_revision(fc_controller *c, uint64_t revision, double deadline);
 bool fc_state_reachable(const fc_controller *c);
 
+typedef enum { FC_FOUND, FC_NOT_THERE, FC_NOT_SURE } fc_lookup;
+/* Looks for a job among those put away; the table has just been proved current. */
+fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_over_record *out);
+
 /* Starts listening and all duties. NULL, with the reason, when it can't. */
 fc_controller *fc_controller_start(const fc_settings *settings, const char **why);
 
@@ -104,6 +109,7 @@
 void fc_member_main(void *controller);
 void fc_round_main(void *controller);
 void fc_rent_main(void *controller);
+void fc_archive_main(void *controller);
 bool fc_front_start(fc_controller *c);
 bool fc_peers_start(fc_controller *c);
 
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -24,6 +24,28 @@
   fc_job_answer(res->body, j->spec.id, st, j->done_count, running, counts);
 }
 
+/* A job that has been put away: it is over. */
+static void answer_over(fc_http_response *res, const char *id, const fc_over_record *o, bool counts) {
+  res->status = 200;
+  fc_job_answer(res->body, id, o->done ? FC_STATUS_DONE : FC_STATUS_CANCELLED, o->tasks_done, 0, counts);
+}
+
+/* The table has just been proved current and does not hold the job. True: it is
+ * among those put away, or that can't be said now, and the answer is made. */
+static bool answered_from_archive(fc_controller *c, fc_http_response *res, const char *id, bool counts) {
+  fc_over_record o;
+  switch (fc_archive_find(c, id, fc_now() + c->settings->report_s * 0.5, &o)) {
+    case FC_FOUND:
+      answer_over(res, id, &o, counts);
+      return true;
+    case FC_NOT_SURE:
+      later(res, 503, "can't be looked up now");
+      return true;
+    default:
+      return false;
+  }
+}
+
 static bool final(const fc_job *j) {
   return j->phase != FC_PHASE_ACCEPTED;
 }
@@ -60,7 +82,7 @@
     const fc_job *j = fc_table_job(c->table, id);
     if (j) {
       answer_job(res, 200, j, false);
-    } else {
+    } else if (!answered_from_archive(c, res, id, false)) {
       say(res, 400, error);
     }
   }
@@ -75,11 +97,16 @@
     return;
   }
   fc_job *j = c->loaded ? fc_table_job(c->table, spec.id) : NULL;
-  if (j && (final(j) || fc_wait_fresh(c, deadline))) {
+  if (j && !final(j)) {
+    if (!fc_wait_fresh(c, deadline)) goto unreachable;
+    j = fc_table_job(c->table, spec.id);
+  }
+  if (j) {
     answer_job(res, 200, j, false);
     goto out;
   }
-  if (j || !fc_state_reachable(c)) {
+  if (!fc_state_reachable(c)) {
+  unreachable:
     later(res, 503, "the state service can't be reached");
     goto out;
   }
@@ -94,7 +121,7 @@
       later(res, 503, "the state service can't be reached");
     } else if ((j = fc_table_job(c->table, spec.id))) {
       answer_job(res, 200, j, false);
-    } else {
+    } else if (!answered_from_archive(c, res, spec.id, false)) {
       say(res, 422, why);
     }
     goto out;
@@ -124,6 +151,9 @@
   fc_write_if(w, key, 0);
   fc_write_put(w, key, record);
   g_free(key);
+  key = g_strconcat(FC_PREFIX_OVER, spec.id, NULL);
+  fc_write_if(w, key, 0); /* nor was there one that is over */
+  g_free(key);
   uint64_t revision = 0;
   fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_SUBMISSION, deadline, &revision);
   if (r == FC_STATE_OK) {
@@ -131,8 +161,13 @@
     g_debug("accepted job=%s class=%s tasks=%u slices=%u", spec.id, spec.class_name, spec.tasks,
             fc_job_slices(&spec, c->settings->op.split_limit));
     fc_job_answer(res->body, spec.id, FC_STATUS_PENDING, 0, 0, false);
-  } else if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline) && (j = fc_table_job(c->table, spec.id))) {
-    answer_job(res, 200, j, false);
+  } else if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline)) {
+    j = fc_table_job(c->table, spec.id);
+    if (j) {
+      answer_job(res, 200, j, false);
+    } else if (!answered_from_archive(c, res, spec.id, false)) {
+      later(res, 503, "not written; ask again");
+    }
   } else {
     later(res, 503, "not written; ask again");
   }
@@ -159,7 +194,7 @@
   j = fc_table_job(c->table, id);
   if (j) {
     answer_job(res, 200, j, true);
-  } else {
+  } else if (!answered_from_archive(c, res, id, true)) {
     say(res, 404, "no such job");
   }
 }
@@ -183,7 +218,7 @@
       continue;
     }
     if (!j) {
-      say(res, 404, "no such job");
+      if (!answered_from_archive(c, res, id, false)) say(res, 404, "no such job");
       return;
     }
     fc_write *w = fc_write_job(j, j->version, FC_PHASE_CANCELLED, j->done, j->handed);
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -18,6 +18,7 @@
   c->commit = fc_commit_new(c->state, s->state_txn_ops, s->state_write_rps / nodes, s->state_rps / nodes * 0.35,
                             s->report_s * 0.75);
   fc_budget_init(&c->cloud_budget, s->cloud_rps / nodes, MAX(1.0, s->cloud_rps / nodes), fc_now());
+  fc_budget_init(&c->lookup_budget, s->state_rps / nodes * 0.1, MAX(1.0, s->state_rps / nodes * 0.1), fc_now());
   fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s, s->peer_count);
   if (!fc_front_start(c)) {
     *why = "client_listen: can't listen there";
@@ -28,7 +29,7 @@
     return NULL;
   }
   fc_routine_fn duties[] = {fc_watch_main, fc_read_index_main, fc_commit_duty, fc_member_main,
-                            fc_round_main, fc_quota_main,      fc_rent_main};
+                            fc_round_main, fc_quota_main,      fc_rent_main,   fc_archive_main};
   for (size_t i = 0; i < G_N_ELEMENTS(duties); i++) {
     if (!fc_routine_spawn(duties[i], c)) {
       *why = "out of memory";
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -38,7 +38,12 @@
 }
 
 static void apply_job(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
-  if (!ch->value) return; /* jobs are never removed */
+  if (!ch->value) {
+    /* It was over and has been put away; only ever then (archive.c). */
+    fc_job *over = fc_table_job(c->table, id);
+    if (over && over->version < ch->version) fc_table_remove_job(c->table, over);
+    return;
+  }
   fc_job_record r;
   if (!fc_job_record_decode(ch->value, &r)) {
     g_critical("job record unreadable key=%s", ch->key);
@@ -93,6 +98,8 @@
       }
       fc_table_put_quota(t, &q, ch->version);
     }
+  } else if (strcmp(key, FC_KEY_ARCHIVE) == 0) {
+    t->archive = ch->value != NULL;
   } else if (g_str_has_prefix(key, FC_PREFIX_JOB)) {
     apply_job(c, key + strlen(FC_PREFIX_JOB), ch, ordered);
   } else if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) {
@@ -133,6 +140,15 @@
     g_free(k);
   }
   for (guint i = 0; i < gone->len; i++) fc_table_remove_machine(t, gone->pdata[i]);
+  g_ptr_array_set_size(gone, 0);
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    char *k = g_strconcat(FC_PREFIX_JOB, j->spec.id, NULL);
+    if (j->version <= revision && !g_hash_table_contains(present, k)) g_ptr_array_add(gone, j);
+    g_free(k);
+  }
+  for (guint i = 0; i < gone->len; i++) fc_table_remove_job(t, gone->pdata[i]);
   g_ptr_array_free(gone, TRUE);
   g_hash_table_iter_init(&it, t->members);
   while (g_hash_table_iter_next(&it, &key, NULL)) {
@@ -280,7 +296,11 @@
 }
 
 bool fc_state_reachable(const fc_controller *c) {
-  return c->loaded && fc_now() - c->fresh_sent < c->settings->report_s;
+  /* Where nothing changes, a read takes half a report interval and counts from when
+   * it was sent: just before the next one ends, the last is a whole interval old.
+   * With that as the bound a quiet service called itself cut off for a moment each
+   * second, and refused submissions (scene users_get_of_jobs_put_away). */
+  return c->loaded && fc_now() - c->fresh_sent < c->settings->report_s * 1.5;
 }
 
 bool fc_may_act(const fc_controller *c) {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -52,6 +52,8 @@
     p->recorded = true;
   } else if (j) {
     fc_workers_record(c, p->job_id);
+  } else if (p->since + c->settings->report_s < c->fresh_sent) {
+    p->recorded = true; /* no such job any more: it was over long ago */
   }
 }
 
--- a/src/protocol/operator.cc
+++ b/src/protocol/operator.cc
@@ -23,6 +23,7 @@
     {"scheduler", "handover_wait_s", 0, 3600, false, [](fc_operator_settings *o, double v) { o->handover_wait_s = v; }},
     {"scheduler", "split_limit", 1, 1000, true,
      [](fc_operator_settings *o, double v) { o->split_limit = static_cast<unsigned>(v); }},
+    {"jobs", "over_keep_s", 60, 1e9, false, [](fc_operator_settings *o, double v) { o->over_keep_s = v; }},
     {"membership", "lease_share", 0.2, 0.9, false,
      [](fc_operator_settings *o, double v) { o->member_lease_share = v; }},
     {"machines", "warm_deviations", 0, 10, false, [](fc_operator_settings *o, double v) { o->warm_deviations = v; }},
@@ -66,7 +67,7 @@
   for (auto &&[key, node] : parsed.table()) {
     std::string table(key.str());
     const toml::table *t = node.as_table();
-    if (!t || (table != "scheduler" && table != "membership" && table != "machines")) {
+    if (!t || (table != "scheduler" && table != "jobs" && table != "membership" && table != "machines")) {
       std::snprintf(error, size, "%s: unknown key", table.c_str());
       return false;
     }
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "protocol/job.h"
 #include "protocol/json.h"
 
 #define FORMAT 1
@@ -87,6 +88,19 @@
   return fc_reader_ok(&r);
 }
 
+json_t *fc_over_record_encode(const fc_over_record *o) {
+  return json_pack("{si sb si}", "f", FORMAT, "done", (int)o->done, "tasks", (int)o->tasks_done);
+}
+
+bool fc_over_record_decode(const json_t *v, fc_over_record *out) {
+  memset(out, 0, sizeof *out);
+  fc_reader r;
+  start(&r, v);
+  out->done = fc_read_bool(&r, "done");
+  out->tasks_done = (uint32_t)fc_read_count(&r, "tasks", 0, FC_TASKS_MAX);
+  return fc_reader_ok(&r);
+}
+
 json_t *fc_quota_record_encode(const fc_quota_record *q, const fc_settings *s) {
   json_t *shares = json_object();
   for (size_t m = 0; m < q->member_count; m++) {
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -232,6 +232,7 @@
       .split_limit = 8,
       .member_lease_share = 0.5,
       .idle_keep_share = 0.5,
+      .over_keep_s = 1800.0,
       .warm_deviations = 1.6,
       .rent = true,
   };
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -37,6 +37,7 @@
   unsigned split_limit;      /* virtual jobs an array may be halved into */
   double member_lease_share; /* of the workers' lease */
   double idle_keep_share;    /* idle time before return, of boot time + minimum charge */
+  double over_keep_s;        /* a job that is over stays in memory for so long */
   double warm_deviations;    /* room kept for arrivals: standard deviations over a boot */
   bool rent;                 /* rent machines at all */
 } fc_operator_settings;
--- a/src/protocol/state_api.c
+++ b/src/protocol/state_api.c
@@ -130,6 +130,21 @@
   return true;
 }
 
+fc_state_result fc_state_get(fc_state *s, const char *key, double deadline, json_t **value) {
+  char *path = g_strconcat("/keys/", key, NULL);
+  json_t *v = NULL;
+  fc_state_result result = call(s, "GET", path, NULL, deadline, &v);
+  g_free(path);
+  fc_change row = {0};
+  if (result == FC_STATE_OK && (!read_row(v, "key", &row) || strcmp(row.key, key) != 0 || !row.value))
+    result = FC_STATE_UNKNOWN;
+  *value = result == FC_STATE_OK ? json_incref(row.value) : NULL;
+  g_free(row.key);
+  json_decref(row.value);
+  json_decref(v);
+  return result;
+}
+
 fc_state_result fc_state_list(fc_state *s, const char *prefix, const char *after, unsigned limit, double deadline,
                               GPtrArray *out, bool *more, uint64_t *revision) {
   GString *path = g_string_new("/keys?prefix=");
--- a/src/protocol/state_api.h
+++ b/src/protocol/state_api.h
@@ -43,6 +43,8 @@
 /* On OK *revision is the revision of the change; on CONFLICT `failed` (may be
  * NULL) receives the keys whose conditions failed, owned by the array. */
 fc_state_result fc_state_commit(fc_state *s, const fc_txn *t, double deadline, uint64_t *revision, GPtrArray *failed);
+/* One key's value, the reference the caller's; GONE: there is none. */
+fc_state_result fc_state_get(fc_state *s, const char *key, double deadline, json_t **value);
 /* One page in key order, after `after` (NULL: from the start). */
 fc_state_result fc_state_list(fc_state *s, const char *prefix, const char *after, unsigned limit, double deadline,
                               GPtrArray *out, bool *more, uint64_t *revision);
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -245,6 +245,14 @@
     double *end = g_hash_table_lookup(g_leases, GSIZE_TO_POINTER(id));
     if (end) *end = sim_now() + *(double *)g_hash_table_lookup(g_lease_s, GSIZE_TO_POINTER(id));
     sim_answer(r->exchange, end ? 200 : 404, "{}");
+  } else if (g_str_has_prefix(r->path, "/keys/")) {
+    const entry *e = g_tree_lookup(g_keys, r->path + 6);
+    if (e) {
+      answer(r->exchange, 200,
+             json_pack("{ss sO sI}", "key", r->path + 6, "v", e->value, "edition", (json_int_t)e->version));
+    } else {
+      answer(r->exchange, 404, json_pack("{sI}", "round", (json_int_t)g_revision));
+    }
   } else if (g_str_has_prefix(r->path, "/changes?")) {
     watch *w = g_new0(watch, 1);
     w->x = r->exchange;
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -85,6 +85,7 @@
     j->answered_at = sim_now();
   } else if (g_quiet_from > 0 && sim_now() > MAX(g_quiet_from, j->answered_at) + FORGOTTEN_S) {
     /* Judged by the job: others may well be answered. */
+    if (g_verbose) g_printerr("%.2f unanswered %s status=%d %s\n", sim_now(), j->id, status, body);
     world_broke("forgotten (no answer)", j->id);
   }
   g_free(q);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -253,6 +253,7 @@
   s->memory_mb = 56;
   s->fd_limit = 900;
   fc_operator_defaults(&s->op);
+  s->op.over_keep_s = 20; /* jobs are put away in the middle of the troubles */
 }
 
 bool world_give_notice(double in_s) {
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -109,6 +109,49 @@
   }
 }
 
+/* A job that is long over leaves every controller's memory and is answered all the
+ * same, for good: also after all of them have started anew. */
+static void users_get_of_jobs_put_away(void **state) {
+  (void)state;
+  world_set_up(5, 0);
+  world_start_nodes();
+  sim_run_until(sim_now() + 5);
+  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", k_job).status, 201);
+  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs/job-000001/withdraw", "").status, 200);
+  sim_run_until(sim_now() + 60);
+  reply held = call_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/job/&page=10", "");
+  assert_non_null(strstr(held.body, "\"rows\":[]"));
+  assert_int_equal(call_to(WORLD_STATE_IP, "GET", "/keys/fc1over/job-000001", "").status, 200);
+  for (unsigned n = 0; n < WORLD_NODES; n++) world_crash(n, 1);
+  sim_run_until(sim_now() + 12);
+  static const struct {
+    const char *name, *method, *path, *body;
+    int status;
+    const char *says;
+  } rows[] = {
+      {"asked about", "GET", "/api/jobs/job-000001", "", 200, "cancelled"},
+      {"submitted again", "POST", "/api/jobs", k_job, 200, "cancelled"},
+      {"submitted again, for an unknown team", "POST", "/api/jobs", JOB("job-000001", "none", "1"), 200, "cancelled"},
+      {"submitted again, malformed", "POST", "/api/jobs", "{\"id\":\"job-000001\"}", 200, "cancelled"},
+      {"cancelled again", "POST", "/api/jobs/job-000001/withdraw", "", 200, "cancelled"},
+      {"one that never was", "GET", "/api/jobs/job-000009", "", 404, ""},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    reply r = call_to(WORLD_NODE_IP(i % WORLD_NODES), rows[i].method, rows[i].path, rows[i].body);
+    if (r.status != rows[i].status) print_message("row '%s': %d %s\n", rows[i].name, r.status, r.body);
+    check_row(rows[i].name, r.status == rows[i].status && strstr(r.body, rows[i].says));
+    sim_run_until(sim_now() + 1);
+  }
+  /* Many questions about jobs that nobody knows: each is answered, at once. */
+  for (unsigned i = 0; i < 60; i++) {
+    char path[64];
+    g_snprintf(path, sizeof path, "/api/jobs/job-%06u", 900000 + i);
+    reply r = call_to(WORLD_NODE_IP(0), "GET", path, "");
+    assert_true(r.status == 404 || r.status == 503);
+    assert_true(r.at < 0.5);
+  }
+}
+
 /* An intent that a dead controller left is carried out under the same name, so
  * that its machines are learned of and not rented twice. */
 static void an_intent_is_taken_over(void **state) {
@@ -163,6 +206,7 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(users_get), cmocka_unit_test(users_get_in_an_outage),
+                                     cmocka_unit_test(users_get_of_jobs_put_away),
                                      cmocka_unit_test(an_intent_is_taken_over),
                                      cmocka_unit_test(a_gang_is_stopped_in_order)};
   return cmocka_run_group_tests(tests, NULL, NULL);
