--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -29,6 +29,7 @@
   double answer_s;
   GQueue queue[FC_RANKS];
   fc_cond work;
+  unsigned sending; /* writes of the transaction that is being sent, or waits for the rates */
   fc_commit_counts counts;
 };
 
@@ -97,7 +98,7 @@
 }
 
 unsigned fc_commit_backlog(const fc_commit *c) {
-  unsigned n = 0;
+  unsigned n = c->sending;
   for (int r = 0; r < FC_RANKS; r++)
     for (const GList *l = c->queue[r].head; l; l = l->next) n += ((const fc_write *)l->data)->writes->len;
   return n;
@@ -254,6 +255,7 @@
     double n = (double)fc_txn_writes(t);
     if (n > c->writes.burst) n = c->writes.burst;
     double began = fc_now();
+    c->sending = (unsigned)fc_txn_writes(t);
     for (;;) {
       double now = fc_now();
       double wait = fc_budget_wait(&c->writes, n, 0, now);
@@ -270,6 +272,7 @@
     count_kinds(c, batch);
     c->counts.waited_s += fc_now() - began;
     fc_state_result result = fc_state_commit(c->state, t, fc_now() + c->answer_s, &revision, failed);
+    c->sending = 0;
     settle(c, batch, result, revision, failed);
     g_ptr_array_free(failed, TRUE);
     g_ptr_array_free(batch, TRUE);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -124,36 +124,54 @@
   return false;
 }
 
-/* Carries out one recorded intent, ours or one left by a dead controller, and
- * replaces the intent by the machines' records in one transaction. */
-static void carry_out(fc_controller *c, const char *name, const fc_hire_record *h, refusals *ref) {
+typedef struct hire {
+  char *name;
+  fc_hire_record record;
+  GPtrArray *ids;
+  bool decided;
+} hire;
+
+static void hire_free(gpointer p) {
+  hire *h = p;
+  g_free(h->name);
+  g_ptr_array_free(h->ids, TRUE);
+  g_free(h);
+}
+
+/* Asks the cloud for what one recorded intent says, ours or one left by a dead
+ * controller. */
+static void ask_cloud(fc_controller *c, hire *h, refusals *ref) {
+  const fc_hire_record *r = &h->record;
   if (!cloud_turn(c) || !fc_may_act(c)) return;
-  GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-  fc_cloud_result r = fc_cloud_hire(c->cloud, name, h->type, h->zone, h->spot, h->count, fc_now() + 4.0, ids);
-  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", name, h->type, h->zone, h->spot, h->count, r,
-         ids->len);
-  if (r == FC_CLOUD_NO_CAPACITY) note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s);
-  if (r == FC_CLOUD_OK && ids->len < h->count)
-    note_refused(ref, h->type, h->zone, h->spot, fc_now() + c->settings->lease_s * 0.5);
-  if (r == FC_CLOUD_OK || r == FC_CLOUD_NO_CAPACITY || r == FC_CLOUD_REFUSED) {
-    (void)(record_hired(c, h, ids) && end_hire(c, name));
-  }
-  g_ptr_array_free(ids, TRUE);
+  fc_cloud_result res = fc_cloud_hire(c->cloud, h->name, r->type, r->zone, r->spot, r->count, fc_now() + 4.0, h->ids);
+  g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", h->name, r->type, r->zone, r->spot, r->count,
+         res, h->ids->len);
+  if (res == FC_CLOUD_NO_CAPACITY) note_refused(ref, r->type, r->zone, r->spot, fc_now() + c->settings->lease_s);
+  if (res == FC_CLOUD_OK && h->ids->len < r->count)
+    note_refused(ref, r->type, r->zone, r->spot, fc_now() + c->settings->lease_s * 0.5);
+  h->decided = res == FC_CLOUD_OK || res == FC_CLOUD_NO_CAPACITY || res == FC_CLOUD_REFUSED;
 }
 
+/* Carries out all recorded intents. All machines are asked for before the first is
+ * recorded: they boot meanwhile, and their records take their time. */
 static void carry_out_all(fc_controller *c, refusals *ref) {
-  GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+  GPtrArray *hires = g_ptr_array_new_with_free_func(hire_free);
   GHashTableIter it;
-  gpointer key;
+  gpointer key, value;
   g_hash_table_iter_init(&it, c->table->hires);
-  while (g_hash_table_iter_next(&it, &key, NULL)) g_ptr_array_add(names, g_strdup(key));
-  for (guint i = 0; i < names->len; i++) {
-    const fc_hire_record *h = g_hash_table_lookup(c->table->hires, names->pdata[i]);
-    if (!h) continue;
-    fc_hire_record copy = *h;
-    carry_out(c, names->pdata[i], &copy, ref);
+  while (g_hash_table_iter_next(&it, &key, &value)) {
+    hire *h = g_new0(hire, 1);
+    h->name = g_strdup(key);
+    h->record = *(const fc_hire_record *)value;
+    h->ids = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(hires, h);
+  }
+  for (guint i = 0; i < hires->len; i++) ask_cloud(c, hires->pdata[i], ref);
+  for (guint i = 0; i < hires->len; i++) {
+    const hire *h = hires->pdata[i];
+    if (h->decided && fc_may_act(c)) (void)(record_hired(c, &h->record, h->ids) && end_hire(c, h->name));
   }
-  g_ptr_array_free(names, TRUE);
+  g_ptr_array_free(hires, TRUE);
 }
 
 /* Records the intent; the cloud is asked only after that is durable. */
@@ -173,7 +191,7 @@
   fc_write_if(w, key, 0);
   fc_write_put(w, key, fc_hire_record_encode(&h));
   uint64_t revision = 0;
-  fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 2.0, &revision);
+  fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + c->settings->lease_s * 0.5, &revision);
   g_free(name);
   g_free(key);
   return r == FC_STATE_OK && fc_wait_revision(c, revision, fc_now() + 2.0);
