Warm room of 2.5 deviations

Cause: arrays and services that come in bursts waited for boots; 1.6 deviations of what came lately is passed every few minutes.

--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -233,7 +233,7 @@
       .member_lease_share = 0.5,
       .idle_keep_share = 0.5,
       .over_keep_s = 1800.0,
-      .warm_deviations = 1.6,
+      .warm_deviations = 2.5,
       .rent = true,
   };
 }
