--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -632,7 +632,7 @@
     if (m->owner != t->self || !m->version) continue;
     if (now < lease_over_at(c, m)) continue;
     if (m->placements->len > 0 || m->settled_term != t->term.number) {
-      g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
+      if (m->announced) g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
       fc_machine_clear(t, m);
       m->settled_term = t->term.number;
       if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
