--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -98,7 +98,8 @@
   sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "GET", path, "", 2, on_poll, ask(j));
   if (sim_chance(0.1))
     sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "POST", "/api/jobs", j->body, 5, on_repeated, ask(j));
-  sim_after(j->over ? sim_draw(10, 30) : sim_draw(4, 6), user_poll, j);
+  /* Often enough that two lost answers in a row are no 75 s without one. */
+  sim_after(j->over ? sim_draw(4, 12) : sim_draw(4, 6), user_poll, j);
 }
 
 static void on_cancelled(int status, const char *body, void *arg) {
