--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -120,7 +120,7 @@
  * machine is still owned by the same name, and what runs on a name's machines,
  * known or not, is within its share. Nobody needs to be waited for: dividing anew
  * takes a list from every machine, and a cut between zones held up all teams with
- * limits for as long as it lasted (dala-almaty-grown, rough). */
+ * limits for as long as it lasted. */
 static bool carry_over(const fc_table *t, fc_quota_record *q) {
   if (!t->quota_version || t->quota.member_count != t->term.count) return false;
   for (size_t i = 0; i < t->term.count; i++)
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -179,6 +179,30 @@
   }
 }
 
+/* Reports with many tasks: read in full up to the bound, refused whole beyond. */
+static void large_reports(void **state) {
+  (void)state;
+  static const struct {
+    unsigned tasks;
+    bool read;
+  } rows[] = {{0, true}, {900, true}, {4096, true}, {4097, false}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    GString *s = g_string_new(
+        "{\"paddock\":\"vm-1\",\"endpoint\":\"10.1.0.2:9000\",\"build\":\"g4\",\"ground\":\"a\",\"loaners\":false,"
+        "\"stint\":1,\"tally\":1,\"captaincy\":1,\"runs\":[");
+    for (unsigned k = 0; k < rows[i].tasks; k++)
+      g_string_append_printf(s, "%s{\"run\":\"job-000001/%u\",\"kickoff\":1,\"status\":\"running\"}", k ? "," : "", k);
+    g_string_append(s, "]}");
+    fc_worker_report r;
+    char error[200] = "";
+    bool ok = fc_worker_report_parse(s->str, s->len, &r, error, sizeof error);
+    check_row("large report", ok == rows[i].read);
+    check_row("large report", ok ? r.task_count == rows[i].tasks : strstr(error, "runs") != NULL);
+    if (ok) fc_worker_report_clear(&r);
+    g_string_free(s, TRUE);
+  }
+}
+
 static void frames(void **state) {
   (void)state;
   fc_frame_task task = {.job = "job-000412", .index = 3, .attempt = 7, .state = FC_TASK_RUNNING};
@@ -250,14 +274,9 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(submissions),
-      cmocka_unit_test(deep_json_is_refused),
-      cmocka_unit_test(job_records_round_trip),
-      cmocka_unit_test(ranges),
-      cmocka_unit_test(worker_reports),
-      cmocka_unit_test(frames),
-      cmocka_unit_test(terms_round_trip),
-      cmocka_unit_test(routes),
+      cmocka_unit_test(submissions), cmocka_unit_test(deep_json_is_refused), cmocka_unit_test(job_records_round_trip),
+      cmocka_unit_test(ranges),      cmocka_unit_test(worker_reports),       cmocka_unit_test(large_reports),
+      cmocka_unit_test(frames),      cmocka_unit_test(terms_round_trip),     cmocka_unit_test(routes),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
