Turns of gangs found in one pass, one check of a team's limit, one loop for alike jobs

Second reading of the change: each of five callers asked for the turn of every team by a walk over all jobs (the loans for every gang again), and the limit was compared in four places.

--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -1,10 +1,7 @@
 /* Puts jobs away that have long been over: what is needed to answer their users
  * goes to keys that no controller holds in memory, and none reads when it starts.
  * Otherwise memory, and the time to start, would grow with every job there ever was. */
-#include <string.h>
-
 #include "controller/controller.h"
-#include "controller/duties.h"
 
 fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_over_record *out) {
   /* The mark was there before the first job was put away. */
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -35,10 +35,9 @@
   GHashTableIter it;
   gpointer value;
   const fc_job *turn[FC_TEAMS_MAX];
-  for (size_t k = 0; k < t->settings->team_count; k++) {
-    turn[k] = fc_gang_turn(t, (int)k);
+  fc_gang_turns(t, turn);
+  for (size_t k = 0; k < t->settings->team_count; k++)
     if (turn[k]) want_gang(t, turn[k], out);
-  }
   double now = fc_now();
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -102,30 +102,33 @@
   return use;
 }
 
-const fc_job *fc_gang_turn(const fc_table *t, int team) {
-  const fc_team_settings *ts = &t->settings->teams[team];
-  if (ts->cpus_max <= 0 && ts->gpus_max <= 0) return NULL;
+bool fc_team_within(const fc_team_settings *ts, double cpus, double gpus) {
+  const double slack = 1e-6;
+  return (ts->cpus_max <= 0 || cpus <= ts->cpus_max + slack) && (ts->gpus_max <= 0 || gpus <= ts->gpus_max + slack);
+}
+
+void fc_gang_turns(const fc_table *t, const fc_job **turn) {
+  for (size_t k = 0; k < t->settings->team_count; k++) turn[k] = NULL;
   GPtrArray *gangs = g_ptr_array_new();
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->team == team && gang_waits(j)) g_ptr_array_add(gangs, (gpointer)j);
+    if (j->team < 0 || !gang_waits(j)) continue;
+    const fc_team_settings *ts = &t->settings->teams[j->team];
+    if (ts->cpus_max > 0 || ts->gpus_max > 0) g_ptr_array_add(gangs, (gpointer)j);
   }
   g_ptr_array_sort(gangs, fc_job_by_rank_and_id);
-  const fc_job *turn = NULL;
-  const double slack = 1e-6;
-  for (guint i = 0; i < gangs->len && !turn; i++) {
+  for (guint i = 0; i < gangs->len; i++) {
     const fc_job *j = gangs->pdata[i];
-    fc_room use = fixed_use(t, team, j->spec.rank);
+    if (turn[j->team]) continue;
+    fc_room use = fixed_use(t, j->team, j->spec.rank);
     double n = j->spec.tasks;
-    if (ts->cpus_max > 0 && use.cpus + n * j->spec.cpus > ts->cpus_max + slack) continue;
-    if (ts->gpus_max > 0 && use.gpus + n * j->spec.gpus > ts->gpus_max + slack) continue;
-    turn = j;
+    if (fc_team_within(&t->settings->teams[j->team], use.cpus + n * j->spec.cpus, use.gpus + n * j->spec.gpus))
+      turn[j->team] = j;
   }
   g_ptr_array_free(gangs, TRUE);
-  return turn;
 }
 
 bool fc_gang_before(const fc_table *t, const fc_job *gang, const fc_job *j, double now) {
@@ -385,7 +388,7 @@
   rs.jobs = g_ptr_array_new_with_free_func(candidate_free);
   rs.out = g_array_new(FALSE, TRUE, sizeof(fc_decision));
   gather(&rs, now);
-  for (size_t k = 0; k < t->settings->team_count; k++) rs.turn[k] = fc_gang_turn(t, (int)k);
+  fc_gang_turns(t, rs.turn);
   while (rs.jobs->len > 0) {
     candidate *c = pick(&rs);
     if (!place_some(&rs, c)) g_ptr_array_remove(rs.jobs, c);
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -33,13 +33,15 @@
  * belong to `member` (-1: of all); caps the list. */
 GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most);
 
-/* The gang whose turn it is with the team's limit, of those that wait anywhere:
+/* Does the team's limit allow so much in all? */
+bool fc_team_within(const fc_team_settings *ts, double cpus, double gpus);
+/* For each team the gang whose turn it is with its limit, of those that wait anywhere:
  * the first, in an order that is the same on every member, which fits beside what
  * can't be stopped for it. NULL: none, or the team has no limit. Until it runs no
  * other gang of the team gathers room, and arrays of lower rank start nothing:
  * two gangs that each gather half wait for ever, and so does one whose limit is
  * used up task by task (fault test, seed 249). */
-const fc_job *fc_gang_turn(const fc_table *t, int team);
+void fc_gang_turns(const fc_table *t, const fc_job **turn);
 /* Must the job leave the team's limit to that gang? */
 bool fc_gang_before(const fc_table *t, const fc_job *gang, const fc_job *j, double now);
 
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -175,10 +175,7 @@
     }
   }
   g_ptr_array_sort(may, by_task);
-  const double slack = 1e-6;
-  for (guint i = 0; i < may->len; i++) {
-    if ((ts->cpus_max <= 0 || cpus <= ts->cpus_max + slack) && (ts->gpus_max <= 0 || gpus <= ts->gpus_max + slack))
-      break;
+  for (guint i = 0; i < may->len && !fc_team_within(ts, cpus, gpus); i++) {
     fc_placement *p = may->pdata[i];
     cpus -= p->job->spec.cpus;
     gpus -= p->job->spec.gpus;
@@ -188,8 +185,10 @@
 }
 
 void fc_preempt_for_limit(const fc_table *t, GPtrArray *stops, double now) {
+  const fc_job *turn[FC_TEAMS_MAX];
+  fc_gang_turns(t, turn);
   for (size_t k = 0; k < t->settings->team_count; k++) {
-    const fc_job *gang = fc_gang_turn(t, (int)k);
+    const fc_job *gang = turn[k];
     /* What runs may end by itself; a lease is as long as most troubles take. */
     if (gang && now > gang->seen_at + t->settings->lease_s) stop_for_gang(t, gang, stops);
   }
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -26,9 +26,7 @@
 /* Room that a team's limit would keep empty is not rented. */
 static bool within_limit(pack *p, const fc_job *j) {
   const fc_team_settings *ts = &p->table->settings->teams[j->team];
-  const double slack = 1e-6;
-  if (ts->cpus_max > 0 && p->cpus[j->team] + j->spec.cpus > ts->cpus_max + slack) return false;
-  if (ts->gpus_max > 0 && p->gpus[j->team] + j->spec.gpus > ts->gpus_max + slack) return false;
+  if (!fc_team_within(ts, p->cpus[j->team] + j->spec.cpus, p->gpus[j->team] + j->spec.gpus)) return false;
   p->cpus[j->team] += j->spec.cpus;
   p->gpus[j->team] += j->spec.gpus;
   return true;
@@ -296,10 +294,9 @@
   /* What a team's limit is kept for goes first, and nothing is rented for what
    * has to wait for that. */
   const fc_job *turn[FC_TEAMS_MAX];
-  for (size_t k = 0; k < t->settings->team_count; k++) {
-    turn[k] = fc_gang_turn(t, (int)k);
+  fc_gang_turns(t, turn);
+  for (size_t k = 0; k < t->settings->team_count; k++)
     if (turn[k]) pack_job(&p, turn[k]);
-  }
   for (guint i = 0; i < jobs->len; i++) {
     const fc_job *j = jobs->pdata[i];
     if (j != turn[j->team] && !fc_gang_before(t, turn[j->team], j, now)) pack_job(&p, j);
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -306,11 +306,13 @@
   GArray *room = spares(t, now);
   GPtrArray *jobs = fc_jobs_open(t);
   g_ptr_array_sort(jobs, fc_job_by_rank_and_id);
+  const fc_job *turn[FC_TEAMS_MAX];
+  fc_gang_turns(t, turn);
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
     if (now < j->seen_at + t->settings->op.handover_wait_s) continue;
-    if (fc_gang_before(t, fc_gang_turn(t, j->team), j, now)) continue;
+    if (fc_gang_before(t, turn[j->team], j, now)) continue;
     int owner = fc_job_owner(t, j, 0);
     if (owner >= 0 && (owner == t->self || told->fit[owner])) lend_to_gang(t, room, j, now, out);
   }
--- a/tests/test_scenes.c
+++ b/tests/test_scenes.c
@@ -16,6 +16,15 @@
   }
 }
 
+/* So many alike, five seconds from now. */
+static void alike(unsigned count, const char *kind, const char *rank, double run_s) {
+  for (unsigned k = 0; k < count; k++) {
+    char id[32];
+    g_snprintf(id, sizeof id, "job-%06u", k);
+    world_submit(id, kind, rank, 2, 1, run_s, 5);
+  }
+}
+
 /* The largest of a class begin within four minutes in a full, fragmented fleet,
  * also when a controller is replaced meanwhile; two gangs that each need most of
  * a zone don't each hold half. */
@@ -75,11 +84,7 @@
     world_start_nodes();
     world_machines_up(0, 3);
     world_machines_up(1, 3);
-    for (unsigned k = 0; k < 6; k++) {
-      char id[32];
-      g_snprintf(id, sizeof id, "job-%06u", k);
-      world_submit(id, "service", "prod", 2, 1, 1, 5);
-    }
+    alike(6, "service", "prod", 1);
     sim_run_until(sim_now() + 40);
     unsigned starts = world_so_far().starts;
     assert_int_equal(starts, 12);
@@ -114,11 +119,7 @@
     world_capacity(0, 0);
     world_start_nodes();
     world_machines_up(0, 6);
-    for (unsigned k = 0; k < 11; k++) {
-      char id[32];
-      g_snprintf(id, sizeof id, "job-%06u", k);
-      world_submit(id, "sweep", "standard", 2, 1, 300, 5);
-    }
+    alike(11, "sweep", "standard", 300);
     sim_run_until(sim_now() + 30);
     for (unsigned n = 0; n < rows[i].nodes_down; n++) world_crash(n, 1e6);
     sim_run_until(sim_now() + 30 * rows[i].nodes_down);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -458,9 +458,11 @@
     fc_job *other = world_job(t, "job-000005", "sweep", "standard", "red", 2, 1, "");
     for (unsigned k = 0; k < rows[i].services; k++) fc_table_place(t, m, service->spec.id, k, 1, 0);
     for (unsigned k = 0; k < rows[i].arrays; k++) fc_table_place(t, m, array->spec.id, k, 1, 0);
-    const fc_job *turn = fc_gang_turn(t, 1);
+    const fc_job *turns[FC_TEAMS_MAX];
+    fc_gang_turns(t, turns);
+    const fc_job *turn = turns[1];
     check_row(rows[i].name, strcmp(turn ? turn->spec.id : "", rows[i].turn) == 0);
-    assert_null(fc_gang_turn(t, 0)); /* a team without a limit: no turns */
+    assert_null(turns[0]); /* a team without a limit: no turns */
     if (!turn) {
       fc_table_free(t);
       continue;
