--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -72,6 +72,7 @@
   m = g_new0(fc_machine, 1);
   g_strlcpy(m->id, id, sizeof m->id);
   m->type = -1;
+  m->zone = FC_ZONES_MAX;
   m->owner = -1;
   m->first_seen = m->owned_since = m->idle_since = now;
   m->placements = g_ptr_array_new();
@@ -127,13 +128,14 @@
   j->version = version;
   for (unsigned i = 0; i < j->slices; i++) {
     if (g_strcmp0(j->handed[i], r->handed[i]) == 0) continue;
-    bool was_mine = fc_job_owner(t, j, i) == t->self;
+    bool was_mine = !is_new && fc_job_owner(j, i) == t->self;
     g_free(j->handed[i]);
     j->handed[i] = g_strdup(r->handed[i]);
     /* A slice is handed over by the one who knows all of it, and only after we
      * have acknowledged a view that shows whatever of it is on a machine. */
     if (!was_mine && !is_new) j->clear |= 1u << i;
   }
+  fc_job_deal(t, j);
   if (is_new) link_placements(t, j);
   /* What is read back after a start arrived before; only its shape is news. */
   if (is_new && fresh) fc_demand_arrival(&t->demand, &j->spec, now);
@@ -149,14 +151,28 @@
   return (unsigned)((uint64_t)index * j->slices / j->spec.tasks);
 }
 
-int fc_job_owner(const fc_table *t, const fc_job *j, unsigned slice) {
-  return fc_deal_job(&t->term, j->spec.id, slice, j->slices, j->handed[slice]);
+void fc_job_deal(const fc_table *t, fc_job *j) {
+  j->owned_by = 0;
+  for (unsigned i = 0; i < j->slices; i++) {
+    int owner = fc_deal_job(&t->term, j->spec.id, i, j->slices, j->handed[i]);
+    j->owners[i] = (int8_t)owner;
+    if (owner >= 0) j->owned_by |= 1u << owner;
+  }
 }
 
-bool fc_job_owned(const fc_table *t, const fc_job *j, int member) {
-  for (unsigned i = 0; i < j->slices; i++)
-    if (fc_job_owner(t, j, i) == member) return true;
-  return false;
+int fc_job_owner(const fc_job *j, unsigned slice) {
+  return j->owners[slice];
+}
+
+bool fc_job_owned(const fc_job *j, int member) {
+  return member >= 0 && (j->owned_by >> member & 1);
+}
+
+void fc_machine_locate(const fc_table *t, fc_machine *m) {
+  m->type = fc_table_type(t, m->rec.type);
+  m->zone = FC_ZONES_MAX;
+  for (size_t z = 0; z < t->settings->zone_count; z++)
+    if (strcmp(t->settings->zones[z], m->rec.zone) == 0) m->zone = (unsigned)z;
 }
 
 bool fc_job_task_done(const fc_job *j, uint32_t index) {
@@ -213,6 +229,12 @@
   r->memory_gb -= s->memory_gb;
 }
 
+void fc_room_give(fc_room *r, const fc_job_spec *s) {
+  r->cpus += s->cpus;
+  r->gpus += s->gpus;
+  r->memory_gb += s->memory_gb;
+}
+
 fc_room fc_machine_room(const fc_table *t, const fc_machine *m) {
   fc_room r = {0, 0, 0};
   if (m->type < 0) return r;
@@ -266,7 +288,7 @@
 
 void fc_machine_used_image(fc_machine *m, GRefString *image) {
   for (guint i = 0; i < m->images->len; i++) {
-    if (strcmp(m->images->pdata[i], image) != 0) continue;
+    if (m->images->pdata[i] != image) continue;
     gpointer kept = g_ptr_array_steal_index(m->images, i);
     g_ptr_array_add(m->images, kept);
     return;
@@ -275,9 +297,9 @@
   g_ptr_array_add(m->images, g_ref_string_acquire(image));
 }
 
-bool fc_machine_has_image(const fc_machine *m, const char *image) {
+bool fc_machine_has_image(const fc_machine *m, const GRefString *image) {
   for (guint i = 0; i < m->images->len; i++)
-    if (strcmp(m->images->pdata[i], image) == 0) return true;
+    if (m->images->pdata[i] == image) return true;
   return false;
 }
 
@@ -379,11 +401,13 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
+    unsigned mine = 0;
+    for (unsigned i = 0; i < j->slices; i++) mine |= (unsigned)(old_self >= 0 && fc_job_owner(j, i) == old_self) << i;
+    fc_job_deal(t, j);
     /* A term we have missed may have dealt the job away and back. */
     for (unsigned i = 0; i < j->slices; i++) {
-      bool kept = continuous && term->number == old.number + 1 && old_self >= 0 && t->self >= 0 &&
-                  fc_deal_job(&old, j->spec.id, i, j->slices, j->handed[i]) == old_self &&
-                  fc_deal_job(term, j->spec.id, i, j->slices, j->handed[i]) == t->self;
+      bool kept = continuous && term->number == old.number + 1 && t->self >= 0 && (mine >> i & 1) &&
+                  fc_job_owner(j, i) == t->self;
       if (!kept) j->clear &= ~(1u << i);
     }
   }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -56,7 +56,9 @@
   uint32_t done_count;
   unsigned slices;
   char *handed[FC_SLICES_MAX];
-  int team; /* index into the settings; -1: not there any more */
+  int8_t owners[FC_SLICES_MAX]; /* members of the present term; -1: nobody */
+  unsigned owned_by;            /* a bit a member that owns any of its slices */
+  int team;                     /* index into the settings; -1: not there any more */
   GPtrArray *placements;
   unsigned clear; /* a bit a slice: nothing of it can be anywhere that we do not know of */
   double seen_at; /* steady time when we first saw it */
@@ -76,6 +78,7 @@
   uint64_t version;      /* of the record; 0: no record, must not be used */
   bool writing;          /* a change of the record is under way */
   int type;              /* index into the types; -1: not known */
+  unsigned zone;         /* index into the zones of the settings; FC_ZONES_MAX: none of them */
   int owner;             /* index into the present term; -1: none */
   bool announced;        /* its record has its address; before that nothing is started on it */
   bool announcing;       /* that is being written */
@@ -165,6 +168,7 @@
 fc_room fc_machine_room(const fc_table *t, const fc_machine *m);
 bool fc_room_fits(const fc_room *r, const fc_job_spec *s);
 void fc_room_take(fc_room *r, const fc_job_spec *s);
+void fc_room_give(fc_room *r, const fc_job_spec *s);
 void fc_machine_used_image(fc_machine *m, GRefString *image);
 /* Nothing on it that anybody still needs: what is left has ended and is recorded,
  * or is a start that was given up and may yet arrive. */
@@ -181,13 +185,20 @@
 bool fc_machine_mute(const fc_table *t, const fc_machine *m, double now);
 /* Heard of lately, and not without a sign that it hears us too. */
 bool fc_machine_in_touch(const fc_table *t, const fc_machine *m, double now);
-bool fc_machine_has_image(const fc_machine *m, const char *image);
+/* Images are interned: the same name is the same pointer. */
+bool fc_machine_has_image(const fc_machine *m, const GRefString *image);
 
 unsigned fc_job_slice_of(const fc_job *j, uint32_t index);
+/* Works out who owns the job's slices. That is done when the term or a hand-over
+ * changes, not where it is asked: rounds ask for every slice of every job, and the
+ * hashing was most of what a round cost in a queue of hundreds. */
+void fc_job_deal(const fc_table *t, fc_job *j);
 /* The member that a slice of the job belongs to now; -1: none. */
-int fc_job_owner(const fc_table *t, const fc_job *j, unsigned slice);
+int fc_job_owner(const fc_job *j, unsigned slice);
 /* Does any slice belong to this member? */
-bool fc_job_owned(const fc_table *t, const fc_job *j, int member);
+bool fc_job_owned(const fc_job *j, int member);
+/* Where the machine stands and what it is, by its record. */
+void fc_machine_locate(const fc_table *t, fc_machine *m);
 
 /* May the job run on such a machine at all? */
 bool fc_job_allows(const fc_job_spec *s, const char *type, const char *zone, bool spot);
--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -55,7 +55,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < most) {
     const fc_job *j = value;
     if (!j->over_at || j->over_at > before || j->placements->len > 0) continue;
-    if (fc_job_owner(c->table, j, 0) == c->table->self) g_ptr_array_add(ids, g_strdup(j->spec.id));
+    if (fc_job_owner(j, 0) == c->table->self) g_ptr_array_add(ids, g_strdup(j->spec.id));
   }
   return ids;
 }
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -21,8 +21,8 @@
 /* Gangs start all at once: two parts that each hold half of what one needs would
  * both wait for ever (fault test, seed 15). So it is asked for one gang of a team
  * at a time, the same on all members. */
-static void want_gang(const fc_table *t, const fc_job *j, tally *out) {
-  int owner = fc_job_owner(t, j, 0);
+static void want_gang(const fc_job *j, tally *out) {
+  int owner = fc_job_owner(j, 0);
   if (owner < 0) return;
   double n = j->spec.tasks - j->done_count;
   out->cpus[owner][j->team].wanted += n * j->spec.cpus;
@@ -37,7 +37,7 @@
   const fc_job *turn[FC_TEAMS_MAX];
   fc_gang_turns(t, turn);
   for (size_t k = 0; k < t->settings->team_count; k++)
-    if (turn[k]) want_gang(t, turn[k], out);
+    if (turn[k]) want_gang(turn[k], out);
   double now = fc_now();
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -62,9 +62,9 @@
     const fc_job *j = value;
     if (j->team < 0 || j->phase != FC_PHASE_ACCEPTED || !limited(&t->settings->teams[j->team])) continue;
     if (j->spec.kind == FC_KIND_GANG || fc_gang_before(t, turn[j->team], j, now)) continue;
-    GArray *missing = fc_job_missing(t, j, -1, 1024);
+    GArray *missing = fc_job_missing(j, -1, 1024);
     for (guint i = 0; i < missing->len; i++) {
-      int owner = fc_job_owner(t, j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
+      int owner = fc_job_owner(j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
       if (owner < 0) continue;
       out->cpus[owner][j->team].wanted += j->spec.cpus;
       out->gpus[owner][j->team].wanted += j->spec.gpus;
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -63,7 +63,7 @@
     g_hash_table_iter_init(&it, t->machines);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
       fc_machine *m = value;
-      if (m->type < 0) m->type = fc_table_type(t, m->rec.type);
+      if (m->type < 0) fc_machine_locate(t, m);
     }
     g_ptr_array_free(types, TRUE);
     return;
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -91,11 +91,12 @@
   fc_allowance allow;
   fc_quota_allowance(c, &allow);
   GArray *plan = fc_place_round(t, &allow, now);
+  fc_image_search *search = fc_image_search_new(t, now);
   const fc_job *gang = NULL;
   uint64_t attempt = 0;
   for (guint i = 0; i < plan->len; i++) {
     const fc_decision *d = &g_array_index(plan, fc_decision, i);
-    if (fc_preempt_for_image(t, d, stops, now)) continue;
+    if (fc_preempt_for_image(search, d, stops)) continue;
     bool same_gang = d->job->spec.kind == FC_KIND_GANG && d->job == gang;
     if (!same_gang) attempt = next_attempt(c);
     gang = d->job;
@@ -106,6 +107,7 @@
             d->machine->id);
   }
   if (plan->len > 0) fc_cond_broadcast(&c->view_now);
+  fc_image_search_free(search);
   g_array_free(plan, TRUE);
   send_stops(c, stops, push);
 }
@@ -127,11 +129,7 @@
     const fc_job *j = value;
     if (j->phase != FC_PHASE_ACCEPTED) continue;
     if (j->spec.kind == FC_KIND_GANG && j->placements->len == 0) return true;
-    if (j->placements->len + j->done_count >= j->spec.tasks || !fc_job_owned(t, j, t->self)) continue;
-    GArray *missing = fc_job_missing(t, j, t->self, 1);
-    bool waits = missing->len > 0;
-    g_array_free(missing, TRUE);
-    if (waits) return true;
+    if (fc_job_owned(j, t->self) && fc_job_waits(j, t->self)) return true;
   }
   return false;
 }
@@ -183,8 +181,8 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->phase != FC_PHASE_ACCEPTED || !fc_job_owned(t, j, t->self)) continue;
-    GArray *missing = fc_job_missing(t, j, t->self, 1);
+    if (j->phase != FC_PHASE_ACCEPTED || !fc_job_owned(j, t->self)) continue;
+    GArray *missing = fc_job_missing(j, t->self, 1);
     waiting += missing->len;
     unclear += !j->clear;
     g_array_free(missing, TRUE);
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -76,7 +76,7 @@
   if (!announced) g_strlcpy(rec.endpoint, m->rec.endpoint, sizeof rec.endpoint);
   m->rec = rec;
   m->version = ch->version;
-  m->type = fc_table_type(t, rec.type);
+  fc_machine_locate(t, m);
   fc_table_derive_owner(t, m, fc_now());
   /* Announced within this term: it has never held anything, for anybody. */
   if (announced && !m->announced && ordered && t->term_version && ch->version > t->term_version)
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -543,10 +543,7 @@
     const fc_placement *p = j->placements->pdata[i];
     if (fc_placement_live(p) && p->machine->owner == c->table->self) return true;
   }
-  GArray *missing = fc_job_missing(c->table, j, c->table->self, 1);
-  bool more = missing->len > 0;
-  g_array_free(missing, TRUE);
-  return more;
+  return fc_job_waits(j, c->table->self);
 }
 
 static void record_main(void *arg) {
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -7,20 +7,22 @@
   fc_machine *machine;
   const fc_machine_type *type;
   fc_room room;
-  GHashTable *planned_images; /* images that tasks of this round bring along */
+  GPtrArray *planned_images; /* images that tasks of this round bring along */
 } slot;
 
 typedef struct candidate {
   fc_job *job;
   GArray *missing; /* uint32_t */
   guint next;
+  fc_spread spread; /* of its tasks, those of this round included */
 } candidate;
 
 typedef struct round_state {
   const fc_table *table;
   double now;
-  GArray *slots;
-  GPtrArray *jobs; /* candidate */
+  GArray *slots;   /* with room, in order of names */
+  GPtrArray *jobs; /* candidate; most important rank first, then first come */
+  GQueue *by_team; /* waiting jobs of the rank that is being placed, first come first */
   fc_allowance allow;
   const fc_job *turn[FC_TEAMS_MAX];
   double used_cpus[FC_TEAMS_MAX], used_gpus[FC_TEAMS_MAX]; /* everywhere */
@@ -35,7 +37,7 @@
 
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now) {
   return j->phase == FC_PHASE_ACCEPTED && j->clear && j->team >= 0 && now >= j->blocked_until && t->self >= 0 &&
-         fc_job_owned(t, j, t->self);
+         fc_job_owned(j, t->self);
 }
 
 gint fc_job_by_importance(gconstpointer a, gconstpointer b) {
@@ -57,21 +59,23 @@
   return out;
 }
 
-/* The rules, given how many tasks are in the zone and in all. */
-static bool zone_rules(const fc_job_spec *s, unsigned here, unsigned all) {
-  if (s->one_zone && all != here) return false;
-  return !s->spread || here + 1 <= (s->tasks + 1) / 2;
-}
-
-bool fc_job_zone_open(const fc_job *j, const char *zone) {
-  unsigned here = 0, all = 0;
+fc_spread fc_job_spread(const fc_job *j) {
+  fc_spread s = {{0}, 0};
   for (guint i = 0; i < j->placements->len; i++) {
     const fc_placement *p = j->placements->pdata[i];
-    if (!fc_placement_live(p)) continue;
-    all++;
-    here += strcmp(p->machine->rec.zone, zone) == 0;
+    if (fc_placement_live(p)) fc_spread_add(&s, p->machine->zone);
   }
-  return zone_rules(&j->spec, here, all);
+  return s;
+}
+
+void fc_spread_add(fc_spread *s, unsigned zone) {
+  s->in[zone]++;
+  s->all++;
+}
+
+bool fc_spread_open(const fc_spread *s, const fc_job_spec *spec, unsigned zone) {
+  if (spec->one_zone && s->all != s->in[zone]) return false;
+  return !spec->spread || s->in[zone] + 1 <= (spec->tasks + 1) / 2;
 }
 
 gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b) {
@@ -120,10 +124,14 @@
     if (ts->cpus_max > 0 || ts->gpus_max > 0) g_ptr_array_add(gangs, (gpointer)j);
   }
   g_ptr_array_sort(gangs, fc_job_by_rank_and_id);
+  fc_room use = {0, 0, 0};
+  int use_team = -1, use_rank = -1; /* whose that is */
   for (guint i = 0; i < gangs->len; i++) {
     const fc_job *j = gangs->pdata[i];
     if (turn[j->team]) continue;
-    fc_room use = fixed_use(t, j->team, j->spec.rank);
+    if (use_team != j->team || use_rank != (int)j->spec.rank) use = fixed_use(t, j->team, j->spec.rank);
+    use_team = j->team;
+    use_rank = (int)j->spec.rank;
     double n = j->spec.tasks;
     if (fc_team_within(&t->settings->teams[j->team], use.cpus + n * j->spec.cpus, use.gpus + n * j->spec.gpus))
       turn[j->team] = j;
@@ -138,10 +146,13 @@
          now > gang->seen_at + t->settings->op.handover_wait_s;
 }
 
-GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most) {
-  GArray *out = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+#define SMALL_BITMAP 64u /* tasks / 8 that need no memory of their own */
+
+/* The tasks that are finished or may be somewhere. `small` serves where it is large
+ * enough; free the result when it is another. */
+static uint8_t *taken_tasks(const fc_job *j, uint8_t small[SMALL_BITMAP]) {
   size_t bytes = (j->spec.tasks + 7) / 8;
-  uint8_t *taken = g_malloc(bytes);
+  uint8_t *taken = bytes <= SMALL_BITMAP ? small : g_malloc(bytes);
   memcpy(taken, j->done, bytes);
   for (guint i = 0; i < j->placements->len; i++) {
     const fc_placement *p = j->placements->pdata[i];
@@ -149,15 +160,43 @@
     if (p->state == FC_TASK_EXITED && p->cause != FC_CAUSE_DONE) continue;
     if (p->index < j->spec.tasks) taken[p->index / 8] |= (uint8_t)(1u << (p->index % 8));
   }
-  unsigned wanted = 0;
+  return taken;
+}
+
+static unsigned slices_of(const fc_job *j, int member) {
+  unsigned slices = 0;
   for (unsigned s = 0; s < j->slices; s++)
-    if (member < 0 || fc_job_owner(t, j, s) == member) wanted |= 1u << s;
-  for (uint32_t i = 0; i < j->spec.tasks && out->len < most; i++)
-    if (!(taken[i / 8] >> (i % 8) & 1) && (wanted >> fc_job_slice_of(j, i) & 1)) g_array_append_val(out, i);
-  g_free(taken);
+    if (member < 0 || fc_job_owner(j, s) == member) slices |= 1u << s;
+  return slices;
+}
+
+/* Calls for each task that is missing in the slices; up to `most`. */
+static guint each_missing(const fc_job *j, unsigned slices, guint most, GArray *out) {
+  uint8_t small[SMALL_BITMAP], *taken = taken_tasks(j, small);
+  guint n = 0;
+  for (uint32_t i = 0; i < j->spec.tasks && n < most; i++) {
+    if ((taken[i / 8] >> (i % 8) & 1) || !(slices >> fc_job_slice_of(j, i) & 1)) continue;
+    if (out) g_array_append_val(out, i);
+    n++;
+  }
+  if (taken != small) g_free(taken);
+  return n;
+}
+
+GArray *fc_job_missing_in(const fc_job *j, unsigned slices, guint most) {
+  GArray *out = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+  (void)each_missing(j, slices, most, out);
   return out;
 }
 
+GArray *fc_job_missing(const fc_job *j, int member, guint most) {
+  return fc_job_missing_in(j, slices_of(j, member), most);
+}
+
+bool fc_job_waits(const fc_job *j, int member) {
+  return each_missing(j, slices_of(j, member), 1, NULL) > 0;
+}
+
 static void candidate_free(gpointer p) {
   candidate *c = p;
   g_array_free(c->missing, TRUE);
@@ -166,43 +205,38 @@
 
 static void slot_clear(gpointer p) {
   slot *s = p;
-  if (s->planned_images) g_hash_table_destroy(s->planned_images);
+  if (s->planned_images) g_ptr_array_free(s->planned_images, TRUE);
 }
 
-/* Any live task of the job, as the rules about zones count them. */
-static unsigned live_in_zone(const fc_job *j, const char *zone, const GArray *planned) {
-  unsigned n = 0;
-  for (guint i = 0; i < j->placements->len; i++) {
-    const fc_placement *p = j->placements->pdata[i];
-    if (fc_placement_live(p) && (!zone || strcmp(p->machine->rec.zone, zone) == 0)) n++;
-  }
-  for (guint i = 0; i < planned->len; i++) {
-    const fc_decision *d = &g_array_index(planned, fc_decision, i);
-    if (d->job == j && (!zone || strcmp(d->machine->rec.zone, zone) == 0)) n++;
-  }
-  return n;
+/* Images are interned: the same name is the same pointer. */
+static bool brings(const slot *sl, const fc_job_spec *s) {
+  return fc_machine_has_image(sl->machine, s->image) ||
+         (sl->planned_images && g_ptr_array_find(sl->planned_images, s->image, NULL));
 }
 
-static bool zone_allowed(const round_state *rs, const fc_job *j, const char *zone) {
-  return zone_rules(&j->spec, live_in_zone(j, zone, rs->out), live_in_zone(j, NULL, rs->out));
+#define ANY_ZONE (FC_ZONES_MAX + 1u)
+
+/* Could a task of the job go there, as far as the machine is concerned? */
+static bool suits(const round_state *rs, const slot *sl, const candidate *c, unsigned only_zone) {
+  const fc_job_spec *s = &c->job->spec;
+  const fc_machine *m = sl->machine;
+  if (!fc_room_fits(&sl->room, s) || (only_zone != ANY_ZONE && m->zone != only_zone)) return false;
+  if (!fc_job_allows(s, m->rec.type, m->rec.zone, m->rec.spot)) return false;
+  if (c->job->failed_on && g_hash_table_contains(c->job->failed_on, m->id)) return false;
+  return rs->now >= m->reserved_until || strcmp(m->reserved_for, s->id) == 0;
 }
 
 /* Image holder first, else the roomiest in the allowed zones. */
-static slot *choose(const round_state *rs, const fc_job *j, const char *only_zone) {
-  const fc_job_spec *s = &j->spec;
+static slot *choose(const round_state *rs, const candidate *c, unsigned only_zone) {
+  const fc_job_spec *s = &c->job->spec;
   slot *best = NULL;
   bool best_image = false;
   double best_room = -1;
   for (guint i = 0; i < rs->slots->len; i++) {
     slot *sl = &g_array_index(rs->slots, slot, i);
     const fc_machine *m = sl->machine;
-    if (only_zone && strcmp(m->rec.zone, only_zone) != 0) continue;
-    if (!fc_room_fits(&sl->room, s) || !fc_job_allows(s, m->rec.type, m->rec.zone, m->rec.spot)) continue;
-    if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) continue;
-    if (rs->now < m->reserved_until && strcmp(m->reserved_for, s->id) != 0) continue;
-    if (!zone_allowed(rs, j, m->rec.zone)) continue;
-    bool image = fc_machine_has_image(m, s->image) ||
-                 (sl->planned_images && g_hash_table_contains(sl->planned_images, s->image));
+    if (!suits(rs, sl, c, only_zone) || !fc_spread_open(&c->spread, s, m->zone)) continue;
+    bool image = brings(sl, s);
     double room = (sl->type->gpus > 0 ? sl->room.gpus / sl->type->gpus : 0) +
                   (sl->type->cpus > 0 ? sl->room.cpus / sl->type->cpus : 0);
     /* Among machines that are equal otherwise by the rule, a job that may use
@@ -222,12 +256,14 @@
   return best;
 }
 
-static void take(round_state *rs, slot *sl, fc_job *j, uint32_t index) {
+static void take(round_state *rs, slot *sl, candidate *c, uint32_t index) {
+  fc_job *j = c->job;
   fc_decision d = {.job = j, .index = index, .machine = sl->machine};
   g_array_append_val(rs->out, d);
   fc_room_take(&sl->room, &j->spec);
-  if (!sl->planned_images) sl->planned_images = g_hash_table_new(g_str_hash, g_str_equal);
-  g_hash_table_add(sl->planned_images, j->spec.image);
+  if (!sl->planned_images) sl->planned_images = g_ptr_array_new();
+  if (!g_ptr_array_find(sl->planned_images, j->spec.image, NULL)) g_ptr_array_add(sl->planned_images, j->spec.image);
+  fc_spread_add(&c->spread, sl->machine->zone);
   rs->allow.cpus[j->team] -= j->spec.cpus;
   rs->allow.gpus[j->team] -= j->spec.gpus;
   rs->used_cpus[j->team] += j->spec.cpus;
@@ -240,40 +276,29 @@
          rs->allow.gpus[j->team] + slack >= j->spec.gpus * tasks;
 }
 
-/* All tasks of the gang or none. */
-static bool place_gang(round_state *rs, candidate *c, const char *zone, guint *picked) {
-  guint mark = rs->out->len;
-  GArray *rooms = g_array_new(FALSE, FALSE, sizeof(fc_room));
-  for (guint i = 0; i < rs->slots->len; i++) g_array_append_val(rooms, g_array_index(rs->slots, slot, i).room);
-  bool ok = true;
-  for (guint i = 0; i < c->missing->len && ok; i++) {
-    slot *sl = choose(rs, c->job, zone);
-    ok = sl != NULL;
-    if (sl) take(rs, sl, c->job, g_array_index(c->missing, uint32_t, i));
-  }
-  if (!ok) {
-    if (picked) *picked = rs->out->len - mark;
-    for (guint i = mark; i < rs->out->len; i++) {
-      rs->allow.cpus[c->job->team] += c->job->spec.cpus;
-      rs->allow.gpus[c->job->team] += c->job->spec.gpus;
-      rs->used_cpus[c->job->team] -= c->job->spec.cpus;
-      rs->used_gpus[c->job->team] -= c->job->spec.gpus;
+/* How many of the gang's tasks the zone holds, in one pass, up to what it needs;
+ * `take` keeps that room from others. */
+static guint gang_room(round_state *rs, const candidate *c, unsigned zone, bool take_it) {
+  fc_spread spread = c->spread;
+  guint n = 0;
+  for (guint i = 0; i < rs->slots->len && n < c->missing->len; i++) {
+    slot *sl = &g_array_index(rs->slots, slot, i);
+    fc_room before = sl->room;
+    while (n < c->missing->len && suits(rs, sl, c, zone) && fc_spread_open(&spread, &c->job->spec, sl->machine->zone)) {
+      fc_room_take(&sl->room, &c->job->spec);
+      fc_spread_add(&spread, sl->machine->zone);
+      n++;
     }
-    g_array_set_size(rs->out, mark);
-    for (guint i = 0; i < rs->slots->len; i++)
-      g_array_index(rs->slots, slot, i).room = g_array_index(rooms, fc_room, i);
+    if (!take_it) sl->room = before;
   }
-  g_array_free(rooms, TRUE);
-  return ok;
+  return n;
 }
 
-/* Keeps what room there is for a gang that waits for more: tasks of lower rank
- * would take one machine after the other, and it would never start. */
-static void reserve(round_state *rs, candidate *c, const char *zone) {
+/* All tasks of the gang or none: only where the zone has been seen to hold it. */
+static void place_gang(round_state *rs, candidate *c, unsigned zone) {
   for (guint i = 0; i < c->missing->len; i++) {
-    slot *sl = choose(rs, c->job, zone);
-    if (!sl) return;
-    fc_room_take(&sl->room, &c->job->spec);
+    slot *sl = choose(rs, c, zone);
+    if (sl) take(rs, sl, c, g_array_index(c->missing, uint32_t, i));
   }
 }
 
@@ -284,24 +309,30 @@
   if (j->spec.kind == FC_KIND_GANG) {
     if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return false;
     if (!allowed(rs, j, c->missing->len)) return false;
-    const char *best = NULL;
-    guint most = 0, picked = 0;
+    unsigned best = ANY_ZONE;
+    guint most = 0;
     size_t zones = j->spec.one_zone ? rs->table->settings->zone_count : 1;
-    for (size_t z = 0; z < zones; z++) {
-      const char *zone = j->spec.one_zone ? rs->table->settings->zones[z] : NULL;
-      if (place_gang(rs, c, zone, &picked)) return false;
-      if (picked > most) {
-        most = picked;
+    for (unsigned z = 0; z < zones; z++) {
+      unsigned zone = j->spec.one_zone ? z : ANY_ZONE;
+      guint n = gang_room(rs, c, zone, false);
+      if (n == c->missing->len) {
+        place_gang(rs, c, zone);
+        return false;
+      }
+      if (n > most) {
+        most = n;
         best = zone;
       }
     }
-    if (most > 0) reserve(rs, c, best);
+    /* What room there is is kept for a gang that waits for more: tasks of lower
+     * rank would take one machine after the other, and it would never start. */
+    if (most > 0) (void)gang_room(rs, c, best, true);
     return false;
   }
   if (c->next >= c->missing->len || !allowed(rs, j, 1)) return false;
-  slot *sl = choose(rs, j, NULL);
+  slot *sl = choose(rs, c, ANY_ZONE);
   if (!sl) return false;
-  take(rs, sl, j, g_array_index(c->missing, uint32_t, c->next++));
+  take(rs, sl, c, g_array_index(c->missing, uint32_t, c->next++));
   return c->next < c->missing->len;
 }
 
@@ -321,55 +352,61 @@
   return guaranteed ? share : 1 + rs->used_cpus[team] * 1e-6;
 }
 
-static candidate *pick(const round_state *rs) {
-  candidate *best = NULL;
+/* The team whose turn it is: the lowest share, then whose job came first; -1: no
+ * job of the rank is left. */
+static int pick(const round_state *rs) {
+  int best = -1;
   double best_share = 0;
-  for (guint i = 0; i < rs->jobs->len; i++) {
-    candidate *c = rs->jobs->pdata[i];
-    double share = share_of(rs, c->job->team);
-    bool better = !best || c->job->spec.rank > best->job->spec.rank;
-    if (best && c->job->spec.rank == best->job->spec.rank)
-      better = share < best_share - 1e-9 || (share < best_share + 1e-9 && c->job->serial < best->job->serial);
-    if (better) {
-      best = c;
-      best_share = share;
-    }
+  for (size_t k = 0; k < rs->table->settings->team_count; k++) {
+    const candidate *c = g_queue_peek_head(&rs->by_team[k]);
+    if (!c) continue;
+    double share = share_of(rs, (int)k);
+    const candidate *other = best >= 0 ? g_queue_peek_head(&rs->by_team[best]) : NULL;
+    if (other && share > best_share - 1e-9 && (share > best_share + 1e-9 || c->job->serial > other->job->serial))
+      continue;
+    best = (int)k;
+    best_share = share;
   }
   return best;
 }
 
+static gint by_importance(gconstpointer a, gconstpointer b) {
+  const fc_job *x = (*(const candidate *const *)a)->job, *y = (*(const candidate *const *)b)->job;
+  return fc_job_by_importance(&x, &y);
+}
+
+/* Places the jobs of one rank, from jobs[from] on; returns where the next begins. */
+static guint place_rank(round_state *rs, guint from) {
+  const candidate *first = rs->jobs->pdata[from];
+  guint end = from;
+  for (; end < rs->jobs->len; end++) {
+    candidate *c = rs->jobs->pdata[end];
+    if (c->job->spec.rank != first->job->spec.rank) break;
+    g_queue_push_tail(&rs->by_team[c->job->team], c);
+  }
+  int team;
+  while ((team = pick(rs)) >= 0)
+    if (!place_some(rs, g_queue_peek_head(&rs->by_team[team]))) (void)g_queue_pop_head(&rs->by_team[team]);
+  return end;
+}
+
 /* Ties fall to the first by name, so that a round is the same on every run. */
 static gint by_machine(gconstpointer a, gconstpointer b) {
   return strcmp(((const slot *)a)->machine->id, ((const slot *)b)->machine->id);
 }
 
-static void gather(round_state *rs, double now) {
+static void gather_jobs(round_state *rs, fc_room *least) {
   const fc_table *t = rs->table;
+  *least = (fc_room){INFINITY, INFINITY, INFINITY};
   GHashTableIter it;
   gpointer value;
-  g_hash_table_iter_init(&it, t->machines);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    fc_machine *m = value;
-    for (guint i = 0; i < m->placements->len; i++) {
-      const fc_placement *p = m->placements->pdata[i];
-      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
-      rs->used_cpus[p->job->team] += p->job->spec.cpus;
-      rs->used_gpus[p->job->team] += p->job->spec.gpus;
-    }
-    if (!fc_machine_usable(t, m, now)) continue;
-    slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
-    g_array_append_val(rs->slots, s);
-  }
-  g_array_sort(rs->slots, by_machine);
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
-    if (!fc_job_placeable(t, j, now)) continue;
-    GArray *missing = fc_job_missing(t, j, t->self, 1024);
+    if (!fc_job_placeable(t, j, rs->now)) continue;
     /* What may be on a machine that we have not heard of is not started. */
-    for (guint i = missing->len; i-- > 0;)
-      if (!((j->clear & ~j->handing) >> fc_job_slice_of(j, g_array_index(missing, uint32_t, i)) & 1))
-        g_array_remove_index(missing, i);
+    unsigned slices = slices_of(j, t->self) & j->clear & ~j->handing;
+    GArray *missing = fc_job_missing_in(j, slices, 1024);
     if (missing->len == 0) {
       g_array_free(missing, TRUE);
       continue;
@@ -377,8 +414,35 @@
     candidate *c = g_new0(candidate, 1);
     c->job = j;
     c->missing = missing;
+    c->spread = fc_job_spread(j);
     g_ptr_array_add(rs->jobs, c);
+    least->cpus = MIN(least->cpus, j->spec.cpus);
+    least->gpus = MIN(least->gpus, j->spec.gpus);
+    least->memory_gb = MIN(least->memory_gb, j->spec.memory_gb);
   }
+  g_ptr_array_sort(rs->jobs, by_importance);
+}
+
+/* Only machines that could take some job: in a full fleet these are few. */
+static void gather_slots(round_state *rs, const fc_room *least) {
+  const fc_table *t = rs->table;
+  const fc_job_spec smallest = {.cpus = least->cpus, .gpus = least->gpus, .memory_gb = least->memory_gb};
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_machine *m = value;
+    for (guint i = 0; i < m->placements->len; i++) {
+      const fc_placement *p = m->placements->pdata[i];
+      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+      rs->used_cpus[p->job->team] += p->job->spec.cpus;
+      rs->used_gpus[p->job->team] += p->job->spec.gpus;
+    }
+    if (!fc_machine_usable(t, m, rs->now)) continue;
+    slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
+    if (fc_room_fits(&s.room, &smallest)) g_array_append_val(rs->slots, s);
+  }
+  g_array_sort(rs->slots, by_machine);
 }
 
 GArray *fc_place_round(const fc_table *t, const fc_allowance *allow, double now) {
@@ -387,11 +451,14 @@
   g_array_set_clear_func(rs.slots, slot_clear);
   rs.jobs = g_ptr_array_new_with_free_func(candidate_free);
   rs.out = g_array_new(FALSE, TRUE, sizeof(fc_decision));
-  gather(&rs, now);
-  fc_gang_turns(t, rs.turn);
-  while (rs.jobs->len > 0) {
-    candidate *c = pick(&rs);
-    if (!place_some(&rs, c)) g_ptr_array_remove(rs.jobs, c);
+  fc_room least;
+  gather_jobs(&rs, &least);
+  if (rs.jobs->len > 0) gather_slots(&rs, &least);
+  if (rs.slots->len > 0) {
+    fc_gang_turns(t, rs.turn);
+    rs.by_team = g_new0(GQueue, t->settings->team_count);
+    for (guint at = 0; at < rs.jobs->len;) at = place_rank(&rs, at);
+    g_free(rs.by_team);
   }
   g_array_free(rs.slots, TRUE);
   g_ptr_array_free(rs.jobs, TRUE);
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -21,17 +21,27 @@
 bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now);
 /* Jobs of this part that want tasks started now. */
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now);
-/* May another task of the job start in the zone, by the job's rules about zones
- * and all its tasks that may be anywhere? */
-bool fc_job_zone_open(const fc_job *j, const char *zone);
+/* How many of a job's tasks may be in each zone: counted once, then kept up to date
+ * by whoever plans more of them. */
+typedef struct fc_spread {
+  unsigned in[FC_ZONES_MAX + 1], all; /* the last: in none of the settings' zones */
+} fc_spread;
+fc_spread fc_job_spread(const fc_job *j);
+void fc_spread_add(fc_spread *s, unsigned zone);
+/* May another task of the job start in the zone, by the job's rules about zones? */
+bool fc_spread_open(const fc_spread *s, const fc_job_spec *spec, unsigned zone);
 /* Accepted jobs with tasks left, most important first, then first come. */
 GPtrArray *fc_jobs_open(const fc_table *t);
 gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Sorts fc_job pointers in an order that is the same on every member. */
 gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b);
-/* Tasks of the job that are neither finished nor anywhere, of the slices that
- * belong to `member` (-1: of all); caps the list. */
-GArray *fc_job_missing(const fc_table *t, const fc_job *j, int member, guint most);
+/* Tasks of the job that are neither finished nor anywhere, of the slices (a bit
+ * each); caps the list. */
+GArray *fc_job_missing_in(const fc_job *j, unsigned slices, guint most);
+/* The same of the slices that belong to `member` (-1: of all). */
+GArray *fc_job_missing(const fc_job *j, int member, guint most);
+/* Is there any? Makes no list. */
+bool fc_job_waits(const fc_job *j, int member);
 
 /* Does the team's limit allow so much in all? */
 bool fc_team_within(const fc_team_settings *ts, double cpus, double gpus);
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -59,9 +59,21 @@
   return x < y ? -1 : x > y;
 }
 
+/* With all that may be stopped gone, would the task fit? Most machines of a full
+ * fleet hold nothing that it may stop: they cost no more than this look. */
+static bool could_fit(const fc_table *t, const usage *u, const host *h, const fc_job *j) {
+  fc_room room = h->room;
+  for (guint i = 0; i < h->machine->placements->len; i++) {
+    const fc_placement *p = h->machine->placements->pdata[i];
+    if (may_stop(t, u, j, p)) fc_room_give(&room, &p->job->spec);
+  }
+  return fc_room_fits(&room, &j->spec);
+}
+
 /* The cheapest set on one machine; NULL when it can't make enough room. */
 static GArray *victims_on(const fc_table *t, const usage *u, const host *h, const fc_job *j, double now,
                           double *total) {
+  if (!could_fit(t, u, h, j)) return NULL;
   GArray *all = g_array_new(FALSE, FALSE, sizeof(victim));
   for (guint i = 0; i < h->machine->placements->len; i++) {
     fc_placement *p = h->machine->placements->pdata[i];
@@ -76,9 +88,7 @@
   while (n < all->len && !fc_room_fits(&room, &j->spec)) {
     const victim *v = &g_array_index(all, victim, n++);
     const fc_job_spec *s = &v->p->job->spec;
-    room.cpus += s->cpus;
-    room.gpus += s->gpus;
-    room.memory_gb += s->memory_gb;
+    fc_room_give(&room, s);
     *total += v->loss;
   }
   if (!fc_room_fits(&room, &j->spec)) {
@@ -95,10 +105,12 @@
   host *best = NULL;
   GArray *best_set = NULL;
   double best_loss = 0;
+  const fc_spread spread = fc_job_spread(j);
   for (guint i = 0; i < hosts->len; i++) {
     host *h = &g_array_index(hosts, host, i);
     const fc_machine *m = h->machine;
-    if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot) || !fc_job_zone_open(j, m->rec.zone)) continue;
+    if (!fc_spread_open(&spread, &j->spec, m->zone) || !fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot))
+      continue;
     if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) continue;
     double total;
     GArray *set = victims_on(t, u, h, j, now, &total);
@@ -111,14 +123,13 @@
     best = h;
     best_set = set;
     best_loss = total;
+    if (total <= 0) break; /* room that is free or being freed: nothing is cheaper */
   }
   if (!best) return false;
   for (guint i = 0; i < best_set->len; i++) {
     fc_placement *p = g_array_index(best_set, victim, i).p;
     g_ptr_array_add(out, p);
-    best->room.cpus += p->job->spec.cpus;
-    best->room.gpus += p->job->spec.gpus;
-    best->room.memory_gb += p->job->spec.memory_gb;
+    fc_room_give(&best->room, &p->job->spec);
     p->stopping = true; /* not chosen twice; the caller sends the stop */
   }
   g_array_free(best_set, TRUE);
@@ -140,9 +151,7 @@
       u->cpus[p->job->team] += p->job->spec.cpus;
       u->gpus[p->job->team] += p->job->spec.gpus;
       if (!p->stopping) continue;
-      h.room.cpus += p->job->spec.cpus;
-      h.room.gpus += p->job->spec.gpus;
-      h.room.memory_gb += p->job->spec.memory_gb;
+      fc_room_give(&h.room, &p->job->spec);
     }
     if (fc_machine_usable(t, m, now)) g_array_append_val(hosts, h);
   }
@@ -194,7 +203,46 @@
   }
 }
 
-bool fc_preempt_for_image(const fc_table *t, const fc_decision *d, GPtrArray *stops, double now) {
+struct fc_image_search {
+  const fc_table *table;
+  double now;
+  usage used;
+  GArray *hosts;        /* NULL: not looked for yet */
+  GHashTable *by_image; /* image -> GArray of host; as it stands in this plan */
+};
+
+fc_image_search *fc_image_search_new(const fc_table *t, double now) {
+  fc_image_search *s = g_new0(fc_image_search, 1);
+  s->table = t;
+  s->now = now;
+  s->by_image = g_hash_table_new_full(NULL, NULL, NULL, (GDestroyNotify)g_array_unref);
+  return s;
+}
+
+void fc_image_search_free(fc_image_search *s) {
+  if (s->hosts) g_array_free(s->hosts, TRUE);
+  g_hash_table_destroy(s->by_image);
+  g_free(s);
+}
+
+/* The machines that have the image. What one of the plan's jobs has stopped there is
+ * known to the next that wants the same image; for one of another image its machine
+ * merely has room being freed. */
+static GArray *holders(fc_image_search *s, GRefString *image) {
+  GArray *found = g_hash_table_lookup(s->by_image, image);
+  if (found) return found;
+  if (!s->hosts) s->hosts = gather_hosts(s->table, &s->used, s->now);
+  found = g_array_new(FALSE, TRUE, sizeof(host));
+  for (guint i = 0; i < s->hosts->len; i++) {
+    const host *h = &g_array_index(s->hosts, host, i);
+    if (fc_machine_has_image(h->machine, image)) g_array_append_val(found, *h);
+  }
+  g_hash_table_insert(s->by_image, image, found);
+  return found;
+}
+
+bool fc_preempt_for_image(fc_image_search *search, const fc_decision *d, GPtrArray *stops) {
+  const fc_table *t = search->table;
   const fc_job *j = d->job;
   const fc_machine *to = d->machine;
   if (j->spec.rank < FC_RANK_PROD || j->spec.kind == FC_KIND_GANG || to->type < 0) return false;
@@ -203,14 +251,36 @@
   double fetch = mt->fetch_gb_per_s > 0 ? j->spec.image_gb / mt->fetch_gb_per_s : 0;
   /* Waiting has to pay: a stop takes a save and a report or two. */
   double patience = fetch * 0.5;
-  if (patience < t->settings->report_s * 3 || now > j->seen_at + patience) return false;
-  usage u = {{0}, {0}};
-  GArray *hosts = gather_hosts(t, &u, now);
-  for (guint i = hosts->len; i-- > 0;)
-    if (!fc_machine_has_image(g_array_index(hosts, host, i).machine, j->spec.image)) g_array_remove_index(hosts, i);
-  bool wait = make_room(t, &u, hosts, j, now, stops);
-  g_array_free(hosts, TRUE);
-  return wait;
+  if (patience < t->settings->report_s * 3 || search->now > j->seen_at + patience) return false;
+  return make_room(t, &search->used, holders(search, j->spec.image), j, search->now, stops);
+}
+
+/* A job that has found nothing, and the zones (a bit each) that were open to it. */
+typedef struct failure {
+  const fc_job *job;
+  unsigned zones;
+} failure;
+
+static unsigned open_zones(const fc_job *j) {
+  const fc_spread spread = fc_job_spread(j);
+  unsigned zones = 0;
+  for (unsigned z = 0; z <= FC_ZONES_MAX; z++) zones |= (unsigned)fc_spread_open(&spread, &j->spec, z) << z;
+  return zones;
+}
+
+/* Does the job ask for all that one of those asked for, at most in the same places? It
+ * will find nothing either: room only grows less while a round chooses. */
+static bool hopeless(const GArray *failed, const fc_job *j, unsigned zones) {
+  const fc_job_spec *y = &j->spec;
+  for (guint i = 0; i < failed->len; i++) {
+    const failure *f = &g_array_index(failed, failure, i);
+    const fc_job_spec *x = &f->job->spec;
+    if (x->rank == y->rank && f->job->team == j->team && x->spot == y->spot && x->zone == y->zone && !x->types &&
+        !f->job->failed_on && (zones & ~f->zones) == 0 && x->cpus <= y->cpus && x->gpus <= y->gpus &&
+        x->memory_gb <= y->memory_gb)
+      return true;
+  }
+  return false;
 }
 
 GPtrArray *fc_preempt_round(const fc_table *t, const fc_allowance *allow, double now) {
@@ -219,16 +289,22 @@
   GArray *hosts = gather_hosts(t, &u, now);
   GPtrArray *jobs = fc_jobs_open(t);
   fc_allowance left = *allow;
+  GArray *failed = g_array_new(FALSE, TRUE, sizeof(failure));
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind == FC_KIND_GANG || !fc_job_placeable(t, j, now) || j->handing) continue;
     /* Idle room elsewhere is cheaper: give the hand-over time to find it. */
     if (now < j->seen_at + t->settings->op.handover_wait_s + t->settings->op.round_s * 0.5) continue;
-    GArray *missing = fc_job_missing(t, j, t->self, 64);
+    if (hopeless(failed, j, open_zones(j))) continue;
+    GArray *missing = fc_job_missing(j, t->self, 64);
     for (guint k = 0; k < missing->len; k++) {
       if (!(j->clear >> fc_job_slice_of(j, g_array_index(missing, uint32_t, k)) & 1)) continue;
       if (left.cpus[j->team] < j->spec.cpus - 1e-6 || left.gpus[j->team] < j->spec.gpus - 1e-6) break;
-      if (!make_room(t, &u, hosts, j, now, out)) break;
+      if (!make_room(t, &u, hosts, j, now, out)) {
+        failure f = {.job = j, .zones = open_zones(j)};
+        g_array_append_val(failed, f);
+        break;
+      }
       left.cpus[j->team] -= j->spec.cpus;
       left.gpus[j->team] -= j->spec.gpus;
       u.cpus[j->team] += j->spec.cpus;
@@ -236,6 +312,7 @@
     }
     g_array_free(missing, TRUE);
   }
+  g_array_free(failed, TRUE);
   g_ptr_array_free(jobs, TRUE);
   g_array_free(hosts, TRUE);
   return out;
--- a/src/scheduler/preempt.h
+++ b/src/scheduler/preempt.h
@@ -17,10 +17,15 @@
  * team's limit. All members choose the same of all parts, and stop their own. */
 void fc_preempt_for_limit(const fc_table *t, GPtrArray *stops, double now);
 
-/* For a task of high rank that `plan` puts where its image is not: may it be
- * worth more to wait until a machine that has the image is made free? Fills
- * `stops` with what has to be stopped there (nothing, when it is being stopped
+/* For tasks of high rank that a plan puts where their image is not: may it be worth
+ * more to wait until a machine that has the image is made free? The machines are
+ * looked through once for a whole plan: hundreds of decisions that each walked the
+ * fleet took the whole of a round. */
+typedef struct fc_image_search fc_image_search;
+fc_image_search *fc_image_search_new(const fc_table *t, double now);
+void fc_image_search_free(fc_image_search *s);
+/* Fills `stops` with what has to be stopped (nothing, when it is being stopped
  * already) and returns whether to leave the decision out of this round. */
-bool fc_preempt_for_image(const fc_table *t, const fc_decision *d, GPtrArray *stops, double now);
+bool fc_preempt_for_image(fc_image_search *s, const fc_decision *d, GPtrArray *stops);
 
 #endif
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -1,5 +1,6 @@
 #include "scheduler/rent.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "scheduler/place.h"
@@ -10,6 +11,7 @@
 typedef struct bin {
   int type, owner; /* owner -1: whoever has the fewest */
   const char *zone;
+  unsigned zone_at; /* index into the settings' zones; FC_ZONES_MAX: none of them */
   bool spot, rented, idle;
   fc_room room;
   const fc_machine *machine; /* NULL: not there yet */
@@ -17,12 +19,59 @@
 
 typedef struct pack {
   const fc_table *table;
-  GArray *bins;
+  GArray *bins;                    /* all, in order of use */
+  GArray *open;                    /* guint: the bins that some job may still fit into */
+  unsigned held[FC_ZONES_MAX + 1]; /* bins by zone */
   fc_refused_fn refused;
   void *arg;
   double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX]; /* used and wanted so far */
+  fc_job_spec least;                             /* what the most modest of them asks for */
 } pack;
 
+static unsigned zone_index(const fc_settings *s, const char *zone) {
+  for (unsigned z = 0; z < s->zone_count; z++)
+    if (strcmp(s->zones[z], zone) == 0) return z;
+  return FC_ZONES_MAX;
+}
+
+/* The least that any job, or any class of which arrivals are expected, asks for. */
+static fc_job_spec least_asked(const fc_table *t, const GPtrArray *jobs) {
+  fc_job_spec least = {.cpus = INFINITY, .gpus = INFINITY, .memory_gb = INFINITY};
+  for (guint i = 0; i < jobs->len; i++) {
+    const fc_job_spec *s = &((const fc_job *)jobs->pdata[i])->spec;
+    least.cpus = MIN(least.cpus, s->cpus);
+    least.gpus = MIN(least.gpus, s->gpus);
+    least.memory_gb = MIN(least.memory_gb, s->memory_gb);
+  }
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->demand.classes);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_demand_class *c = value;
+    least.cpus = MIN(least.cpus, c->cpus);
+    least.gpus = MIN(least.gpus, c->gpus);
+    least.memory_gb = MIN(least.memory_gb, c->memory_gb);
+  }
+  return least;
+}
+
+/* Nobody fits into what is full: it is not looked at any more. */
+static void close_full(pack *p) {
+  guint kept = 0;
+  for (guint i = 0; i < p->open->len; i++) {
+    guint at = g_array_index(p->open, guint, i);
+    if (fc_room_fits(&g_array_index(p->bins, bin, at).room, &p->least)) g_array_index(p->open, guint, kept++) = at;
+  }
+  g_array_set_size(p->open, kept);
+}
+
+static void add_bin(pack *p, const bin *b) {
+  guint at = p->bins->len;
+  g_array_append_val(p->bins, *b);
+  g_array_append_val(p->open, at);
+  p->held[b->zone_at]++;
+}
+
 /* Room that a team's limit would keep empty is not rented. */
 static bool within_limit(pack *p, const fc_job *j) {
   const fc_team_settings *ts = &p->table->settings->teams[j->team];
@@ -58,6 +107,7 @@
     bin b = {.type = m->type,
              .owner = m->owner,
              .zone = m->rec.zone,
+             .zone_at = m->zone,
              .spot = m->rec.spot,
              .idle = fc_machine_vacant(m),
              .room = fc_machine_room(t, m),
@@ -71,10 +121,12 @@
     int type = fc_table_type(t, h->type);
     if (type < 0) continue;
     const fc_machine_type *mt = t->types->pdata[type];
+    unsigned zone_at = zone_index(t->settings, h->zone);
     for (unsigned i = 0; i < h->count; i++) {
       bin b = {.type = type,
                .owner = fc_term_find(&t->term, h->owner),
                .zone = h->zone,
+               .zone_at = zone_at,
                .spot = h->spot,
                .idle = true,
                .room = {mt->cpus, mt->gpus, mt->memory_gb}};
@@ -93,52 +145,36 @@
   return strcmp(x->machine->id, y->machine->id);
 }
 
-/* Tasks of one job by zone, existing and packed. */
-typedef struct spread {
+/* One job while it is packed. Its tasks are alike, so that what one of them has found
+ * too full the next need not look at again: `at` and `at_dear` say how far the first
+ * and the second look at the open bins have come. A walk over all machines for each
+ * task took longer than a round may, with hundreds of both. */
+typedef struct packing {
   const fc_job *job;
-  const char *zones[FC_ZONES_MAX + 1];
-  unsigned n[FC_ZONES_MAX + 1], count, all;
-} spread;
-
-static unsigned in_zone(const spread *s, const char *zone) {
-  for (unsigned i = 0; i < s->count; i++)
-    if (strcmp(s->zones[i], zone) == 0) return s->n[i];
-  return 0;
-}
-
-static void add_zone(spread *s, const char *zone) {
-  s->all++;
-  for (unsigned i = 0; i < s->count; i++) {
-    if (strcmp(s->zones[i], zone) != 0) continue;
-    s->n[i]++;
-    return;
-  }
-  if (s->count > FC_ZONES_MAX) return;
-  s->zones[s->count] = zone;
-  s->n[s->count++] = 1;
-}
-
-static bool zone_fits(const spread *s, const char *zone) {
-  const fc_job_spec *spec = &s->job->spec;
-  if (spec->one_zone && s->all != in_zone(s, zone)) return false;
-  return !spec->spread || in_zone(s, zone) + 1 <= (spec->tasks + 1) / 2;
-}
+  fc_spread spread;
+  guint at, at_dear;
+} packing;
 
 static bool bin_fits(const pack *p, const bin *b, const fc_job *j) {
   const fc_machine_type *mt = p->table->types->pdata[b->type];
   return fc_room_fits(&b->room, &j->spec) && fc_job_allows(&j->spec, mt->name, b->zone, b->spot);
 }
 
-static bool pack_existing(pack *p, spread *s, bool dear) {
-  for (guint i = 0; i < p->bins->len; i++) {
-    bin *b = &g_array_index(p->bins, bin, i);
-    if (!bin_fits(p, b, s->job) || !zone_fits(s, b->zone)) continue;
+static void put(bin *b, packing *k) {
+  fc_room_take(&b->room, &k->job->spec);
+  b->idle = false;
+  fc_spread_add(&k->spread, b->zone_at);
+}
+
+static bool pack_existing(pack *p, packing *k, bool dear) {
+  guint *at = dear ? &k->at_dear : &k->at;
+  for (; *at < p->open->len; ++*at) {
+    bin *b = &g_array_index(p->bins, bin, g_array_index(p->open, guint, *at));
+    if (!bin_fits(p, b, k->job) || !fc_spread_open(&k->spread, &k->job->spec, b->zone_at)) continue;
     /* An idle ordinary machine is no room for work that may run on a cheap one:
      * the work may start there, but the machine is not kept for it. */
-    if (b->idle && !b->spot && s->job->spec.spot && !dear) continue;
-    fc_room_take(&b->room, &s->job->spec);
-    b->idle = false;
-    add_zone(s, b->zone);
+    if (b->idle && !b->spot && k->job->spec.spot && !dear) continue;
+    put(b, k);
     return true;
   }
   return false;
@@ -150,11 +186,13 @@
   return (spot ? mt->spot_price : mt->price) / MAX(fits, 1);
 }
 
-/* The cheapest kind of machine that can hold a task of the job, in `only` when
- * that is given; among equals, where the fewest machines are. */
-static bool rent_for(pack *p, spread *s, const char *only, int owner, bool dear) {
+#define ANY_ZONE (FC_ZONES_MAX + 1u)
+
+/* The cheapest kind of machine that can hold a task of the job, in the zone `only`
+ * when that is given; among equals, where the fewest machines are. */
+static bool rent_for(pack *p, packing *pk, unsigned only, int owner, bool dear) {
   const fc_table *t = p->table;
-  const fc_job *j = s->job;
+  const fc_job *j = pk->job;
   bin best = {.type = -1};
   double best_price = 0;
   unsigned best_held = 0;
@@ -162,101 +200,97 @@
     const fc_machine_type *mt = t->types->pdata[k];
     fc_room room = {mt->cpus, mt->gpus, mt->memory_gb};
     if (!fc_room_fits(&room, &j->spec)) continue;
-    for (size_t z = 0; z < t->settings->zone_count; z++) {
+    for (unsigned z = 0; z < t->settings->zone_count; z++) {
       const char *zone = t->settings->zones[z];
-      if ((only && strcmp(only, zone) != 0) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
-      if (!zone_fits(s, zone)) continue;
-      unsigned held = 0;
-      for (guint i = 0; i < p->bins->len; i++) held += strcmp(g_array_index(p->bins, bin, i).zone, zone) == 0;
+      if ((only != ANY_ZONE && only != z) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
+      if (!fc_spread_open(&pk->spread, &j->spec, z)) continue;
+      unsigned held = p->held[z];
       for (int spot = 0; spot <= 1; spot++) {
         if (!fc_job_allows(&j->spec, mt->name, zone, spot) || (!spot && !dear)) continue;
         if (p->refused && p->refused((int)k, zone, spot, p->arg)) continue;
         double price = price_of(mt, spot, &j->spec);
         if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held))) continue;
-        best = (bin){.type = (int)k, .owner = owner, .zone = zone, .spot = spot, .rented = true, .room = room};
+        best = (bin){
+            .type = (int)k, .owner = owner, .zone = zone, .zone_at = z, .spot = spot, .rented = true, .room = room};
         best_price = price;
         best_held = held;
       }
     }
   }
   if (best.type < 0) return false;
-  fc_room_take(&best.room, &j->spec);
-  g_array_append_val(p->bins, best);
-  add_zone(s, best.zone);
+  put(&best, pk);
+  add_bin(p, &best);
   return true;
 }
 
 /* A cheap machine, where the job may use one and the cloud has one. */
-static bool rent_cheap(pack *p, spread *s) {
-  return s->job->spec.spot && rent_for(p, s, NULL, -1, false);
+static bool rent_cheap(pack *p, packing *k) {
+  return k->job->spec.spot && rent_for(p, k, ANY_ZONE, -1, false);
 }
 
-static bool usable_for_gang(const pack *p, const bin *b, const spread *s, const char *zone, int owner) {
-  return (b->owner == owner || b->idle) && bin_fits(p, b, s->job) && (!zone || strcmp(b->zone, zone) == 0);
+static bool usable_for_gang(const pack *p, const bin *b, const fc_job *j, unsigned zone, int owner) {
+  return (b->owner == owner || b->idle) && (zone == ANY_ZONE || b->zone_at == zone) && bin_fits(p, b, j);
 }
 
 /* How many of the gang's tasks its owner could start there, with whatever idle
  * machines others would lend it. */
-static unsigned gang_fits(const pack *p, const spread *s, const char *zone, int owner, unsigned most) {
+static unsigned gang_fits(const pack *p, const fc_job *j, unsigned zone, int owner, unsigned most) {
   unsigned n = 0;
-  for (guint i = 0; i < p->bins->len && n < most; i++) {
-    bin b = g_array_index(p->bins, bin, i);
-    while (n < most && usable_for_gang(p, &b, s, zone, owner)) {
-      fc_room_take(&b.room, &s->job->spec);
-      n++;
-    }
+  for (guint i = 0; i < p->open->len && n < most; i++) {
+    bin b = g_array_index(p->bins, bin, g_array_index(p->open, guint, i));
+    if (!usable_for_gang(p, &b, j, zone, owner)) continue;
+    for (; n < most && fc_room_fits(&b.room, &j->spec); n++) fc_room_take(&b.room, &j->spec);
   }
   return n;
 }
 
-static void pack_gang(pack *p, spread *s, unsigned tasks) {
+static void pack_gang(pack *p, packing *k, unsigned tasks) {
   const fc_table *t = p->table;
-  int owner = fc_job_owner(t, s->job, 0);
-  const char *zone = NULL;
-  if (s->job->spec.one_zone) {
+  const fc_job *j = k->job;
+  int owner = fc_job_owner(j, 0);
+  unsigned zone = ANY_ZONE;
+  if (j->spec.one_zone) {
     unsigned best = 0;
-    for (size_t z = 0; z < t->settings->zone_count; z++) {
-      unsigned n = gang_fits(p, s, t->settings->zones[z], owner, tasks);
+    for (unsigned z = 0; z < t->settings->zone_count; z++) {
+      unsigned n = gang_fits(p, j, z, owner, tasks);
       bool refused = p->refused && p->refused(0, t->settings->zones[z], false, p->arg);
-      if (!zone || n > best || (n == best && !refused)) {
-        zone = t->settings->zones[z];
+      if (zone == ANY_ZONE || n > best || (n == best && !refused)) {
+        zone = z;
         best = n;
       }
     }
   }
-  for (unsigned k = 0; k < tasks; k++) {
-    if (!within_limit(p, s->job)) return;
+  for (unsigned i = 0; i < tasks; i++) {
+    if (!within_limit(p, j)) return;
     bool packed = false;
-    for (guint i = 0; i < p->bins->len && !packed; i++) {
-      bin *b = &g_array_index(p->bins, bin, i);
-      if (!usable_for_gang(p, b, s, zone, owner)) continue;
-      fc_room_take(&b->room, &s->job->spec);
+    for (; k->at < p->open->len && !packed; k->at += !packed) {
+      bin *b = &g_array_index(p->bins, bin, g_array_index(p->open, guint, k->at));
+      if (!usable_for_gang(p, b, j, zone, owner)) continue;
+      put(b, k);
       b->owner = owner;
-      b->idle = false;
       packed = true;
     }
-    if (!packed && !rent_for(p, s, zone, owner, true)) return;
+    if (!packed && !rent_for(p, k, zone, owner, true)) return;
   }
 }
 
 static void pack_job(pack *p, const fc_job *j) {
-  GArray *missing = fc_job_missing(p->table, j, -1, 64);
-  spread s = {.job = j};
-  for (guint i = 0; i < j->placements->len; i++) {
-    const fc_placement *pl = j->placements->pdata[i];
-    if (fc_placement_live(pl)) add_zone(&s, pl->machine->rec.zone);
-  }
+  GArray *missing = fc_job_missing(j, -1, 64);
+  guint n = missing->len;
+  g_array_free(missing, TRUE);
+  if (n == 0) return;
+  packing k = {.job = j, .spread = fc_job_spread(j)};
   if (j->spec.kind == FC_KIND_GANG) {
-    if (missing->len > 0) pack_gang(p, &s, missing->len);
+    pack_gang(p, &k, n);
   } else {
-    for (guint i = 0; i < missing->len; i++) {
+    for (guint i = 0; i < n; i++) {
       if (!within_limit(p, j)) break;
-      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && !pack_existing(p, &s, true) &&
-          !rent_for(p, &s, NULL, -1, true))
+      if (!pack_existing(p, &k, false) && !rent_cheap(p, &k) && !pack_existing(p, &k, true) &&
+          !rent_for(p, &k, ANY_ZONE, -1, true))
         break;
     }
   }
-  g_array_free(missing, TRUE);
+  close_full(p);
 }
 
 /* Room for what may arrive, beyond the average, while a machine boots. */
@@ -278,19 +312,27 @@
                              .gpus = c->gpus,
                              .memory_gb = c->memory_gb,
                              .spot = c->spot}};
-    spread s = {.job = &model};
+    packing s = {.job = &model};
     /* Ordinary machines are not kept warm for work that may use cheap ones. */
     for (unsigned k = 0; k < n; k++)
-      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && (c->spot || !rent_for(p, &s, NULL, -1, true))) break;
+      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && (c->spot || !rent_for(p, &s, ANY_ZONE, -1, true)))
+        break;
   }
 }
 
 static GArray *pack_all(const fc_table *t, fc_refused_fn refused, void *arg, double now) {
   pack p = {.table = t, .refused = refused, .arg = arg};
   p.bins = g_array_new(FALSE, TRUE, sizeof(bin));
+  p.open = g_array_new(FALSE, TRUE, sizeof(guint));
+  GPtrArray *jobs = fc_jobs_open(t);
+  p.least = least_asked(t, jobs);
   add_existing(&p, now);
   g_array_sort(p.bins, by_use);
-  GPtrArray *jobs = fc_jobs_open(t);
+  for (guint i = 0; i < p.bins->len; i++) {
+    p.held[g_array_index(p.bins, bin, i).zone_at]++;
+    g_array_append_val(p.open, i);
+  }
+  close_full(&p);
   /* What a team's limit is kept for goes first, and nothing is rented for what
    * has to wait for that. */
   const fc_job *turn[FC_TEAMS_MAX];
@@ -303,6 +345,7 @@
   }
   g_ptr_array_free(jobs, TRUE);
   pack_margin(&p, now);
+  g_array_free(p.open, TRUE);
   return p.bins;
 }
 
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -1,5 +1,6 @@
 #include "scheduler/share.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "coordination/deal.h"
@@ -38,20 +39,48 @@
   return out;
 }
 
-/* Is there any room in other parts? In a long queue mostly not. */
-static bool room_elsewhere(const fc_table *t, const GArray *room) {
+/* The least that any of the jobs asks for. */
+static fc_job_spec least_of(const GPtrArray *jobs) {
+  fc_job_spec least = {.cpus = INFINITY, .gpus = INFINITY, .memory_gb = INFINITY};
+  for (guint i = 0; i < jobs->len; i++) {
+    const fc_job_spec *s = &((const fc_job *)jobs->pdata[i])->spec;
+    least.cpus = MIN(least.cpus, s->cpus);
+    least.gpus = MIN(least.gpus, s->gpus);
+    least.memory_gb = MIN(least.memory_gb, s->memory_gb);
+  }
+  return least;
+}
+
+/* Machines with room for some of the jobs; the rest need not be looked at again and
+ * again: in a long queue mostly all are full. True: some are in other parts. */
+static bool keep_roomy(const fc_table *t, GArray *room, const fc_job_spec *least) {
+  guint kept = 0;
+  bool elsewhere = false;
   for (guint i = 0; i < room->len; i++) {
-    const spare *s = &g_array_index(room, spare, i);
-    const fc_machine_type *mt = t->types->pdata[s->machine->type];
-    bool some = s->room.cpus > 0 && s->room.memory_gb > 0 && (mt->gpus <= 0 || s->room.gpus > 0);
-    if (s->machine->owner != t->self && some) return true;
+    const spare s = g_array_index(room, spare, i);
+    if (!fc_room_fits(&s.room, least)) continue;
+    g_array_index(room, spare, kept++) = s;
+    elsewhere |= s.machine->owner != t->self;
   }
-  return false;
+  g_array_set_size(room, kept);
+  return elsewhere;
 }
 
-static bool fits(const spare *s, const fc_job *j, int owner, const char *zone) {
+/* Jobs with a task of any part that is nowhere. */
+static GPtrArray *waiting_jobs(const fc_table *t) {
+  GPtrArray *jobs = fc_jobs_open(t);
+  guint kept = 0;
+  for (guint i = 0; i < jobs->len; i++)
+    if (fc_job_waits(jobs->pdata[i], -1)) jobs->pdata[kept++] = jobs->pdata[i];
+  g_ptr_array_set_size(jobs, (gint)kept);
+  return jobs;
+}
+
+#define ANY_ZONE (FC_ZONES_MAX + 1u)
+
+static bool fits(const spare *s, const fc_job *j, int owner, unsigned zone) {
   const fc_machine *m = s->machine;
-  if (m->owner != owner || (zone && strcmp(zone, m->rec.zone) != 0)) return false;
+  if (m->owner != owner || (zone != ANY_ZONE && m->zone != zone)) return false;
   if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) return false;
   return fc_room_fits(&s->room, &j->spec) && fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot);
 }
@@ -89,13 +118,15 @@
 }
 
 /* How many of `want` tasks the member's spare room holds; takes them when asked. */
-static unsigned hold(GArray *room, const fc_job *j, int owner, const char *zone, unsigned want, bool take) {
+static unsigned hold(GArray *room, const fc_job *j, int owner, unsigned zone, unsigned want, bool take) {
   unsigned n = 0;
+  if (want == 0) return 0;
+  const fc_spread spread = fc_job_spread(j);
   for (guint i = 0; i < room->len && n < want; i++) {
     spare *s = &g_array_index(room, spare, i);
-    if (!fc_job_zone_open(j, s->machine->rec.zone)) continue;
+    if (!fits(s, j, owner, zone) || !fc_spread_open(&spread, &j->spec, s->machine->zone)) continue;
     fc_room before = s->room;
-    while (n < want && fits(s, j, owner, zone)) {
+    while (n < want && fc_room_fits(&s->room, &j->spec)) {
       fc_room_take(&s->room, &j->spec);
       n++;
     }
@@ -105,26 +136,24 @@
 }
 
 static unsigned hold_job(GArray *room, const fc_table *t, const fc_job *j, int owner, unsigned want, bool take) {
-  if (!j->spec.one_zone) return hold(room, j, owner, NULL, want, take);
-  unsigned best = 0;
-  const char *zone = NULL;
-  for (size_t z = 0; z < t->settings->zone_count; z++) {
-    unsigned n = hold(room, j, owner, t->settings->zones[z], want, false);
+  if (!j->spec.one_zone) return hold(room, j, owner, ANY_ZONE, want, take);
+  unsigned best = 0, zone = ANY_ZONE;
+  for (unsigned z = 0; z < t->settings->zone_count; z++) {
+    unsigned n = hold(room, j, owner, z, want, false);
     if (n <= best) continue;
     best = n;
-    zone = t->settings->zones[z];
+    zone = z;
   }
-  if (take && zone) (void)hold(room, j, owner, zone, want, true);
+  if (take && zone != ANY_ZONE) (void)hold(room, j, owner, zone, want, true);
   return best;
 }
 
-static unsigned missing_of(const fc_table *t, const fc_job *j, int member, unsigned slice) {
-  if (j->done_count + j->placements->len >= j->spec.tasks) return 0;
-  GArray *missing = fc_job_missing(t, j, member, 256);
-  unsigned n = 0;
-  for (guint i = 0; i < missing->len; i++) n += fc_job_slice_of(j, g_array_index(missing, uint32_t, i)) == slice;
+/* Missing tasks by slice. */
+static void missing_by_slice(const fc_job *j, unsigned want[FC_SLICES_MAX]) {
+  memset(want, 0, FC_SLICES_MAX * sizeof want[0]);
+  GArray *missing = fc_job_missing(j, -1, 256);
+  for (guint i = 0; i < missing->len; i++) want[fc_job_slice_of(j, g_array_index(missing, uint32_t, i))]++;
   g_array_free(missing, TRUE);
-  return n;
 }
 
 /* Does `to` know of everything of the slice that may be on a machine? */
@@ -139,54 +168,72 @@
   return true;
 }
 
-GArray *fc_share_handovers(const fc_table *t, const fc_told *told, double now) {
-  GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_handover));
-  if (t->self < 0 || t->term.count < 2) return out;
-  GArray *room = spares(t, now);
-  if (!room_elsewhere(t, room)) {
-    g_array_free(room, TRUE);
-    return out;
-  }
-  GPtrArray *jobs = fc_jobs_open(t);
-  /* Every part's own queue goes first. `here`: a bit for each slice of ours that
-   * finds room in our own part, and so stays. */
-  unsigned *here = g_new0(unsigned, jobs->len + 1);
+/* A queued job: what is missing of each of its slices, and which of ours find room
+ * in our own part, and so stay. */
+typedef struct queued {
+  fc_job *job;
+  unsigned want[FC_SLICES_MAX];
+  unsigned here;
+} queued;
+
+/* Every part's own queue goes first. */
+static GArray *own_first(const fc_table *t, GArray *room, const GPtrArray *jobs) {
+  GArray *queue = g_array_sized_new(FALSE, TRUE, sizeof(queued), jobs->len);
   for (guint i = 0; i < jobs->len; i++) {
-    fc_job *j = jobs->pdata[i];
-    for (unsigned s = 0; s < j->slices; s++) {
-      int owner = fc_job_owner(t, j, s);
+    queued q = {.job = jobs->pdata[i]};
+    missing_by_slice(q.job, q.want);
+    for (unsigned s = 0; s < q.job->slices; s++) {
+      int owner = fc_job_owner(q.job, s);
       if (owner < 0) continue;
-      unsigned n = hold_job(room, t, j, owner, missing_of(t, j, owner, s), true);
-      if (owner == t->self && n > 0) here[i] |= 1u << s;
+      unsigned n = hold_job(room, t, q.job, owner, q.want[s], true);
+      if (owner == t->self && n > 0) q.here |= 1u << s;
     }
+    g_array_append_val(queue, q);
   }
-  for (guint i = 0; i < jobs->len; i++) {
-    fc_job *j = jobs->pdata[i];
+  return queue;
+}
+
+/* The member that holds most of the slice; -1: nobody, or nobody who may have it. */
+static int best_holder(const fc_table *t, const fc_told *told, GArray *room, const fc_job *j, unsigned slice,
+                       unsigned want) {
+  int best = -1;
+  unsigned best_n = 0;
+  for (int m = 0; m < (int)t->term.count; m++) {
+    if (m == t->self || !told->fit[m] || !knows(t, told, j, slice, m)) continue;
+    unsigned n = hold_job(room, t, j, m, want, false);
+    if (j->spec.kind == FC_KIND_GANG && n < want) continue;
+    if (n <= best_n) continue;
+    best_n = n;
+    best = m;
+  }
+  return best;
+}
+
+GArray *fc_share_handovers(const fc_table *t, const fc_told *told, double now) {
+  GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_handover));
+  if (t->self < 0 || t->term.count < 2) return out;
+  GArray *room = spares(t, now);
+  GPtrArray *jobs = waiting_jobs(t);
+  const fc_job_spec least = least_of(jobs);
+  GArray *queue = keep_roomy(t, room, &least) ? own_first(t, room, jobs) : NULL;
+  for (guint i = 0; queue && i < queue->len && keep_roomy(t, room, &least); i++) {
+    const queued *q = &g_array_index(queue, queued, i);
+    fc_job *j = q->job;
     /* Where all parts are full, a job would go round and round. */
     double pause = t->settings->op.round_s * (1 + MIN(j->handed_count, 7));
     if (now < j->seen_at + t->settings->op.handover_wait_s || now < j->handed_at + pause) continue;
     if (j->handing || now < j->blocked_until) continue;
     for (unsigned s = 0; s < j->slices; s++) {
-      if (fc_job_owner(t, j, s) != t->self || !(j->clear >> s & 1)) continue;
-      unsigned want = missing_of(t, j, t->self, s);
-      if (want == 0 || (here[i] >> s & 1)) continue;
-      int best = -1;
-      unsigned best_n = 0;
-      for (int m = 0; m < (int)t->term.count; m++) {
-        if (m == t->self || !told->fit[m] || !knows(t, told, j, s, m)) continue;
-        unsigned n = hold_job(room, t, j, m, want, false);
-        if (j->spec.kind == FC_KIND_GANG && n < want) continue;
-        if (n <= best_n) continue;
-        best_n = n;
-        best = m;
-      }
-      if (best < 0) continue;
-      (void)hold_job(room, t, j, best, want, true);
-      fc_handover h = {.job = j, .slice = s, .to = best};
+      if (fc_job_owner(j, s) != t->self || !(j->clear >> s & 1)) continue;
+      if (q->want[s] == 0 || (q->here >> s & 1)) continue;
+      int to = best_holder(t, told, room, j, s, q->want[s]);
+      if (to < 0) continue;
+      (void)hold_job(room, t, j, to, q->want[s], true);
+      fc_handover h = {.job = j, .slice = s, .to = to};
       g_array_append_val(out, h);
     }
   }
-  g_free(here);
+  if (queue) g_array_free(queue, TRUE);
   g_ptr_array_free(jobs, TRUE);
   g_array_free(room, TRUE);
   return out;
@@ -212,18 +259,16 @@
       *all = false;
       continue;
     }
-    r.cpus += p->job->spec.cpus;
-    r.gpus += p->job->spec.gpus;
-    r.memory_gb += p->job->spec.memory_gb;
+    fc_room_give(&r, &p->job->spec);
   }
   return r;
 }
 
 /* What the gang may use of this machine: its owner any room, others only whole
  * machines; with `clear`, also what can be cleared. */
-static bool gang_use(const spare *s, const fc_job *j, int owner, const char *zone, bool clear, fc_room *room) {
+static bool gang_use(const spare *s, const fc_job *j, int owner, unsigned zone, bool clear, fc_room *room) {
   const fc_machine *m = s->machine;
-  if (s->claimed || (zone && strcmp(zone, m->rec.zone) != 0)) return false;
+  if (s->claimed || (zone != ANY_ZONE && m->zone != zone)) return false;
   if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) return false;
   if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot)) return false;
   bool all = is_idle(m);
@@ -232,7 +277,7 @@
   return (m->owner == owner || all) && fc_room_fits(room, &j->spec);
 }
 
-static unsigned gang_room(const GArray *room, const fc_job *j, int owner, const char *zone, bool clear, unsigned want,
+static unsigned gang_room(const GArray *room, const fc_job *j, int owner, unsigned zone, bool clear, unsigned want,
                           unsigned *own) {
   unsigned n = 0;
   *own = 0;
@@ -250,11 +295,11 @@
 }
 
 static bool find_zone(const fc_table *t, const GArray *room, const fc_job *j, int owner, bool clear, unsigned want,
-                      const char **best, unsigned *best_own) {
+                      unsigned *best, unsigned *best_own) {
   bool found = false;
   size_t zones = j->spec.one_zone ? t->settings->zone_count : 1;
-  for (size_t z = 0; z < zones; z++) {
-    const char *zone = j->spec.one_zone ? t->settings->zones[z] : NULL;
+  for (unsigned z = 0; z < zones; z++) {
+    unsigned zone = j->spec.one_zone ? z : ANY_ZONE;
     unsigned own;
     if (gang_room(room, j, owner, zone, clear, want, &own) < want || (found && own <= *best_own)) continue;
     found = true;
@@ -265,10 +310,9 @@
 }
 
 static void lend_to_gang(const fc_table *t, GArray *room, fc_job *j, double now, GArray *out) {
-  int owner = fc_job_owner(t, j, 0);
+  int owner = fc_job_owner(j, 0);
   unsigned want = j->spec.tasks - j->done_count;
-  const char *zone = NULL;
-  unsigned own = 0;
+  unsigned zone = ANY_ZONE, own = 0;
   bool clear = false;
   if (!find_zone(t, room, j, owner, false, want, &zone, &own)) {
     clear = true;
@@ -300,20 +344,38 @@
   }
 }
 
+/* Gangs that have waited for a hand-over in vain, in an order that is the same on
+ * every member. */
+static GPtrArray *waiting_gangs(const fc_table *t, double now) {
+  GPtrArray *jobs = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    fc_job *j = value;
+    if (j->spec.kind != FC_KIND_GANG || j->phase != FC_PHASE_ACCEPTED || j->team < 0) continue;
+    if (j->placements->len > 0 || j->done_count == j->spec.tasks) continue;
+    if (now >= j->seen_at + t->settings->op.handover_wait_s) g_ptr_array_add(jobs, j);
+  }
+  g_ptr_array_sort(jobs, fc_job_by_rank_and_id);
+  return jobs;
+}
+
 GArray *fc_share_loans(const fc_table *t, const fc_told *told, double now) {
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_loan));
   if (t->self < 0 || t->term.count < 2) return out;
+  GPtrArray *jobs = waiting_gangs(t, now);
+  if (jobs->len == 0) {
+    g_ptr_array_free(jobs, TRUE);
+    return out;
+  }
   GArray *room = spares(t, now);
-  GPtrArray *jobs = fc_jobs_open(t);
-  g_ptr_array_sort(jobs, fc_job_by_rank_and_id);
   const fc_job *turn[FC_TEAMS_MAX];
   fc_gang_turns(t, turn);
   for (guint i = 0; i < jobs->len; i++) {
     fc_job *j = jobs->pdata[i];
-    if (j->spec.kind != FC_KIND_GANG || j->placements->len > 0) continue;
-    if (now < j->seen_at + t->settings->op.handover_wait_s) continue;
     if (fc_gang_before(t, turn[j->team], j, now)) continue;
-    int owner = fc_job_owner(t, j, 0);
+    int owner = fc_job_owner(j, 0);
     if (owner >= 0 && (owner == t->self || told->fit[owner])) lend_to_gang(t, room, j, now, out);
   }
   g_ptr_array_free(jobs, TRUE);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -57,7 +57,7 @@
   fc_job *other = world_job(t, "job-000001", "service", "prod", "red", 1, 2, "");
   fc_placement *p = fc_table_place(t, holder, other->spec.id, 0, 1, 0);
   p->state = FC_TASK_RUNNING;
-  GRefString *image = g_ref_string_new("img");
+  GRefString *image = g_ref_string_new_intern("img");
   fc_machine_used_image(holder, image);
   world_job(t, "job-000002", "sweep", "standard", "red", 1, 1, "");
   GArray *plan = round_of(t);
@@ -329,6 +329,7 @@
     fc_table *t = world_table(&s);
     fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}}, .count = 2};
     t->term = term;
+    world_deal(t);
     fc_machine *m = world_machine(t, "vm-1", "a", false);
     fc_machine *n = world_machine(t, "vm-2", "a", false);
     m->heard_at = n->heard_at = 90;
@@ -339,6 +340,7 @@
     }
     fc_job *gang = world_job(t, "job-000002", "gang", "high", "red", 2, 4, "\"samePlace\":true");
     gang->handed[0] = g_strdup(rows[i].gang_ours ? "paddock-0" : "paddock-1");
+    fc_job_deal(t, gang);
     fc_told told = {.fit = {true, true}};
     GArray *loans = fc_share_loans(t, &told, 90);
     check_row(rows[i].name, loans->len == rows[i].loans);
@@ -370,6 +372,7 @@
     fc_table *t = world_table(&s);
     fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}}, .count = 2};
     t->term = term;
+    world_deal(t);
     fc_machine *m = world_machine(t, "vm-1", "a", false);
     fc_machine *n = world_machine(t, "vm-2", "a", false);
     m->heard_at = 90;
@@ -378,6 +381,7 @@
     fc_table_place(t, m, full->spec.id, 0, 1, 10)->state = FC_TASK_RUNNING;
     fc_job *j = world_job(t, "job-000002", "sweep", "standard", "red", 2, 1, "");
     j->handed[0] = g_strdup("paddock-0");
+    fc_job_deal(t, j);
     j->clear = rows[i].clear ? 1 : 0;
     if (!rows[i].room_here || rows[i].running) fc_table_place(t, m, j->spec.id, 0, 2, 10)->state = FC_TASK_RUNNING;
     if (!rows[i].running && !rows[i].room_here) {
@@ -417,6 +421,7 @@
     fc_table *t = world_table(&s);
     fc_term term = {.number = 1, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}}, .count = 2};
     t->term = term;
+    world_deal(t);
     world_machine(t, "vm-1", rows[i].holds_0 ? "b" : "a", false)->owner = 0;
     world_machine(t, "vm-2", rows[i].holds_1 ? "b" : "a", false)->owner = 1;
     bool fit[] = {rows[i].fit_0, rows[i].fit_1}, got[2] = {false, false};
@@ -427,7 +432,8 @@
       fc_share_deal(t, fit, &j->spec, 1, handed);
       g_free(j->handed[0]);
       j->handed[0] = g_strdup(handed[0]);
-      got[fc_job_owner(t, j, 0)] = true;
+      fc_job_deal(t, j);
+      got[fc_job_owner(j, 0)] = true;
     }
     check_row(rows[i].name, got[0] == rows[i].may_0 && got[1] == rows[i].may_1);
     fc_table_free(t);
--- a/tests/world.h
+++ b/tests/world.h
@@ -48,13 +48,21 @@
   m->rec.spot = spot;
   m->version = 2;
   m->announced = true;
-  m->type = 0;
+  fc_machine_locate(t, m);
   fc_table_derive_owner(t, m, 0);
   m->settled_term = t->term.number;
   m->reported = true;
   return m;
 }
 
+/* After a test has put a term of its own in place. */
+static inline void world_deal(fc_table *t) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) fc_job_deal(t, value);
+}
+
 /* extra: more fields, each ending in a comma, that take the place of defaults */
 static inline fc_job *world_job(fc_table *t, const char *id, const char *kind, const char *rank, const char *team,
                                 unsigned tasks, double gpus, const char *extra) {
