Views in pieces and by what changed

A view of a whole fleet had to fit one frame of 256 KiB: about 2,300 machines of four tasks at one surviving controller, and any more closed the link for good. It now goes in pieces of 64 KiB, and after the first of a term only what changed is told. A piece lost, late, repeated or of an earlier life closes the link and changes nothing; a base that the receiver has not got is answered so, and the next view is whole. Peer frames are of version 3. Seen to fail: without the check of the base the row 'the receiver has not got the base' of test_views is taken; with the bound of one frame a_whole_fleet_travels closes the link at 4,300 machines.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -386,6 +386,7 @@
   /* Whoever owns it now has to fence and adopt it first. */
   m->settled_term = 0;
   m->owned_since = now;
+  m->shown = 0; /* nobody has seen it in a view of ours as its new owner */
   m->closed = m->remote_closed = m->remote_mute = m->releasing = false; /* said by an owner before */
   m->reported = false;
 }
@@ -420,6 +421,7 @@
     bool kept = continuous && m->owner == old_self && old_self >= 0 && t->self >= 0 && m->settled_term == old.number &&
                 strcmp(m->rec.owner, t->settings->name) == 0;
     m->owner = m->version ? fc_deal_machine(term, m->id, m->rec.owner) : -1;
+    m->shown = 0;
     if (kept && m->owner == t->self) {
       m->settled_term = term->number;
     } else {
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -109,6 +109,8 @@
   bool remote_mute;   /* its owner is out of touch with it */
   unsigned errors;    /* jobs that failed here first, net of tasks that did well */
   bool faulty;        /* so many that it is drained and returned */
+  uint64_t shown;     /* a digest of what our newest view says of it; 0: nothing yet */
+  uint64_t shown_at;  /* the view in which that last changed */
   GPtrArray *placements;
   GPtrArray *images; /* GRefString, most recently used last */
 };
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -27,16 +27,21 @@
   double heard_at;       /* when its last acknowledgement came */
   unsigned backlog;      /* writes that waited there when it last told us */
   double backlog_at;
-  uint64_t view_boot, view_seq; /* the newest view applied, and the life that sent it */
+  /* The newest view of its machines that we hold whole, and the life and term it was
+   * sent in; and where the view stands that comes in pieces. */
+  uint64_t view_boot, view_term, view_seq;
+  uint64_t piece_seq;
+  uint32_t next_piece;
   /* Of the present term, by the life that is in it; 0: nothing yet. */
   double covered_at;       /* it has told us of every report it answered before this */
   uint64_t acked_view;     /* the newest view of ours that it has applied */
   uint64_t acked_revision; /* what its table held then */
+  uint64_t acked_seq;      /* that view's number on the link; 0: the next has to be whole */
 } fc_peer;
 
 /* Counted since the start, for the status line and the metrics. */
 typedef struct fc_counts {
-  uint64_t rounds, reads, reports, requests, exchanges, views, pushes, placed, preempted, handed_over, lent;
+  uint64_t rounds, reads, reports, requests, exchanges, views, pushes, shown, placed, preempted, handed_over, lent;
 } fc_counts;
 
 struct fc_controller {
@@ -113,6 +118,17 @@
 bool fc_front_start(fc_controller *c);
 bool fc_peers_start(fc_controller *c);
 
+/* view.c */
+/* A view of our machines for the peer, in as many frames as it takes: all of them, or
+ * what has changed since the newest view that it holds. */
+void fc_view_make(fc_controller *c, const fc_peer *peer, uint64_t seq, GByteArray *out);
+typedef enum {
+  FC_VIEW_BROKEN,  /* pieces are missing, or it is late: the link has to be closed */
+  FC_VIEW_IGNORED, /* not of this term or life, or on a base that we don't hold */
+  FC_VIEW_TAKEN,   /* applied; with its last piece all of it */
+} fc_view_fate;
+fc_view_fate fc_view_take(fc_controller *c, const fc_view *v);
+
 /* workers.c */
 void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out);
 /* Sends what the machine is owed (starts, stops, clears) or, when it is not
--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -57,6 +57,7 @@
       {"reports_total", (double)n->reports},
       {"requests_total", (double)n->requests},
       {"peer_exchanges_total", (double)n->exchanges},
+      {"machines_told_total", (double)n->shown},
       {"direct_orders_total", (double)n->pushes},
       {"placed_total", (double)n->placed},
       {"preempted_total", (double)n->preempted},
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -32,44 +32,6 @@
   return NULL;
 }
 
-static void fill_tasks(const fc_machine *m, fc_frame_machine *out) {
-  out->tasks = g_new0(fc_frame_task, m->placements->len);
-  for (guint i = 0; i < m->placements->len; i++) {
-    const fc_placement *p = m->placements->pdata[i];
-    fc_frame_task *t = &out->tasks[out->task_count++];
-    g_strlcpy(t->job, p->job_id, sizeof t->job);
-    t->index = p->index;
-    t->attempt = p->attempt;
-    t->state = (uint8_t)p->state;
-    t->cause = (uint8_t)p->cause;
-  }
-}
-
-static void make_view(fc_controller *c, uint64_t seq, GByteArray *out) {
-  fc_table *t = c->table;
-  double now = fc_now();
-  t->view++;
-  fc_view v = {.boot = c->boot, .term = t->term.number, .seq = seq};
-  v.backlog = (uint16_t)MIN(fc_commit_backlog(c->commit), UINT16_MAX);
-  g_strlcpy(v.sender, c->settings->name, sizeof v.sender);
-  v.machines = g_new0(fc_frame_machine, g_hash_table_size(t->machines));
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init(&it, t->machines);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    const fc_machine *m = value;
-    if (t->self < 0 || m->owner != t->self) continue;
-    fc_frame_machine *f = &v.machines[v.machine_count++];
-    g_strlcpy(f->id, m->id, sizeof f->id);
-    f->settled = m->settled_term == t->term.number;
-    f->closed = m->closed;
-    f->mute = fc_machine_mute(t, m, now);
-    fill_tasks(m, f);
-  }
-  fc_view_encode(out, &v);
-  fc_view_clear(&v);
-}
-
 fc_peer *fc_peer_of(fc_controller *c, int member) {
   if (member < 0 || member >= (int)c->table->term.count) return NULL;
   for (size_t k = 0; k < c->settings->peer_count; k++)
@@ -91,8 +53,11 @@
   fc_table *t = c->table;
   double now = fc_now();
   peer->covered_at = sent;
-  peer->acked_view = view;
-  peer->acked_revision = ack->revision;
+  peer->acked_seq = ack->applied ? ack->seq : 0;
+  if (ack->applied) {
+    peer->acked_view = view;
+    peer->acked_revision = ack->revision;
+  }
   for (size_t i = 0; i < ack->kept_count; i++) {
     fc_machine *m = fc_table_machine(t, ack->kept[i].machine);
     if (!m) continue;
@@ -109,13 +74,13 @@
 
 static bool exchange(fc_controller *c, fc_peer *peer, fc_conn *conn, uint64_t seq) {
   GByteArray *out = g_byte_array_new();
-  make_view(c, seq, out);
+  fc_view_make(c, peer, seq, out);
   double sent = fc_now(), deadline = sent + c->settings->report_s;
   uint64_t term = c->table->term.number, boot = c->boot, view = c->table->view;
   size_t k = (size_t)(peer - c->peers);
   bool ok = fc_conn_write(conn, out->data, out->len, deadline);
   g_byte_array_free(out, TRUE);
-  if (!ok) return false;
+  if (!ok) goto lost;
   fc_frame_type type;
   uint32_t len;
   uint8_t head[FC_FRAME_HEAD];
@@ -123,7 +88,7 @@
   fc_ack ack = {0};
   ok = body && type == FC_FRAME_ACK && fc_ack_decode(body, len, &ack);
   g_free(body);
-  if (!ok) return false;
+  if (!ok) goto lost;
   ok = ack.seq == seq && strcmp(ack.sender, peer->settings->name) == 0;
   const fc_term *now_term = &c->table->term;
   int at = ok ? fc_term_find(now_term, ack.sender) : -1;
@@ -140,9 +105,14 @@
   if (at >= 0 && now_term->number == term && c->boot == boot && ack.term == term &&
       now_term->members[at].boot == ack.boot) {
     take_ack(c, peer, &ack, sent, view);
+  } else {
+    peer->acked_seq = 0;
   }
   fc_ack_clear(&ack);
   return ok;
+lost:
+  peer->acked_seq = 0; /* it may hold that view or not */
+  return false;
 }
 
 static void link_main(void *arg) {
@@ -168,51 +138,6 @@
   g_free(l);
 }
 
-/* The owner's list replaces what we thought is on a machine. */
-static void apply_machine(fc_controller *c, fc_machine *m, const fc_frame_machine *f) {
-  fc_table *t = c->table;
-  double now = fc_now();
-  GPtrArray *kept = g_ptr_array_new();
-  for (size_t i = 0; i < f->task_count; i++) {
-    const fc_frame_task *ft = &f->tasks[i];
-    fc_placement *p = fc_machine_find(m, ft->job, ft->index, ft->attempt);
-    if (!p) p = fc_table_place(t, m, ft->job, ft->index, ft->attempt, now);
-    p->state = (fc_task_state)ft->state;
-    p->cause = (fc_exit_cause)ft->cause;
-    p->reported = p->sent = true;
-    if (p->state == FC_TASK_RUNNING && !p->running_since) p->running_since = now;
-    g_ptr_array_add(kept, p);
-  }
-  for (guint i = m->placements->len; i-- > 0;) {
-    fc_placement *p = m->placements->pdata[i];
-    if (!g_ptr_array_find(kept, p, NULL)) fc_table_unplace(t, p);
-  }
-  g_ptr_array_free(kept, TRUE);
-  m->settled_term = t->term.number;
-  m->remote_closed = f->closed;
-  m->remote_mute = f->mute;
-}
-
-static void apply_view(fc_controller *c, const fc_view *v) {
-  fc_table *t = c->table;
-  int sender = fc_term_find(&t->term, v->sender);
-  /* Only the present term's view by a present member's present life counts. */
-  if (sender < 0 || sender == t->self || v->term != t->term.number || v->boot != t->term.members[sender].boot) return;
-  /* A view held back on a connection that was given up may come after newer ones:
-   * applied, it hid a task that the sender then handed over (fault test, seed 50). */
-  fc_peer *from = fc_peer_of(c, sender);
-  if (!from || (from->view_boot == v->boot && v->seq <= from->view_seq)) return;
-  from->view_boot = v->boot;
-  from->view_seq = v->seq;
-  for (size_t i = 0; i < v->machine_count; i++) {
-    const fc_frame_machine *f = &v->machines[i];
-    fc_machine *m = fc_table_machine(t, f->id);
-    if (!m || m->owner != sender || !f->settled) continue;
-    apply_machine(c, m, f);
-  }
-  if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
-}
-
 /* The rates of the state service are one for all members: each takes its part by
  * what waits where, as far as they have told each other. Should the parts add up
  * to too much for a moment, the service refuses and the write is sent again. */
@@ -297,12 +222,22 @@
     bool ok = body && type == FC_FRAME_VIEW && fc_view_decode(body, len, &v);
     g_free(body);
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
+    fc_view_fate fate = fc_view_take(c, &v);
+    if (fate == FC_VIEW_BROKEN) {
+      g_warning("view out of order from=%s seq=%" G_GUINT64_FORMAT " piece=%u", v.sender, (guint64)v.seq, v.piece);
+      fc_view_clear(&v);
+      return;
+    }
+    if (!v.last) {
+      fc_view_clear(&v);
+      continue;
+    }
     c->counts.views++;
-    apply_view(c, &v);
     take_backlog(c, &v);
     fc_ack ack = {.boot = c->boot,
                   .term = c->table->term.number,
                   .seq = v.seq,
+                  .applied = fate == FC_VIEW_TAKEN,
                   .promise_ms = give_promise(c, &v),
                   .quiet_ms = (uint32_t)(MIN(fc_now() - c->cancel_at, 1e6) * 1000),
                   .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000),
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -21,7 +21,7 @@
   c->term_since = fc_now();
   for (size_t k = 0; k < c->settings->peer_count; k++) {
     c->peers[k].covered_at = 0;
-    c->peers[k].acked_view = c->peers[k].acked_revision = 0;
+    c->peers[k].acked_view = c->peers[k].acked_revision = c->peers[k].acked_seq = 0;
   }
   fc_table_set_term(c->table, &term, ch->version, continuous, c->term_since);
   /* Another life under our name is nobody's part any more. */
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -3,8 +3,11 @@
 #include <string.h>
 
 #define MAGIC 0xfc1eu
-#define MACHINES_MOST 4096u
-#define TASKS_MOST 4096u
+/* The least that a machine takes in a view and in an acknowledgement, and a task:
+ * no count that a frame states can make us take more memory than it has bytes for. */
+#define MACHINE_LEAST (1u + 1u + 2u)
+#define KEPT_LEAST (1u + 4u + 1u + 8u + 8u)
+#define TASK_LEAST (1u + 4u + 8u + 1u + 1u)
 
 static void put_u8(GByteArray *b, uint8_t v) {
   g_byte_array_append(b, &v, 1);
@@ -45,14 +48,23 @@
   memcpy(b->data + at + 4, &n, 4);
 }
 
+size_t fc_frame_machine_size(const fc_frame_machine *m) {
+  size_t n = MACHINE_LEAST + strlen(m->id);
+  for (size_t k = 0; k < m->task_count; k++) n += TASK_LEAST + strlen(m->tasks[k].job);
+  return n;
+}
+
 void fc_view_encode(GByteArray *out, const fc_view *v) {
   guint at = begin(out, FC_FRAME_VIEW);
   put_text(out, v->sender);
   put_u64(out, v->boot);
   put_u64(out, v->term);
   put_u64(out, v->seq);
+  put_u64(out, v->base);
+  put_u32(out, v->piece);
+  put_u8(out, v->last);
   put_u16(out, v->backlog);
-  put_u16(out, (uint16_t)v->machine_count);
+  put_u32(out, (uint32_t)v->machine_count);
   for (size_t i = 0; i < v->machine_count; i++) {
     const fc_frame_machine *m = &v->machines[i];
     put_text(out, m->id);
@@ -75,11 +87,12 @@
   put_u64(out, a->boot);
   put_u64(out, a->term);
   put_u64(out, a->seq);
+  put_u8(out, a->applied);
   put_u32(out, a->promise_ms);
   put_u32(out, a->quiet_ms);
   put_u32(out, a->fresh_ms);
   put_u64(out, a->revision);
-  put_u16(out, (uint16_t)a->kept_count);
+  put_u32(out, (uint32_t)a->kept_count);
   for (size_t i = 0; i < a->kept_count; i++) {
     put_text(out, a->kept[i].machine);
     put_u32(out, a->kept[i].age_ms);
@@ -165,7 +178,7 @@
   m->closed = flags & 2;
   m->mute = flags & 4;
   size_t n = get_u16(c);
-  if (c->bad || n > TASKS_MOST) {
+  if (c->bad || n > FC_FRAME_TASKS_MOST || n > c->left / TASK_LEAST) {
     c->bad = true;
     return;
   }
@@ -189,9 +202,12 @@
   out->boot = get_u64(&c);
   out->term = get_u64(&c);
   out->seq = get_u64(&c);
+  out->base = get_u64(&c);
+  out->piece = get_u32(&c);
+  out->last = get_u8(&c) != 0;
   out->backlog = get_u16(&c);
-  size_t n = get_u16(&c);
-  if (!c.bad && n <= MACHINES_MOST) {
+  size_t n = get_u32(&c);
+  if (!c.bad && n <= c.left / MACHINE_LEAST) {
     out->machines = g_new0(fc_frame_machine, n);
     out->machine_count = n;
     for (size_t i = 0; i < n && !c.bad; i++) decode_machine(&c, &out->machines[i]);
@@ -216,12 +232,13 @@
   out->boot = get_u64(&c);
   out->term = get_u64(&c);
   out->seq = get_u64(&c);
+  out->applied = get_u8(&c) != 0;
   out->promise_ms = get_u32(&c);
   out->quiet_ms = get_u32(&c);
   out->fresh_ms = get_u32(&c);
   out->revision = get_u64(&c);
-  size_t n = get_u16(&c);
-  if (!c.bad && n <= MACHINES_MOST) {
+  size_t n = get_u32(&c);
+  if (!c.bad && n <= c.left / KEPT_LEAST) {
     out->kept = g_new0(fc_frame_kept, n);
     out->kept_count = n;
     for (size_t i = 0; i < n; i++) {
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -9,9 +9,15 @@
 
 #include "protocol/worker.h"
 
-#define FC_FRAME_VERSION 2
+#define FC_FRAME_VERSION 3
 #define FC_FRAME_HEAD 8u
-#define FC_FRAME_MOST (256u * 1024u)
+/* Room for the answers of one controller to 65,535 workers, more than it has sockets
+ * for. Only what a frame really brings is taken. */
+#define FC_FRAME_MOST (8u * 1024u * 1024u)
+/* A view goes in pieces of about this size, of whole machines. */
+#define FC_PIECE_BYTES (64u * 1024u)
+/* As many tasks as a report may name. */
+#define FC_FRAME_TASKS_MOST 4096u
 
 typedef enum { FC_FRAME_VIEW = 1, FC_FRAME_ACK = 2 } fc_frame_type;
 
@@ -32,9 +38,14 @@
   size_t task_count;
 } fc_frame_machine;
 
+/* One piece of a view: the sender's machines, or with `base` only those that have
+ * changed since the view of that number. */
 typedef struct fc_view {
   char sender[64];
   uint64_t boot, term, seq;
+  uint64_t base;    /* the receiver has to hold that view; 0: this one is whole */
+  uint32_t piece;   /* from 0 on */
+  bool last;        /* of this view's pieces; it is answered */
   uint16_t backlog; /* writes that wait at the sender */
   fc_frame_machine *machines;
   size_t machine_count;
@@ -50,6 +61,7 @@
 typedef struct fc_ack {
   char sender[64];
   uint64_t boot, term, seq;
+  bool applied;        /* the whole view, so that the next may name it as its base */
   uint32_t promise_ms; /* 0: none. "I commit no term without you" for so long */
   uint32_t quiet_ms;   /* since the sender last learned of a cancellation, or started */
   uint32_t fresh_ms;   /* since the sender last read the state service */
@@ -58,6 +70,8 @@
   size_t kept_count;
 } fc_ack;
 
+/* What the machine takes in a view. */
+size_t fc_frame_machine_size(const fc_frame_machine *m);
 /* Whole frames, head included. Appends to `out`. */
 void fc_view_encode(GByteArray *out, const fc_view *v);
 void fc_ack_encode(GByteArray *out, const fc_ack *a);
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -219,6 +219,15 @@
   assert_string_equal(out.machines[0].tasks[0].job, "job-000412");
   assert_true(out.machines[0].settled && !out.machines[0].closed && out.term == 9);
   fc_view_clear(&out);
+  /* A length at the bound is one of ours, one over is not. */
+  uint8_t head[FC_FRAME_HEAD];
+  memcpy(head, b->data, sizeof head);
+  for (int over = -1; over <= 1; over++) {
+    guint32 n = GUINT32_TO_BE(FC_FRAME_MOST + (guint32)over);
+    uint32_t read;
+    memcpy(head + 4, &n, 4);
+    assert_int_equal(fc_frame_head(head, &type, &read), over <= 0);
+  }
   /* Every shorter copy, and one that is too long, is refused without harm. */
   for (uint32_t n = 0; n < len; n++) {
     uint8_t *copy = g_memdup2(b->data + FC_FRAME_HEAD, n ? n : 1);
--- /dev/null
+++ b/tests/test_views.c
@@ -0,0 +1,250 @@
+/* Views between controllers: whole, by what changed, in pieces; no network. */
+#include "check.h"
+
+#include "controller/controller.h"
+#include "world.h"
+
+static const fc_term k_term = {.number = 5, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
+
+typedef struct side {
+  fc_settings settings;
+  fc_controller c;
+} side;
+
+/* One of two controllers in term 5; its only peer is the other. */
+static side *side_new(const char *name, const char *other, uint64_t boot) {
+  side *s = g_new0(side, 1);
+  s->settings = world_settings();
+  s->settings.name = (char *)name;
+  s->settings.peer_count = 1;
+  s->settings.peers[0].name = (char *)other;
+  fc_controller *c = &s->c;
+  c->settings = &s->settings;
+  c->peers[0].settings = &s->settings.peers[0];
+  c->table = world_table(&s->settings);
+  c->commit = fc_commit_new(NULL, 8, 10, 10, 1);
+  fc_table_set_term(c->table, &k_term, 9, false, 0);
+  c->boot = boot;
+  return s;
+}
+
+static void side_free(side *s) {
+  fc_table_free(s->c.table);
+  g_free(s->c.commit);
+  g_free(s);
+}
+
+/* The same machines and jobs on both sides, all of paddock-0, `tasks` on each. */
+static void fill(side *a, side *b, unsigned machines, unsigned tasks) {
+  for (unsigned i = 0; i < machines; i++) {
+    char id[32], job[32];
+    g_snprintf(id, sizeof id, "vm-%06u", i);
+    g_snprintf(job, sizeof job, "job-%06u", i);
+    fc_machine *m = world_machine(a->c.table, id, i % 2 ? "a" : "b", false);
+    fc_machine *n = world_machine(b->c.table, id, i % 2 ? "a" : "b", false);
+    n->settled_term = 0;
+    for (unsigned k = 0; k < tasks; k++)
+      fc_table_place(a->c.table, m, job, k, fc_attempt(5, i * tasks + k), 1)->state = FC_TASK_RUNNING;
+  }
+}
+
+static GPtrArray *frames_of(side *from, uint64_t seq) {
+  GByteArray *out = g_byte_array_new();
+  fc_view_make(&from->c, &from->c.peers[0], seq, out);
+  GPtrArray *frames = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+  for (guint at = 0; at < out->len;) {
+    fc_frame_type type;
+    uint32_t len;
+    assert_true(fc_frame_head(out->data + at, &type, &len));
+    g_ptr_array_add(frames, g_bytes_new(out->data + at + FC_FRAME_HEAD, len));
+    at += FC_FRAME_HEAD + len;
+  }
+  g_byte_array_free(out, TRUE);
+  return frames;
+}
+
+static fc_view_fate deliver(side *to, const GPtrArray *frames, guint piece) {
+  gsize len;
+  const uint8_t *p = g_bytes_get_data(frames->pdata[piece], &len);
+  fc_view v;
+  assert_true(fc_view_decode(p, len, &v));
+  fc_view_fate fate = fc_view_take(&to->c, &v);
+  fc_view_clear(&v);
+  return fate;
+}
+
+/* The sender learns that the view was applied, at this state of the other's table. */
+static void acked(side *from, uint64_t seq, uint64_t revision) {
+  from->c.peers[0].acked_seq = seq;
+  from->c.peers[0].acked_view = from->c.table->view;
+  from->c.peers[0].acked_revision = revision;
+}
+
+static unsigned held(const side *s) {
+  unsigned n = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, s->c.table->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) n += ((fc_machine *)value)->placements->len;
+  return n;
+}
+
+/* A whole fleet at one controller, at half as many machines again as a deployment has
+ * and at twice that: every machine arrives, in pieces that stay small, and afterwards
+ * only what changed is told, whatever the size. */
+static void a_whole_fleet_travels(void **state) {
+  (void)state;
+  static const unsigned sizes[] = {0, 1, 2150, 4300};
+  for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+    side *a = side_new("paddock-0", "paddock-1", 1), *b = side_new("paddock-1", "paddock-0", 2);
+    fill(a, b, sizes[i], 4);
+    GPtrArray *whole = frames_of(a, 1);
+    size_t bytes = 0;
+    for (guint k = 0; k < whole->len; k++) {
+      bytes += g_bytes_get_size(whole->pdata[k]);
+      assert_true(g_bytes_get_size(whole->pdata[k]) < 2 * FC_PIECE_BYTES);
+      assert_int_equal(deliver(b, whole, k), FC_VIEW_TAKEN);
+    }
+    assert_true(whole->len >= bytes / (2 * FC_PIECE_BYTES));
+    assert_int_equal(held(b), sizes[i] * 4);
+    assert_int_equal(b->c.peers[0].view_seq, 1);
+    g_ptr_array_free(whole, TRUE);
+    acked(a, 1, 100);
+    uint64_t told = a->c.counts.shown;
+    assert_int_equal(told, sizes[i]);
+    fc_machine *m = fc_table_machine(a->c.table, "vm-000000");
+    if (m) ((fc_placement *)m->placements->pdata[0])->state = FC_TASK_SAVING;
+    GPtrArray *news = frames_of(a, 2);
+    assert_int_equal(news->len, 1);
+    assert_int_equal(a->c.counts.shown - told, m ? 1 : 0);
+    assert_int_equal(deliver(b, news, 0), FC_VIEW_TAKEN);
+    if (m) {
+      const fc_machine *n = fc_table_machine(b->c.table, "vm-000000");
+      assert_int_equal(((fc_placement *)n->placements->pdata[0])->state, FC_TASK_SAVING);
+    }
+    g_ptr_array_free(news, TRUE);
+    side_free(a);
+    side_free(b);
+  }
+}
+
+/* Pieces of view 2 (three of them) on top of view 1. */
+static void pieces_out_of_order(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *order;
+    fc_view_fate last;
+    bool holds; /* the receiver holds view 2 afterwards */
+  } rows[] = {
+      {"in order", "012", FC_VIEW_TAKEN, true},
+      {"one is lost", "02", FC_VIEW_BROKEN, false},
+      {"the first is lost", "12", FC_VIEW_BROKEN, false},
+      {"one comes twice", "0112", FC_VIEW_BROKEN, false},
+      {"the first comes twice", "00", FC_VIEW_BROKEN, false},
+      {"two change places", "021", FC_VIEW_BROKEN, false},
+      {"the last does not come", "01", FC_VIEW_TAKEN, false},
+      {"the whole again, later", "0120", FC_VIEW_BROKEN, true},
+      {"a copy of the view before", "x", FC_VIEW_BROKEN, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    side *a = side_new("paddock-0", "paddock-1", 1), *b = side_new("paddock-1", "paddock-0", 2);
+    fill(a, b, 1500, 4);
+    GPtrArray *first = frames_of(a, 1), *second = frames_of(a, 2);
+    assert_int_equal(second->len, 3);
+    for (guint k = 0; k < 3; k++) assert_int_equal(deliver(b, first, k), FC_VIEW_TAKEN);
+    fc_view_fate fate = FC_VIEW_IGNORED;
+    bool closed = false;
+    for (const char *p = rows[i].order; *p && !closed; p++) {
+      fate = *p == 'x' ? deliver(b, first, 0) : deliver(b, second, (guint)(*p - '0'));
+      closed = fate == FC_VIEW_BROKEN;
+    }
+    check_row(rows[i].name, fate == rows[i].last);
+    check_row(rows[i].name, (b->c.peers[0].view_seq == 2) == rows[i].holds);
+    g_ptr_array_free(first, TRUE);
+    g_ptr_array_free(second, TRUE);
+    side_free(a);
+    side_free(b);
+  }
+}
+
+/* What changed counts only on the view it was made for. */
+static void what_changed_needs_its_base(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    bool other_life, other_term, missed, knows_late;
+    fc_view_fate fate;
+  } rows[] = {
+      {"on its base", false, false, false, false, FC_VIEW_TAKEN},
+      {"the sender has begun anew", true, false, false, false, FC_VIEW_IGNORED},
+      {"of the term before", false, true, false, false, FC_VIEW_IGNORED},
+      {"the receiver has not got the base", false, false, true, false, FC_VIEW_IGNORED},
+      {"the machine was not known to be theirs", false, false, false, true, FC_VIEW_TAKEN},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    side *a = side_new("paddock-0", "paddock-1", 1), *b = side_new("paddock-1", "paddock-0", 2);
+    fill(a, b, 10, 1);
+    GPtrArray *first = frames_of(a, 1);
+    fc_machine *known = fc_table_machine(b->c.table, "vm-000003");
+    if (rows[i].knows_late) known->owner = 1;
+    if (!rows[i].missed) assert_int_equal(deliver(b, first, 0), FC_VIEW_TAKEN);
+    fc_machine *m = fc_table_machine(a->c.table, "vm-000003");
+    m->version = 50;
+    acked(a, 1, rows[i].knows_late ? 49 : 50);
+    if (!rows[i].knows_late) fc_table_unplace(a->c.table, m->placements->pdata[0]);
+    known->owner = 0;
+    GPtrArray *second = frames_of(a, 2);
+    fc_term next = k_term;
+    if (rows[i].other_life) next.members[0].boot = 7;
+    if (rows[i].other_term) next.number++;
+    if (rows[i].other_life || rows[i].other_term) fc_table_set_term(b->c.table, &next, 10, true, 2);
+    check_row(rows[i].name, deliver(b, second, 0) == rows[i].fate);
+    if (rows[i].fate == FC_VIEW_TAKEN) {
+      check_row(rows[i].name, known->placements->len == (rows[i].knows_late ? 1 : 0));
+      check_row(rows[i].name, held(b) == (rows[i].knows_late ? 10 : 9));
+    }
+    g_ptr_array_free(first, TRUE);
+    g_ptr_array_free(second, TRUE);
+    side_free(a);
+    side_free(b);
+  }
+}
+
+/* As many tasks as a report may name are told; more make the machine one that
+ * nothing is known of, and the rest of the view is told all the same. */
+static void tasks_at_the_bound(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned tasks;
+    bool told;
+  } rows[] = {
+      {"one under", FC_FRAME_TASKS_MOST - 1, true},
+      {"at the bound", FC_FRAME_TASKS_MOST, true},
+      {"one over", FC_FRAME_TASKS_MOST + 1, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    side *a = side_new("paddock-0", "paddock-1", 1), *b = side_new("paddock-1", "paddock-0", 2);
+    fill(a, b, 2, 1);
+    fc_machine *m = fc_table_machine(a->c.table, "vm-000000");
+    for (unsigned k = 1; k < rows[i].tasks; k++)
+      fc_table_place(a->c.table, m, "job-000000", k, fc_attempt(5, 100 + k), 1)->state = FC_TASK_RUNNING;
+    GPtrArray *frames = frames_of(a, 1);
+    for (guint k = 0; k < frames->len; k++) check_row(rows[i].name, deliver(b, frames, k) == FC_VIEW_TAKEN);
+    check_row(rows[i].name, held(b) == (rows[i].told ? rows[i].tasks + 1 : 1));
+    check_row(rows[i].name, (fc_table_machine(b->c.table, "vm-000000")->settled_term == 5) == rows[i].told);
+    g_ptr_array_free(frames, TRUE);
+    side_free(a);
+    side_free(b);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(a_whole_fleet_travels),
+      cmocka_unit_test(pieces_out_of_order),
+      cmocka_unit_test(what_changed_needs_its_base),
+      cmocka_unit_test(tasks_at_the_bound),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
