--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -97,6 +97,25 @@
   }
 }
 
+/* Slices that only ever were ours: the members have had the same names since before
+ * the job was accepted, so that no slice and no machine was dealt anew, and it has not
+ * been handed over. Its tasks were started by our name alone, on machines that were
+ * ours, and a machine leaves us only empty: they are on our machines or nowhere. */
+static unsigned at_home(const fc_table *t, const fc_job *j) {
+  unsigned home = 0;
+  if (t->self < 0 || !j->origin.term || j->origin.term < t->term.names_since) return 0;
+  for (unsigned i = 0; i < j->slices; i++) home |= (unsigned)(fc_job_owner(j, i) == t->self) << i;
+  return home & ~j->origin.moved;
+}
+
+/* What the latches of this term make clear. A job that is read anew after one of them
+ * was never clear again in the term otherwise. */
+static void make_clear(const fc_table *t, fc_job *j) {
+  if (!t->term_version) return;
+  if (t->settled_latch == t->term.number) j->clear = ~0u;
+  if (t->home_latch == t->term.number) j->clear |= at_home(t, j);
+}
+
 fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
                          double now) {
   fc_job *j = fc_table_job(t, id);
@@ -104,7 +123,7 @@
   bool is_new = !j;
   if (is_new) {
     fc_job_record copy;
-    json_t *v = fc_job_record_encode(&r->spec, r->phase, NULL, r->slices, NULL);
+    json_t *v = fc_job_record_encode(&r->spec, r->phase, NULL, r->slices, NULL, NULL);
     bool ok = fc_job_record_decode(v, &copy);
     json_decref(v);
     if (!ok) return NULL;
@@ -135,7 +154,9 @@
      * have acknowledged a view that shows whatever of it is on a machine. */
     if (!was_mine && !is_new) j->clear |= 1u << i;
   }
+  j->origin = r->origin;
   fc_job_deal(t, j);
+  if (is_new) make_clear(t, j);
   if (is_new) link_placements(t, j);
   /* What is read back after a start arrived before; only its shape is news. */
   if (is_new && fresh) fc_demand_arrival(&t->demand, &j->spec, now);
@@ -417,37 +438,41 @@
     fc_machine *m = value;
     /* A machine that stays with the process that has settled it needs no new
      * fence: nobody else could command it in between. That must be recorded;
-     * a dealt owner may have changed and changed back. */
-    bool kept = continuous && m->owner == old_self && old_self >= 0 && t->self >= 0 && m->settled_term == old.number &&
+     * a dealt owner may have changed and changed back. One that it has not settled
+     * yet has been silent for as long as before. */
+    bool ours = continuous && m->owner == old_self && old_self >= 0 && t->self >= 0 &&
                 strcmp(m->rec.owner, t->settings->name) == 0;
+    bool settled = ours && m->settled_term == old.number;
     m->owner = m->version ? fc_deal_machine(term, m->id, m->rec.owner) : -1;
     m->shown = 0;
-    if (kept && m->owner == t->self) {
-      m->settled_term = term->number;
-    } else {
-      m->settled_term = 0;
-      m->owned_since = now;
-      m->reported = false;
-      m->closed = m->remote_closed = m->remote_mute = m->releasing = false;
-    }
+    m->settled_term = settled && m->owner == t->self ? term->number : 0;
+    if (ours && m->owner == t->self) continue;
+    m->owned_since = now;
+    m->reported = false;
+    m->closed = m->remote_closed = m->remote_mute = m->releasing = false;
   }
 }
 
 bool fc_table_check_settled(fc_table *t) {
   if (t->settled_latch == t->term.number && t->term_version) return true;
   if (!t->term_version || t->self < 0) return false;
+  bool all = true, ours = t->home_latch != t->term.number;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
+  while ((all || ours) && g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
     /* Nothing was ever started on a machine whose address is not recorded.
      * Waiting for such machines too, a fleet that keeps renting would start
      * nothing for long after every change of term: one is always booting. */
-    if (m->announced && m->settled_term != t->term.number) return false;
+    if (!m->announced || m->settled_term == t->term.number) continue;
+    all = false;
+    if (m->owner == t->self) ours = false;
   }
-  t->settled_latch = t->term.number;
+  if (all) t->settled_latch = t->term.number;
+  if (ours) t->home_latch = t->term.number;
+  if (!all && !ours) return false;
   g_hash_table_iter_init(&it, t->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &value)) ((fc_job *)value)->clear = ~0u;
-  return true;
+  while (g_hash_table_iter_next(&it, NULL, &value)) make_clear(t, value);
+  return all;
 }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -56,6 +56,7 @@
   uint32_t done_count;
   unsigned slices;
   char *handed[FC_SLICES_MAX];
+  fc_job_origin origin;
   int8_t owners[FC_SLICES_MAX]; /* members of the present term; -1: nobody */
   unsigned owned_by;            /* a bit a member that owns any of its slices */
   int team;                     /* index into the settings; -1: not there any more */
@@ -132,6 +133,7 @@
   fc_demand_stats demand;
   bool archive;           /* jobs that are over may have been put away */
   uint64_t settled_latch; /* term in which every machine has been settled */
+  uint64_t home_latch;    /* term in which every machine of ours has been */
   uint64_t next_serial;
   uint64_t view; /* number of the newest view of our machines */
   int self;      /* index in the term; -1: not a member */
@@ -221,8 +223,12 @@
 void fc_table_set_term(fc_table *t, const fc_term *term, uint64_t version, bool continuous, double now);
 /* Derives a machine's owner after its record changed. */
 void fc_table_derive_owner(fc_table *t, fc_machine *m, double now);
-/* Latches once every machine that may hold anything from before the present
- * term is settled in it. */
+/* Latches once every machine that may hold anything from before the present term is
+ * settled in it: every job is clear then. And before that, once all machines of ours
+ * are: then those slices are clear that have never been anybody else's. In a fleet of
+ * a thousand some machine is always dying; waiting for each of them, at each change of
+ * term anew, a rolling restart started nothing old for two minutes (fleet day
+ * "restart", simulated). */
 bool fc_table_check_settled(fc_table *t);
 
 #endif
--- a/src/bookkeeping/writes.c
+++ b/src/bookkeeping/writes.c
@@ -1,11 +1,12 @@
 #include "bookkeeping/writes.h"
 
-fc_write *fc_write_job(const fc_job *j, uint64_t version, fc_phase phase, const uint8_t *done, char *const *handed) {
+fc_write *fc_write_job(const fc_job *j, uint64_t version, fc_phase phase, const uint8_t *done, char *const *handed,
+                       const fc_job_origin *origin) {
   char *key = g_strconcat(FC_PREFIX_JOB, j->spec.id, NULL);
   char *ranges = fc_ranges_encode(done, j->spec.tasks);
   fc_write *w = fc_write_new();
   fc_write_if(w, key, version);
-  fc_write_put(w, key, fc_job_record_encode(&j->spec, phase, ranges, j->slices, handed));
+  fc_write_put(w, key, fc_job_record_encode(&j->spec, phase, ranges, j->slices, handed, origin));
   g_free(ranges);
   g_free(key);
   return w;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -145,6 +145,8 @@
  * what one caller gives away in a row. */
 const char *fc_even_owner(const fc_table *t, const char *id, const char *type, const char *zone, bool spot,
                           unsigned *count);
+/* Another member has answered the machine's report. */
+void fc_workers_kept(fc_controller *c, const fc_frame_kept *k, double now);
 /* Silent for so long that its worker has given up all its tasks? */
 void fc_workers_expire(fc_controller *c);
 
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -136,7 +136,8 @@
   bool fit[FC_MEMBERS_MAX];
   for (size_t i = 0; i < c->table->term.count; i++) fit[i] = fc_member_fit(c, (int)i);
   fc_share_deal(c->table, fit, &spec, slices, handed);
-  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, slices, handed);
+  const fc_job_origin origin = {.term = c->table->term.number};
+  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, slices, handed, &origin);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
   bool too_large = size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
@@ -221,7 +222,7 @@
       if (!answered_from_archive(c, res, id, false)) say(res, 404, "no such job");
       return;
     }
-    fc_write *w = fc_write_job(j, j->version, FC_PHASE_CANCELLED, j->done, j->handed);
+    fc_write *w = fc_write_job(j, j->version, FC_PHASE_CANCELLED, j->done, j->handed, &j->origin);
     uint64_t revision = 0;
     fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_REPORT, deadline, &revision);
     if (r == FC_STATE_OK) {
--- a/src/controller/member.c
+++ b/src/controller/member.c
@@ -81,6 +81,7 @@
   if (at < 0) {
     if (next.count == FC_MEMBERS_MAX) return false;
     at = (int)next.count++;
+    next.names_since = next.number;
     g_strlcpy(next.members[at].name, c->settings->name, sizeof next.members[at].name);
   }
   next.members[at].boot = c->boot;
@@ -127,6 +128,7 @@
     memmove(&next.members[i], &next.members[i + 1], (next.count - i - 1) * sizeof next.members[0]);
     next.count--;
     next.number++;
+    next.names_since = next.number;
     fc_state_result r = commit_term(c, &next, gone);
     g_info("excluded member=%s result=%d", gone, r);
     return;
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -50,7 +50,6 @@
 /* What an acknowledgement of the present term, by a life that is in it, to a
  * view sent at `sent` tells us. */
 static void take_ack(fc_controller *c, fc_peer *peer, const fc_ack *ack, double sent, uint64_t view) {
-  fc_table *t = c->table;
   double now = fc_now();
   peer->covered_at = sent;
   peer->acked_seq = ack->applied ? ack->seq : 0;
@@ -58,18 +57,7 @@
     peer->acked_view = view;
     peer->acked_revision = ack->revision;
   }
-  for (size_t i = 0; i < ack->kept_count; i++) {
-    fc_machine *m = fc_table_machine(t, ack->kept[i].machine);
-    if (!m) continue;
-    const fc_frame_kept *k = &ack->kept[i];
-    double at = now - k->age_ms / 1000.0;
-    /* A report older than one that has come to us was sent before that came,
-     * and the lease runs from there: a late copy does not push its end back. */
-    bool old = k->session < m->session || (k->session == m->session && k->seq < m->seq);
-    if (old && m->reported) at = MIN(at, m->heard_at);
-    m->kept_at = MAX(m->kept_at, at);
-    if (k->hears && !old) m->kept_hears_at = MAX(m->kept_hears_at, at);
-  }
+  for (size_t i = 0; i < ack->kept_count; i++) fc_workers_kept(c, &ack->kept[i], now);
 }
 
 static bool exchange(fc_controller *c, fc_peer *peer, fc_conn *conn, uint64_t seq) {
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -234,84 +234,142 @@
   return false;
 }
 
-/* A controller whose machines mostly fall silent together suspects its own network,
- * and so does one that sees most of the whole fleet do: it returns nothing. */
-static bool suspect_ourselves(const fc_table *t, double now) {
-  unsigned mine = 0, mute = 0, all = 0, all_mute = 0;
+/* A machine that we own since a while, as its recorded address says it was up, and that
+ * has not said a word to us: from before our life, dead or out of reach. A live one
+ * has by then failed to answer several direct questions, and has had the time to
+ * come to another member, who would have told us. Until it is gone, what may be on it
+ * is started nowhere. */
+static bool unheard(const fc_controller *c, const fc_machine *m, double now) {
+  double quiet = MAX(c->settings->lease_s * 0.4, c->settings->report_s * 2);
+  return m->announced && !m->reported && m->settled_term != c->table->term.number && now > m->owned_since + quiet;
+}
+
+typedef struct mute_count {
+  unsigned all, mute;
+} mute_count;
+
+static void count_mute(mute_count *n, bool mute) {
+  n->all++;
+  n->mute += mute;
+}
+
+static bool most(const mute_count *n) {
+  return n->mute * 2 > n->all + 1;
+}
+
+/* Where machines mostly fall silent together it is the network: a controller that sees
+ * it of its own, or of the whole fleet, suspects itself; of a zone, that the zone is cut
+ * off. Returned, the machines of a zone would be missing for a boot after it is back. */
+typedef struct suspicion {
+  bool all, zone[FC_ZONES_MAX + 1];
+} suspicion;
+
+static suspicion suspect(const fc_controller *c, double now) {
+  const fc_table *t = c->table;
+  mute_count mine = {0, 0}, fleet = {0, 0}, zones[FC_ZONES_MAX + 1] = {{0, 0}};
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    bool ours = m->owner == t->self;
-    if (!m->version || !m->announced || (ours && !m->reported)) continue;
-    bool is_mute = fc_machine_mute(t, m, now);
-    all++;
-    all_mute += is_mute;
-    mine += ours;
-    mute += ours && is_mute;
+    bool ours = m->owner == t->self, silent = ours && unheard(c, m, now);
+    if (!m->version || !m->announced || (ours && !m->reported && !silent)) continue;
+    bool mute = silent || fc_machine_mute(t, m, now);
+    count_mute(&fleet, mute);
+    count_mute(&zones[m->zone], mute);
+    if (ours) count_mute(&mine, mute);
+  }
+  suspicion s = {.all = most(&mine) || most(&fleet)};
+  for (size_t z = 0; z <= FC_ZONES_MAX; z++) s.zone[z] = most(&zones[z]);
+  return s;
+}
+
+typedef enum { STAYS, LOST, NEVER_UP, IDLE, FAULTY, BEGUN } fate;
+
+/* Should the machine go back, and why? `surplus` is made when the first idle one asks. */
+static fate fate_of(fc_controller *c, fc_machine *m, const suspicion *doubts, GHashTable **surplus, double now) {
+  fc_table *t = c->table;
+  double quiet = fc_machine_quiet_s(c->settings);
+  double boot_s = m->type >= 0 ? ((fc_machine_type *)t->types->pdata[m->type])->boot_s : 0;
+  bool settled = m->settled_term == t->term.number;
+  /* After several leases it is not a cut any more, whoever's it was. */
+  bool patient = doubts->all || doubts->zone[m->zone];
+  double after = patient ? c->settings->lease_s * 5 : quiet;
+  if (m->reported && fc_machine_out_of_touch(m, now - after) && unkept(c, m, now - quiet)) return LOST;
+  if (unheard(c, m, now) && (!patient || now > m->owned_since + after) && unkept(c, m, m->owned_since)) return LOST;
+  if (!m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s)
+    return NEVER_UP;
+  if (!m->faulty && holds_lost_start(m, now - c->settings->lease_s * 2)) m->faulty = m->closed = true;
+  if (m->faulty && fc_machine_vacant(m) && settled) return FAULTY;
+  if (settled && m->reported && fc_rent_idle(t, m, now)) {
+    if (!*surplus) *surplus = fc_rent_surplus(t, now);
+    if (g_hash_table_contains(*surplus, m)) return IDLE;
+  }
+  /* Begun and not ended: the machine may be gone and its record still there
+   * (fault test, seed 183: the record stayed for good). */
+  return m->releasing ? BEGUN : STAYS;
+}
+
+/* Takes the records of machines that the cloud has confirmed gone out of the state
+ * service, in as many transactions as it takes. */
+static void forget_returned(fc_controller *c, const GPtrArray *ids) {
+  fc_table *t = c->table;
+  for (guint i = 0; i < ids->len; i++) {
+    fc_machine *m = fc_table_machine(t, ids->pdata[i]);
+    if (!m || !m->version) continue;
+    fc_machine_clear(t, m); /* proved gone */
+    m->settled_term = t->term.number;
+  }
+  (void)fc_table_check_settled(t);
+  fc_cond_broadcast(&c->round_now);
+  uint64_t revision = 0;
+  bool ok = true;
+  for (guint i = 0; i < ids->len && ok;) {
+    fc_write *w = fc_write_new();
+    for (unsigned n = 0; i < ids->len && n < fc_commit_most(c->commit); i++) {
+      const fc_machine *m = fc_table_machine(t, ids->pdata[i]);
+      if (!m || !m->version) continue;
+      char *key = g_strconcat(FC_PREFIX_MACHINE, m->id, NULL);
+      fc_write_if(w, key, m->version);
+      fc_write_delete(w, key);
+      g_free(key);
+      n++;
+    }
+    ok = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK;
+  }
+  /* What is still on record is tried again: it stays marked as being returned. */
+  if (ok) {
+    (void)fc_wait_revision(c, revision, fc_now() + 2.0);
+  } else {
+    (void)fc_wait_fresh(c, fc_now() + 2.0);
   }
-  return mute * 2 > mine + 1 || all_mute * 2 > all + 1;
 }
 
 /* Returns machines: closed first, so that nothing is placed on them; gone from
  * the table only after the cloud has confirmed. */
 static void give_back(fc_controller *c) {
+  static const char *const why[] = {"", "lost", "never_up", "idle", "faulty", "begun"};
   fc_table *t = c->table;
   double now = fc_now();
   GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-  GHashTable *surplus = NULL; /* made when there is an idle machine */
-  double quiet = fc_machine_quiet_s(c->settings);
-  bool suspect = suspect_ourselves(t, now);
+  GHashTable *surplus = NULL;
+  suspicion doubts = suspect(c, now);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
-  while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < 8) {
+  while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < FC_RELEASE_MOST) {
     fc_machine *m = value;
     if (m->owner != t->self || !m->version || m->writing) continue;
-    double boot_s = m->type >= 0 ? ((fc_machine_type *)t->types->pdata[m->type])->boot_s : 0;
-    /* After several leases it is not a cut any more, whoever's it was. */
-    bool lost = m->reported && fc_machine_out_of_touch(m, now - (suspect ? c->settings->lease_s * 5 : quiet)) &&
-                unkept(c, m, now - quiet);
-    bool never_up =
-        !m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s;
-    bool idle = m->settled_term == t->term.number && m->reported && fc_rent_idle(t, m, now);
-    if (!m->faulty && holds_lost_start(m, now - c->settings->lease_s * 2)) m->faulty = m->closed = true;
-    bool faulty = m->faulty && fc_machine_vacant(m) && m->settled_term == t->term.number;
-    if (idle) {
-      if (!surplus) surplus = fc_rent_surplus(t, now);
-      idle = g_hash_table_contains(surplus, m);
-    }
-    /* Begun and not ended: the machine may be gone and its record still there
-     * (fault test, seed 183: the record stayed for good). */
-    if (!lost && !never_up && !idle && !faulty && !m->releasing) continue;
+    fate f = fate_of(c, m, &doubts, &surplus, now);
+    if (f == STAYS) continue;
     m->closed = true;
-    if (!m->releasing)
-      g_info("return machine=%s lost=%d never_up=%d idle=%d faulty=%d", m->id, lost, never_up, idle, faulty);
+    if (!m->releasing) g_info("return machine=%s why=%s", m->id, why[f]);
     m->releasing = true;
     g_ptr_array_add(ids, g_strdup(m->id));
   }
-  if (ids->len == 0 || !cloud_turn(c) || !fc_may_act(c)) goto out;
-  fc_cloud_result r = fc_cloud_release(c->cloud, (const char *const *)ids->pdata, ids->len, fc_now() + 4.0);
-  if (r != FC_CLOUD_OK) goto out; /* still closed: tried again */
-  fc_write *w = fc_write_new();
-  for (guint i = 0; i < ids->len; i++) {
-    fc_machine *m = fc_table_machine(t, ids->pdata[i]);
-    if (!m || !m->version) continue;
-    fc_machine_clear(t, m); /* proved gone */
-    m->settled_term = t->term.number;
-    char *key = g_strconcat(FC_PREFIX_MACHINE, m->id, NULL);
-    fc_write_if(w, key, m->version);
-    fc_write_delete(w, key);
-    g_free(key);
-  }
-  fc_cond_broadcast(&c->round_now);
-  uint64_t revision = 0;
-  if (fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK)
-    (void)fc_wait_revision(c, revision, fc_now() + 2.0);
-  else
-    (void)fc_wait_fresh(c, fc_now() + 2.0);
-out:
+  if (ids->len > 0 && cloud_turn(c) && fc_may_act(c) &&
+      fc_cloud_release(c->cloud, (const char *const *)ids->pdata, ids->len, fc_now() + 4.0) == FC_CLOUD_OK)
+    forget_returned(c, ids); /* if not, they are still closed: tried again */
   if (surplus) g_hash_table_destroy(surplus);
   g_ptr_array_free(ids, TRUE);
 }
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -47,7 +47,8 @@
   if (!j || j->version != a->version) return NULL;
   char *handed[FC_SLICES_MAX];
   for (unsigned i = 0; i < FC_SLICES_MAX; i++) handed[i] = (a->slices >> i & 1) ? (char *)a->to[i] : j->handed[i];
-  fc_write *w = fc_write_job(j, a->version, j->phase, j->done, handed);
+  const fc_job_origin origin = {.term = j->origin.term, .moved = j->origin.moved | a->slices};
+  fc_write *w = fc_write_job(j, a->version, j->phase, j->done, handed, &origin);
   fc_write_if(w, FC_KEY_TERM, a->term);
   return w;
 }
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -129,10 +129,15 @@
   g_hash_table_destroy(listed);
   if (settles) {
     m->settled_term = t->term.number;
+    /* No view so far has shown the machine as settled, and only that is taken: a slice
+     * was handed over to one who had acknowledged a view without it, and started there
+     * again (fault test, seed 285). */
+    for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->told = t->view + 1;
     fc_cond_broadcast(&c->view_now);
     g_debug("settled machine=%s term=%" G_GUINT64_FORMAT " tasks=%u", m->id, (guint64)t->term.number,
             m->placements->len);
-    if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
+    (void)fc_table_check_settled(t);
+    fc_cond_broadcast(&c->round_now);
   }
   if (fc_machine_vacant(m)) {
     if (!m->idle_since) m->idle_since = now;
@@ -566,7 +571,7 @@
     uint32_t count = 0;
     for (uint32_t i = 0; i < j->spec.tasks; i++) count += bits[i / 8] >> (i % 8) & 1;
     fc_phase phase = count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED;
-    fc_write *w = fc_write_job(j, j->version, phase, bits, j->handed);
+    fc_write *w = fc_write_job(j, j->version, phase, bits, j->handed, &j->origin);
     g_free(bits);
     uint64_t revision = 0;
     fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 10.0, &revision);
@@ -600,6 +605,20 @@
   }
 }
 
+void fc_workers_kept(fc_controller *c, const fc_frame_kept *k, double now) {
+  fc_machine *m = fc_table_machine(c->table, k->machine);
+  if (!m) return;
+  double at = now - k->age_ms / 1000.0;
+  /* One that counts from below what has come to us is a late copy, or the machine was
+   * started anew and is kept alive in its new life. The copy may cost a lease of
+   * waiting; taking the new life for a copy started its tasks twice, for a direct
+   * start that was held back reached it (fault test, seed 158). */
+  bool old = k->session < m->session || (k->session == m->session && k->seq < m->seq);
+  m->kept_at = MAX(m->kept_at, at);
+  if (old && m->owner == c->table->self) m->probe = true;
+  if (k->hears && !old) m->kept_hears_at = MAX(m->kept_hears_at, at);
+}
+
 /* When the worker has certainly given up its tasks; INFINITY: not known. Any
  * member may answer its reports, so each has to have told us until when it did
  * not; what dead lives answered, they did before we learned of the term. */
@@ -615,6 +634,10 @@
     const fc_peer *peer = fc_peer_of(c, i);
     if (!peer || peer->covered_at < over) return INFINITY;
   }
+  /* One that was no member may have entered since we last read of it, and keep the
+   * worker alive: alone in a term, and cut off from the state service, we started its
+   * tasks again (fault test, seed 353). */
+  if (c->table->term.count < c->settings->peer_count + 1 && c->fresh_sent < over) return INFINITY;
   return over;
 }
 
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -139,7 +139,7 @@
 }
 
 json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
-                             char *const *handed) {
+                             char *const *handed, const fc_job_origin *origin) {
   json_t *to = NULL;
   for (unsigned i = 0; handed && i < slices; i++) {
     if (!handed[i]) continue;
@@ -148,8 +148,11 @@
     g_snprintf(slice, sizeof slice, "%u", i);
     json_object_set_new(to, slice, json_string(handed[i]));
   }
-  return json_pack("{si so ss ss* si so*}", "f", RECORD_FORMAT, "spec", spec_encode(spec), "phase", k_phases[phase],
-                   "done", done && *done ? done : NULL, "slices", (int)slices, "to", to);
+  json_t *v = json_pack("{si so ss ss* si so*}", "f", RECORD_FORMAT, "spec", spec_encode(spec), "phase",
+                        k_phases[phase], "done", done && *done ? done : NULL, "slices", (int)slices, "to", to);
+  if (origin && origin->term) json_object_set_new(v, "term", json_integer((json_int_t)origin->term));
+  if (origin && origin->moved) json_object_set_new(v, "moved", json_integer((json_int_t)origin->moved));
+  return v;
 }
 
 static void read_handed(fc_reader *r, fc_job_record *out) {
@@ -175,6 +178,8 @@
   out->phase = (fc_phase)name_index(&r, "phase", k_phases, G_N_ELEMENTS(k_phases));
   const char *done = fc_read_string_or_null(&r, "done", FC_TASKS_MAX * 8);
   out->slices = (unsigned)fc_read_count_or(&r, "slices", 1, FC_SLICES_MAX, 1);
+  out->origin.term = fc_read_count_or(&r, "term", 0, (uint64_t)INT64_MAX, 0);
+  out->origin.moved = (unsigned)fc_read_count_or(&r, "moved", 0, UINT32_MAX, 0);
   if (fc_reader_ok(&r)) read_handed(&r, out);
   const json_t *spec = fc_read_object(&r, "spec");
   fc_reader sr;
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -44,8 +44,14 @@
 /* The stored form: format version, description, phase, finished tasks as
  * ranges ("0-3,7"), the number of virtual jobs (slices) an array is split into,
  * and the controllers that slices were handed to, if any. */
+typedef struct fc_job_origin {
+  uint64_t term;  /* it was accepted in this term or later; 0: not known */
+  unsigned moved; /* a bit a slice: it has been handed over since */
+} fc_job_origin;
+
 typedef struct fc_job_record {
   fc_job_spec spec;
+  fc_job_origin origin;
   fc_phase phase;
   char *done; /* ranges */
   unsigned slices;
@@ -54,8 +60,9 @@
 
 /* An array is halved into virtual jobs of at least two tasks, at most `limit`. */
 unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit);
+/* `origin` NULL: not known. */
 json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
-                             char *const *handed);
+                             char *const *handed, const fc_job_origin *origin);
 bool fc_job_record_decode(const json_t *v, fc_job_record *out);
 void fc_job_record_clear(fc_job_record *r);
 
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -24,8 +24,8 @@
   for (size_t i = 0; i < t->count; i++)
     json_array_append_new(members,
                           json_pack("{ss sI}", "name", t->members[i].name, "boot", (json_int_t)t->members[i].boot));
-  return json_pack("{si sI sI so}", "f", FORMAT, "term", (json_int_t)t->number, "seed", (json_int_t)t->seed, "members",
-                   members);
+  return json_pack("{si sI sI sI so}", "f", FORMAT, "term", (json_int_t)t->number, "seed", (json_int_t)t->seed, "since",
+                   (json_int_t)t->names_since, "members", members);
 }
 
 bool fc_term_decode(const json_t *v, fc_term *out) {
@@ -34,6 +34,7 @@
   start(&r, v);
   out->number = fc_read_count(&r, "term", 1, COUNT_MOST);
   out->seed = fc_read_count(&r, "seed", 0, COUNT_MOST);
+  out->names_since = fc_read_count_or(&r, "since", 0, COUNT_MOST, out->number);
   const json_t *members = fc_read_array(&r, "members");
   if (!fc_reader_ok(&r) || json_array_size(members) > FC_MEMBERS_MAX) return false;
   for (size_t i = 0; i < json_array_size(members); i++) {
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -31,6 +31,7 @@
 typedef struct fc_term {
   uint64_t number; /* the workers' token */
   uint64_t seed;
+  uint64_t names_since;              /* the members have had these names since that term */
   fc_member members[FC_MEMBERS_MAX]; /* in order of names */
   size_t count;
 } fc_term;
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -95,7 +95,7 @@
   char error[200];
   assert_true(fc_job_spec_parse(k_good, strlen(k_good), &s, error, sizeof error));
   char *handed[4] = {NULL, NULL, (char *)"paddock-2", NULL};
-  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", 4, handed);
+  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", 4, handed, &(fc_job_origin){.term = 6, .moved = 5});
   fc_job_record r;
   assert_true(fc_job_record_decode(v, &r));
   assert_int_equal(r.phase, FC_PHASE_CANCELLED);
@@ -103,6 +103,7 @@
   assert_int_equal(r.slices, 4);
   assert_string_equal(r.handed[2], "paddock-2");
   assert_null(r.handed[0]);
+  assert_true(r.origin.term == 6 && r.origin.moved == 5);
   assert_int_equal(r.spec.tasks, 16);
   assert_true(r.spec.deadline_s == 900.0 && r.spec.zone == NULL && strcmp(r.spec.types[0], "g8") == 0);
   fc_job_record_clear(&r);
@@ -243,12 +244,16 @@
 
 static void terms_round_trip(void **state) {
   (void)state;
-  fc_term t = {.number = 3, .seed = 77, .members = {{"a", 1}, {"b", 9}}, .count = 2}, out;
+  fc_term t = {.number = 3, .seed = 77, .names_since = 2, .members = {{"a", 1}, {"b", 9}}, .count = 2}, out;
   json_t *v = fc_term_encode(&t);
   assert_true(fc_term_decode(v, &out));
   assert_int_equal(out.count, 2);
+  assert_int_equal(out.names_since, 2);
   assert_int_equal(fc_term_find(&out, "b"), 1);
   assert_int_equal(fc_term_find(&out, "c"), -1);
+  json_object_del(v, "since"); /* as records were before: not known, so only since now */
+  assert_true(fc_term_decode(v, &out));
+  assert_int_equal(out.names_since, 3);
   json_object_set_new(v, "term", json_integer(0));
   assert_false(fc_term_decode(v, &out));
   json_decref(v);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -350,6 +350,57 @@
   }
 }
 
+/* What is clear before every machine is settled: what was always ours, once ours are. */
+static void clear_at_home(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    bool ours_settled, theirs_settled;
+    uint64_t accepted, names_since; /* terms; this is the tenth */
+    unsigned moved;
+    bool other_owner, clear;
+  } rows[] = {
+      {"all are settled", true, true, 0, 10, 1, true, true},
+      {"ours are", true, false, 5, 5, 0, false, true},
+      {"ours are, but the job's term is not known", true, false, 0, 1, 0, false, false},
+      {"ours are not", false, true, 5, 5, 0, false, false},
+      {"a member has come or gone since", true, false, 5, 6, 0, false, false},
+      {"the slice has been handed over", true, false, 5, 5, 1, false, false},
+      {"another slice has been", true, false, 5, 5, 2, false, true},
+      {"it is not ours", true, false, 5, 5, 0, true, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    fc_machine *m = world_machine(t, "vm-1", "a", false), *n = world_machine(t, "vm-2", "a", false);
+    fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    j->origin = (fc_job_origin){.term = rows[i].accepted, .moved = rows[i].moved};
+    j->handed[0] = g_strdup(rows[i].other_owner ? "paddock-1" : "paddock-0");
+    g_strlcpy(n->rec.owner, "paddock-1", sizeof n->rec.owner);
+    fc_term term = {
+        .number = 10, .names_since = rows[i].names_since, .members = {{"paddock-0", 3}, {"paddock-1", 4}}, .count = 2};
+    fc_table_set_term(t, &term, 20, false, 5);
+    assert_int_equal(j->clear & 1, 0);
+    if (rows[i].ours_settled) m->settled_term = 10;
+    if (rows[i].theirs_settled) n->settled_term = 10;
+    check_row(rows[i].name, fc_table_check_settled(t) == (rows[i].ours_settled && rows[i].theirs_settled));
+    check_row(rows[i].name, (j->clear & 1) == rows[i].clear);
+    /* Read anew, after a gap in the changes, it is as clear as before. */
+    fc_job_record r = {.phase = FC_PHASE_ACCEPTED, .done = (char *)"", .slices = 1, .origin = j->origin};
+    char error[200];
+    static const char text[] =
+        "{\"id\":\"job-000002\",\"squad\":\"c\",\"club\":\"red\",\"play\":\"sweep\",\"rank\":\"high\",\"runs\":1,"
+        "\"cpus\":1,\"gpus\":1,\"memGb\":1,\"kit\":\"img\",\"pullGb\":1,\"builds\":null,\"ground\":null,"
+        "\"samePlace\":false,\"scatter\":false,\"loaners\":true,\"expectS\":1,\"markS\":0,\"stowS\":0,\"whistleS\":"
+        "null}";
+    assert_true(fc_job_spec_parse(text, strlen(text), &r.spec, error, sizeof error));
+    r.handed[0] = j->handed[0];
+    check_row(rows[i].name, (fc_table_put_job(t, "job-000002", &r, 8, false, 6)->clear & 1) == rows[i].clear);
+    fc_job_spec_clear(&r.spec);
+    fc_table_free(t);
+  }
+}
+
 /* A slice goes to a part with room only when that part has been told of
  * everything of it that may be on a machine. */
 static void handing_over(void **state) {
@@ -501,6 +552,7 @@
       cmocka_unit_test(preemption),
       cmocka_unit_test(lending_to_gangs),
       cmocka_unit_test(dealing_new_jobs),
+      cmocka_unit_test(clear_at_home),
       cmocka_unit_test(handing_over),
       cmocka_unit_test(gangs_take_turns),
   };
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -335,11 +335,20 @@
   static const struct {
     const char *name;
     double answered, session; /* ago */
+    unsigned kept_seq;        /* of a report that another member has answered; ours came with 9; 0: none */
+    double kept;              /* ago */
+    bool alone;               /* in the term; the other may have entered since our last read */
+    double read;              /* ago */
     bool over;
   } rows[] = {
-      {"answered lately", 5, 100, false},
-      {"not for a lease", 20, 100, true},
-      {"not for a lease, in a new session", 20, 5, false},
+      {"answered lately", 5, 100, 0, 0, false, 0, false},
+      {"not for a lease", 20, 100, 0, 0, false, 0, true},
+      {"not for a lease, in a new session", 20, 5, 0, 0, false, 0, false},
+      {"another has kept it", 20, 100, 10, 5, false, 0, false},
+      {"another has kept it, in a life that counts anew", 20, 100, 1, 5, false, 0, false},
+      {"a copy that came to another long ago", 20, 100, 1, 20, false, 0, true},
+      {"alone, having read of nobody who entered", 20, 100, 0, 0, true, 0, true},
+      {"alone, and somebody may have entered", 20, 100, 0, 0, true, 10, false},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     bench *b = bench_new();
@@ -352,12 +361,38 @@
     b->c.term_since = m->owned_since = now - 100;
     m->answered_at = now - rows[i].answered;
     m->session_from = now - rows[i].session;
+    m->reported = true;
+    m->session = 1;
+    m->seq = 9;
+    b->c.fresh_sent = now - rows[i].read;
+    if (rows[i].alone) t->term.count = 1;
+    fc_frame_kept k = {.machine = "vm-1", .age_ms = (uint32_t)(rows[i].kept * 1000), .session = 1};
+    k.seq = rows[i].kept_seq;
+    if (k.seq) fc_workers_kept(&b->c, &k, now);
     fc_workers_expire(&b->c);
     check_row(rows[i].name, (m->placements->len == 0) == rows[i].over);
     bench_free(b);
   }
 }
 
+/* What was placed before the machine is settled is in no view that anybody has taken. */
+static void settled_is_news(void **state) {
+  (void)state;
+  bench *b = bench_new();
+  fc_table *t = b->c.table;
+  fc_machine *m = world_machine(t, "vm-1", "a", false);
+  m->settled_term = 0;
+  fc_placement *p = fc_table_place(t, m, "job-000001", 0, 1, 0);
+  p->sent = true;
+  t->view = 7; /* views that showed the machine as not settled */
+  GString *out = g_string_new(NULL);
+  assert_int_equal(report(b, 1, 1, 5, RUNNING(0), out), 200);
+  assert_int_equal(m->settled_term, 5);
+  assert_int_equal(p->told, 8);
+  g_string_free(out, TRUE);
+  bench_free(b);
+}
+
 /* A report that does not fit the machine's record: refused at once, nothing placed. */
 static void contradicting_report(void **state) {
   (void)state;
@@ -383,6 +418,7 @@
       cmocka_unit_test(deaf_machines),
       cmocka_unit_test(machine_started_anew),
       cmocka_unit_test(lease_over),
+      cmocka_unit_test(settled_is_news),
       cmocka_unit_test(contradicting_report),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
