--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -89,6 +89,7 @@
   bool reported;         /* a report has come to us since we became its owner */
   double session_from;   /* when we first heard of the session: its lease began no later */
   double answered_at;    /* when we last answered a report with 200 */
+  uint64_t answered_on;  /* the number of the connection we did it on */
   double kept_at;        /* when another member last did, as far as it told us */
   double redirected_at;  /* when we last sent its worker to its owner */
   double owned_since;    /* when we became its owner, as far as we know */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -18,6 +18,7 @@
 #include "protocol/json.h"
 #include "protocol/settings.h"
 #include "protocol/state_api.h"
+#include "transport/http.h"
 #include "transport/routine.h"
 
 typedef struct fc_peer {
@@ -130,7 +131,7 @@
 fc_view_fate fc_view_take(fc_controller *c, const fc_view *v);
 
 /* workers.c */
-void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out);
+void fc_workers_report(fc_controller *c, const fc_http_request *req, int *status, GString *out);
 /* Sends what the machine is owed (starts, stops, clears) or, when it is not
  * settled yet, an empty command that fences it. */
 void fc_workers_push(fc_controller *c, fc_machine *m);
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -266,7 +266,7 @@
   res->close = req->crowded && route != FC_ROUTE_REPORT;
   switch (route) {
     case FC_ROUTE_REPORT:
-      fc_workers_report(c, req->body, req->body_len, &res->status, res->body);
+      fc_workers_report(c, req, &res->status, res->body);
       break;
     case FC_ROUTE_SUBMIT:
       submit(c, req, res);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -241,7 +241,7 @@
  * is started nowhere. */
 static bool unheard(const fc_controller *c, const fc_machine *m, double now) {
   double quiet = MAX(c->settings->lease_s * 0.4, c->settings->report_s * 2);
-  return m->announced && !m->reported && m->settled_term != c->table->term.number && now > m->owned_since + quiet;
+  return m->announced && !m->reported && now > m->owned_since + quiet;
 }
 
 typedef struct mute_count {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -191,12 +191,16 @@
   return out;
 }
 
-/* A worker without an answer for FC_WORKER_PATIENCE_S reports to the next member.
- * So one that is here again sooner than that has heard our last answer; that its
- * reports arrive shows nothing (a machine may be deaf). */
-static void note_hearing(const fc_controller *c, fc_machine *m) {
+/* A worker without an answer for FC_WORKER_PATIENCE_S reports to the next member, and
+ * no request comes on a connection before the last answer was read there. So one that
+ * is here again sooner than that, or on the same connection, has heard our last
+ * answer; that its reports arrive shows nothing (a machine may be deaf). Where reports
+ * are further apart than that patience, time alone never shows it, and every machine was
+ * asked directly between any two of its reports. */
+static void note_hearing(const fc_controller *c, fc_machine *m, uint64_t connection) {
   double now = fc_now(), gap = now - m->answered_at;
-  if (m->answered_at && gap < FC_WORKER_PATIENCE_S && gap < c->settings->report_s * 2) {
+  bool soon = gap < FC_WORKER_PATIENCE_S, same = connection && connection == m->answered_on;
+  if (m->answered_at && (soon || same) && gap < c->settings->report_s * 2) {
     m->deaf_since = 0;
   } else if (!m->deaf_since) {
     m->deaf_since = now;
@@ -329,8 +333,8 @@
 
 /* Any member in its right may keep a worker's lease alive and stop what must not
  * run; starting and clearing are the owner's alone. */
-static void keep(fc_controller *c, fc_machine *m, const fc_worker_report *r, GString *out) {
-  note_hearing(c, m);
+static void keep(fc_controller *c, fc_machine *m, const fc_worker_report *r, uint64_t connection, GString *out) {
+  note_hearing(c, m, connection);
   m->session = r->session;
   m->seq = r->seq;
   GArray *commands = g_array_new(FALSE, TRUE, sizeof(fc_command));
@@ -342,6 +346,7 @@
     g_array_append_val(commands, cmd);
   }
   m->answered_at = fc_now();
+  m->answered_on = connection;
   g_debug("keep machine=%s owner=%d", m->id, m->owner);
   fc_worker_answer(out, c->table->term.number, (const fc_command *)commands->data, commands->len);
   g_array_free(commands, TRUE);
@@ -355,11 +360,11 @@
   return false;
 }
 
-void fc_workers_report(fc_controller *c, const char *body, size_t len, int *status, GString *out) {
+void fc_workers_report(fc_controller *c, const fc_http_request *req, int *status, GString *out) {
   fc_worker_report r;
   char error[200];
   fc_table *t = c->table;
-  if (!fc_worker_report_parse(body, len, &r, error, sizeof error)) {
+  if (!fc_worker_report_parse(req->body, req->body_len, &r, error, sizeof error)) {
     *status = 400;
     g_string_append(out, "{\"error\":\"malformed report\"}");
     g_info("malformed report: %s", error);
@@ -383,7 +388,7 @@
     } else if (!newer(m, &r)) {
       goto refused; /* a copy: no sign of life, and nobody waits for the answer */
     } else {
-      keep(c, m, &r, out);
+      keep(c, m, &r, req->connection, out);
       *status = 200;
     }
     goto out;
@@ -392,12 +397,12 @@
   if (m->reborn && m->settled_term == t->term.number) {
     /* A late report of its earlier life would look newer than its own: only its
      * answers to direct commands tell what it holds (fault test, seed 38). */
-    note_hearing(c, m);
+    note_hearing(c, m, req->connection);
     m->answered_at = fc_now();
     m->probe = true;
     fc_workers_push(c, m);
   } else if (is_newer) {
-    note_hearing(c, m);
+    note_hearing(c, m, req->connection);
     adopt(c, m, &r, true);
     m->answered_at = fc_now();
   } else {
@@ -412,6 +417,7 @@
     m->answered_at = MAX(m->answered_at, m->heard_at);
   }
   announce(c, m);
+  m->answered_on = req->connection;
   *status = 200;
   if (commands_too && m->settled_term == t->term.number) {
     GArray *commands = commands_for(c, m, false, r.seq);
--- a/src/transport/conn.c
+++ b/src/transport/conn.c
@@ -16,6 +16,7 @@
 
 struct fc_conn {
   const listener *from; /* NULL: we connected */
+  uint64_t number;
   int fd;
   ev_io io;
   int wanted;      /* events the routine waits for */
@@ -56,6 +57,8 @@
     close(fd);
     return NULL;
   }
+  static uint64_t last_number;
+  c->number = ++last_number;
   c->fd = fd;
   int one = 1;
   /* Best effort: without it messages are only slower. */
@@ -142,6 +145,10 @@
   free(c);
 }
 
+uint64_t fc_conn_number(const fc_conn *c) {
+  return c->number;
+}
+
 struct listener {
   ev_io io;
   fc_conn_fn on_conn;
--- a/src/transport/conn.h
+++ b/src/transport/conn.h
@@ -23,6 +23,8 @@
 bool fc_conn_write(fc_conn *c, const void *buf, size_t size, double deadline);
 /* True when the other side has closed an idle connection, or sent unasked. */
 bool fc_conn_stale(fc_conn *c);
+/* A number of its own. */
+uint64_t fc_conn_number(const fc_conn *c);
 /* Does its listener have little room left for new connections? */
 bool fc_conn_crowded(const fc_conn *c);
 void fc_conn_close(fc_conn *c);
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -17,7 +17,9 @@
   const char *query; /* "" when there is none */
   const char *body;  /* ends with a NUL that is not counted */
   size_t body_len;
-  bool crowded; /* few connections are left: better to close this one */
+  uint64_t connection; /* its number: never that of another. No request comes on one before the
+                          answer to the last has been read there; 0: not known */
+  bool crowded;        /* few connections are left: better to close this one */
 } fc_http_request;
 
 typedef struct fc_http_response {
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -151,6 +151,7 @@
       .query = query ? query : "",
       .body = x->body->str,
       .body_len = x->body->len,
+      .connection = fc_conn_number(c),
       .crowded = fc_conn_crowded(c),
   };
   fc_http_response res = {.status = 500, .body = g_string_new(NULL)};
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -56,6 +56,7 @@
   double last_ok; /* when the last answered report was sent */
   GPtrArray *tasks;
   int node;
+  uint64_t connection; /* to it; 0: none yet */
   double next_report, sent_at, last_sent;
   uint64_t sent_session;
   unsigned life, sent_life; /* one more each time it is back at once */
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -40,8 +40,12 @@
 void sim_answer(struct sim_exchange *x, int status, const char *body);
 
 /* A stand-in's client; status 0: no answer within the time. */
+/* A number for a connection that calls go on as long as they are answered. */
+uint64_t sim_connection(void);
 typedef void (*sim_reply_fn)(int status, const char *body, void *arg);
 void sim_call(uint32_t from, uint32_t to, const char *method, const char *path, const char *body, double timeout,
               sim_reply_fn fn, void *arg);
+void sim_call_on(uint64_t connection, uint32_t from, uint32_t to, const char *path, const char *body, double timeout,
+                 sim_reply_fn fn, void *arg);
 
 #endif
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -336,6 +336,7 @@
 typedef struct sim_exchange {
   uint32_t from, to;
   uint16_t port;
+  uint64_t connection; /* 0: one of its own */
   char *method, *path, *body;
   bool answered, given_up;
   int status;
@@ -391,8 +392,12 @@
   char *path = g_strdup(x->path);
   char *query = strchr(path, '?');
   if (query) *query++ = '\0';
-  fc_http_request req = {
-      .method = x->method, .path = path, .query = query ? query : "", .body = x->body, .body_len = strlen(x->body)};
+  fc_http_request req = {.method = x->method,
+                         .path = path,
+                         .query = query ? query : "",
+                         .body = x->body,
+                         .body_len = strlen(x->body),
+                         .connection = x->connection};
   fc_http_response res = {.status = 500, .body = g_string_new(NULL)};
   s->handler(&req, &res, s->arg);
   x->retry_after_s = res.retry_after_s;
@@ -455,6 +460,20 @@
   if (fn) fn(0, "", x->fn_arg);
 }
 
+uint64_t sim_connection(void) {
+  static uint64_t last;
+  return ++last;
+}
+
+void sim_call_on(uint64_t connection, uint32_t from, uint32_t to, const char *path, const char *body, double timeout,
+                 sim_reply_fn fn, void *arg) {
+  sim_exchange *x = send_request(from, to, 8080, "POST", path, body, strlen(body));
+  x->connection = connection;
+  x->fn = fn;
+  x->fn_arg = arg;
+  sim_after(timeout, call_timeout, x);
+}
+
 void sim_call(uint32_t from, uint32_t to, const char *method, const char *path, const char *body, double timeout,
               sim_reply_fn fn, void *arg) {
   sim_exchange *x = send_request(from, to, 8080, method, path, body, body ? strlen(body) : 0);
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -185,6 +185,7 @@
 
 static void on_report_reply(int status, const char *body, void *arg) {
   worker *w = arg;
+  if (status != 200) w->connection = 0;
   if (w->sent_life != w->life) return; /* the connection is gone with the earlier life */
   w->in_flight = false;
   if (!alive(w)) return;
@@ -242,7 +243,8 @@
   w->changed = false;
   w->next_report = sim_now() + REPORT_S * sim_draw(0.75, 1.25);
   char *s = report_of(w);
-  sim_call(w->ip, WORLD_NODE_IP(w->node), "POST", "/checkin", s, 4, on_report_reply, w);
+  if (!w->connection) w->connection = sim_connection();
+  sim_call_on(w->connection, w->ip, WORLD_NODE_IP(w->node), "/checkin", s, 4, on_report_reply, w);
   if (sim_chance(g_copies)) {
     copy *c = g_new(copy, 1);
     *c = (copy){w->ip, WORLD_NODE_IP(sim_chance(0.5) ? w->node : world_any_node()), g_strdup(s)};
@@ -259,6 +261,7 @@
   w->seq = w->token = 0;
   w->last_ok = w->next_report = sim_now();
   w->in_flight = false;
+  w->connection = 0;
   w->node = world_any_node();
 }
 
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -9,6 +9,7 @@
 typedef struct bench {
   fc_settings settings;
   fc_controller c;
+  uint64_t connection; /* that reports come on */
 } bench;
 
 /* A controller in its right, in term 5, as paddock-0 beside paddock-1. */
@@ -48,7 +49,8 @@
       session, seq, token, runs);
   int status = 0;
   g_string_truncate(out, 0);
-  fc_workers_report(&b->c, text, strlen(text), &status, out);
+  const fc_http_request req = {.body = text, .body_len = strlen(text), .connection = b->connection};
+  fc_workers_report(&b->c, &req, &status, out);
   g_free(text);
   return status;
 }
@@ -279,12 +281,18 @@
   static const struct {
     const char *name;
     double since_answer, deaf_for; /* before the report; < 0: not in doubt */
+    uint64_t before, now;          /* the connections of our last answer and of the report */
+    double report_s;
     bool in_doubt, usable;
   } rows[] = {
-      {"here again in time", 2, -1, false, true},
-      {"here again in time after a doubt", 2, 9, false, true},
-      {"after its patience", 5, -1, true, true}, /* one answer may be lost */
-      {"after its patience once more", 5, 6, true, false},
+      {"here again in time", 2, -1, 1, 2, 2, false, true},
+      {"here again in time after a doubt", 2, 9, 1, 2, 2, false, true},
+      {"after its patience", 5, -1, 1, 2, 2, true, true}, /* one answer may be lost */
+      {"after its patience once more", 5, 6, 1, 2, 2, true, false},
+      {"reports are far apart, on another connection", 6, -1, 1, 2, 6, true, true},
+      {"reports are far apart, on the same connection", 6, 9, 7, 7, 6, false, true},
+      {"on the same connection after very long", 13, -1, 7, 7, 6, true, true},
+      {"on a connection that is not known", 6, -1, 0, 0, 6, true, true},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     bench *b = bench_new();
@@ -292,6 +300,9 @@
     fc_machine *m = world_machine(t, "vm-1", "a", false);
     double now = fc_now() + 100;
     m->answered_at = fc_now() - rows[i].since_answer;
+    m->answered_on = rows[i].before;
+    b->connection = rows[i].now;
+    b->settings.report_s = rows[i].report_s;
     if (rows[i].deaf_for >= 0) m->deaf_since = fc_now() - rows[i].deaf_for;
     GString *out = g_string_new(NULL);
     assert_int_equal(report(b, 1, 1, 5, "", out), 200);
