--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -64,13 +64,14 @@
   double term_since; /* when we learned of the present term */
 
   bool loaded;
-  uint64_t revision; /* everything up to here is in the table */
-  double fresh_sent; /* when the last successful read of changes was sent */
-  unsigned readers;  /* routines that wait for a fresh read */
-  fc_cond changed;   /* a read of changes was applied */
-  fc_cond round_now; /* a job or room arrived: place at once */
-  fc_cond view_now;  /* peers should hear of a change */
-  fc_cond read_now;  /* somebody waits for a fresh read */
+  uint64_t revision;                  /* everything up to here is in the table */
+  double fresh_sent;                  /* when the last successful read of changes was sent */
+  unsigned readers;                   /* routines that wait for a fresh read */
+  fc_cond changed;                    /* a read of changes was applied */
+  fc_cond round_now;                  /* a job or room arrived: place at once */
+  fc_cond view_now;                   /* peers should hear of a change */
+  uint64_t round_events, view_events; /* how often that was said */
+  fc_cond read_now;                   /* somebody waits for a fresh read */
 
   /* While a write of ours is undecided, the lower of it and the record counts. */
   double share_cap_cpus[FC_TEAMS_MAX], share_cap_gpus[FC_TEAMS_MAX];
@@ -79,6 +80,8 @@
 
   fc_counts counts;
   fc_metrics metrics;
+  unsigned giving[FC_MEMBERS_MAX]; /* machines whose records, being written, give them to these */
+  unsigned pushing;                /* direct calls to workers under way */
   uint64_t attempt_counter;
   uint64_t hire_counter;
   double started_at;
@@ -95,6 +98,11 @@
 fc_peer *fc_peer_of(fc_controller *c, int member);
 /* Does the member act, and know what is new? True for ourselves. */
 bool fc_member_fit(fc_controller *c, int member);
+/* Say that there is something to place, to tell peers. What is said while a round or an
+ * exchange is under way counts for the next: it was lost, and a job that came then waited
+ * for the next regular one. */
+void fc_round_soon(fc_controller *c);
+void fc_views_soon(fc_controller *c);
 /* Waits until everything that was committed before this call is in the table. */
 bool fc_wait_fresh(fc_controller *c, double deadline);
 /* Waits until the table holds the given revision. */
@@ -135,6 +143,8 @@
 /* Sends what the machine is owed (starts, stops, clears) or, when it is not
  * settled yet, an empty command that fences it. */
 void fc_workers_push(fc_controller *c, fc_machine *m);
+/* Is there a socket for it? */
+bool fc_workers_may_push(const fc_controller *c, const fc_machine *m);
 /* Marks the task to be stopped with time to save; it is told by the next push or
  * answer. */
 void fc_workers_stop(const fc_controller *c, fc_placement *p);
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -103,6 +103,11 @@
   return false;
 }
 
+void fc_views_soon(fc_controller *c) {
+  c->view_events++;
+  fc_cond_broadcast(&c->view_now);
+}
+
 static void link_main(void *arg) {
   link_arg *l = arg;
   fc_controller *c = l->c;
@@ -110,6 +115,7 @@
   fc_conn *conn = NULL;
   while (!fc_routine_cancelled()) {
     double began = fc_now();
+    uint64_t events = c->view_events;
     c->counts.exchanges++;
     if (!conn) conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5);
     if (conn && !exchange(c, l->peer, conn, ++seq)) {
@@ -118,7 +124,8 @@
     }
     /* At most ten exchanges in a report interval, at least two. */
     double least = began + c->settings->report_s * 0.1;
-    (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.5 : 0.2));
+    if (events == c->view_events || !conn)
+      (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.5 : 0.2));
     double now = fc_now();
     if (now < least) (void)fc_routine_sleep(least - now);
   }
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -223,7 +223,7 @@
     (void)fc_wait_fresh(c, fc_now() + 2.0);
   }
   if (r != FC_STATE_OK && r != FC_STATE_UNKNOWN) lift_caps(c);
-  fc_cond_broadcast(&c->round_now);
+  fc_round_soon(c);
 }
 
 /* Has every other member's present life acknowledged this term? */
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -327,7 +327,7 @@
     m->settled_term = t->term.number;
   }
   (void)fc_table_check_settled(t);
-  fc_cond_broadcast(&c->round_now);
+  fc_round_soon(c);
   uint64_t revision = 0;
   bool ok = true;
   for (guint i = 0; i < ids->len && ok;) {
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -106,7 +106,7 @@
     g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", d->job->spec.id, d->index, (guint64)attempt,
             d->machine->id);
   }
-  if (plan->len > 0) fc_cond_broadcast(&c->view_now);
+  if (plan->len > 0) fc_views_soon(c);
   fc_image_search_free(search);
   g_array_free(plan, TRUE);
   send_stops(c, stops, push);
@@ -216,6 +216,11 @@
          w.waited_s);
 }
 
+void fc_round_soon(fc_controller *c) {
+  c->round_events++;
+  fc_cond_broadcast(&c->round_now);
+}
+
 void fc_round_main(void *arg) {
   fc_controller *c = arg;
   double logged_at = fc_now();
@@ -223,13 +228,16 @@
   double least = c->settings->op.round_s * 0.05;
   while (!fc_routine_cancelled()) {
     double began = fc_now();
+    uint64_t events = c->round_events;
     if (fc_may_act(c)) tick(c);
-    fc_metrics_time(&c->metrics, FC_TIME_ROUND, fc_now() - began);
+    double took = fc_now() - began;
+    fc_metrics_time(&c->metrics, FC_TIME_ROUND, took);
     if (fc_now() > logged_at + c->settings->lease_s) {
       log_status(c);
       logged_at = fc_now();
     }
-    (void)fc_routine_sleep(least);
-    (void)fc_cond_wait(&c->round_now, fc_now() + c->settings->op.round_s - least);
+    /* Rounds leave most of the processor to reports, which come before decisions. */
+    (void)fc_routine_sleep(MAX(least, took * 4));
+    if (events == c->round_events) (void)fc_cond_wait(&c->round_now, began + c->settings->op.round_s);
   }
 }
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -59,7 +59,7 @@
   write_decided(c, make_handover, a);
   fc_job *j = fc_table_job(c->table, a->id);
   if (j) j->handing = 0;
-  fc_cond_broadcast(&c->round_now);
+  fc_round_soon(c);
   g_free(a);
 }
 
--- a/src/controller/view.c
+++ b/src/controller/view.c
@@ -171,6 +171,6 @@
     if (!m || m->owner != sender || !f->settled) continue;
     apply_machine(c, m, f);
   }
-  if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
+  if (fc_table_check_settled(t)) fc_round_soon(c);
   return FC_VIEW_TAKEN;
 }
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -34,7 +34,7 @@
   }
   g_info("term number=%" G_GUINT64_FORMAT " members=%zu self=%d continuous=%d", (guint64)term.number, term.count,
          c->table->self, continuous);
-  fc_cond_broadcast(&c->view_now);
+  fc_views_soon(c);
 }
 
 static void apply_job(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
@@ -54,7 +54,7 @@
   bool fresh = ordered && c->table->term_version && ch->version > c->table->term_version;
   fc_job *j = fc_table_put_job(c->table, id, &r, ch->version, fresh, fc_now());
   fc_job_record_clear(&r);
-  if (j) fc_cond_broadcast(&c->round_now);
+  if (j) fc_round_soon(c);
 }
 
 static void apply_machine(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -39,7 +39,7 @@
   }
   g_debug("exit task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d", p->job_id, p->index, (guint64)p->attempt,
           m->id, p->cause);
-  fc_cond_broadcast(&c->round_now);
+  fc_round_soon(c);
 }
 
 /* A finished task's end has to be in the state service before it is cleared. */
@@ -66,7 +66,7 @@
     g_debug("running task=%s/%u machine=%s", p->job_id, p->index, p->machine->id);
   }
   if (r->state == FC_TASK_RUNNING && p->job) fc_machine_used_image(p->machine, p->job->spec.image);
-  if (p->state != r->state || p->cause != r->cause) fc_cond_broadcast(&c->view_now);
+  if (p->state != r->state || p->cause != r->cause) fc_views_soon(c);
   p->state = r->state;
   p->cause = r->cause;
   if (exited) note_exit(c, p);
@@ -122,8 +122,8 @@
     }
     if (gone) {
       fc_table_unplace(t, p);
-      fc_cond_broadcast(&c->round_now);
-      fc_cond_broadcast(&c->view_now);
+      fc_round_soon(c);
+      fc_views_soon(c);
     }
   }
   g_hash_table_destroy(listed);
@@ -133,11 +133,11 @@
      * was handed over to one who had acknowledged a view without it, and started there
      * again (fault test, seed 285). */
     for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->told = t->view + 1;
-    fc_cond_broadcast(&c->view_now);
+    fc_views_soon(c);
     g_debug("settled machine=%s term=%" G_GUINT64_FORMAT " tasks=%u", m->id, (guint64)t->term.number,
             m->placements->len);
     (void)fc_table_check_settled(t);
-    fc_cond_broadcast(&c->round_now);
+    fc_round_soon(c);
   }
   if (fc_machine_vacant(m)) {
     if (!m->idle_since) m->idle_since = now;
@@ -255,7 +255,7 @@
     (void)fc_wait_revision(c, revision, fc_now() + c->settings->report_s);
   m = fc_table_machine(c->table, a.id);
   if (m) m->announcing = false;
-  fc_cond_broadcast(&c->round_now);
+  fc_round_soon(c);
 }
 
 static void announce(fc_controller *c, fc_machine *m) {
@@ -303,11 +303,17 @@
   g_strlcpy(rec.endpoint, r->endpoint, sizeof rec.endpoint);
   g_strlcpy(rec.type, r->type, sizeof rec.type);
   g_strlcpy(rec.zone, r->zone, sizeof rec.zone);
-  unsigned count[FC_MEMBERS_MAX] = {0};
+  /* Those on their way count too: a fleet that reports at once, all for the first time,
+   * went by hundreds to whoever had the fewest a moment ago. */
+  unsigned count[FC_MEMBERS_MAX];
+  for (size_t i = 0; i < FC_MEMBERS_MAX; i++) count[i] = c->giving[i] * 1000;
   g_strlcpy(rec.owner, fc_even_owner(t, r->machine, r->type, r->zone, r->spot, count), sizeof rec.owner);
+  int to = fc_term_find(&t->term, rec.owner);
+  if (to >= 0) c->giving[to]++;
   fc_write *w = fc_write_machine(r->machine, 0, t->term_version, &rec);
   uint64_t revision = 0;
   fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 2.0, &revision);
+  if (to >= 0) c->giving[to]--;
   /* The table may have changed meanwhile: look the machine up again. */
   m = fc_table_machine(t, r->machine);
   if (m) m->writing = false;
@@ -505,16 +511,29 @@
   }
   fc_machine *m = fc_table_machine(t, a.id);
   if (m) m->ordering = false;
+  c->pushing--;
+}
+
+/* Direct calls take a socket each, and those to machines that say nothing keep it for
+ * as long as a call may take: after a takeover in a fleet of thousands they would take
+ * all there are, those to the state service too. Fences and questions get half of the
+ * eighth kept for calls, so that starts and stops always find some; what finds none is
+ * called in a later round. */
+bool fc_workers_may_push(const fc_controller *c, const fc_machine *m) {
+  unsigned most = MAX(c->settings->fd_limit / 8, 2);
+  return c->pushing < (m->settled_term == c->table->term.number && !m->probe ? most : most / 2);
 }
 
 void fc_workers_push(fc_controller *c, fc_machine *m) {
-  if (m->ordering || m->owner != c->table->self || !m->rec.endpoint[0]) return;
+  if (m->ordering || m->owner != c->table->self || !m->rec.endpoint[0] || !fc_workers_may_push(c, m)) return;
   push_arg *a = g_new0(push_arg, 1);
   a->c = c;
   g_strlcpy(a->id, m->id, sizeof a->id);
   m->ordering = true;
+  c->pushing++;
   if (!fc_routine_spawn(push_main, a)) {
     m->ordering = false;
+    c->pushing--;
     g_free(a);
   }
 }
@@ -661,7 +680,7 @@
       if (m->announced) g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
       fc_machine_clear(t, m);
       m->settled_term = t->term.number;
-      if (fc_table_check_settled(t)) fc_cond_broadcast(&c->round_now);
+      if (fc_table_check_settled(t)) fc_round_soon(c);
     }
   }
 }
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -56,6 +56,7 @@
     size_t i;
     json_array_foreach(json_object_get(v, "paddocks"), i, id) {
       worker *w = g_hash_table_lookup(g_workers, json_string_value(id));
+      if (w && !w->returned_at) w->returned_at = sim_now();
       if (w) w->gone = true;
     }
     json_decref(v);
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -51,6 +51,7 @@
   uint32_t ip;
   int zone;
   bool spot, up, gone;
+  double returned_at; /* 0: not */
   double born, up_at, hang_until, deaf_until, notice_at, taken_at;
   uint64_t session, seq, token, told_token;
   double last_ok; /* when the last answered report was sent */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -3,6 +3,7 @@
 #ifndef FC_TESTS_WORLD_SIM_H
 #define FC_TESTS_WORLD_SIM_H
 
+#include "controller/controller.h"
 #include "sim.h"
 
 #define IP(a, b, c, d) ((uint32_t)(a) << 24 | (uint32_t)(b) << 16 | (uint32_t)(c) << 8 | (uint32_t)(d))
@@ -29,6 +30,11 @@
 bool world_give_notice(double in_s); /* to a cheap machine in use */
 unsigned world_ended(const char *cause);
 void world_capacity(unsigned ordinary, unsigned spot); /* of a zone */
+/* A deployment of that many machines, instead of the small one: to be said before the
+ * controllers start. */
+void world_large(unsigned machines);
+/* What a controller has counted since its last start. */
+fc_counts world_counts(unsigned node);
 void world_machines_up(unsigned zone, unsigned count); /* ordinary ones, there from the start */
 void world_submit(const char *id, const char *kind, const char *rank, unsigned tasks, double gpus, double run_s,
                   double in_s);
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -404,6 +404,34 @@
   bench_free(b);
 }
 
+/* Direct calls leave sockets for the rest, and fences leave some for commands. */
+static void calls_take_their_share(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned limit, under_way;
+    bool settled, probe, may;
+  } rows[] = {
+      {"the last for a command", 800, 99, true, false, true},
+      {"none left", 800, 100, true, false, false},
+      {"one over", 800, 101, true, false, false},
+      {"the last for a fence", 800, 49, false, false, true},
+      {"fences have theirs", 800, 50, false, false, false},
+      {"and so have questions", 800, 50, true, true, false},
+      {"few sockets in all", 8, 1, true, false, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    if (!rows[i].settled) m->settled_term = 0;
+    m->probe = rows[i].probe;
+    b->settings.fd_limit = rows[i].limit;
+    b->c.pushing = rows[i].under_way;
+    check_row(rows[i].name, fc_workers_may_push(&b->c, m) == rows[i].may);
+    bench_free(b);
+  }
+}
+
 /* A report that does not fit the machine's record: refused at once, nothing placed. */
 static void contradicting_report(void **state) {
   (void)state;
@@ -430,6 +458,7 @@
       cmocka_unit_test(machine_started_anew),
       cmocka_unit_test(lease_over),
       cmocka_unit_test(settled_is_news),
+      cmocka_unit_test(calls_take_their_share),
       cmocka_unit_test(contradicting_report),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
