--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -290,10 +290,16 @@
   return MAX(s->lease_s * 0.6, 3 * s->report_s);
 }
 
+bool fc_machine_unheard(const fc_table *t, const fc_machine *m, double now) {
+  double quiet = MAX(t->settings->lease_s * 0.4, t->settings->report_s * 2);
+  return m->announced && !m->reported && now > m->owned_since + quiet;
+}
+
 bool fc_machine_mute(const fc_table *t, const fc_machine *m, double now) {
   if (m->owner != t->self) return m->remote_mute;
+  if (!m->reported) return fc_machine_unheard(t, m, now);
   double least = MAX(fc_machine_quiet_s(t->settings) - 2 * t->settings->report_s, 1.5 * t->settings->report_s);
-  return m->reported && (m->deaf_since || fc_machine_out_of_touch(m, now - least));
+  return m->deaf_since || fc_machine_out_of_touch(m, now - least);
 }
 
 bool fc_machine_in_touch(const fc_table *t, const fc_machine *m, double now) {
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -185,6 +185,12 @@
  * try another member when it can't reach us (two failed reports), shorter than its
  * lease: returning it is the quickest proof that its tasks are gone. */
 double fc_machine_quiet_s(const fc_settings *s);
+/* A machine that we own since a while, as its recorded address says it was up, and that
+ * has not said a word to us: from before our life, dead or out of reach. A live one
+ * has by then failed to answer several direct questions, and has had the time to
+ * come to another member, who would have told us. Until it is gone, what may be on it
+ * is started nowhere. */
+bool fc_machine_unheard(const fc_table *t, const fc_machine *m, double now);
 /* On the way there, or in any doubt. Those are counted before any is returned, or the first would
  * be gone before it showed that most of them are silent together. */
 bool fc_machine_mute(const fc_table *t, const fc_machine *m, double now);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -237,16 +237,6 @@
   return false;
 }
 
-/* A machine that we own since a while, as its recorded address says it was up, and that
- * has not said a word to us: from before our life, dead or out of reach. A live one
- * has by then failed to answer several direct questions, and has had the time to
- * come to another member, who would have told us. Until it is gone, what may be on it
- * is started nowhere. */
-static bool unheard(const fc_controller *c, const fc_machine *m, double now) {
-  double quiet = MAX(c->settings->lease_s * 0.4, c->settings->report_s * 2);
-  return m->announced && !m->reported && now > m->owned_since + quiet;
-}
-
 typedef struct mute_count {
   unsigned all, mute;
 } mute_count;
@@ -275,12 +265,12 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    bool ours = m->owner == t->self, silent = ours && unheard(c, m, now);
+    bool ours = m->owner == t->self, silent = ours && fc_machine_unheard(t, m, now);
     if (!m->version || !m->announced || m->owner < 0 || (ours && !m->reported && !silent)) continue;
     /* Of others' machines we know as much as they tell us: those of a member that is cut
      * off too once counted as well, and half a zone was returned (fleet day "zone"). */
     if (!ours && (m->settled_term != t->term.number || !fc_member_fit(c, m->owner))) continue;
-    bool mute = silent || fc_machine_mute(t, m, now);
+    bool mute = fc_machine_mute(t, m, now);
     count_mute(&fleet, mute);
     count_mute(&zones[m->zone], mute);
     if (ours) count_mute(&mine, mute);
@@ -302,7 +292,8 @@
   bool patient = doubts->all || doubts->zone[m->zone];
   double after = patient ? c->settings->lease_s * 5 : quiet;
   if (m->reported && fc_machine_out_of_touch(m, now - after) && unkept(c, m, now - quiet)) return LOST;
-  if (unheard(c, m, now) && (!patient || now > m->owned_since + after) && unkept(c, m, m->owned_since)) return LOST;
+  if (fc_machine_unheard(t, m, now) && (!patient || now > m->owned_since + after) && unkept(c, m, m->owned_since))
+    return LOST;
   if (!m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s)
     return NEVER_UP;
   if (!m->faulty && holds_lost_start(m, now - c->settings->lease_s * 2)) m->faulty = m->closed = true;
