--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -129,6 +129,10 @@
   for (unsigned i = from; i < to; i++) ((worker *)g_order->pdata[i])->deaf_until = sim_now() + for_s;
 }
 
+void world_kill(unsigned from, unsigned to) {
+  for (unsigned i = from; i < to; i++) ((worker *)g_order->pdata[i])->gone = true;
+}
+
 unsigned world_gone(unsigned from, unsigned to) {
   unsigned n = 0;
   for (unsigned i = from; i < to; i++) n += ((worker *)g_order->pdata[i])->gone;
@@ -140,8 +144,13 @@
   g_capacity_spot = spot;
 }
 
+void world_keep_idle(void) {
+  for (int n = 0; n < WORLD_NODES; n++) g_settings[n].op.idle_keep_share = 1e6;
+}
+
 void world_large(unsigned machines) {
   world_capacity(machines / 2, 0);
+  world_keep_idle();
   for (int n = 0; n < WORLD_NODES; n++) {
     fc_settings *s = &g_settings[n];
     s->state_rps = 500;
@@ -151,8 +160,7 @@
     s->cloud_rps = 6;
     s->teams[0].gpus = machines;
     s->teams[1].gpus = s->teams[1].gpus_max = 0;
-    s->op.rent = false; /* what there is, and all of it */
-    s->op.idle_keep_share = 1e6;
+    s->op.rent = false; /* what there is */
   }
 }
 
@@ -177,6 +185,15 @@
   return status;
 }
 
+unsigned world_running(void) {
+  unsigned n = 0;
+  for (guint i = 0; i < g_order->len; i++) {
+    const worker *w = g_order->pdata[i];
+    for (guint k = 0; !w->gone && k < w->tasks->len; k++) n += ((task *)w->tasks->pdata[k])->state == T_RUNNING;
+  }
+  return n;
+}
+
 world_result world_so_far(void) {
   return g_result;
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -33,6 +33,7 @@
 /* A deployment of that many machines, instead of the small one: to be said before the
  * controllers start. */
 void world_large(unsigned machines);
+void world_keep_idle(void); /* idle machines are not returned */
 /* What a controller has counted since its last start. */
 fc_counts world_counts(unsigned node);
 void world_machines_up(unsigned zone, unsigned count); /* ordinary ones, there from the start */
@@ -45,7 +46,9 @@
 void world_still(unsigned node, double for_s);             /* while its clock runs on */
 void world_deaf(unsigned from, unsigned to, double for_s); /* machines in order of creation */
 unsigned world_gone(unsigned from, unsigned to);
+void world_kill(unsigned from, unsigned to); /* machines in order of creation */
 world_result world_so_far(void);
+unsigned world_running(void);                   /* tasks, now */
 int world_ask(unsigned node, const char *path); /* the status of the answer */
 
 /* Within the stand-ins. */
--- a/tests/test_scenes.c
+++ b/tests/test_scenes.c
@@ -198,8 +198,126 @@
   return "detect_leaks=0";
 }
 
+/* A controller is replaced, and machines have died: jobs of before go on as soon as its
+ * own machines are known, not once every dead one of the fleet has been waited for. */
+static void old_jobs_go_on(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned dead, crashes; /* machines; controllers, ten seconds apart */
+    double within_s;
+  } rows[] = {
+      {"one controller, no machine", 0, 1, 25},
+      {"one controller, three machines", 3, 1, 30},
+      {"all in turn, three machines", 3, 3, 45},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    world_set_up(40 + (uint32_t)i, 0);
+    world_capacity(12, 0);
+    world_start_nodes();
+    world_machines_up(0, 10);
+    world_machines_up(1, 10);
+    /* Six whole machines stay free; these wait for nothing but their turn. */
+    for (unsigned k = 0; k < 14; k++) {
+      char id[32];
+      g_snprintf(id, sizeof id, "job-%06u", k);
+      world_submit(id, "sweep", "high", 12, 1, 12, 5 + k * 0.1);
+    }
+    sim_run_until(sim_now() + 20);
+    world_kill(0, rows[i].dead);
+    for (unsigned n = 0; n < rows[i].crashes; n++) {
+      world_crash(n, 4);
+      sim_run_until(sim_now() + 10);
+    }
+    sim_run_until(sim_now() + rows[i].within_s);
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s: %s", rows[i].name, r.first);
+    print_message("%s: %u of 14 done\n", rows[i].name, r.finished);
+    check_row(rows[i].name, r.finished == 14);
+  }
+}
+
+/* A zone is cut off from everything for longer than a lease, with the controllers in
+ * it, and one outside is replaced: none of its machines is returned, and afterwards
+ * they serve again. */
+static void a_zone_cut_off(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned in_a, in_b;
+    bool crash;
+  } rows[] = {
+      {"the smaller part of the fleet", 12, 6, false},
+      {"the larger", 6, 12, false},
+      {"and a controller outside is replaced", 12, 6, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    world_set_up(60 + (uint32_t)i, 0);
+    world_capacity(12, 0);
+    world_keep_idle();
+    world_start_nodes();
+    world_machines_up(0, rows[i].in_a);
+    world_machines_up(1, rows[i].in_b);
+    unsigned all = rows[i].in_a + rows[i].in_b;
+    for (unsigned k = 0; k < 6; k++) {
+      char id[32];
+      g_snprintf(id, sizeof id, "job-%06u", k);
+      world_submit(id, "service", "prod", 4, 1, 1e6, 5 + k * 0.1);
+    }
+    sim_run_until(sim_now() + 20);
+    world_cut_zone(1, 40);
+    sim_run_until(sim_now() + 10);
+    if (rows[i].crash) world_crash(0, 4);
+    sim_run_until(sim_now() + 30);
+    check_row(rows[i].name, world_gone(rows[i].in_a, all) == 0);
+    sim_run_until(sim_now() + 25);
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s: %s", rows[i].name, r.first);
+    print_message("%s: %u tasks run, %u started\n", rows[i].name, world_running(), r.starts);
+    check_row(rows[i].name, world_running() == 24);
+  }
+}
+
+/* A controller stands still while its clock runs on. Nothing is lost or runs twice, and
+ * for less than its lease nobody notices. */
+static void a_controller_stands_still(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double for_s;
+    bool all;
+  } rows[] = {
+      {"for less than its lease", 3, false},       {"for longer", 10, false}, {"for longer than a worker's", 20, false},
+      {"than a cancellation may take", 40, false}, {"all at once", 10, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    world_set_up(80 + (uint32_t)i, 0);
+    world_capacity(8, 0);
+    world_start_nodes();
+    world_machines_up(0, 6);
+    world_machines_up(1, 6);
+    for (unsigned k = 0; k < 6; k++) {
+      char id[32];
+      g_snprintf(id, sizeof id, "job-%06u", k);
+      world_submit(id, "service", "prod", 4, 1, 1e6, 5 + k * 0.1);
+    }
+    sim_run_until(sim_now() + 20);
+    for (unsigned n = 0; n < (rows[i].all ? 3 : 1); n++) world_still(n, rows[i].for_s);
+    stream(20, 0.5);
+    sim_run_until(sim_now() + rows[i].for_s + 60);
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s: %s", rows[i].name, r.first);
+    check_row(rows[i].name, r.lease_kills == 0);
+    check_row(rows[i].name, r.finished == 20);
+    check_row(rows[i].name, world_running() == 24);
+  }
+}
+
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(a_whole_fleet_on_one), cmocka_unit_test(the_largest_begin),
-                                     cmocka_unit_test(with_its_workers_alone), cmocka_unit_test(deaf_machines)};
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(a_whole_fleet_on_one), cmocka_unit_test(old_jobs_go_on),
+      cmocka_unit_test(a_zone_cut_off),       cmocka_unit_test(a_controller_stands_still),
+      cmocka_unit_test(the_largest_begin),    cmocka_unit_test(with_its_workers_alone),
+      cmocka_unit_test(deaf_machines)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
