--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -62,7 +62,7 @@
     const fc_job *j = value;
     if (j->team < 0 || j->phase != FC_PHASE_ACCEPTED || !limited(&t->settings->teams[j->team])) continue;
     if (j->spec.kind == FC_KIND_GANG || fc_gang_before(t, turn[j->team], j, now)) continue;
-    GArray *missing = fc_job_missing(j, -1, 1024);
+    GArray *missing = fc_job_missing(j, -1, FC_MISSING_MOST);
     for (guint i = 0; i < missing->len; i++) {
       int owner = fc_job_owner(j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
       if (owner < 0) continue;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -7,6 +7,8 @@
 
 #include "protocol/json.h"
 
+/* Libraries, stacks and an empty table; with less the process would be killed as it starts. */
+#define MEMORY_LEAST_MB 6
 #define NAME_MAX_BYTES 64u
 #define AMOUNT_MAX 1e9
 
@@ -147,7 +149,7 @@
                           {"value_kb", &s->state_value_kb, 1, 1024},
                           {"txn_ops", &txn_ops, 1, 1e4}};
   const number cloud[] = {{"rps", &s->cloud_rps, 0.01, 1e6}, {"list_lag_s", &s->cloud_list_lag_s, 0, 3600}};
-  const number limits[] = {{"memory_mb", &s->memory_mb, 1, 1e7}, {"fd_limit", &fd_limit, 32, 1e6}};
+  const number limits[] = {{"memory_mb", &s->memory_mb, MEMORY_LEAST_MB, 1e7}, {"fd_limit", &fd_limit, 32, 1e6}};
   if (!read_group(params, "workers", workers, G_N_ELEMENTS(workers), error, size) ||
       !read_group(params, "state", state, G_N_ELEMENTS(state), error, size) ||
       !read_group(params, "cloud", cloud, G_N_ELEMENTS(cloud), error, size) ||
@@ -155,6 +157,11 @@
     return false;
   s->state_txn_ops = (unsigned)txn_ops;
   s->fd_limit = (unsigned)fd_limit;
+  /* The peers' listener may take eight for each peer, calls an eighth of all. */
+  if (s->fd_limit < 16 * (s->peer_count + 1)) {
+    g_snprintf(error, size, "settings.limits.fd_limit: too few for the links to %zu other controllers", s->peer_count);
+    return false;
+  }
   /* One lost answer costs a worker several report intervals. */
   if (s->lease_s < 3 * s->report_s) {
     g_snprintf(error, size, "settings.workers.lease_s: shorter than three times report_s");
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -406,7 +406,7 @@
     if (!fc_job_placeable(t, j, rs->now)) continue;
     /* What may be on a machine that we have not heard of is not started. */
     unsigned slices = slices_of(j, t->self) & j->clear & ~j->handing;
-    GArray *missing = fc_job_missing_in(j, slices, 1024);
+    GArray *missing = fc_job_missing_in(j, slices, FC_MISSING_MOST);
     if (missing->len == 0) {
       g_array_free(missing, TRUE);
       continue;
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -35,6 +35,10 @@
 gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Sorts fc_job pointers in an order that is the same on every member. */
 gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b);
+/* So many tasks of a job are looked at in a round: several times the largest arrays that
+ * run, and more machines than the cloud rents in a round's calls. Of a larger job the
+ * rest follows when these have their places. */
+#define FC_MISSING_MOST 1024u
 /* Tasks of the job that are neither finished nor anywhere, of the slices (a bit
  * each); caps the list. */
 GArray *fc_job_missing_in(const fc_job *j, unsigned slices, guint most);
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -275,7 +275,9 @@
 }
 
 static void pack_job(pack *p, const fc_job *j) {
-  GArray *missing = fc_job_missing(j, -1, 64);
+  /* All of them: with 64 at a time the largest arrays waited for one boot after the
+   * other. */
+  GArray *missing = fc_job_missing(j, -1, FC_MISSING_MOST);
   guint n = missing->len;
   g_array_free(missing, TRUE);
   if (n == 0) return;
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -151,7 +151,7 @@
 /* Missing tasks by slice. */
 static void missing_by_slice(const fc_job *j, unsigned want[FC_SLICES_MAX]) {
   memset(want, 0, FC_SLICES_MAX * sizeof want[0]);
-  GArray *missing = fc_job_missing(j, -1, 256);
+  GArray *missing = fc_job_missing(j, -1, FC_MISSING_MOST);
   for (guint i = 0; i < missing->len; i++) want[fc_job_slice_of(j, g_array_index(missing, uint32_t, i))]++;
   g_array_free(missing, TRUE);
 }
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -46,6 +46,8 @@
 no margin after the lease|"cancel_s":34.0|"cancel_s":19.9|settings.workers.cancel_s
 text for a number|"rps":120.0|"rps":"many"|settings.state.rps
 team without a name|"name":"t"|"nam":"t"|settings.teams[0].name
+too few sockets|"fd_limit":900|"fd_limit":31|settings.limits.fd_limit
+too little memory|"memory_mb":56.0|"memory_mb":2.0|settings.limits.memory_mb
 no zones|"zones":\["z1"\]|"zones":[]|settings.zones
 R
 printf '[scheduler]\nround_s = 1.0\n[machines]\nrent = false\n' > "$dir/op.toml"
--- a/tests/test_scenes.c
+++ b/tests/test_scenes.c
@@ -209,7 +209,7 @@
   } rows[] = {
       {"one controller, no machine", 0, 1, 25},
       {"one controller, three machines", 3, 1, 30},
-      {"all in turn, three machines", 3, 3, 45},
+      {"all in turn, three machines", 3, 3, 30},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     world_set_up(40 + (uint32_t)i, 0);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -187,6 +187,9 @@
       {"cheap where allowed", "red", "sweep", 8, "", 2, 0},
       {"ordinary where not", "red", "service", 8, "\"loaners\":false", 0, 2},
       {"not beyond the limit", "blue", "sweep", 100, "", 4, 0},
+      {"a large array at once", "red", "sweep", 150, "", 38, 0},
+      {"the bound", "red", "sweep", FC_MISSING_MOST, "", FC_MISSING_MOST / 4, 0},
+      {"one over it: the rest follows", "red", "sweep", FC_MISSING_MOST + 1, "", FC_MISSING_MOST / 4, 0},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     fc_settings s = world_settings();
