--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -197,6 +197,25 @@
   return each_missing(j, slices_of(j, member), 1, NULL) > 0;
 }
 
+fc_job_spec fc_least_of_none(void) {
+  return (fc_job_spec){.cpus = INFINITY, .gpus = INFINITY, .memory_gb = INFINITY};
+}
+
+void fc_least_add(fc_job_spec *least, double cpus, double gpus, double memory_gb) {
+  least->cpus = MIN(least->cpus, cpus);
+  least->gpus = MIN(least->gpus, gpus);
+  least->memory_gb = MIN(least->memory_gb, memory_gb);
+}
+
+fc_job_spec fc_least_of(const GPtrArray *jobs) {
+  fc_job_spec least = fc_least_of_none();
+  for (guint i = 0; i < jobs->len; i++) {
+    const fc_job_spec *s = &((const fc_job *)jobs->pdata[i])->spec;
+    fc_least_add(&least, s->cpus, s->gpus, s->memory_gb);
+  }
+  return least;
+}
+
 static void candidate_free(gpointer p) {
   candidate *c = p;
   g_array_free(c->missing, TRUE);
@@ -395,9 +414,9 @@
   return strcmp(((const slot *)a)->machine->id, ((const slot *)b)->machine->id);
 }
 
-static void gather_jobs(round_state *rs, fc_room *least) {
+static void gather_jobs(round_state *rs, fc_job_spec *least) {
   const fc_table *t = rs->table;
-  *least = (fc_room){INFINITY, INFINITY, INFINITY};
+  *least = fc_least_of_none();
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->jobs);
@@ -416,17 +435,14 @@
     c->missing = missing;
     c->spread = fc_job_spread(j);
     g_ptr_array_add(rs->jobs, c);
-    least->cpus = MIN(least->cpus, j->spec.cpus);
-    least->gpus = MIN(least->gpus, j->spec.gpus);
-    least->memory_gb = MIN(least->memory_gb, j->spec.memory_gb);
+    fc_least_add(least, j->spec.cpus, j->spec.gpus, j->spec.memory_gb);
   }
   g_ptr_array_sort(rs->jobs, by_importance);
 }
 
 /* Only machines that could take some job: in a full fleet these are few. */
-static void gather_slots(round_state *rs, const fc_room *least) {
+static void gather_slots(round_state *rs, const fc_job_spec *least) {
   const fc_table *t = rs->table;
-  const fc_job_spec smallest = {.cpus = least->cpus, .gpus = least->gpus, .memory_gb = least->memory_gb};
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
@@ -440,7 +456,7 @@
     }
     if (!fc_machine_usable(t, m, rs->now)) continue;
     slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
-    if (fc_room_fits(&s.room, &smallest)) g_array_append_val(rs->slots, s);
+    if (fc_room_fits(&s.room, least)) g_array_append_val(rs->slots, s);
   }
   g_array_sort(rs->slots, by_machine);
 }
@@ -451,7 +467,7 @@
   g_array_set_clear_func(rs.slots, slot_clear);
   rs.jobs = g_ptr_array_new_with_free_func(candidate_free);
   rs.out = g_array_new(FALSE, TRUE, sizeof(fc_decision));
-  fc_room least;
+  fc_job_spec least;
   gather_jobs(&rs, &least);
   if (rs.jobs->len > 0) gather_slots(&rs, &least);
   if (rs.slots->len > 0) {
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -46,6 +46,11 @@
 GArray *fc_job_missing(const fc_job *j, int member, guint most);
 /* Is there any? Makes no list. */
 bool fc_job_waits(const fc_job *j, int member);
+/* The least that any of several jobs asks for: a machine without room for that need not be
+ * looked at for any of them. */
+fc_job_spec fc_least_of_none(void);
+void fc_least_add(fc_job_spec *least, double cpus, double gpus, double memory_gb);
+fc_job_spec fc_least_of(const GPtrArray *jobs);
 
 /* Does the team's limit allow so much in all? */
 bool fc_team_within(const fc_team_settings *ts, double cpus, double gpus);
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -1,6 +1,5 @@
 #include "scheduler/rent.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "scheduler/place.h"
@@ -36,21 +35,13 @@
 
 /* The least that any job, or any class of which arrivals are expected, asks for. */
 static fc_job_spec least_asked(const fc_table *t, const GPtrArray *jobs) {
-  fc_job_spec least = {.cpus = INFINITY, .gpus = INFINITY, .memory_gb = INFINITY};
-  for (guint i = 0; i < jobs->len; i++) {
-    const fc_job_spec *s = &((const fc_job *)jobs->pdata[i])->spec;
-    least.cpus = MIN(least.cpus, s->cpus);
-    least.gpus = MIN(least.gpus, s->gpus);
-    least.memory_gb = MIN(least.memory_gb, s->memory_gb);
-  }
+  fc_job_spec least = fc_least_of(jobs);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->demand.classes);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_demand_class *c = value;
-    least.cpus = MIN(least.cpus, c->cpus);
-    least.gpus = MIN(least.gpus, c->gpus);
-    least.memory_gb = MIN(least.memory_gb, c->memory_gb);
+    fc_least_add(&least, c->cpus, c->gpus, c->memory_gb);
   }
   return least;
 }
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -1,6 +1,5 @@
 #include "scheduler/share.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "coordination/deal.h"
@@ -39,18 +38,6 @@
   return out;
 }
 
-/* The least that any of the jobs asks for. */
-static fc_job_spec least_of(const GPtrArray *jobs) {
-  fc_job_spec least = {.cpus = INFINITY, .gpus = INFINITY, .memory_gb = INFINITY};
-  for (guint i = 0; i < jobs->len; i++) {
-    const fc_job_spec *s = &((const fc_job *)jobs->pdata[i])->spec;
-    least.cpus = MIN(least.cpus, s->cpus);
-    least.gpus = MIN(least.gpus, s->gpus);
-    least.memory_gb = MIN(least.memory_gb, s->memory_gb);
-  }
-  return least;
-}
-
 /* Machines with room for some of the jobs; the rest need not be looked at again and
  * again: in a long queue mostly all are full. True: some are in other parts. */
 static bool keep_roomy(const fc_table *t, GArray *room, const fc_job_spec *least) {
@@ -214,7 +201,7 @@
   if (t->self < 0 || t->term.count < 2) return out;
   GArray *room = spares(t, now);
   GPtrArray *jobs = waiting_jobs(t);
-  const fc_job_spec least = least_of(jobs);
+  const fc_job_spec least = fc_least_of(jobs);
   GArray *queue = keep_roomy(t, room, &least) ? own_first(t, room, jobs) : NULL;
   for (guint i = 0; queue && i < queue->len && keep_roomy(t, room, &least); i++) {
     const queued *q = &g_array_index(queue, queued, i);
