--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -5,7 +5,9 @@
 #include "controller/controller.h"
 #include "coordination/deal.h"
 
-#define PAGE 200u
+/* As many as the state service gives at once: a start reads thousands of records, and
+ * every page costs its way there and back. */
+#define PAGE 1000u
 
 static void apply_term(fc_controller *c, const fc_change *ch) {
   fc_term term;
--- a/src/protocol/json_call.c
+++ b/src/protocol/json_call.c
@@ -11,7 +11,8 @@
   fc_http_reply reply;
   bool answered = fc_http_call(http, method, path, text ? text->str : NULL, text ? text->len : 0, deadline, &reply);
   if (text) g_string_free(text, TRUE);
-  fc_json_reply out = {.status = answered ? reply.status : 0, .unsent = reply.unsent, .text = reply.body};
+  fc_json_reply out = {
+      .status = answered ? reply.status : 0, .unsent = reply.unsent, .too_large = reply.too_large, .text = reply.body};
   if (answered) out.object = reply.body->len ? fc_json_parse(reply.body->str, reply.body->len) : json_object();
   if (!json_is_object(out.object)) {
     json_decref(out.object);
--- a/src/protocol/json_call.h
+++ b/src/protocol/json_call.h
@@ -9,6 +9,7 @@
 
 typedef struct fc_json_reply {
   int status;     /* 0: no answer; it may or may not be carried out */
+  bool too_large; /* the answer was, and was not read */
   bool unsent;    /* no connection: certainly not carried out */
   json_t *object; /* the body when it is an object ({} when empty), else NULL */
   GString *text;  /* the body as it came */
--- a/src/protocol/state_api.c
+++ b/src/protocol/state_api.c
@@ -10,6 +10,7 @@
 
 struct fc_state {
   fc_http_client *http;
+  bool too_large; /* the answer of the call that has just returned */
 };
 
 struct fc_txn {
@@ -77,6 +78,7 @@
   fc_json_reply r = fc_json_call(s->http, method, path, body, deadline);
   fc_state_result result = FC_STATE_REFUSED;
   *out = NULL;
+  s->too_large = r.too_large;
   if (r.status == 0) {
     result = r.unsent ? FC_STATE_DOWN : FC_STATE_UNKNOWN;
   } else if (r.status == 200 || r.status == 409) {
@@ -188,6 +190,12 @@
   json_t *v = NULL;
   fc_state_result result = call(s, "GET", path, NULL, deadline, &v);
   g_free(path);
+  /* Changes come in one answer, however many there are: after a long stand-still they
+   * may be too many for it, now and at every try. Pages have a bound. */
+  if (s->too_large) {
+    g_info("more changes than an answer may hold from=%" G_GUINT64_FORMAT, (guint64)from);
+    result = FC_STATE_GONE;
+  }
   if (result != FC_STATE_OK) goto out;
   if (!read_revision(v, revision) || !json_is_array(json_object_get(v, "events"))) {
     result = FC_STATE_REFUSED;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -49,8 +49,9 @@
 typedef struct fc_http_client fc_http_client;
 
 typedef struct fc_http_reply {
-  int status;  /* 0: no answer; the request may or may not have been carried out */
-  bool unsent; /* no connection: the request was certainly not carried out */
+  int status;     /* 0: no answer; the request may or may not have been carried out */
+  bool unsent;    /* no connection: the request was certainly not carried out */
+  bool too_large; /* there was an answer, larger than may be read */
   GString *body;
   int retry_after_s;
 } fc_http_reply;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -27,7 +27,7 @@
   size_t most_body;
   GString *field;
   GString *value;
-  bool in_value, complete;
+  bool in_value, complete, too_large;
   int retry_after_s;
 } answer;
 
@@ -66,7 +66,8 @@
 
 static int on_body(http_parser *p, const char *at, size_t len) {
   answer *a = p->data;
-  if (a->body->len + len > a->most_body) return 1;
+  a->too_large = a->body->len + len > a->most_body;
+  if (a->too_large) return 1;
   g_string_append_len(a->body, at, (gssize)len);
   return 0;
 }
@@ -155,6 +156,7 @@
   http_parser_init(&p, HTTP_RESPONSE);
   p.data = &a;
   bool ok = fc_conn_write(conn, out->str, out->len, deadline) && read_answer(conn, &p, &a, deadline);
+  reply->too_large = a.too_large;
   bool keep = false;
   if (ok) {
     reply->status = (int)p.status_code;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -93,8 +93,11 @@
   ev_break(loop, EVBREAK_ALL);
 }
 
+static uint64_t g_connection; /* that the last request came on */
+
 static void handle(const fc_http_request *req, fc_http_response *res, void *arg) {
-  (void)req, (void)arg;
+  (void)arg;
+  g_connection = req->connection;
   res->status = 200;
   g_string_append(res->body, "{}");
 }
@@ -122,6 +125,42 @@
   }
 }
 
+typedef struct bounded {
+  const char *name;
+  size_t most_body; /* the answer has two bytes */
+  bool ok, too_large;
+} bounded;
+
+static void call_main(void *arg) {
+  const bounded *rows = arg;
+  fc_endpoint at = {.ip = htonl(INADDR_LOOPBACK), .port = g_port};
+  uint64_t before = 0;
+  for (int i = 0; i < 3; i++) {
+    fc_http_client *c = fc_http_client_new(&at, rows[i].most_body);
+    uint64_t first = 0;
+    for (int k = 0; k < 2; k++) {
+      fc_http_reply reply;
+      bool ok = fc_http_call(c, "GET", "/ready", NULL, 0, fc_now() + 5, &reply);
+      check_row(rows[i].name, ok == rows[i].ok && reply.too_large == rows[i].too_large);
+      fc_http_reply_clear(&reply);
+      if (k == 0) first = g_connection;
+    }
+    /* Requests on one connection name it, those on another another. */
+    check_row(rows[i].name, first != before && (g_connection == first) == rows[i].ok);
+    before = g_connection;
+    fc_http_client_free(c);
+  }
+  ev_break(fc_loop(), EVBREAK_ALL);
+}
+
+static void answers_at_their_bound(void **state) {
+  (void)state;
+  static bounded rows[] = {
+      {"one over", 1, false, true}, {"at the bound", 2, true, false}, {"one under", 3, true, false}};
+  assert_true(fc_routine_spawn(call_main, rows) != NULL);
+  fc_loop_run();
+}
+
 /* Children end without freeing, and the listener lives as long as the process. */
 const char *__asan_default_options(void);
 const char *__asan_default_options(void) {
@@ -129,6 +168,6 @@
 }
 
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(clients)};
+  const struct CMUnitTest tests[] = {cmocka_unit_test(clients), cmocka_unit_test(answers_at_their_bound)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
