--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -191,9 +191,7 @@
 
 void fc_machine_locate(const fc_table *t, fc_machine *m) {
   m->type = fc_table_type(t, m->rec.type);
-  m->zone = FC_ZONES_MAX;
-  for (size_t z = 0; z < t->settings->zone_count; z++)
-    if (strcmp(t->settings->zones[z], m->rec.zone) == 0) m->zone = (unsigned)z;
+  m->zone = fc_settings_zone(t->settings, m->rec.zone);
 }
 
 bool fc_job_task_done(const fc_job *j, uint32_t index) {
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -265,12 +265,11 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    bool ours = m->owner == t->self, silent = ours && fc_machine_unheard(t, m, now);
-    if (!m->version || !m->announced || m->owner < 0 || (ours && !m->reported && !silent)) continue;
+    bool ours = m->owner == t->self, mute = fc_machine_mute(t, m, now);
+    if (!m->version || !m->announced || m->owner < 0 || (ours && !m->reported && !mute)) continue;
     /* Of others' machines we know as much as they tell us: those of a member that is cut
      * off too once counted as well, and half a zone was returned (fleet day "zone"). */
     if (!ours && (m->settled_term != t->term.number || !fc_member_fit(c, m->owner))) continue;
-    bool mute = fc_machine_mute(t, m, now);
     count_mute(&fleet, mute);
     count_mute(&zones[m->zone], mute);
     if (ours) count_mute(&mine, mute);
--- a/src/controller/view.c
+++ b/src/controller/view.c
@@ -6,14 +6,29 @@
 
 #include "controller/controller.h"
 
+/* More tasks than a report may name can't be told whole; such a machine is shown as one
+ * that nothing is known of, which holds back only what may be on it. */
+static bool tellable(const fc_machine *m) {
+  return m->placements->len <= FC_FRAME_TASKS_MOST;
+}
+
+/* The machine without its tasks. */
+static fc_frame_machine describe(const fc_table *t, const fc_machine *m, double now) {
+  fc_frame_machine f = {.settled = tellable(m) && m->settled_term == t->term.number,
+                        .closed = m->closed,
+                        .mute = fc_machine_mute(t, m, now)};
+  g_strlcpy(f.id, m->id, sizeof f.id);
+  return f;
+}
+
 /* Everything that a view says of the machine, in one number: what has to be told again
  * is found by comparing, so that no place that changes a task can forget to say so.
  * Never 0. */
-static uint64_t digest_of(const fc_frame_machine *f) {
+static uint64_t digest_of(const fc_frame_machine *f, const fc_machine *m) {
   uint64_t h = 1469598103934665603ull ^ (uint64_t)(f->settled | f->closed << 1 | f->mute << 2);
-  for (size_t i = 0; i < f->task_count; i++) {
-    const fc_frame_task *t = &f->tasks[i];
-    const uint64_t parts[] = {g_str_hash(t->job), t->index, t->attempt, (uint64_t)t->state << 8 | t->cause};
+  for (guint i = 0; tellable(m) && i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    const uint64_t parts[] = {g_str_hash(p->job_id), p->index, p->attempt, (uint64_t)p->state << 8 | p->cause};
     for (size_t k = 0; k < G_N_ELEMENTS(parts); k++) {
       h ^= parts[k];
       h *= 0xbf58476d1ce4e5b9ull;
@@ -23,17 +38,8 @@
   return h ? h : 1;
 }
 
-static void describe(const fc_table *t, const fc_machine *m, double now, fc_frame_machine *f) {
-  g_strlcpy(f->id, m->id, sizeof f->id);
-  f->settled = m->settled_term == t->term.number;
-  f->closed = m->closed;
-  f->mute = fc_machine_mute(t, m, now);
-  /* More tasks than a report may name can't be told whole; such a machine is shown as
-   * one that nothing is known of, which holds back only what may be on it. */
-  if (m->placements->len > FC_FRAME_TASKS_MOST) {
-    f->settled = false;
-    return;
-  }
+static void fill_tasks(const fc_machine *m, fc_frame_machine *f) {
+  if (!tellable(m)) return;
   f->tasks = g_new0(fc_frame_task, m->placements->len);
   for (guint i = 0; i < m->placements->len; i++) {
     const fc_placement *p = m->placements->pdata[i];
@@ -82,20 +88,16 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
     if (t->self < 0 || m->owner != t->self) continue;
-    fc_frame_machine f = {0};
-    describe(t, m, now, &f);
-    uint64_t digest = digest_of(&f);
+    fc_frame_machine f = describe(t, m, now);
+    uint64_t digest = digest_of(&f, m);
     if (digest != m->shown) {
       m->shown = digest;
       m->shown_at = t->view;
-      if (m->placements->len > FC_FRAME_TASKS_MOST)
-        g_warning("too many tasks for a view machine=%s tasks=%u", m->id, m->placements->len);
-    }
-    if (untold(peer, m)) {
-      g_array_append_val(machines, f);
-    } else {
-      g_free(f.tasks);
+      if (!tellable(m)) g_warning("too many tasks for a view machine=%s tasks=%u", m->id, m->placements->len);
     }
+    if (!untold(peer, m)) continue;
+    fill_tasks(m, &f);
+    g_array_append_val(machines, f);
   }
   c->counts.shown += machines->len;
   send_pieces(&v, machines, out);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -250,3 +250,9 @@
     if (strcmp(s->teams[i].name, name) == 0) return (int)i;
   return -1;
 }
+
+unsigned fc_settings_zone(const fc_settings *s, const char *name) {
+  for (unsigned z = 0; z < s->zone_count; z++)
+    if (strcmp(s->zones[z], name) == 0) return z;
+  return FC_ZONES_MAX;
+}
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -67,6 +67,7 @@
 bool fc_settings_load(const char *path, fc_settings *out, char *error, size_t error_size);
 bool fc_operator_load(const char *path, fc_operator_settings *out, char *error, size_t error_size);
 void fc_operator_defaults(fc_operator_settings *out);
-int fc_settings_team(const fc_settings *s, const char *name); /* -1: unknown */
+int fc_settings_team(const fc_settings *s, const char *name);      /* -1: unknown */
+unsigned fc_settings_zone(const fc_settings *s, const char *name); /* FC_ZONES_MAX: none of them */
 
 #endif
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -170,7 +170,7 @@
   return slices;
 }
 
-/* Calls for each task that is missing in the slices; up to `most`. */
+/* Counts the tasks that are missing in the slices, up to `most`; lists them in `out`, if any. */
 static guint each_missing(const fc_job *j, unsigned slices, guint most, GArray *out) {
   uint8_t small[SMALL_BITMAP], *taken = taken_tasks(j, small);
   guint n = 0;
@@ -233,13 +233,11 @@
          (sl->planned_images && g_ptr_array_find(sl->planned_images, s->image, NULL));
 }
 
-#define ANY_ZONE (FC_ZONES_MAX + 1u)
-
 /* Could a task of the job go there, as far as the machine is concerned? */
 static bool suits(const round_state *rs, const slot *sl, const candidate *c, unsigned only_zone) {
   const fc_job_spec *s = &c->job->spec;
   const fc_machine *m = sl->machine;
-  if (!fc_room_fits(&sl->room, s) || (only_zone != ANY_ZONE && m->zone != only_zone)) return false;
+  if (!fc_room_fits(&sl->room, s) || (only_zone != FC_ANY_ZONE && m->zone != only_zone)) return false;
   if (!fc_job_allows(s, m->rec.type, m->rec.zone, m->rec.spot)) return false;
   if (c->job->failed_on && g_hash_table_contains(c->job->failed_on, m->id)) return false;
   return rs->now >= m->reserved_until || strcmp(m->reserved_for, s->id) == 0;
@@ -328,11 +326,11 @@
   if (j->spec.kind == FC_KIND_GANG) {
     if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return false;
     if (!allowed(rs, j, c->missing->len)) return false;
-    unsigned best = ANY_ZONE;
+    unsigned best = FC_ANY_ZONE;
     guint most = 0;
     size_t zones = j->spec.one_zone ? rs->table->settings->zone_count : 1;
     for (unsigned z = 0; z < zones; z++) {
-      unsigned zone = j->spec.one_zone ? z : ANY_ZONE;
+      unsigned zone = j->spec.one_zone ? z : FC_ANY_ZONE;
       guint n = gang_room(rs, c, zone, false);
       if (n == c->missing->len) {
         place_gang(rs, c, zone);
@@ -349,7 +347,7 @@
     return false;
   }
   if (c->next >= c->missing->len || !allowed(rs, j, 1)) return false;
-  slot *sl = choose(rs, c, ANY_ZONE);
+  slot *sl = choose(rs, c, FC_ANY_ZONE);
   if (!sl) return false;
   take(rs, sl, c, g_array_index(c->missing, uint32_t, c->next++));
   return c->next < c->missing->len;
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -21,6 +21,7 @@
 bool fc_machine_usable(const fc_table *t, const fc_machine *m, double now);
 /* Jobs of this part that want tasks started now. */
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now);
+#define FC_ANY_ZONE (FC_ZONES_MAX + 1u) /* where a zone is asked for: no matter which */
 /* How many of a job's tasks may be in each zone: counted once, then kept up to date
  * by whoever plans more of them. */
 typedef struct fc_spread {
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -27,12 +27,6 @@
   fc_job_spec least;                             /* what the most modest of them asks for */
 } pack;
 
-static unsigned zone_index(const fc_settings *s, const char *zone) {
-  for (unsigned z = 0; z < s->zone_count; z++)
-    if (strcmp(s->zones[z], zone) == 0) return z;
-  return FC_ZONES_MAX;
-}
-
 /* The least that any job, or any class of which arrivals are expected, asks for. */
 static fc_job_spec least_asked(const fc_table *t, const GPtrArray *jobs) {
   fc_job_spec least = fc_least_of(jobs);
@@ -112,7 +106,7 @@
     int type = fc_table_type(t, h->type);
     if (type < 0) continue;
     const fc_machine_type *mt = t->types->pdata[type];
-    unsigned zone_at = zone_index(t->settings, h->zone);
+    unsigned zone_at = fc_settings_zone(t->settings, h->zone);
     for (unsigned i = 0; i < h->count; i++) {
       bin b = {.type = type,
                .owner = fc_term_find(&t->term, h->owner),
@@ -177,8 +171,6 @@
   return (spot ? mt->spot_price : mt->price) / MAX(fits, 1);
 }
 
-#define ANY_ZONE (FC_ZONES_MAX + 1u)
-
 /* The cheapest kind of machine that can hold a task of the job, in the zone `only`
  * when that is given; among equals, where the fewest machines are. */
 static bool rent_for(pack *p, packing *pk, unsigned only, int owner, bool dear) {
@@ -193,7 +185,7 @@
     if (!fc_room_fits(&room, &j->spec)) continue;
     for (unsigned z = 0; z < t->settings->zone_count; z++) {
       const char *zone = t->settings->zones[z];
-      if ((only != ANY_ZONE && only != z) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
+      if ((only != FC_ANY_ZONE && only != z) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
       if (!fc_spread_open(&pk->spread, &j->spec, z)) continue;
       unsigned held = p->held[z];
       for (int spot = 0; spot <= 1; spot++) {
@@ -216,11 +208,11 @@
 
 /* A cheap machine, where the job may use one and the cloud has one. */
 static bool rent_cheap(pack *p, packing *k) {
-  return k->job->spec.spot && rent_for(p, k, ANY_ZONE, -1, false);
+  return k->job->spec.spot && rent_for(p, k, FC_ANY_ZONE, -1, false);
 }
 
 static bool usable_for_gang(const pack *p, const bin *b, const fc_job *j, unsigned zone, int owner) {
-  return (b->owner == owner || b->idle) && (zone == ANY_ZONE || b->zone_at == zone) && bin_fits(p, b, j);
+  return (b->owner == owner || b->idle) && (zone == FC_ANY_ZONE || b->zone_at == zone) && bin_fits(p, b, j);
 }
 
 /* How many of the gang's tasks its owner could start there, with whatever idle
@@ -239,13 +231,13 @@
   const fc_table *t = p->table;
   const fc_job *j = k->job;
   int owner = fc_job_owner(j, 0);
-  unsigned zone = ANY_ZONE;
+  unsigned zone = FC_ANY_ZONE;
   if (j->spec.one_zone) {
     unsigned best = 0;
     for (unsigned z = 0; z < t->settings->zone_count; z++) {
       unsigned n = gang_fits(p, j, z, owner, tasks);
       bool refused = p->refused && p->refused(0, t->settings->zones[z], false, p->arg);
-      if (zone == ANY_ZONE || n > best || (n == best && !refused)) {
+      if (zone == FC_ANY_ZONE || n > best || (n == best && !refused)) {
         zone = z;
         best = n;
       }
@@ -279,7 +271,7 @@
     for (guint i = 0; i < n; i++) {
       if (!within_limit(p, j)) break;
       if (!pack_existing(p, &k, false) && !rent_cheap(p, &k) && !pack_existing(p, &k, true) &&
-          !rent_for(p, &k, ANY_ZONE, -1, true))
+          !rent_for(p, &k, FC_ANY_ZONE, -1, true))
         break;
     }
   }
@@ -308,7 +300,7 @@
     packing s = {.job = &model};
     /* Ordinary machines are not kept warm for work that may use cheap ones. */
     for (unsigned k = 0; k < n; k++)
-      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && (c->spot || !rent_for(p, &s, ANY_ZONE, -1, true)))
+      if (!pack_existing(p, &s, false) && !rent_cheap(p, &s) && (c->spot || !rent_for(p, &s, FC_ANY_ZONE, -1, true)))
         break;
   }
 }
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -63,11 +63,9 @@
   return jobs;
 }
 
-#define ANY_ZONE (FC_ZONES_MAX + 1u)
-
 static bool fits(const spare *s, const fc_job *j, int owner, unsigned zone) {
   const fc_machine *m = s->machine;
-  if (m->owner != owner || (zone != ANY_ZONE && m->zone != zone)) return false;
+  if (m->owner != owner || (zone != FC_ANY_ZONE && m->zone != zone)) return false;
   if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) return false;
   return fc_room_fits(&s->room, &j->spec) && fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot);
 }
@@ -123,15 +121,15 @@
 }
 
 static unsigned hold_job(GArray *room, const fc_table *t, const fc_job *j, int owner, unsigned want, bool take) {
-  if (!j->spec.one_zone) return hold(room, j, owner, ANY_ZONE, want, take);
-  unsigned best = 0, zone = ANY_ZONE;
+  if (!j->spec.one_zone) return hold(room, j, owner, FC_ANY_ZONE, want, take);
+  unsigned best = 0, zone = FC_ANY_ZONE;
   for (unsigned z = 0; z < t->settings->zone_count; z++) {
     unsigned n = hold(room, j, owner, z, want, false);
     if (n <= best) continue;
     best = n;
     zone = z;
   }
-  if (take && zone != ANY_ZONE) (void)hold(room, j, owner, zone, want, true);
+  if (take && zone != FC_ANY_ZONE) (void)hold(room, j, owner, zone, want, true);
   return best;
 }
 
@@ -255,7 +253,7 @@
  * machines; with `clear`, also what can be cleared. */
 static bool gang_use(const spare *s, const fc_job *j, int owner, unsigned zone, bool clear, fc_room *room) {
   const fc_machine *m = s->machine;
-  if (s->claimed || (zone != ANY_ZONE && m->zone != zone)) return false;
+  if (s->claimed || (zone != FC_ANY_ZONE && m->zone != zone)) return false;
   if (j->failed_on && g_hash_table_contains(j->failed_on, m->id)) return false;
   if (!fc_job_allows(&j->spec, m->rec.type, m->rec.zone, m->rec.spot)) return false;
   bool all = is_idle(m);
@@ -286,7 +284,7 @@
   bool found = false;
   size_t zones = j->spec.one_zone ? t->settings->zone_count : 1;
   for (unsigned z = 0; z < zones; z++) {
-    unsigned zone = j->spec.one_zone ? z : ANY_ZONE;
+    unsigned zone = j->spec.one_zone ? z : FC_ANY_ZONE;
     unsigned own;
     if (gang_room(room, j, owner, zone, clear, want, &own) < want || (found && own <= *best_own)) continue;
     found = true;
@@ -299,7 +297,7 @@
 static void lend_to_gang(const fc_table *t, GArray *room, fc_job *j, double now, GArray *out) {
   int owner = fc_job_owner(j, 0);
   unsigned want = j->spec.tasks - j->done_count;
-  unsigned zone = ANY_ZONE, own = 0;
+  unsigned zone = FC_ANY_ZONE, own = 0;
   bool clear = false;
   if (!find_zone(t, room, j, owner, false, want, &zone, &own)) {
     clear = true;
