Simulated world: mute machines, late and slow state service, refusals, calls off at the end, cut pairs

An open watch of a controller that alone is refused now waits, as the protocol says; it was answered.

--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -21,6 +21,7 @@
   const char *kind, *rank, *team;
   double cpus, gpus, run_s;
   bool one_zone, spread, spot;
+  const char *zone; /* the only one allowed; NULL: any */
   char *body;
   bool told_accepted, cancel_asked, told_cancelled, told_done;
   double cancelled_at;
@@ -52,7 +53,7 @@
   int zone;
   bool spot, up, gone;
   double returned_at; /* 0: not */
-  double born, up_at, hang_until, deaf_until, notice_at, taken_at;
+  double born, up_at, hang_until, deaf_until, mute_until, notice_at, taken_at;
   uint64_t session, seq, token, told_token;
   double last_ok; /* when the last answered report was sent */
   GPtrArray *tasks;
@@ -73,7 +74,8 @@
     CUT_NODE_WORKERS,
     CUT_NODE_ALONE,
     CUT_ZONE,
-    CUT_WORKER
+    CUT_WORKER,
+    CUT_PAIR /* one controller and one worker, from each other alone */
   } kind;
   int node; /* of CUT_ZONE the zone */
   uint32_t ip;
@@ -87,6 +89,8 @@
 extern world_result g_result;
 extern double g_copies;     /* share of reports that are delivered again, late */
 extern double g_quiet_from; /* all troubles are over by then; 0: not decided */
+extern double g_cancel_at_end; /* share of the jobs that are called off as they end */
+extern double g_late_writes;   /* share of transactions that are carried out late, unanswered */
 extern bool g_verbose;
 extern unsigned g_capacity, g_capacity_spot; /* machines of a zone */
 
@@ -101,6 +105,8 @@
 /* users.c */
 void users_init(void);
 void ask_unknown(void *arg);
+/* Its last task has just completed. */
+void users_job_ends(job *j);
 void job_new(unsigned n, double busy_s);
 
 #endif
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -30,6 +30,8 @@
 static GPtrArray *g_watches;
 static uint64_t g_revision, g_next_lease;
 static bool g_down;
+static double g_slow_until, g_slow_most_s;
+double g_late_writes;
 
 static gint by_key(gconstpointer a, gconstpointer b, gpointer d) {
   (void)d;
@@ -68,6 +70,7 @@
   if (g_down) return;
   for (guint i = g_watches->len; i-- > 0;) {
     watch *w = g_watches->pdata[i];
+    if (world_state_refuses(w->x)) continue; /* it waits as in an outage */
     json_t *events = events_after(w->prefix, w->from);
     if (json_array_size(events) == 0 && sim_now() < w->until) {
       json_decref(events);
@@ -223,9 +226,13 @@
   return FALSE;
 }
 
-static void serve(const sim_request *r, void *arg) {
-  (void)arg;
-  if (g_down || world_state_refuses(r)) {
+void state_slow(double until, double most_s) {
+  g_slow_until = until;
+  g_slow_most_s = most_s;
+}
+
+static void serve_now(const sim_request *r) {
+  if (g_down || world_state_refuses(r->exchange)) {
     sim_answer(r->exchange, 503, "{}");
   } else if (strcmp(r->path, "/commit") == 0) {
     commit(r);
@@ -279,6 +286,28 @@
   }
 }
 
+static void serve_later(void *arg) {
+  serve_now(arg);
+  g_free(arg);
+}
+
+static void serve(const sim_request *r, void *arg) {
+  (void)arg;
+  double late = 0;
+  if (g_late_writes > 0 && strcmp(r->path, "/commit") == 0 && sim_chance(g_late_writes)) {
+    late = sim_draw(2, 12);
+  } else if (sim_now() < g_slow_until) {
+    late = sim_draw(0, g_slow_most_s);
+  }
+  if (late <= 0) {
+    serve_now(r);
+    return;
+  }
+  sim_request *copy = g_new(sim_request, 1); /* what it points to stays with the exchange */
+  *copy = *r;
+  sim_after(late, serve_later, copy);
+}
+
 void state_init(void) {
   g_keys = g_tree_new_full(by_key, NULL, g_free, NULL);
   g_history = g_ptr_array_new();
@@ -288,6 +317,7 @@
   g_revision = 0;
   g_next_lease = 0;
   g_down = false;
+  g_slow_until = g_late_writes = 0;
   sim_serve(WORLD_STATE_IP, serve, NULL);
   tick(NULL);
 }
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -3,6 +3,8 @@
 
 #define FORGOTTEN_S 75.0
 
+double g_cancel_at_end;
+
 static void user_poll(void *arg);
 static void user_cancel(void *arg);
 static void user_submit(void *arg);
@@ -113,13 +115,51 @@
   g_free(q);
 }
 
-static void user_cancel(void *arg) {
-  job *j = arg;
-  if (j->over) return;
+static void cancel_by(job *j, int node) {
   j->cancel_asked = true;
   char path[80];
   g_snprintf(path, sizeof path, "/api/jobs/%s/withdraw", j->id);
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "POST", path, "", 5, on_cancelled, ask(j));
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), "POST", path, "", 5, on_cancelled, ask(j));
+}
+
+static void user_cancel(void *arg) {
+  job *j = arg;
+  if (!j->over) cancel_by(j, world_any_node());
+}
+
+typedef struct cancel_arg {
+  job *j;
+  int node;
+} cancel_arg;
+
+static void cancel_there(void *arg) {
+  cancel_arg *a = arg;
+  cancel_by(a->j, a->node >= 0 ? a->node : world_any_node());
+  g_free(a);
+}
+
+void world_cancel(const char *id, int node, double in_s) {
+  cancel_arg *a = g_new(cancel_arg, 1);
+  *a = (cancel_arg){g_hash_table_lookup(g_jobs, id), node};
+  sim_after(in_s, cancel_there, a);
+}
+
+double world_cancelled_at(const char *id) {
+  const job *j = g_hash_table_lookup(g_jobs, id);
+  return j->told_cancelled ? j->cancelled_at : 0;
+}
+
+/* At the very moment at which the last task ends its user calls the job off, asks
+ * about it and submits it again. */
+void users_job_ends(job *j) {
+  if (g_cancel_at_end <= 0 || !sim_chance(g_cancel_at_end)) return;
+  cancel_arg *a = g_new(cancel_arg, 1);
+  *a = (cancel_arg){j, -1};
+  sim_after(sim_draw(0, 0.6), cancel_there, a);
+  char path[64];
+  g_snprintf(path, sizeof path, "/api/jobs/%s", j->id);
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "GET", path, "", 2, on_poll, ask(j));
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "POST", "/api/jobs", j->body, 5, on_repeated, ask(j));
 }
 
 static void on_unknown(int status, const char *body, void *arg) {
@@ -138,37 +178,58 @@
   sim_after(sim_draw(5, 15), ask_unknown, NULL);
 }
 
+static const char *quoted(const char *s) {
+  static char text[40];
+  if (!s) return "null";
+  g_snprintf(text, sizeof text, "\"%s\"", s);
+  return text;
+}
+
 /* Into the world: known to the workers, and its user on the way. */
 static void job_enter(job *j, unsigned image) {
   j->done = g_new0(bool, j->tasks);
   j->body = g_strdup_printf(
       "{\"id\":\"%s\",\"squad\":\"%s\",\"club\":\"%s\",\"play\":\"%s\",\"rank\":\"%s\",\"runs\":%u,\"cpus\":%f,"
-      "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":null,\"ground\":null,\"samePlace\":%s,"
+      "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":null,\"ground\":%s,\"samePlace\":%s,"
       "\"scatter\":%s,\"loaners\":%s,\"expectS\":10,\"markS\":0,\"stowS\":0,\"whistleS\":null}",
-      j->id, j->kind, j->team, j->kind, j->rank, j->tasks, j->cpus, j->gpus, image, j->one_zone ? "true" : "false",
+      j->id, j->kind, j->team, j->kind, j->rank, j->tasks, j->cpus, j->gpus, image, quoted(j->zone), j->one_zone ? "true" : "false",
       j->spread ? "true" : "false", j->spot ? "true" : "false");
   g_hash_table_insert(g_jobs, j->id, j);
   g_result.submitted++;
   sim_after(j->submit_at, user_submit, j);
 }
 
-void world_submit(const char *id, const char *kind, const char *rank, unsigned tasks, double gpus, double run_s,
-                  double in_s) {
+void world_submit_job(const world_job *s) {
   job *j = g_new0(job, 1);
-  g_strlcpy(j->id, id, sizeof j->id);
-  j->kind = kind;
-  j->rank = rank;
-  j->team = "red";
-  j->tasks = tasks;
-  j->cpus = j->gpus = gpus;
-  j->run_s = run_s;
-  j->one_zone = strcmp(kind, "gang") == 0;
-  j->spread = strcmp(kind, "service") == 0;
-  j->spot = strcmp(kind, "sweep") == 0;
-  j->submit_at = in_s;
+  g_strlcpy(j->id, s->id, sizeof j->id);
+  j->kind = s->kind;
+  j->rank = s->rank ? s->rank : "standard";
+  j->team = s->team ? s->team : "red";
+  j->zone = s->zone;
+  j->tasks = s->tasks;
+  j->cpus = j->gpus = s->gpus;
+  j->run_s = s->run_s;
+  j->one_zone = s->one_zone;
+  j->spread = s->spread;
+  j->spot = s->spot;
+  j->submit_at = s->in_s;
   job_enter(j, 1);
 }
 
+void world_submit(const char *id, const char *kind, const char *rank, unsigned tasks, double gpus, double run_s,
+                  double in_s) {
+  world_submit_job(&(world_job){.id = id,
+                                .kind = kind,
+                                .rank = rank,
+                                .tasks = tasks,
+                                .gpus = gpus,
+                                .run_s = run_s,
+                                .in_s = in_s,
+                                .one_zone = strcmp(kind, "gang") == 0,
+                                .spread = strcmp(kind, "service") == 0,
+                                .spot = strcmp(kind, "sweep") == 0});
+}
+
 double world_began(const char *id) {
   const job *j = g_hash_table_lookup(g_jobs, id);
   return j->began_at;
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -63,9 +63,38 @@
   if (j->one_zone && c.elsewhere > 0) world_broke("wrong_place", j->id);
   if (j->spread && c.in_zone > (j->tasks + 1) / 2) world_broke("wrong_place", j->id);
   if (j->told_cancelled && sim_now() > j->cancelled_at + CANCEL_S) world_broke("ran_cancelled", j->id);
+  if (j->told_cancelled) g_result.late_starts++;
+  if (j->zone && strcmp(j->zone, world_zones[w->zone]) != 0) world_broke("wrong_place", j->id);
   if (!j->told_accepted && !j->submitting) world_broke("invented", j->id);
 }
 
+typedef struct task_search {
+  const char *id;
+  int index; /* -1: any */
+  unsigned count;
+  worker *on;
+} task_search;
+
+static void see_task(worker *w, task *t, void *arg) {
+  task_search *s = arg;
+  if (strcmp(t->job_id, s->id) != 0 || (s->index >= 0 && t->index != (unsigned)s->index)) return;
+  s->count++;
+  s->on = w;
+}
+
+unsigned world_tasks_of(const char *id) {
+  task_search s = {.id = id, .index = -1};
+  each_on_machine(see_task, &s);
+  return s.count;
+}
+
+int world_machine_of(const char *id, unsigned index) {
+  task_search s = {.id = id, .index = (int)index};
+  each_on_machine(see_task, &s);
+  guint at;
+  return s.on && g_ptr_array_find(g_order, s.on, &at) ? (int)at : -1;
+}
+
 static void add_exited(worker *w, const char *id, unsigned index, uint64_t attempt, const char *cause) {
   task *t = g_new0(task, 1);
   g_strlcpy(t->job_id, id, sizeof t->job_id);
@@ -235,6 +264,15 @@
   g_free(c);
 }
 
+void world_report_later(unsigned at, unsigned node, double in_s) {
+  worker *w = g_order->pdata[at];
+  char *s = report_of(w);
+  copy *c = g_new(copy, 1);
+  *c = (copy){w->ip, WORLD_NODE_IP(node), g_strdup(s)};
+  sim_after(in_s, deliver_copy, c);
+  free(s);
+}
+
 static void worker_report(worker *w) {
   w->in_flight = true;
   w->sent_at = w->last_sent = sim_now();
@@ -244,7 +282,9 @@
   w->next_report = sim_now() + REPORT_S * sim_draw(0.75, 1.25);
   char *s = report_of(w);
   if (!w->connection) w->connection = sim_connection();
-  sim_call_on(w->connection, w->ip, WORLD_NODE_IP(w->node), "/checkin", s, 4, on_report_reply, w);
+  /* Mute: it goes to an address where nobody is. */
+  uint32_t to = w->mute_until > sim_now() ? IP(10, 9, 9, 9) : WORLD_NODE_IP(w->node);
+  sim_call_on(w->connection, w->ip, to, "/checkin", s, 4, on_report_reply, w);
   if (sim_chance(g_copies)) {
     copy *c = g_new(copy, 1);
     *c = (copy){w->ip, WORLD_NODE_IP(sim_chance(0.5) ? w->node : world_any_node()), g_strdup(s)};
@@ -306,7 +346,7 @@
   job *j = t->job;
   if (!j->done[t->index]) {
     j->done[t->index] = true;
-    j->done_count++;
+    if (++j->done_count == j->tasks) users_job_ends(j);
   }
   exit_task(w, t, "done");
 }
@@ -340,6 +380,7 @@
     } else if (t->state == T_RUNNING && now >= t->until) {
       /* They complete together. */
       for (unsigned i = 0; i < j->tasks; i++) j->done[i] = true;
+      if (j->done_count < j->tasks) users_job_ends(j);
       j->done_count = j->tasks;
       finish(w, t);
     }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -53,6 +53,8 @@
       return a_node && g_hash_table_contains(g_by_ip, GUINT_TO_POINTER(b));
     case CUT_ZONE: /* from everything, what belongs to no zone included */
       return zone_of(a) == c->node && zone_of(b) != c->node;
+    case CUT_PAIR:
+      return a_node && b == c->ip;
     default:
       return a == c->ip;
   }
@@ -71,8 +73,8 @@
   return SIM_CLEAR;
 }
 
-bool world_state_refuses(const sim_request *r) {
-  uint32_t from = *(const uint32_t *)r->exchange; /* first field: the sender */
+bool world_state_refuses(const struct sim_exchange *x) {
+  uint32_t from = *(const uint32_t *)x; /* first field: the sender */
   int n = node_of(from);
   return n >= 0 && sim_now() < g_refuse_until[n];
 }
@@ -129,6 +131,44 @@
   for (unsigned i = from; i < to; i++) ((worker *)g_order->pdata[i])->deaf_until = sim_now() + for_s;
 }
 
+static worker *machine(unsigned i) {
+  return g_order->pdata[i];
+}
+
+void world_hang(unsigned from, unsigned to, double for_s) {
+  for (unsigned i = from; i < to; i++) machine(i)->hang_until = sim_now() + for_s;
+}
+
+void world_mute(unsigned from, unsigned to, double for_s) {
+  for (unsigned i = from; i < to; i++) machine(i)->mute_until = sim_now() + for_s;
+}
+
+void world_cut_pair(unsigned node, unsigned at, double for_s, sim_link mode) {
+  cut c = {.kind = CUT_PAIR, .node = (int)node, .ip = machine(at)->ip, .until = sim_now() + for_s, .mode = mode};
+  g_array_append_val(g_cuts, c);
+}
+
+void world_cut_node(unsigned node, double for_s, sim_link mode) {
+  cut c = {.kind = CUT_NODE, .node = (int)node, .until = sim_now() + for_s, .mode = mode};
+  g_array_append_val(g_cuts, c);
+}
+
+void world_refuse(unsigned node, double for_s) {
+  g_refuse_until[node] = sim_now() + for_s;
+}
+
+void world_state_slow(double for_s, double most_s) {
+  state_slow(sim_now() + for_s, most_s);
+}
+
+void world_late_writes(double share) {
+  g_late_writes = share;
+}
+
+void world_cancel_at_end(double share) {
+  g_cancel_at_end = share;
+}
+
 void world_kill(unsigned from, unsigned to) {
   for (unsigned i = from; i < to; i++) ((worker *)g_order->pdata[i])->gone = true;
 }
@@ -177,14 +217,18 @@
   *(int *)arg = status;
 }
 
-int world_ask(unsigned node, const char *path) {
+int world_ask_body(unsigned node, const char *method, const char *path, const char *body) {
   static int status; /* outlives a call that is given up */
   status = -1;
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), "GET", path, "", 2, on_answer, &status);
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), method, path, body, 2, on_answer, &status);
   while (status < 0) sim_run_until(sim_now() + 0.01);
   return status;
 }
 
+int world_ask(unsigned node, const char *path) {
+  return world_ask_body(node, "GET", path, "");
+}
+
 unsigned world_running(void) {
   unsigned n = 0;
   for (guint i = 0; i < g_order->len; i++) {
@@ -203,6 +247,11 @@
   state_down(false);
 }
 
+void world_state_down(double for_s) {
+  state_down(true);
+  sim_after(for_s, state_up, NULL);
+}
+
 static worker *any_worker(void) {
   if (g_order->len == 0) return NULL;
   return g_order->pdata[g_rand_int_range(sim_rand(), 0, (gint32)g_order->len)];
@@ -364,7 +413,7 @@
   logging = g_verbose;
   memset(&g_result, 0, sizeof g_result);
   memset(g_refuse_until, 0, sizeof g_refuse_until);
-  g_copies = g_quiet_from = 0;
+  g_copies = g_quiet_from = g_cancel_at_end = 0;
   world_capacity(5, 3);
   users_init();
   workers_init();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -17,6 +17,7 @@
   unsigned broken;
   char first[200]; /* the first broken rule */
   unsigned submitted, accepted, finished, unfinished, cancelled, starts, lease_kills, crashes, faults;
+  unsigned late_starts; /* after the user was told that the job is cancelled */
 } world_result;
 
 /* Plays one day with the faults that the seed draws. */
@@ -37,6 +38,14 @@
 /* What a controller has counted since its last start. */
 fc_counts world_counts(unsigned node);
 void world_machines_up(unsigned zone, unsigned count); /* ordinary ones, there from the start */
+typedef struct world_job {
+  const char *id, *kind, *rank, *team; /* rank, team: NULL: standard, red */
+  const char *zone;                    /* the only one allowed; NULL: any */
+  unsigned tasks;
+  double gpus, run_s, in_s;
+  bool one_zone, spread, spot;
+} world_job;
+void world_submit_job(const world_job *spec);
 void world_submit(const char *id, const char *kind, const char *rank, unsigned tasks, double gpus, double run_s,
                   double in_s);
 double world_began(const char *id); /* 0: not yet */
@@ -47,6 +56,26 @@
 void world_deaf(unsigned from, unsigned to, double for_s); /* machines in order of creation */
 unsigned world_gone(unsigned from, unsigned to);
 void world_kill(unsigned from, unsigned to); /* machines in order of creation */
+void world_hang(unsigned from, unsigned to, double for_s);
+/* They reach no controller; direct commands reach them. */
+void world_mute(unsigned from, unsigned to, double for_s);
+/* Packets between the two wait, or connections are reset; both reach all others. */
+void world_cut_pair(unsigned node, unsigned machine, double for_s, sim_link mode);
+void world_cut_node(unsigned node, double for_s, sim_link mode); /* from everything */
+/* The machine's report of now arrives, once more, there and then. */
+void world_report_later(unsigned machine, unsigned node, double in_s);
+void world_refuse(unsigned node, double for_s); /* by the state service, alone */
+void world_state_down(double for_s);
+void world_state_slow(double for_s, double most_s); /* each answer takes up to so long */
+/* That share of transactions gets no answer and is carried out 2 to 12 s late. */
+void world_late_writes(double share);
+void world_cancel(const char *id, int node, double in_s); /* by that controller first; -1: any */
+double world_cancelled_at(const char *id);                /* when its user was told; 0: not yet */
+void world_cancel_at_end(double share);
+unsigned world_tasks_of(const char *id); /* on machines now, those of cut and hung ones too */
+/* The machine that a task of the job is on, in order of creation; -1: none. */
+int world_machine_of(const char *id, unsigned index);
+int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
 world_result world_so_far(void);
 unsigned world_running(void);                   /* tasks, now */
 int world_ask(unsigned node, const char *path); /* the status of the answer */
@@ -54,8 +83,9 @@
 /* Within the stand-ins. */
 void state_init(void);
 void state_down(bool down);
+void state_slow(double until, double most_s);
 bool state_has(const char *key);
-bool world_state_refuses(const sim_request *r);
+bool world_state_refuses(const struct sim_exchange *x);
 void world_broke(const char *rule, const char *detail);
 
 #endif
