A committed cancellation is passed on as a fact, also to whom the state service refuses

Cause: a controller that alone is refused by the state service heard of no cancellation.

Now whoever writes, reads or is told a cancellation marks the job at once, halts, and passes it on in views and acknowledgements (peer link version 4) to each member whose table is behind, with its revision; a member that has told all it knows does not count against another's freshness. A life that has not read everything never says so. The job's own version stays, so no write builds on what was only told. A start is judged right before it is sent. The bound of time stays underneath.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -32,6 +32,7 @@
   t->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
   t->types = g_ptr_array_new_with_free_func(fc_machine_type_free);
   t->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  t->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   /* About two boots of a machine: longer, and yesterday's burst is paid for. */
   fc_demand_init(&t->demand, settings->lease_s * 8);
@@ -46,6 +47,7 @@
   g_hash_table_destroy(t->machines);
   g_ptr_array_free(t->types, TRUE);
   g_hash_table_destroy(t->hires);
+  g_hash_table_destroy(t->cancelled);
   g_hash_table_destroy(t->members);
   fc_demand_free(&t->demand);
   g_free(t);
@@ -143,6 +145,10 @@
   j->done_count = 0;
   for (uint32_t i = 0; i < j->spec.tasks; i++) j->done_count += fc_job_task_done(j, i);
   j->phase = r->phase;
+  /* Known to be cancelled by a later record, which is still to be read. */
+  const guint64 *cancelled = g_hash_table_lookup(t->cancelled, id);
+  if (cancelled && *cancelled > version) j->phase = FC_PHASE_CANCELLED;
+  if (j->phase == FC_PHASE_CANCELLED && !j->cancelled_from) j->cancelled_from = now;
   if (j->phase != FC_PHASE_ACCEPTED && !j->over_at) j->over_at = now;
   j->version = version;
   for (unsigned i = 0; i < j->slices; i++) {
@@ -163,6 +169,31 @@
   return j;
 }
 
+void fc_table_cancel(fc_table *t, const char *id, uint64_t revision, double from, double now) {
+  fc_job *j = fc_table_job(t, id);
+  if (j && (j->version >= revision || j->phase == FC_PHASE_CANCELLED)) return;
+  guint64 *v = g_new(guint64, 1);
+  *v = revision;
+  g_hash_table_replace(t->cancelled, g_strdup(id), v);
+  if (!j) return;
+  j->phase = FC_PHASE_CANCELLED;
+  j->cancelled_from = from;
+  if (!j->over_at) j->over_at = now;
+}
+
+bool fc_table_is_cancelled(const fc_table *t, const char *id) {
+  const fc_job *j = fc_table_job(t, id);
+  return j ? j->phase == FC_PHASE_CANCELLED : g_hash_table_contains(t->cancelled, id);
+}
+
+void fc_table_caught_up(fc_table *t, uint64_t revision) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->cancelled);
+  while (g_hash_table_iter_next(&it, NULL, &value))
+    if (*(const guint64 *)value <= revision) g_hash_table_iter_remove(&it);
+}
+
 void fc_table_remove_job(fc_table *t, fc_job *j) {
   for (guint i = 0; i < j->placements->len; i++) ((fc_placement *)j->placements->pdata[i])->job = NULL;
   g_hash_table_remove(t->jobs, j->spec.id);
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -61,9 +61,10 @@
   unsigned owned_by;            /* a bit a member that owns any of its slices */
   int team;                     /* index into the settings; -1: not there any more */
   GPtrArray *placements;
-  unsigned clear; /* a bit a slice: nothing of it can be anywhere that we do not know of */
-  double seen_at; /* steady time when we first saw it */
-  double over_at; /* when we first saw that it is over; 0: it is not */
+  unsigned clear;        /* a bit a slice: nothing of it can be anywhere that we do not know of */
+  double seen_at;        /* steady time when we first saw it */
+  double cancelled_from; /* no user was told that it is cancelled before this; 0: it is not */
+  double over_at;        /* when we first saw that it is over; 0: it is not */
   double blocked_until;
   unsigned handing; /* a bit a slice: its hand-over is being written; not to be placed */
   double handed_at;
@@ -119,11 +120,12 @@
 
 typedef struct fc_table {
   const fc_settings *settings;
-  GHashTable *jobs;     /* id -> fc_job */
-  GHashTable *machines; /* id -> fc_machine */
-  GPtrArray *types;     /* fc_machine_type; empty: not known yet */
-  GHashTable *hires;    /* name -> fc_hire_record */
-  GHashTable *members;  /* name -> version of the member's key (guint64*) */
+  GHashTable *jobs;      /* id -> fc_job */
+  GHashTable *machines;  /* id -> fc_machine */
+  GPtrArray *types;      /* fc_machine_type; empty: not known yet */
+  GHashTable *hires;     /* name -> fc_hire_record */
+  GHashTable *cancelled; /* id -> revision (guint64*): told by a peer, not read yet */
+  GHashTable *members;   /* name -> version of the member's key (guint64*) */
   fc_term term;
   uint64_t term_version; /* of the stored record; 0: none seen */
   fc_quota_record quota;
@@ -152,6 +154,13 @@
 /* A job's record as stored; newer versions only. `fresh`: the record was first
  * seen as a change inside the present term, so nobody placed it before. */
 fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh, double now);
+/* A committed cancellation that the table has not read: told by a peer, or just written
+ * by us. The job is over from here on, whatever older records are still read; its own
+ * version stays, so that no write of ours builds on what we have not read. */
+void fc_table_cancel(fc_table *t, const char *id, uint64_t revision, double from, double now);
+bool fc_table_is_cancelled(const fc_table *t, const char *id);
+/* Everything up to the revision has been read. */
+void fc_table_caught_up(fc_table *t, uint64_t revision);
 /* The job has been put away: nobody looks for its placements any more. */
 void fc_table_remove_job(fc_table *t, fc_job *j);
 bool fc_job_task_done(const fc_job *j, uint32_t index);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "bookkeeping/budget.h"
+#include "bookkeeping/cancels.h"
 #include "bookkeeping/commit.h"
 #include "bookkeeping/table.h"
 #include "bookkeeping/writes.h"
@@ -26,6 +27,7 @@
   double promised_until; /* we commit no term without it before this */
   double fresh_at;       /* when it last read the state service, as far as it told us */
   double heard_at;       /* when its last acknowledgement came */
+  uint64_t revision;     /* what it has read, as far as it told us */
   unsigned backlog;      /* writes that waited there when it last told us */
   double backlog_at;
   /* The newest view of its machines that we hold whole, and the life and term it was
@@ -87,6 +89,7 @@
   double started_at;
   double looked_at;            /* when places beyond free room were last looked for */
   double cancel_at;            /* when we last learned of a cancellation */
+  fc_cancels *cancels;         /* those that others may not have read */
   int peer_of[FC_MEMBERS_MAX]; /* member of the term -> index of the peer; -1: none */
   double types_at;             /* when the machine types were last read */
   GHashTable *recording;       /* ids of jobs whose ends are being written */
@@ -108,6 +111,10 @@
 /* Waits until the table holds the given revision. */
 bool fc_wait_revision(fc_controller *c, uint64_t revision, double deadline);
 bool fc_state_reachable(const fc_controller *c);
+/* A cancellation is committed: we wrote it, have read it, or were told. From here on
+ * nothing of the job is started, its tasks are stopped, and the others hear of it. `from`:
+ * no user was told of it before. */
+void fc_cancel_learned(fc_controller *c, const char *job, uint64_t revision, double from);
 
 typedef enum { FC_FOUND, FC_NOT_THERE, FC_NOT_SURE } fc_lookup;
 /* Looks for a job among those put away; the table has just been proved current. */
@@ -148,6 +155,8 @@
 /* Marks the task to be stopped with time to save; it is told by the next push or
  * answer. */
 void fc_workers_stop(const fc_controller *c, fc_placement *p);
+/* May the task not run any more? */
+bool fc_workers_unwanted(const fc_controller *c, const fc_placement *p);
 /* Marks the machine to be asked directly when there is reason to; true: it is. */
 bool fc_workers_doubt(const fc_controller *c, fc_machine *m);
 /* Writes the ends of a job's tasks to the state service. */
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -226,7 +226,9 @@
     uint64_t revision = 0;
     fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_REPORT, deadline, &revision);
     if (r == FC_STATE_OK) {
-      c->cancel_at = fc_now();
+      /* Before we read of it: the state service may be out of reach from here on, and
+       * we would go on with the job, and start more of it, for as long. */
+      fc_cancel_learned(c, id, revision, fc_now());
       res->status = 200;
       fc_job_answer(res->body, id, FC_STATUS_CANCELLED, 0, 0, false);
       return;
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -1,5 +1,6 @@
 /* The peer link: each controller sends its view of its own machines to every
  * other and is answered with an acknowledgement that may carry a promise. */
+#include <math.h>
 #include <string.h>
 
 #include "controller/controller.h"
@@ -60,6 +61,20 @@
   for (size_t i = 0; i < ack->kept_count; i++) fc_workers_kept(c, &ack->kept[i], now);
 }
 
+/* Facts, whatever term or life the sender is in. */
+static void take_cancels(fc_controller *c, const fc_frame_cancel *cancels, size_t count) {
+  for (size_t i = 0; i < count; i++)
+    fc_cancel_learned(c, cancels[i].job, cancels[i].revision, fc_now() - cancels[i].age_ms / 1000.0);
+}
+
+/* A peer has told us what it has read; what all have read need not be passed on. */
+static void note_revision(fc_controller *c, fc_peer *peer, uint64_t revision) {
+  peer->revision = revision;
+  uint64_t all = c->revision;
+  for (size_t k = 0; k < c->settings->peer_count; k++) all = MIN(all, c->peers[k].revision);
+  fc_cancels_read(c->cancels, all);
+}
+
 static bool exchange(fc_controller *c, fc_peer *peer, fc_conn *conn, uint64_t seq) {
   GByteArray *out = g_byte_array_new();
   fc_view_make(c, peer, seq, out);
@@ -84,7 +99,11 @@
     double now = fc_now();
     peer->heard_at = now;
     peer->fresh_at = now - ack.fresh_ms / 1000.0;
-    fc_right_quiet(&c->right, k, sent, now - ack.quiet_ms / 1000.0);
+    take_cancels(c, ack.cancels, ack.cancel_count);
+    note_revision(c, peer, ack.revision);
+    /* One that has told us all it knows has, for us, learned of nothing since our own
+     * last read: we know it too, and halt what is cancelled. */
+    fc_right_quiet(&c->right, k, sent, ack.told_all ? -INFINITY : now - ack.quiet_ms / 1000.0);
     /* Whatever life or term it is in: it answers for what it promises us. */
     if (ack.promise_ms > 0 && now_term->number == term && c->boot == boot)
       fc_right_promised(&c->right, now_term, c->peer_of, c->table->self, k, now, sent, ack.promise_ms / 1000.0);
@@ -218,6 +237,7 @@
     g_free(body);
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
     fc_view_fate fate = fc_view_take(c, &v);
+    take_cancels(c, v.cancels, v.cancel_count);
     if (fate == FC_VIEW_BROKEN) {
       g_warning("view out of order from=%s seq=%" G_GUINT64_FORMAT " piece=%u", v.sender, (guint64)v.seq, v.piece);
       fc_view_clear(&v);
@@ -229,6 +249,11 @@
     }
     c->counts.views++;
     take_backlog(c, &v);
+    const fc_cancel *untold;
+    size_t untold_count;
+    /* Before we have read everything, a life of ours before this may have confirmed what
+     * we don't know. */
+    bool told_all = fc_cancels_since(c->cancels, v.revision, &untold, &untold_count) && c->loaded;
     fc_ack ack = {.boot = c->boot,
                   .term = c->table->term.number,
                   .seq = v.seq,
@@ -236,7 +261,10 @@
                   .promise_ms = give_promise(c, &v),
                   .quiet_ms = (uint32_t)(MIN(fc_now() - c->cancel_at, 1e6) * 1000),
                   .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000),
-                  .revision = c->revision};
+                  .revision = c->revision,
+                  .told_all = told_all,
+                  .cancels = fc_cancels_frame(untold, untold_count, fc_now()),
+                  .cancel_count = untold_count};
     fill_kept(c, &ack);
     g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
     fc_view_clear(&v);
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -16,12 +16,10 @@
     fc_placement *p = m->placements->pdata[i];
     if (p->state == FC_TASK_EXITED || p->stopping) continue;
     const fc_job *j = p->job;
-    bool over = j ? j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index)
-                  : p->since + c->settings->report_s < c->fresh_sent;
     /* A gang that lost a task before it started waits for nothing. */
     bool orphan = j && j->spec.kind == FC_KIND_GANG && p->state == FC_TASK_WAITING &&
                   j->placements->len < j->spec.tasks - j->done_count;
-    if (!over && !orphan) continue;
+    if (!orphan && !fc_workers_unwanted(c, p)) continue;
     p->stopping = true;
     p->grace_s = 0;
     *work = true;
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -10,6 +10,7 @@
   c->fresh_sent = -1e9;
   for (size_t k = 0; k < s->peer_count; k++) c->peers[k].fresh_at = c->peers[k].heard_at = -1e9;
   c->table = fc_table_new(s);
+  c->cancels = fc_cancels_new();
   fc_metrics_init(&c->metrics);
   c->state = fc_state_new(&s->state_at);
   c->cloud = fc_cloud_new(&s->cloud_at);
--- a/src/controller/view.c
+++ b/src/controller/view.c
@@ -58,6 +58,15 @@
   return !peer->acked_seq || m->shown_at > peer->acked_view || m->version > peer->acked_revision;
 }
 
+/* What the peer may not have read of cancellations. */
+static void fill_cancels(const fc_controller *c, const fc_peer *peer, fc_view *v) {
+  const fc_cancel *first;
+  size_t n;
+  (void)fc_cancels_since(c->cancels, peer->revision, &first, &n);
+  v->cancels = fc_cancels_frame(first, n, fc_now());
+  v->cancel_count = n;
+}
+
 static void send_pieces(fc_view *v, const GArray *machines, GByteArray *out) {
   guint from = 0;
   do {
@@ -69,6 +78,7 @@
     v->machine_count = to - from;
     v->last = to == machines->len;
     fc_view_encode(out, v);
+    v->cancel_count = 0; /* once is enough */
     v->piece++;
     from = to;
   } while (!v->last);
@@ -78,7 +88,8 @@
   fc_table *t = c->table;
   double now = fc_now();
   t->view++;
-  fc_view v = {.boot = c->boot, .term = t->term.number, .seq = seq, .base = peer->acked_seq};
+  fc_view v = {.boot = c->boot, .term = t->term.number, .seq = seq, .base = peer->acked_seq, .revision = c->revision};
+  fill_cancels(c, peer, &v);
   v.backlog = (uint16_t)MIN(fc_commit_backlog(c->commit), UINT16_MAX);
   g_strlcpy(v.sender, c->settings->name, sizeof v.sender);
   GArray *machines = g_array_new(FALSE, TRUE, sizeof(fc_frame_machine));
@@ -103,6 +114,7 @@
   send_pieces(&v, machines, out);
   for (guint i = 0; i < machines->len; i++) g_free(g_array_index(machines, fc_frame_machine, i).tasks);
   g_array_free(machines, TRUE);
+  g_free(v.cancels);
 }
 
 /* The owner's list replaces what we thought is on a machine. */
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -51,14 +51,24 @@
     g_critical("job record unreadable key=%s", ch->key);
     return;
   }
-  const fc_job *known = fc_table_job(c->table, id);
-  if (r.phase == FC_PHASE_CANCELLED && (!known || known->phase != FC_PHASE_CANCELLED)) c->cancel_at = fc_now();
+  /* Whoever confirmed it did so after the last read that did not show it. */
+  if (r.phase == FC_PHASE_CANCELLED) fc_cancel_learned(c, id, ch->version, ordered ? c->fresh_sent : fc_now());
   bool fresh = ordered && c->table->term_version && ch->version > c->table->term_version;
   fc_job *j = fc_table_put_job(c->table, id, &r, ch->version, fresh, fc_now());
   fc_job_record_clear(&r);
   if (j) fc_round_soon(c);
 }
 
+void fc_cancel_learned(fc_controller *c, const char *job, uint64_t revision, double from) {
+  double now = fc_now();
+  /* Also when it is too old for the list: what is passed over here is never halted. */
+  if (revision > c->revision) fc_table_cancel(c->table, job, revision, from, now);
+  if (!fc_cancels_note(c->cancels, job, revision, from)) return;
+  c->cancel_at = now;
+  fc_round_soon(c);
+  fc_views_soon(c);
+}
+
 static void apply_machine(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
   fc_table *t = c->table;
   fc_machine *m = fc_table_machine(t, id);
@@ -194,6 +204,7 @@
     for (guint i = 0; i < all->len; i++) apply(c, all->pdata[i], false);
     drop_missing(c, present, first);
     c->revision = first;
+    fc_table_caught_up(c->table, first);
     c->loaded = true;
     g_info("loaded keys=%u revision=%" G_GUINT64_FORMAT, all->len, (guint64)first);
   }
@@ -220,6 +231,7 @@
       if (ch->version > c->revision) apply(c, ch, true);
     }
     c->revision = MAX(c->revision, revision);
+    fc_table_caught_up(c->table, c->revision);
     if (sent > c->fresh_sent) c->fresh_sent = sent;
     fc_right_fresh(&c->right, sent);
     fc_cond_broadcast(&c->changed);
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -153,6 +153,12 @@
   return r->session > m->session || (r->session == m->session && r->seq > m->seq);
 }
 
+bool fc_workers_unwanted(const fc_controller *c, const fc_placement *p) {
+  const fc_job *j = p->job;
+  if (j) return j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index);
+  return p->since + c->settings->report_s < c->fresh_sent || fc_table_is_cancelled(c->table, p->job_id);
+}
+
 /* The commands owed to a settled machine. Starts are marked as sent. */
 static GArray *commands_for(fc_controller *c, fc_machine *m, bool direct, uint64_t seq) {
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_command));
@@ -160,6 +166,12 @@
   for (guint i = m->placements->len; i-- > 0;) {
     fc_placement *p = m->placements->pdata[i];
     fc_command cmd = {.job = p->job_id, .index = p->index, .attempt = p->attempt};
+    /* Judged here, right before it is sent: the round may be a while back, and its job
+     * cancelled since. */
+    if (p->state != FC_TASK_EXITED && !p->reported && !p->stopping && fc_workers_unwanted(c, p)) {
+      p->stopping = true;
+      p->grace_s = 0;
+    }
     if (p->state == FC_TASK_EXITED) {
       update_recorded(c, p);
       /* After a clear, a late copy of the start would run it again. */
@@ -346,8 +358,7 @@
   GArray *commands = g_array_new(FALSE, TRUE, sizeof(fc_command));
   for (size_t i = 0; i < r->task_count; i++) {
     const fc_task_report *tr = &r->tasks[i];
-    const fc_job *j = fc_table_job(c->table, tr->job);
-    if (!j || j->phase != FC_PHASE_CANCELLED || tr->state == FC_TASK_EXITED) continue;
+    if (tr->state == FC_TASK_EXITED || !fc_table_is_cancelled(c->table, tr->job)) continue;
     fc_command cmd = {.op = FC_COMMAND_STOP, .job = tr->job, .index = tr->index, .attempt = tr->attempt};
     g_array_append_val(commands, cmd);
   }
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -8,6 +8,7 @@
 #define MACHINE_LEAST (1u + 1u + 2u)
 #define KEPT_LEAST (1u + 4u + 1u + 8u + 8u)
 #define TASK_LEAST (1u + 4u + 8u + 1u + 1u)
+#define CANCEL_LEAST (1u + 8u + 4u)
 
 static void put_u8(GByteArray *b, uint8_t v) {
   g_byte_array_append(b, &v, 1);
@@ -54,6 +55,15 @@
   return n;
 }
 
+static void put_cancels(GByteArray *b, const fc_frame_cancel *cancels, size_t count) {
+  put_u16(b, (uint16_t)count);
+  for (size_t i = 0; i < count; i++) {
+    put_text(b, cancels[i].job);
+    put_u64(b, cancels[i].revision);
+    put_u32(b, cancels[i].age_ms);
+  }
+}
+
 void fc_view_encode(GByteArray *out, const fc_view *v) {
   guint at = begin(out, FC_FRAME_VIEW);
   put_text(out, v->sender);
@@ -64,6 +74,8 @@
   put_u32(out, v->piece);
   put_u8(out, v->last);
   put_u16(out, v->backlog);
+  put_u64(out, v->revision);
+  put_cancels(out, v->cancels, v->cancel_count);
   put_u32(out, (uint32_t)v->machine_count);
   for (size_t i = 0; i < v->machine_count; i++) {
     const fc_frame_machine *m = &v->machines[i];
@@ -92,6 +104,8 @@
   put_u32(out, a->quiet_ms);
   put_u32(out, a->fresh_ms);
   put_u64(out, a->revision);
+  put_u8(out, a->told_all);
+  put_cancels(out, a->cancels, a->cancel_count);
   put_u32(out, (uint32_t)a->kept_count);
   for (size_t i = 0; i < a->kept_count; i++) {
     put_text(out, a->kept[i].machine);
@@ -195,6 +209,23 @@
   }
 }
 
+static fc_frame_cancel *get_cancels(cursor *c, size_t *count) {
+  size_t n = get_u16(c);
+  *count = 0;
+  if (c->bad || n > FC_FRAME_CANCELS_MOST || n > c->left / CANCEL_LEAST) {
+    c->bad = true;
+    return NULL;
+  }
+  fc_frame_cancel *out = g_new0(fc_frame_cancel, n);
+  *count = n;
+  for (size_t i = 0; i < n; i++) {
+    get_text(c, out[i].job, sizeof out[i].job);
+    out[i].revision = get_u64(c);
+    out[i].age_ms = get_u32(c);
+  }
+  return out;
+}
+
 bool fc_view_decode(const uint8_t *p, size_t len, fc_view *out) {
   memset(out, 0, sizeof *out);
   cursor c = {.p = p, .left = len};
@@ -206,6 +237,8 @@
   out->piece = get_u32(&c);
   out->last = get_u8(&c) != 0;
   out->backlog = get_u16(&c);
+  out->revision = get_u64(&c);
+  out->cancels = get_cancels(&c, &out->cancel_count);
   size_t n = get_u32(&c);
   if (!c.bad && n <= c.left / MACHINE_LEAST) {
     out->machines = g_new0(fc_frame_machine, n);
@@ -222,6 +255,7 @@
 void fc_view_clear(fc_view *v) {
   for (size_t i = 0; i < v->machine_count; i++) g_free(v->machines[i].tasks);
   g_free(v->machines);
+  g_free(v->cancels);
   memset(v, 0, sizeof *v);
 }
 
@@ -237,6 +271,8 @@
   out->quiet_ms = get_u32(&c);
   out->fresh_ms = get_u32(&c);
   out->revision = get_u64(&c);
+  out->told_all = get_u8(&c) != 0;
+  out->cancels = get_cancels(&c, &out->cancel_count);
   size_t n = get_u32(&c);
   if (!c.bad && n <= c.left / KEPT_LEAST) {
     out->kept = g_new0(fc_frame_kept, n);
@@ -258,5 +294,6 @@
 
 void fc_ack_clear(fc_ack *a) {
   g_free(a->kept);
+  g_free(a->cancels);
   memset(a, 0, sizeof *a);
 }
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -9,7 +9,7 @@
 
 #include "protocol/worker.h"
 
-#define FC_FRAME_VERSION 3
+#define FC_FRAME_VERSION 4
 #define FC_FRAME_HEAD 8u
 /* Room for the answers of one controller to 65,535 workers, more than it has sockets
  * for. Only what a frame really brings is taken. */
@@ -19,6 +19,9 @@
 /* As many tasks as a report may name. */
 #define FC_FRAME_TASKS_MOST 4096u
 
+/* Cancellations that a frame may pass on; older ones are left to the state service. */
+#define FC_FRAME_CANCELS_MOST 1024u
+
 typedef enum { FC_FRAME_VIEW = 1, FC_FRAME_ACK = 2 } fc_frame_type;
 
 typedef struct fc_frame_task {
@@ -38,15 +41,25 @@
   size_t task_count;
 } fc_frame_machine;
 
+/* A job that is cancelled, as a transaction that is committed says. */
+typedef struct fc_frame_cancel {
+  char job[32];
+  uint64_t revision;
+  uint32_t age_ms; /* since the sender could first have learned of it */
+} fc_frame_cancel;
+
 /* One piece of a view: the sender's machines, or with `base` only those that have
  * changed since the view of that number. */
 typedef struct fc_view {
   char sender[64];
   uint64_t boot, term, seq;
-  uint64_t base;    /* the receiver has to hold that view; 0: this one is whole */
-  uint32_t piece;   /* from 0 on */
-  bool last;        /* of this view's pieces; it is answered */
-  uint16_t backlog; /* writes that wait at the sender */
+  uint64_t base;     /* the receiver has to hold that view; 0: this one is whole */
+  uint32_t piece;    /* from 0 on */
+  bool last;         /* of this view's pieces; it is answered */
+  uint16_t backlog;  /* writes that wait at the sender */
+  uint64_t revision; /* everything up to here is in the sender's table */
+  fc_frame_cancel *cancels;
+  size_t cancel_count;
   fc_frame_machine *machines;
   size_t machine_count;
 } fc_view;
@@ -64,6 +77,9 @@
   bool applied;        /* the whole view, so that the next may name it as its base */
   uint32_t promise_ms; /* 0: none. "I commit no term without you" for so long */
   uint32_t quiet_ms;   /* since the sender last learned of a cancellation, or started */
+  bool told_all;       /* `cancels` are all that it knows of and the asker's table does not hold */
+  fc_frame_cancel *cancels;
+  size_t cancel_count;
   uint32_t fresh_ms;   /* since the sender last read the state service */
   uint64_t revision;   /* what the sender's table held when it applied the view */
   fc_frame_kept *kept; /* machines of others whose reports it has answered lately */
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -87,8 +87,8 @@
 extern GHashTable *g_jobs, *g_workers, *g_by_ip;
 extern GPtrArray *g_order; /* workers in order of creation */
 extern world_result g_result;
-extern double g_copies;     /* share of reports that are delivered again, late */
-extern double g_quiet_from; /* all troubles are over by then; 0: not decided */
+extern double g_copies;        /* share of reports that are delivered again, late */
+extern double g_quiet_from;    /* all troubles are over by then; 0: not decided */
 extern double g_cancel_at_end; /* share of the jobs that are called off as they end */
 extern double g_late_writes;   /* share of transactions that are carried out late, unanswered */
 extern bool g_verbose;
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -30,7 +30,8 @@
 static GPtrArray *g_watches;
 static uint64_t g_revision, g_next_lease;
 static bool g_down;
-static double g_slow_until, g_slow_most_s;
+static double g_slow_until, g_slow_most_s, g_blind_until, g_blind_next_s;
+static char g_blind_key[48];
 double g_late_writes;
 
 static gint by_key(gconstpointer a, gconstpointer b, gpointer d) {
@@ -67,7 +68,7 @@
 }
 
 static void check_watches(void) {
-  if (g_down) return;
+  if (g_down || sim_now() < g_blind_until) return;
   for (guint i = g_watches->len; i-- > 0;) {
     watch *w = g_watches->pdata[i];
     if (world_state_refuses(w->x)) continue; /* it waits as in an outage */
@@ -190,6 +191,10 @@
       put(json_string_value(json_object_get(item, "remove")), NULL, 0);
     }
   }
+  if (g_blind_next_s > 0 && strstr(r->body, g_blind_key)) {
+    g_blind_until = sim_now() + g_blind_next_s;
+    g_blind_next_s = 0;
+  }
   answer(r->exchange, 200, json_pack("{sI}", "round", g_revision));
   json_decref(body);
   check_watches();
@@ -231,6 +236,11 @@
   g_slow_most_s = most_s;
 }
 
+void state_blind(const char *id, double for_s) {
+  g_snprintf(g_blind_key, sizeof g_blind_key, "\"fc1/job/%s\"", id);
+  g_blind_next_s = for_s;
+}
+
 static void serve_now(const sim_request *r) {
   if (g_down || world_state_refuses(r->exchange)) {
     sim_answer(r->exchange, 503, "{}");
@@ -317,7 +327,7 @@
   g_revision = 0;
   g_next_lease = 0;
   g_down = false;
-  g_slow_until = g_late_writes = 0;
+  g_slow_until = g_blind_until = g_blind_next_s = g_late_writes = 0;
   sim_serve(WORLD_STATE_IP, serve, NULL);
   tick(NULL);
 }
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -192,8 +192,8 @@
       "{\"id\":\"%s\",\"squad\":\"%s\",\"club\":\"%s\",\"play\":\"%s\",\"rank\":\"%s\",\"runs\":%u,\"cpus\":%f,"
       "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":null,\"ground\":%s,\"samePlace\":%s,"
       "\"scatter\":%s,\"loaners\":%s,\"expectS\":10,\"markS\":0,\"stowS\":0,\"whistleS\":null}",
-      j->id, j->kind, j->team, j->kind, j->rank, j->tasks, j->cpus, j->gpus, image, quoted(j->zone), j->one_zone ? "true" : "false",
-      j->spread ? "true" : "false", j->spot ? "true" : "false");
+      j->id, j->kind, j->team, j->kind, j->rank, j->tasks, j->cpus, j->gpus, image, quoted(j->zone),
+      j->one_zone ? "true" : "false", j->spread ? "true" : "false", j->spot ? "true" : "false");
   g_hash_table_insert(g_jobs, j->id, j);
   g_result.submitted++;
   sim_after(j->submit_at, user_submit, j);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -153,6 +153,11 @@
   g_array_append_val(g_cuts, c);
 }
 
+void world_cut_node_peers(unsigned node, double for_s) {
+  cut c = {.kind = CUT_NODE_PEERS, .node = (int)node, .until = sim_now() + for_s, .mode = SIM_HELD};
+  g_array_append_val(g_cuts, c);
+}
+
 void world_refuse(unsigned node, double for_s) {
   g_refuse_until[node] = sim_now() + for_s;
 }
@@ -161,6 +166,10 @@
   state_slow(sim_now() + for_s, most_s);
 }
 
+void world_state_blind(const char *id, double for_s) {
+  state_blind(id, for_s);
+}
+
 void world_late_writes(double share) {
   g_late_writes = share;
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -62,11 +62,14 @@
 /* Packets between the two wait, or connections are reset; both reach all others. */
 void world_cut_pair(unsigned node, unsigned machine, double for_s, sim_link mode);
 void world_cut_node(unsigned node, double for_s, sim_link mode); /* from everything */
+void world_cut_node_peers(unsigned node, double for_s);
 /* The machine's report of now arrives, once more, there and then. */
 void world_report_later(unsigned machine, unsigned node, double in_s);
 void world_refuse(unsigned node, double for_s); /* by the state service, alone */
 void world_state_down(double for_s);
 void world_state_slow(double for_s, double most_s); /* each answer takes up to so long */
+/* From the next write of the job on, reads of changes wait; writes are served. */
+void world_state_blind(const char *id, double for_s);
 /* That share of transactions gets no answer and is carried out 2 to 12 s late. */
 void world_late_writes(double share);
 void world_cancel(const char *id, int node, double in_s); /* by that controller first; -1: any */
@@ -83,6 +86,7 @@
 /* Within the stand-ins. */
 void state_init(void);
 void state_down(bool down);
+void state_blind(const char *id, double for_s);
 void state_slow(double until, double most_s);
 bool state_has(const char *key);
 bool world_state_refuses(const struct sim_exchange *x);
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -208,7 +208,16 @@
   (void)state;
   fc_frame_task task = {.job = "job-000412", .index = 3, .attempt = 7, .state = FC_TASK_RUNNING};
   fc_frame_machine machine = {.id = "vm-1", .settled = true, .tasks = &task, .task_count = 1};
-  fc_view v = {.sender = "paddock-1", .boot = 5, .term = 9, .seq = 11, .machines = &machine, .machine_count = 1};
+  fc_frame_cancel cancels[] = {{"job-000411", 77, 1500}, {"job-000410", 78, 0}};
+  fc_view v = {.sender = "paddock-1",
+               .boot = 5,
+               .term = 9,
+               .seq = 11,
+               .revision = 76,
+               .cancels = cancels,
+               .cancel_count = 2,
+               .machines = &machine,
+               .machine_count = 1};
   GByteArray *b = g_byte_array_new();
   fc_view_encode(b, &v);
   fc_frame_type type;
@@ -219,6 +228,10 @@
   assert_true(fc_view_decode(b->data + FC_FRAME_HEAD, len, &out));
   assert_string_equal(out.machines[0].tasks[0].job, "job-000412");
   assert_true(out.machines[0].settled && !out.machines[0].closed && out.term == 9);
+  assert_int_equal(out.revision, 76);
+  assert_int_equal(out.cancel_count, 2);
+  assert_string_equal(out.cancels[1].job, "job-000410");
+  assert_true(out.cancels[0].revision == 77 && out.cancels[0].age_ms == 1500);
   fc_view_clear(&out);
   /* A length at the bound is one of ours, one over is not. */
   uint8_t head[FC_FRAME_HEAD];
@@ -242,6 +255,51 @@
   g_byte_array_free(b, TRUE);
 }
 
+/* An acknowledgement, cut short at every byte, one too long, and with more cancellations
+ * than a frame may pass on. */
+static void acknowledgements(void **state) {
+  (void)state;
+  fc_frame_cancel *cancels = g_new0(fc_frame_cancel, FC_FRAME_CANCELS_MOST + 1);
+  for (size_t i = 0; i <= FC_FRAME_CANCELS_MOST; i++) g_snprintf(cancels[i].job, sizeof cancels[i].job, "j%zu", i);
+  fc_frame_kept kept = {.machine = "vm-1", .age_ms = 5, .hears = true, .session = 2, .seq = 9};
+  static const struct {
+    const char *name;
+    size_t cancels;
+    bool read;
+  } rows[] = {{"none", 0, true},
+              {"two", 2, true},
+              {"at the bound", FC_FRAME_CANCELS_MOST, true},
+              {"over it", FC_FRAME_CANCELS_MOST + 1, false}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_ack a = {.sender = "paddock-1", .boot = 5, .term = 9, .seq = 11, .applied = true, .told_all = true};
+    a.revision = 80;
+    a.cancels = cancels;
+    a.cancel_count = rows[i].cancels;
+    a.kept = &kept;
+    a.kept_count = 1;
+    GByteArray *b = g_byte_array_new();
+    fc_ack_encode(b, &a);
+    const uint8_t *p = b->data + FC_FRAME_HEAD;
+    uint32_t len = b->len - FC_FRAME_HEAD;
+    fc_ack out;
+    check_row(rows[i].name, fc_ack_decode(p, len, &out) == rows[i].read);
+    if (rows[i].read) {
+      check_row(rows[i].name, out.told_all && out.revision == 80 && out.cancel_count == rows[i].cancels);
+      check_row(rows[i].name, out.kept_count == 1 && strcmp(out.kept[0].machine, "vm-1") == 0);
+      fc_ack_clear(&out);
+    }
+    for (uint32_t n = 0; n < MIN(len, 200); n++) {
+      uint8_t *copy = g_memdup2(p, n ? n : 1);
+      check_row(rows[i].name, !fc_ack_decode(copy, n, &out));
+      g_free(copy);
+    }
+    g_byte_array_append(b, (const guint8 *)"x", 1);
+    check_row(rows[i].name, !fc_ack_decode(b->data + FC_FRAME_HEAD, len + 1, &out));
+    g_byte_array_free(b, TRUE);
+  }
+  g_free(cancels);
+}
+
 static void terms_round_trip(void **state) {
   (void)state;
   fc_term t = {.number = 3, .seed = 77, .names_since = 2, .members = {{"a", 1}, {"b", 9}}, .count = 2}, out;
@@ -288,9 +346,16 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(submissions), cmocka_unit_test(deep_json_is_refused), cmocka_unit_test(job_records_round_trip),
-      cmocka_unit_test(ranges),      cmocka_unit_test(worker_reports),       cmocka_unit_test(large_reports),
-      cmocka_unit_test(frames),      cmocka_unit_test(terms_round_trip),     cmocka_unit_test(routes),
+      cmocka_unit_test(submissions),
+      cmocka_unit_test(deep_json_is_refused),
+      cmocka_unit_test(job_records_round_trip),
+      cmocka_unit_test(ranges),
+      cmocka_unit_test(worker_reports),
+      cmocka_unit_test(large_reports),
+      cmocka_unit_test(frames),
+      cmocka_unit_test(terms_round_trip),
+      cmocka_unit_test(routes),
+      cmocka_unit_test(acknowledgements),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_table.c
@@ -0,0 +1,122 @@
+/* What the table and the list of cancellations know, by tables; no network. */
+#include "bookkeeping/cancels.h"
+#include "world.h"
+
+typedef struct listed {
+  fc_cancels *list;
+  const fc_cancel *first;
+  size_t count;
+} listed;
+
+static void note(listed *l, unsigned job, uint64_t revision, bool news) {
+  char id[32];
+  g_snprintf(id, sizeof id, "job-%06u", job);
+  assert_int_equal(fc_cancels_note(l->list, id, revision, (double)revision), news);
+}
+
+/* Who has read up to a revision is told all that is newer, and whether that is all. */
+static void the_list_of_cancellations(void **state) {
+  (void)state;
+  listed l = {.list = fc_cancels_new()};
+  note(&l, 3, 30, true);
+  note(&l, 1, 10, true); /* told late, of a former one */
+  note(&l, 4, 30, true); /* of the same transaction */
+  note(&l, 3, 30, false);
+  note(&l, 5, 50, true);
+  static const struct {
+    uint64_t read;
+    size_t count;
+    const char *first;
+  } rows[] = {{0, 4, "job-000001"},  {9, 4, "job-000001"}, {10, 3, "job-000003"}, {29, 3, "job-000003"},
+              {30, 1, "job-000005"}, {50, 0, NULL},        {99, 0, NULL}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    assert_true(fc_cancels_since(l.list, rows[i].read, &l.first, &l.count));
+    assert_int_equal(l.count, rows[i].count);
+    if (rows[i].first) assert_string_equal(l.first->job, rows[i].first);
+  }
+  fc_frame_cancel *f = fc_cancels_frame(l.first, 0, 60);
+  g_free(f);
+  assert_true(fc_cancels_since(l.list, 30, &l.first, &l.count));
+  f = fc_cancels_frame(l.first, l.count, 60);
+  assert_int_equal(f[0].age_ms, 10000);
+  g_free(f);
+  /* All have read up to 30: those go, and are no news any more. */
+  fc_cancels_read(l.list, 30);
+  note(&l, 1, 10, false);
+  assert_true(fc_cancels_since(l.list, 30, &l.first, &l.count));
+  assert_int_equal(l.count, 1);
+  assert_false(fc_cancels_since(l.list, 29, &l.first, &l.count));
+  fc_cancels_free(l.list);
+}
+
+/* At its bound the oldest are dropped, whole transactions at a time, and the list no
+ * longer says that it is all. */
+static void the_list_at_its_bound(void **state) {
+  (void)state;
+  listed l = {.list = fc_cancels_new()};
+  for (unsigned i = 0; i < FC_FRAME_CANCELS_MOST; i++) note(&l, i, 100 + i / 2, true);
+  assert_true(fc_cancels_since(l.list, 0, &l.first, &l.count));
+  assert_int_equal(l.count, FC_FRAME_CANCELS_MOST);
+  note(&l, 900001, 100000, true);
+  assert_false(fc_cancels_since(l.list, 99, &l.first, &l.count));
+  assert_int_equal(l.count, FC_FRAME_CANCELS_MOST - 1);
+  assert_true(fc_cancels_since(l.list, 100, &l.first, &l.count));
+  assert_int_equal(l.first->revision, 101);
+  fc_cancels_free(l.list);
+}
+
+/* A job that a peer has called cancelled is so from then on, in whatever order older
+ * records are still read, and for jobs that are not known yet too. */
+static void a_cancellation_is_final(void **state) {
+  (void)state;
+  enum { TOLD, READ_OLD, READ_IT, CAUGHT_UP };
+  static const struct {
+    const char *name;
+    int steps[4];
+    unsigned count;
+    bool cancelled;
+  } rows[] = {
+      {"never told", {READ_OLD}, 1, false},
+      {"told before it is known", {TOLD}, 1, true},
+      {"told, then an older record", {TOLD, READ_OLD}, 2, true},
+      {"known, then told", {READ_OLD, TOLD}, 2, true},
+      {"known, told, and read", {READ_OLD, TOLD, READ_IT}, 3, true},
+      {"told, and everything read", {TOLD, READ_OLD, READ_IT, CAUGHT_UP}, 4, true},
+      {"read, then told late", {READ_OLD, READ_IT, CAUGHT_UP, TOLD}, 4, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    for (unsigned k = 0; k < rows[i].count; k++) {
+      switch (rows[i].steps[k]) {
+        case TOLD:
+          fc_table_cancel(t, "job-000001", 9, 3, 4);
+          break;
+        case READ_OLD:
+          (void)world_job(t, "job-000001", "sweep", "standard", "red", 3, 1, ""); /* version 5 */
+          break;
+        case READ_IT: {
+          const fc_job *j = fc_table_job(t, "job-000001");
+          fc_job_record r = {.phase = FC_PHASE_CANCELLED, .done = "", .slices = 1, .spec = j->spec};
+          (void)fc_table_put_job(t, "job-000001", &r, 9, true, 5);
+          break;
+        }
+        default:
+          fc_table_caught_up(t, 9);
+          assert_int_equal(g_hash_table_size(t->cancelled), 0);
+      }
+    }
+    check_row(rows[i].name, fc_table_is_cancelled(t, "job-000001") == rows[i].cancelled);
+    const fc_job *j = fc_table_job(t, "job-000001");
+    /* Our writes build on what was read, never on what we were told. */
+    if (j) check_row(rows[i].name, j->version == (rows[i].count > 2 ? 9 : 5));
+    fc_table_free(t);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(the_list_of_cancellations),
+                                     cmocka_unit_test(the_list_at_its_bound),
+                                     cmocka_unit_test(a_cancellation_is_final)};
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_views.c
+++ b/tests/test_views.c
@@ -22,6 +22,7 @@
   c->settings = &s->settings;
   c->peers[0].settings = &s->settings.peers[0];
   c->table = world_table(&s->settings);
+  c->cancels = fc_cancels_new();
   c->commit = fc_commit_new(NULL, 8, 10, 10, 1);
   fc_table_set_term(c->table, &k_term, 9, false, 0);
   c->boot = boot;
@@ -30,6 +31,7 @@
 
 static void side_free(side *s) {
   fc_table_free(s->c.table);
+  fc_cancels_free(s->c.cancels);
   g_free(s->c.commit);
   g_free(s);
 }
@@ -239,12 +241,43 @@
   }
 }
 
+/* A peer is told the cancellations that it has not read, once a view, whatever pieces
+ * the view goes in; what it has read it is not told. */
+static void cancellations_travel(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint64_t read;
+    size_t told;
+  } rows[] = {{"has read nothing", 0, 2}, {"has read the first", 20, 1}, {"has read both", 21, 0}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    side *a = side_new("paddock-0", "paddock-1", 1), *b = side_new("paddock-1", "paddock-0", 2);
+    fill(a, b, 2000, 3);
+    assert_true(fc_cancels_note(a->c.cancels, "job-000020", 20, 0));
+    assert_true(fc_cancels_note(a->c.cancels, "job-000021", 21, 0));
+    a->c.peers[0].revision = rows[i].read;
+    GPtrArray *frames = frames_of(a, 1);
+    assert_true(frames->len > 1);
+    for (guint k = 0; k < frames->len; k++) {
+      gsize len;
+      const uint8_t *p = g_bytes_get_data(frames->pdata[k], &len);
+      fc_view v;
+      assert_true(fc_view_decode(p, len, &v));
+      check_row(rows[i].name, v.cancel_count == (k == 0 ? rows[i].told : 0));
+      if (v.cancel_count) check_row(rows[i].name, v.cancels[v.cancel_count - 1].revision == 21);
+      fc_view_clear(&v);
+    }
+    g_ptr_array_free(frames, TRUE);
+    side_free(a);
+    side_free(b);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(a_whole_fleet_travels),
-      cmocka_unit_test(pieces_out_of_order),
-      cmocka_unit_test(what_changed_needs_its_base),
-      cmocka_unit_test(tasks_at_the_bound),
+      cmocka_unit_test(a_whole_fleet_travels),       cmocka_unit_test(pieces_out_of_order),
+      cmocka_unit_test(what_changed_needs_its_base), cmocka_unit_test(tasks_at_the_bound),
+      cmocka_unit_test(cancellations_travel),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
