Machines go back in time for cancelled tasks that are not proved gone

Cause: a direct start that is held up in a cut between a controller and its workers is carried out when the cut ends, as long as token and session are the same; other members keep that worker alive meanwhile. Where other work runs on the machine it was only drained, and the order to do so was held up too.

A duty of its own looks twice a report interval for cancelled tasks that may still be somewhere, and returns the machine at cancel_s less half a lease from when a user may first have been told; it needs the cloud alone, not the state service, and the suspicion of our own network does not hold it back.

Scenes for the other meetings of cancellations: machines that hang, reach nobody or hear nobody; a controller alone with its workers and users, and a slow, refusing, then dead state service. Ruled out: what a hung machine holds is over with its lease, which no halt needs.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -146,9 +146,9 @@
   for (uint32_t i = 0; i < j->spec.tasks; i++) j->done_count += fc_job_task_done(j, i);
   j->phase = r->phase;
   /* Known to be cancelled by a later record, which is still to be read. */
-  const guint64 *cancelled = g_hash_table_lookup(t->cancelled, id);
-  if (cancelled && *cancelled > version) j->phase = FC_PHASE_CANCELLED;
-  if (j->phase == FC_PHASE_CANCELLED && !j->cancelled_from) j->cancelled_from = now;
+  const fc_told_cancel *told = g_hash_table_lookup(t->cancelled, id);
+  if (told && told->revision > version) j->phase = FC_PHASE_CANCELLED;
+  if (j->phase == FC_PHASE_CANCELLED && !j->cancelled_from) j->cancelled_from = told ? told->from : now;
   if (j->phase != FC_PHASE_ACCEPTED && !j->over_at) j->over_at = now;
   j->version = version;
   for (unsigned i = 0; i < j->slices; i++) {
@@ -172,9 +172,9 @@
 void fc_table_cancel(fc_table *t, const char *id, uint64_t revision, double from, double now) {
   fc_job *j = fc_table_job(t, id);
   if (j && (j->version >= revision || j->phase == FC_PHASE_CANCELLED)) return;
-  guint64 *v = g_new(guint64, 1);
-  *v = revision;
-  g_hash_table_replace(t->cancelled, g_strdup(id), v);
+  fc_told_cancel *told = g_new(fc_told_cancel, 1);
+  *told = (fc_told_cancel){revision, from};
+  g_hash_table_replace(t->cancelled, g_strdup(id), told);
   if (!j) return;
   j->phase = FC_PHASE_CANCELLED;
   j->cancelled_from = from;
@@ -186,12 +186,19 @@
   return j ? j->phase == FC_PHASE_CANCELLED : g_hash_table_contains(t->cancelled, id);
 }
 
+double fc_table_cancelled_from(const fc_table *t, const char *id) {
+  const fc_job *j = fc_table_job(t, id);
+  if (j) return j->phase == FC_PHASE_CANCELLED ? j->cancelled_from : INFINITY;
+  const fc_told_cancel *told = g_hash_table_lookup(t->cancelled, id);
+  return told ? told->from : INFINITY;
+}
+
 void fc_table_caught_up(fc_table *t, uint64_t revision) {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->cancelled);
   while (g_hash_table_iter_next(&it, NULL, &value))
-    if (*(const guint64 *)value <= revision) g_hash_table_iter_remove(&it);
+    if (((const fc_told_cancel *)value)->revision <= revision) g_hash_table_iter_remove(&it);
 }
 
 void fc_table_remove_job(fc_table *t, fc_job *j) {
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -118,13 +118,18 @@
   GPtrArray *images; /* GRefString, most recently used last */
 };
 
+typedef struct fc_told_cancel {
+  uint64_t revision;
+  double from; /* no user was told before this */
+} fc_told_cancel;
+
 typedef struct fc_table {
   const fc_settings *settings;
   GHashTable *jobs;      /* id -> fc_job */
   GHashTable *machines;  /* id -> fc_machine */
   GPtrArray *types;      /* fc_machine_type; empty: not known yet */
   GHashTable *hires;     /* name -> fc_hire_record */
-  GHashTable *cancelled; /* id -> revision (guint64*): told by a peer, not read yet */
+  GHashTable *cancelled; /* id -> fc_told_cancel: known to us, not read yet */
   GHashTable *members;   /* name -> version of the member's key (guint64*) */
   fc_term term;
   uint64_t term_version; /* of the stored record; 0: none seen */
@@ -159,6 +164,9 @@
  * version stays, so that no write of ours builds on what we have not read. */
 void fc_table_cancel(fc_table *t, const char *id, uint64_t revision, double from, double now);
 bool fc_table_is_cancelled(const fc_table *t, const char *id);
+/* No user was told that the job is cancelled before this; INFINITY: it is not, as far as
+ * we know. */
+double fc_table_cancelled_from(const fc_table *t, const char *id);
 /* Everything up to the revision has been read. */
 void fc_table_caught_up(fc_table *t, uint64_t revision);
 /* The job has been put away: nobody looks for its placements any more. */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -131,9 +131,18 @@
 void fc_round_main(void *controller);
 void fc_rent_main(void *controller);
 void fc_archive_main(void *controller);
+void fc_overdue_main(void *controller);
 bool fc_front_start(fc_controller *c);
 bool fc_peers_start(fc_controller *c);
 
+/* rent.c */
+/* Waits for our share of the cloud's rate; false: cancelled. */
+bool fc_cloud_turn(fc_controller *c);
+/* The cloud has confirmed that these machines are gone: nothing is on them any more. */
+void fc_machines_gone(fc_controller *c, const GPtrArray *ids);
+/* Has the machine to go back for a cancelled task that is not proved gone? */
+bool fc_machine_overdue(const fc_table *t, const fc_machine *m, double now);
+
 /* view.c */
 /* A view of our machines for the peer, in as many frames as it takes: all of them, or
  * what has changed since the newest view that it holds. */
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -34,7 +34,7 @@
 }
 
 /* Half of the cloud's rate is the renting member's, the rest the others'. */
-static bool cloud_turn(fc_controller *c) {
+bool fc_cloud_turn(fc_controller *c) {
   double wait, others = MAX(1.0, (double)c->settings->peer_count);
   c->cloud_budget.per_s = c->settings->cloud_rps * (c->table->self == 0 ? 0.5 : 0.5 / others);
   while ((wait = fc_budget_wait(&c->cloud_budget, 1, 0, fc_now())) > 0)
@@ -44,7 +44,7 @@
 
 static void read_types(fc_controller *c) {
   GPtrArray *types = g_ptr_array_new();
-  if (cloud_turn(c) && fc_cloud_types(c->cloud, fc_now() + 3.0, types) == FC_CLOUD_OK && types->len > 0) {
+  if (fc_cloud_turn(c) && fc_cloud_types(c->cloud, fc_now() + 3.0, types) == FC_CLOUD_OK && types->len > 0) {
     fc_table *t = c->table;
     /* Prices change, types don't: machines refer to them by index. */
     for (guint i = 0; i < types->len; i++) {
@@ -142,7 +142,7 @@
  * controller. */
 static void ask_cloud(fc_controller *c, hire *h, refusals *ref) {
   const fc_hire_record *r = &h->record;
-  if (!cloud_turn(c) || !fc_may_act(c)) return;
+  if (!fc_cloud_turn(c) || !fc_may_act(c)) return;
   fc_cloud_result res = fc_cloud_hire(c->cloud, h->name, r->type, r->zone, r->spot, r->count, fc_now() + 4.0, h->ids);
   g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", h->name, r->type, r->zone, r->spot, r->count,
          res, h->ids->len);
@@ -306,18 +306,23 @@
   return m->releasing ? BEGUN : STAYS;
 }
 
-/* Takes the records of machines that the cloud has confirmed gone out of the state
- * service, in as many transactions as it takes. */
-static void forget_returned(fc_controller *c, const GPtrArray *ids) {
+void fc_machines_gone(fc_controller *c, const GPtrArray *ids) {
   fc_table *t = c->table;
   for (guint i = 0; i < ids->len; i++) {
     fc_machine *m = fc_table_machine(t, ids->pdata[i]);
     if (!m || !m->version) continue;
-    fc_machine_clear(t, m); /* proved gone */
+    fc_machine_clear(t, m);
     m->settled_term = t->term.number;
   }
   (void)fc_table_check_settled(t);
   fc_round_soon(c);
+}
+
+/* Takes the records of machines that the cloud has confirmed gone out of the state
+ * service, in as many transactions as it takes. */
+static void forget_returned(fc_controller *c, const GPtrArray *ids) {
+  fc_table *t = c->table;
+  fc_machines_gone(c, ids);
   uint64_t revision = 0;
   bool ok = true;
   for (guint i = 0; i < ids->len && ok;) {
@@ -363,7 +368,7 @@
     m->releasing = true;
     g_ptr_array_add(ids, g_strdup(m->id));
   }
-  if (ids->len > 0 && cloud_turn(c) && fc_may_act(c) &&
+  if (ids->len > 0 && fc_cloud_turn(c) && fc_may_act(c) &&
       fc_cloud_release(c->cloud, (const char *const *)ids->pdata, ids->len, fc_now() + 4.0) == FC_CLOUD_OK)
     forget_returned(c, ids); /* if not, they are still closed: tried again */
   if (surplus) g_hash_table_destroy(surplus);
@@ -389,7 +394,7 @@
   char *after = NULL;
   bool more = true;
   GPtrArray *stray = g_ptr_array_new_with_free_func(g_free);
-  while (more && stray->len < 20 && cloud_turn(c) && fc_may_act(c)) {
+  while (more && stray->len < 20 && fc_cloud_turn(c) && fc_may_act(c)) {
     GPtrArray *page = g_ptr_array_new_with_free_func(fc_listed_machine_free);
     more = false;
     fc_cloud_result r = fc_cloud_list(c->cloud, after, 500, fc_now() + 3.0, page, &more);
@@ -404,7 +409,7 @@
     if (r != FC_CLOUD_OK || page->len == 0) more = false;
     g_ptr_array_free(page, TRUE);
   }
-  if (stray->len > 0 && cloud_turn(c) && fc_may_act(c)) {
+  if (stray->len > 0 && fc_cloud_turn(c) && fc_may_act(c)) {
     fc_cloud_result r = fc_cloud_release(c->cloud, (const char *const *)stray->pdata, stray->len, fc_now() + 4.0);
     g_info("return stray machines count=%u first=%s result=%d", stray->len, (char *)stray->pdata[0], r);
   }
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -91,6 +91,7 @@
 extern double g_quiet_from;    /* all troubles are over by then; 0: not decided */
 extern double g_cancel_at_end; /* share of the jobs that are called off as they end */
 extern double g_late_writes;   /* share of transactions that are carried out late, unanswered */
+extern double g_fetch_s;       /* the longest image fetch */
 extern bool g_verbose;
 extern unsigned g_capacity, g_capacity_spot; /* machines of a zone */
 
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -149,6 +149,12 @@
   return j->told_cancelled ? j->cancelled_at : 0;
 }
 
+void world_ask_job(unsigned node, const char *id) {
+  char path[64];
+  g_snprintf(path, sizeof path, "/api/jobs/%s", id);
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), "GET", path, "", 2, on_poll, ask(g_hash_table_lookup(g_jobs, id)));
+}
+
 /* At the very moment at which the last task ends its user calls the job off, asks
  * about it and submits it again. */
 void users_job_ends(job *j) {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -158,6 +158,11 @@
   g_array_append_val(g_cuts, c);
 }
 
+void world_cut_node_workers(unsigned node, double for_s, sim_link mode) {
+  cut c = {.kind = CUT_NODE_WORKERS, .node = (int)node, .until = sim_now() + for_s, .mode = mode};
+  g_array_append_val(g_cuts, c);
+}
+
 void world_refuse(unsigned node, double for_s) {
   g_refuse_until[node] = sim_now() + for_s;
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -56,6 +56,7 @@
 void world_deaf(unsigned from, unsigned to, double for_s); /* machines in order of creation */
 unsigned world_gone(unsigned from, unsigned to);
 void world_kill(unsigned from, unsigned to); /* machines in order of creation */
+void world_images_there(void);               /* no machine has to fetch one */
 void world_hang(unsigned from, unsigned to, double for_s);
 /* They reach no controller; direct commands reach them. */
 void world_mute(unsigned from, unsigned to, double for_s);
@@ -63,6 +64,7 @@
 void world_cut_pair(unsigned node, unsigned machine, double for_s, sim_link mode);
 void world_cut_node(unsigned node, double for_s, sim_link mode); /* from everything */
 void world_cut_node_peers(unsigned node, double for_s);
+void world_cut_node_workers(unsigned node, double for_s, sim_link mode);
 /* The machine's report of now arrives, once more, there and then. */
 void world_report_later(unsigned machine, unsigned node, double in_s);
 void world_refuse(unsigned node, double for_s); /* by the state service, alone */
@@ -80,8 +82,9 @@
 int world_machine_of(const char *id, unsigned index);
 int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
 world_result world_so_far(void);
-unsigned world_running(void);                   /* tasks, now */
-int world_ask(unsigned node, const char *path); /* the status of the answer */
+unsigned world_running(void);                      /* tasks, now */
+void world_ask_job(unsigned node, const char *id); /* its user does, and checks the answer */
+int world_ask(unsigned node, const char *path);    /* the status of the answer */
 
 /* Within the stand-ins. */
 void state_init(void);
