Requests at a job's end and odd requests: a scene for each, and two answers mended

A repeat of a job that runs was held for a whole report interval in an outage of the state service, though everything else was refused at once; and a repeat whose list of types no longer fits a record was told 400 though the job is known. Both seen by the new scenes odd_requests_in_an_outage and odd_requests_after_a_takeover before the mend.

The end of a job (one task, array, gang; state service quick and slow) meets a cancellation, a question and a repeat in twelve steps around the end and around its record: held by the conditional write and the read index. Seen to fail without the version in a job's write, without the proof of freshness before a question's answer, with a cancellation answered before it is committed. The odd requests fail without Retry-After, with a flag that may be missing, and without freshness before 422 or 400. Ruled out: an answer older than the commit on any of the three.

--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -98,7 +98,8 @@
   }
   fc_job *j = c->loaded ? fc_table_job(c->table, spec.id) : NULL;
   if (j && !final(j)) {
-    if (!fc_wait_fresh(c, deadline)) goto unreachable;
+    /* Where that is hopeless a repeat is not held until its user gives up either. */
+    if (!fc_state_reachable(c) || !fc_wait_fresh(c, deadline)) goto unreachable;
     j = fc_table_job(c->table, spec.id);
   }
   if (j) {
@@ -145,7 +146,8 @@
   if (too_large) {
     json_decref(record);
     g_free(key);
-    say(res, 400, "body: description too large");
+    /* Nor is this said to a repeat of what was accepted with fewer types. */
+    refuse_malformed(c, req, res, "body: description too large");
     goto out;
   }
   fc_write *w = fc_write_new();
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -2,6 +2,11 @@
 #include "parts.h"
 
 static GHashTable *g_hires;
+static bool g_cloud_down;
+
+void world_cloud_down(bool down) {
+  g_cloud_down = down;
+}
 
 static unsigned rented(int zone, bool spot) {
   unsigned n = 0;
@@ -45,7 +50,9 @@
 
 static void cloud_serve(const sim_request *r, void *arg) {
   (void)arg;
-  if (strcmp(r->path, "/flavors") == 0) {
+  if (g_cloud_down) {
+    sim_answer(r->exchange, 503, "{\"error\":\"trouble\"}");
+  } else if (strcmp(r->path, "/flavors") == 0) {
     sim_answer(r->exchange, 200,
                "{\"builds\":[{\"name\":\"g4\",\"cpus\":40,\"gpus\":4,\"memGb\":400,\"cacheGb\":100,\"pullGbPerS\":1,"
                "\"price\":10,\"marketPrice\":3,\"bootS\":10,\"grounds\":[\"a\",\"b\"]}]}");
@@ -79,6 +86,7 @@
 }
 
 void cloud_init(void) {
+  g_cloud_down = false;
   g_hires = g_hash_table_new(g_str_hash, g_str_equal);
   sim_serve(WORLD_CLOUD_IP, cloud_serve, NULL);
 }
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -32,6 +32,7 @@
   double answered_at; /* when a question about it was last answered */
   double started_at;  /* when its first task had its image; 0: not yet */
   double began_at;    /* the same, of a gang when all its tasks ran */
+  double ended_at;    /* when its last task completed */
 } job;
 
 typedef enum { T_FETCHING, T_WAITING, T_RUNNING, T_EXITED } tstate;
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -45,6 +45,8 @@
 /* A number for a connection that calls go on as long as they are answered. */
 uint64_t sim_connection(void);
 typedef void (*sim_reply_fn)(int status, const char *body, void *arg);
+/* Within it: the Retry-After of that reply; 0: none. */
+int sim_retry_after(void);
 void sim_call(uint32_t from, uint32_t to, const char *method, const char *path, const char *body, double timeout,
               sim_reply_fn fn, void *arg);
 void sim_call_on(uint64_t connection, uint32_t from, uint32_t to, const char *path, const char *body, double timeout,
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -144,6 +144,15 @@
   return g_tree_lookup(g_keys, key) != NULL;
 }
 
+bool state_says(const char *key, const char *text) {
+  const entry *e = g_tree_lookup(g_keys, key);
+  if (!e) return false;
+  char *s = json_dumps(e->value, JSON_COMPACT);
+  bool says = strstr(s, text) != NULL;
+  free(s);
+  return says;
+}
+
 void state_down(bool down) {
   /* After an outage every lease has its full time again. */
   if (g_down && !down) {
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -361,6 +361,12 @@
   return g_strdup_printf("%u:%u", ip, port);
 }
 
+static int g_retry_after_s; /* of the reply that is being handed over */
+
+int sim_retry_after(void) {
+  return g_retry_after_s;
+}
+
 static void deliver_reply(void *arg) {
   sim_exchange *x = arg;
   if (x->given_up) return;
@@ -370,7 +376,9 @@
   } else if (x->fn) {
     sim_reply_fn fn = x->fn;
     x->fn = NULL;
+    g_retry_after_s = x->retry_after_s;
     fn(x->status, x->reply, x->fn_arg);
+    g_retry_after_s = 0;
   }
 }
 
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -158,6 +158,7 @@
 /* At the very moment at which the last task ends its user calls the job off, asks
  * about it and submits it again. */
 void users_job_ends(job *j) {
+  j->ended_at = sim_now();
   if (g_cancel_at_end <= 0 || !sim_chance(g_cancel_at_end)) return;
   cancel_arg *a = g_new(cancel_arg, 1);
   *a = (cancel_arg){j, -1};
@@ -236,6 +237,16 @@
                                 .spot = strcmp(kind, "sweep") == 0});
 }
 
+double world_ended_at(const char *id) {
+  const job *j = g_hash_table_lookup(g_jobs, id);
+  return j->ended_at;
+}
+
+const char *world_told(const char *id) {
+  const job *j = g_hash_table_lookup(g_jobs, id);
+  return j->told_done ? "done" : j->told_cancelled ? "cancelled" : NULL;
+}
+
 double world_began(const char *id) {
   const job *j = g_hash_table_lookup(g_jobs, id);
   return j->began_at;
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -202,6 +202,13 @@
   for (int n = 0; n < WORLD_NODES; n++) g_settings[n].op.idle_keep_share = 1e6;
 }
 
+void world_limit(double cpus, double gpus) {
+  for (int n = 0; n < WORLD_NODES; n++) {
+    g_settings[n].teams[1].cpus_max = cpus;
+    g_settings[n].teams[1].gpus_max = gpus;
+  }
+}
+
 void world_large(unsigned machines) {
   world_capacity(machines / 2, 0);
   world_keep_idle();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -77,7 +77,11 @@
 void world_cancel(const char *id, int node, double in_s); /* by that controller first; -1: any */
 double world_cancelled_at(const char *id);                /* when its user was told; 0: not yet */
 void world_cancel_at_end(double share);
-unsigned world_tasks_of(const char *id); /* on machines now, those of cut and hung ones too */
+double world_ended_at(const char *id);      /* when its last task completed; 0: not yet */
+const char *world_told(const char *id);     /* the final state that its user was told first; NULL: none yet */
+void world_cloud_down(bool down);           /* it answers every request with 503 */
+void world_limit(double cpus, double gpus); /* of team blue, before the controllers start */
+unsigned world_tasks_of(const char *id);    /* on machines now, those of cut and hung ones too */
 /* The machine that a task of the job is on, in order of creation; -1: none. */
 int world_machine_of(const char *id, unsigned index);
 int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
@@ -92,6 +96,7 @@
 void state_blind(const char *id, double for_s);
 void state_slow(double until, double most_s);
 bool state_has(const char *key);
+bool state_says(const char *key, const char *text); /* its value, as compact JSON, holds that */
 bool world_state_refuses(const struct sim_exchange *x);
 void world_broke(const char *rule, const char *detail);
 
--- /dev/null
+++ b/tests/test_requests.c
@@ -0,0 +1,567 @@
+/* What users ask meets the end of a job, and what they ask may be odd: over whole
+ * controllers, with every answer timed and compared with what is committed. */
+#include "check.h"
+
+#include <stdlib.h>
+
+#include "sim/world.h"
+
+#define LOOK_UP_S 0.3 /* jobs put away are looked up at a bounded rate */
+#define SOON_S 0.01   /* while a later answer is as good */
+#define AT_ONCE_S 0.3 /* nobody is held: a few exchanges, and no waiting */
+
+typedef struct reply {
+  int status, retry_after;
+  char body[400];
+  double took; /* since it was asked */
+  bool came;
+} reply;
+
+static void on_reply(int status, const char *body, void *arg) {
+  reply *r = arg;
+  r->status = status;
+  r->retry_after = sim_retry_after();
+  g_strlcpy(r->body, body, sizeof r->body);
+  r->took = sim_now() - r->took;
+  r->came = true;
+}
+
+static void call(reply *r, unsigned node, const char *method, const char *path, const char *body) {
+  memset(r, 0, sizeof *r);
+  r->took = sim_now();
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), method, path, body, 8, on_reply, r);
+}
+
+static reply ask(unsigned node, const char *method, const char *path, const char *body) {
+  static reply r;
+  call(&r, node, method, path, body);
+  while (!r.came) sim_run_until(sim_now() + 0.01);
+  return r;
+}
+
+/* ---- the end of a job ---- */
+
+#define JOB_ID "job-000001"
+
+typedef struct end_row {
+  const char *name, *kind;
+  unsigned tasks;
+  double slow_s; /* answers of the state service take up to so long */
+} end_row;
+
+static void set_scene(const end_row *row) {
+  world_set_up(11, 0);
+  world_capacity(8, 0);
+  world_keep_idle();
+  world_start_nodes();
+  world_machines_up(0, 2);
+  world_machines_up(1, 1);
+  world_submit(JOB_ID, row->kind, "standard", row->tasks, 1, 6, 5);
+  sim_run_until(sim_now() + 6);
+  if (row->slow_s > 0) world_state_slow(1e6, row->slow_s);
+}
+
+static bool committed(const char *status) {
+  char text[40];
+  g_snprintf(text, sizeof text, "\"phase\":\"%s\"", status);
+  return state_says("fc1/job/" JOB_ID, text) ||
+         (state_has("fc1over/" JOB_ID) &&
+          state_says("fc1over/" JOB_ID, strcmp(status, "done") == 0 ? "\"done\":true" : "\"done\":false"));
+}
+
+/* All three at the same moment, each in three ways. Where the state service is slow one
+ * may have to be asked again; nobody may say anything else. */
+static void all_say(const char *name, const char *status, const char *body, bool now) {
+  reply r[WORLD_NODES * 3];
+  char says[40];
+  g_snprintf(says, sizeof says, "\"status\":\"%s\"", status);
+  for (unsigned n = 0; n < WORLD_NODES; n++) {
+    call(&r[n * 3], n, "GET", "/api/jobs/" JOB_ID, "");
+    call(&r[n * 3 + 1], n, "POST", "/api/jobs", body);
+    call(&r[n * 3 + 2], n, "POST", "/api/jobs/" JOB_ID "/withdraw", "");
+  }
+  sim_run_until(sim_now() + 8.1); /* none outlives this */
+  for (unsigned i = 0; i < G_N_ELEMENTS(r); i++) {
+    bool fits = r[i].status == 200 && strstr(r[i].body, says);
+    if (!fits && (now || r[i].status != 503))
+      print_message("%s: wanted %s, %u said %d %s\n", name, status, i / 3, r[i].status, r[i].body);
+    check_row(name, fits || (!now && r[i].status == 503));
+  }
+}
+
+static const char k_body[] = "{\"id\":\"" JOB_ID "\"}"; /* a repeat is one whatever else it says */
+
+/* The cancellation is asked for at `at`, with a question and a repeated submission to
+ * the other two at the same moment. */
+static const char *meet(const end_row *row, double at, unsigned node) {
+  char name[120];
+  set_scene(row);
+  sim_run_until(at);
+  world_cancel(JOB_ID, (int)node, 0);
+  reply asked, again;
+  call(&asked, (node + 1) % WORLD_NODES, "GET", "/api/jobs/" JOB_ID, "");
+  call(&again, (node + 2) % WORLD_NODES, "POST", "/api/jobs", k_body);
+  double patience = at + 20;
+  while (!world_told(JOB_ID) && sim_now() < patience) sim_run_until(sim_now() + 0.002);
+  const char *told = world_told(JOB_ID);
+  g_snprintf(name, sizeof name, "%s, asked %+.3f s after the end, told %s", row->name, at - world_ended_at(JOB_ID),
+             told ? told : "nothing");
+  check_row(name, told);
+  check_row(name, committed(told)); /* at the very moment at which the user hears it */
+  all_say(name, told, k_body, row->slow_s <= 0);
+  for (unsigned k = 0; k < 2; k++) {
+    const reply *r = k ? &again : &asked;
+    bool says_final = strstr(r->body, "\"status\":\"done\"") || strstr(r->body, "\"status\":\"cancelled\"");
+    char says[40];
+    g_snprintf(says, sizeof says, "\"status\":\"%s\"", told);
+    check_row(name, r->came && (r->status == 200 || (r->status == 503 && row->slow_s > 0)));
+    check_row(name, !says_final || strstr(r->body, says));
+  }
+  sim_run_until(sim_now() + 30); /* it has been put away meanwhile */
+  check_row(name, committed(told));
+  all_say(name, told, k_body, row->slow_s <= 0);
+  check_row(name, world_tasks_of(JOB_ID) == 0);
+  if (world_so_far().broken) fail_msg("%s: %s", name, world_so_far().first);
+  return told;
+}
+
+static void asked_at_the_end(void **state) {
+  (void)state;
+  static const end_row rows[] = {
+      {"one task", "sweep", 1, 0},
+      {"an array", "sweep", 6, 0},
+      {"a gang", "gang", 3, 0},
+      {"one task, slow state service", "sweep", 1, 0.4},
+      {"an array, slow state service", "sweep", 6, 0.4},
+      {"a gang, slow state service", "gang", 3, 0.4},
+  };
+  /* After the last task's end; after its record is written, as measured without. */
+  static const double after_end[] = {-0.4, -0.05, 0, 0.02, 0.1, 0.25};
+  static const double after_write[] = {-0.05, -0.01, -0.004, -0.001, 0.002, 0.02};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    set_scene(&rows[i]);
+    double patience = sim_now() + 40;
+    while (world_ended_at(JOB_ID) <= 0 && sim_now() < patience) sim_run_until(sim_now() + 0.01);
+    double end = world_ended_at(JOB_ID);
+    check_row(rows[i].name, end > 0);
+    while (!committed("done") && sim_now() < end + 20) sim_run_until(sim_now() + 0.001);
+    double write = sim_now();
+    check_row(rows[i].name, write < end + 3);
+    unsigned done = 0, cancelled = 0;
+    for (size_t k = 0; k < G_N_ELEMENTS(after_end) + G_N_ELEMENTS(after_write); k++) {
+      double at = k < G_N_ELEMENTS(after_end) ? end + after_end[k] : write + after_write[k - G_N_ELEMENTS(after_end)];
+      const char *told = meet(&rows[i], at, (unsigned)(k + i) % WORLD_NODES);
+      if (strcmp(told, "done") == 0) {
+        done++;
+      } else {
+        cancelled++;
+      }
+    }
+    print_message("%s: written %.3f s after the end; %u done, %u cancelled\n", rows[i].name, write - end, done,
+                  cancelled);
+    check_row(rows[i].name, done > 0 && cancelled > 0); /* or they have not met */
+  }
+}
+
+/* ---- odd requests ---- */
+
+/* A valid one of every field; a case replaces one, or takes it out. */
+static const struct {
+  const char *field, *valid;
+  bool may_be_null;
+  const char *wrong[8];
+} k_fields[] = {
+    {"id", NULL, false, {"1", "\"\"", "\"job-1\"", "\"job-00000a\"", "\"x-000412\"", "[]", "{}", "true"}},
+    {"squad", "\"c\"", false, {"1", "\"\"", "[]", "{}", "true", "\"a\\u0007\""}},
+    {"club", "\"red\"", false, {"1", "\"\"", "[\"red\"]", "{}", "false"}},
+    {"play", "\"sweep\"", false, {"1", "\"\"", "\"array\"", "[]", "\"Sweep\""}},
+    {"rank", "\"standard\"", false, {"1", "\"\"", "\"top\"", "[]", "0"}},
+    {"runs", "2", false, {"\"2\"", "0", "-1", "1.5", "100001", "true", "[2]", "18446744073709551616"}},
+    {"cpus", "1.0", false, {"\"1\"", "-1", "true", "[]", "{}", "1e400"}},
+    {"gpus", "1.0", false, {"\"1\"", "-1", "true", "[]", "{}", "1e400"}},
+    {"memGb", "8.0", false, {"\"8\"", "-1", "false", "[]", "{}"}},
+    {"kit", "\"img-07\"", false, {"7", "\"\"", "[]", "{}", "true"}},
+    {"pullGb", "6.2", false, {"\"6\"", "-0.5", "true", "[]", "{}"}},
+    {"builds", "[\"g4\"]", true, {"\"g4\"", "[]", "[1]", "[null]", "{}", "true", "[\"\"]", "4"}},
+    {"ground", "\"a\"", true, {"1", "\"\"", "[\"a\"]", "{}", "false"}},
+    {"samePlace", "false", false, {"0", "1", "\"false\"", "[]", "{}"}},
+    {"scatter", "false", false, {"0", "1", "\"true\"", "[]", "{}"}},
+    {"loaners", "true", false, {"0", "1", "\"true\"", "[]", "{}"}},
+    {"expectS", "1.0", false, {"\"1\"", "-1", "true", "[]", "{}"}},
+    {"markS", "0.0", false, {"\"1\"", "-1", "true", "[]", "{}"}},
+    {"stowS", "0.0", false, {"\"1\"", "-1", "true", "[]", "{}"}},
+    {"whistleS", "900.0", true, {"\"1\"", "-1", "true", "[]", "{}"}},
+};
+
+/* The job's body with one field's value replaced; NULL: without the field. */
+static char *body_with(const char *id, const char *field, const char *value) {
+  GString *s = g_string_new("{");
+  for (size_t i = 0; i < G_N_ELEMENTS(k_fields); i++) {
+    bool it = field && strcmp(k_fields[i].field, field) == 0;
+    if (it && !value) continue;
+    char quoted[40];
+    g_snprintf(quoted, sizeof quoted, "\"%s\"", id);
+    const char *valid = k_fields[i].valid ? k_fields[i].valid : quoted;
+    g_string_append_printf(s, "%s\"%s\":%s", s->len > 1 ? "," : "", k_fields[i].field, it ? value : valid);
+  }
+  return g_string_free(g_string_append_c(s, '}'), FALSE);
+}
+
+static void check_reply(const char *name, const reply *r, bool fits, double within_s) {
+  if (!fits || r->took > within_s) print_message("%s: %d %s after %.3f s\n", name, r->status, r->body, r->took);
+  check_row(name, fits);
+  check_row(name, r->took <= within_s);
+  /* Who is to come back is told when. */
+  check_row(name, (r->status != 503 && r->status != 429) || r->retry_after > 0);
+}
+
+/* One case of each field being missing, null and ill-typed. `later` may be answered
+ * instead: what is to be said can't be known yet. Returns how often it was 400. */
+static unsigned malformed(const char *when, const char *id, unsigned node, bool later, double within_s) {
+  unsigned refused = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_fields); i++) {
+    for (int k = -2; k < (int)G_N_ELEMENTS(k_fields[i].wrong); k++) {
+      const char *value = k == -2 ? NULL : k == -1 ? "null" : k_fields[i].wrong[k];
+      if (k >= 0 && !value) break;
+      if (k < 0 && k_fields[i].may_be_null) continue; /* valid: see accepted_without */
+      char *body = body_with(id, k_fields[i].field, value), name[160];
+      g_snprintf(name, sizeof name, "%s: %s %s", when, k_fields[i].field, value ? value : "missing");
+      reply r = ask(node, "POST", "/api/jobs", body);
+      check_reply(name, &r, r.status == 400 || (later && r.status == 503), within_s);
+      refused += r.status == 400;
+      g_free(body);
+      sim_run_until(sim_now() + (later ? SOON_S : LOOK_UP_S));
+    }
+  }
+  static const char *const bodies[] = {"", "hello", "[]", "null", "1", "\"job-000412\"", "{", "{}", "{}x", "\xff{}"};
+  for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+    reply r = ask(node, "POST", "/api/jobs", bodies[i]);
+    check_reply(when, &r, r.status == 400 || (later && r.status == 503), within_s);
+    refused += r.status == 400;
+  }
+  return refused;
+}
+
+typedef struct odd {
+  const char *name, *field, *value, *says;
+} odd;
+
+/* For a new job 422, and for a known one its state. */
+static const odd k_impossible[] = {
+    {"an unknown team", "club", "\"green\"", "team"},
+    {"more gpus than any machine", "gpus", "5", "machine"},
+    {"more cpus than any machine", "cpus", "41", "machine"},
+    {"more memory than any machine", "memGb", "401", "machine"},
+    {"an unknown type", "builds", "[\"g9\",\"g99\"]", "machine"},
+    {"an unknown zone", "ground", "\"z\"", "machine"},
+};
+
+static void repeats(const char *when, const char *id, const char *status, bool later, double within_s) {
+  char says[60], path[64], name[160], *huge = g_strnfill(200, 'x');
+  g_snprintf(says, sizeof says, "\"id\":\"%s\",\"status\":\"%s\"", id, status);
+  GPtrArray *bodies = g_ptr_array_new_with_free_func(g_free);
+  g_ptr_array_add(bodies, g_strdup_printf("{\"id\":\"%s\"}", id));
+  g_ptr_array_add(bodies, body_with(id, NULL, NULL));
+  g_ptr_array_add(bodies, body_with(id, "runs", "99"));
+  for (size_t i = 0; i < G_N_ELEMENTS(k_impossible); i++)
+    g_ptr_array_add(bodies, body_with(id, k_impossible[i].field, k_impossible[i].value));
+  for (size_t i = 1; i < G_N_ELEMENTS(k_fields); i++) {
+    g_ptr_array_add(bodies, body_with(id, k_fields[i].field, NULL));
+    g_ptr_array_add(bodies, body_with(id, k_fields[i].field, k_fields[i].wrong[0]));
+  }
+  /* Well-formed, and more than one value of the state service holds. */
+  GString *types = g_string_new("[\"g4\"");
+  for (unsigned i = 0; i < 60; i++) g_string_append_printf(types, ",\"%s%u\"", huge, i);
+  g_string_append_c(types, ']');
+  g_ptr_array_add(bodies, body_with(id, "builds", types->str));
+  g_string_free(types, TRUE);
+  for (guint i = 0; i < bodies->len; i++) {
+    g_snprintf(name, sizeof name, "%s: repeat of a job that is %s: %.60s", when, status, (char *)bodies->pdata[i]);
+    reply r = ask(i % WORLD_NODES, "POST", "/api/jobs", bodies->pdata[i]);
+    check_reply(name, &r, (r.status == 200 && strstr(r.body, says)) || (later && r.status == 503), within_s);
+    sim_run_until(sim_now() + (later ? SOON_S : LOOK_UP_S));
+  }
+  g_ptr_array_free(bodies, TRUE);
+  g_free(huge);
+  if (strcmp(status, "done") != 0 && strcmp(status, "cancelled") != 0) return;
+  g_snprintf(path, sizeof path, "/api/jobs/%s/withdraw", id);
+  for (unsigned n = 0; n < WORLD_NODES; n++) {
+    reply r = ask(n, "POST", path, "");
+    check_reply(when, &r, (r.status == 200 && strstr(r.body, says)) || (later && r.status == 503), within_s);
+  }
+}
+
+static void impossible(const char *when, unsigned node, bool later, double within_s) {
+  for (size_t i = 0; i < G_N_ELEMENTS(k_impossible); i++) {
+    char *body = body_with("job-700000", k_impossible[i].field, k_impossible[i].value), name[160];
+    g_snprintf(name, sizeof name, "%s: %s", when, k_impossible[i].name);
+    reply r = ask(node, "POST", "/api/jobs", body);
+    check_reply(name, &r, (r.status == 422 && strstr(r.body, k_impossible[i].says)) || (later && r.status == 503),
+                within_s);
+    g_free(body);
+    sim_run_until(sim_now() + (later ? SOON_S : LOOK_UP_S));
+  }
+}
+
+/* Nothing of what was refused is anybody's job. */
+static void refused_are_unknown(const char *when) {
+  static const char *const ids[] = {"job-600000", "job-700000"};
+  for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+    char path[64], key[64];
+    g_snprintf(path, sizeof path, "/api/jobs/%s", ids[i]);
+    g_snprintf(key, sizeof key, "fc1/job/%s", ids[i]);
+    reply r = ask((unsigned)i, "GET", path, "");
+    check_row(when, r.status == 404);
+    check_row(when, !state_has(key));
+  }
+}
+
+/* A job that is done, one that runs, one that waits. */
+static void three_jobs(void) {
+  world_capacity(6, 0);
+  world_keep_idle();
+  world_start_nodes();
+  world_machines_up(0, 2);
+  world_machines_up(1, 2);
+  world_submit("job-000001", "sweep", "standard", 2, 1, 2, 5);
+  world_submit("job-000002", "service", "prod", 2, 1, 1e6, 5);
+  world_submit("job-000003", "gang", "high", 40, 4, 10, 5);
+  sim_run_until(sim_now() + 20);
+  assert_string_equal(world_told("job-000001"), "done");
+  assert_true(world_began("job-000002") > 0);
+}
+
+static void check_known(const char *when, bool later, double within_s) {
+  repeats(when, "job-000001", "done", later, within_s);
+  repeats(when, "job-000002", "running", later, within_s);
+  repeats(when, "job-000003", "pending", later, within_s);
+}
+
+static void odd_requests(void **state) {
+  (void)state;
+  world_set_up(21, 0);
+  three_jobs();
+  for (unsigned n = 0; n < WORLD_NODES; n++) {
+    assert_true(malformed("calm", "job-600000", n, false, AT_ONCE_S) > 100);
+    impossible("calm", n, false, AT_ONCE_S);
+  }
+  check_known("calm", false, AT_ONCE_S);
+  refused_are_unknown("calm");
+  /* What may be null may be left out. */
+  unsigned id = 800000;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_fields); i++) {
+    for (unsigned k = 0; k < 2 && k_fields[i].may_be_null; k++) {
+      char name[32];
+      g_snprintf(name, sizeof name, "job-%06u", id++);
+      char *body = body_with(name, k_fields[i].field, k ? "null" : NULL);
+      reply r = ask(k, "POST", "/api/jobs", body);
+      check_reply(k_fields[i].field, &r, r.status == 201, AT_ONCE_S);
+      g_free(body);
+    }
+  }
+  sim_run_until(sim_now() + 40); /* put away by now */
+  assert_true(state_has("fc1over/job-000001"));
+  check_known("later", false, AT_ONCE_S);
+  if (world_so_far().broken) fail_msg("%s", world_so_far().first);
+}
+
+/* Of an array one task, of a gang or a service all of them, of either kind. */
+static void limits(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *kind;
+    unsigned tasks;
+    double cpus, gpus;
+    int status;
+  } rows[] = {
+      {"an array's task within", "sweep", 50, 30, 3, 201},
+      {"an array's task above in cpus", "sweep", 1, 30.5, 1, 422},
+      {"an array's task above in gpus", "sweep", 1, 1, 3.5, 422},
+      {"a gang within", "gang", 3, 10, 1, 201},
+      {"a gang above in cpus", "gang", 3, 10.5, 1, 422},
+      {"a gang above in gpus", "gang", 4, 1, 1, 422},
+      {"a service within", "service", 3, 10, 1, 201},
+      {"a service above in cpus", "service", 31, 1, 0, 422},
+      {"a service above in gpus", "service", 2, 1, 2, 422},
+      {"without gpus", "service", 30, 1, 0, 201},
+  };
+  world_set_up(22, 0);
+  world_limit(30, 3);
+  world_start_nodes();
+  sim_run_until(sim_now() + 6);
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    char *body = g_strdup_printf(
+        "{\"id\":\"job-%06zu\",\"squad\":\"c\",\"club\":\"blue\",\"play\":\"%s\",\"rank\":\"standard\",\"runs\":%u,"
+        "\"cpus\":%f,\"gpus\":%f,\"memGb\":1,\"kit\":\"i\",\"pullGb\":1,\"samePlace\":false,\"scatter\":false,"
+        "\"loaners\":true,\"expectS\":1,\"markS\":0,\"stowS\":0}",
+        i, rows[i].kind, rows[i].tasks, rows[i].cpus, rows[i].gpus);
+    for (unsigned n = 0; n < WORLD_NODES; n++) {
+      reply r = ask(n, "POST", "/api/jobs", body);
+      bool known = n > 0 && rows[i].status == 201;
+      check_reply(rows[i].name, &r, r.status == (known ? 200 : rows[i].status), AT_ONCE_S);
+      check_row(rows[i].name, r.status != 422 || strstr(r.body, "limit"));
+    }
+    g_free(body);
+  }
+}
+
+/* Who has just started knows nothing yet: it says so, and refuses nothing that was
+ * accepted, accepts nothing that can't run, and holds nobody. */
+static void odd_requests_after_a_takeover(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned crashed;
+    double back_s, wait_s;
+  } rows[] = {
+      {"one, at once", 1, 0.05, 0.06},
+      {"one, a moment later", 1, 0.05, 0.5},
+      {"one, seconds later", 1, 2, 3},
+      {"all, at once", WORLD_NODES, 0.05, 0.06},
+      {"all, a moment later", WORLD_NODES, 0.05, 0.4},
+      {"all, seconds later", WORLD_NODES, 2, 2.3},
+      {"all, well later", WORLD_NODES, 2, 6},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    world_set_up(23 + (uint32_t)i, 0);
+    three_jobs();
+    for (unsigned n = 0; n < rows[i].crashed; n++) world_crash(n, rows[i].back_s);
+    sim_run_until(sim_now() + rows[i].wait_s);
+    impossible(rows[i].name, 0, true, AT_ONCE_S);
+    reply r = ask(0, "POST", "/api/jobs", "{\"id\":\"job-000002\",\"squad\":1}");
+    check_reply(rows[i].name, &r, r.status == 200 || r.status == 503, AT_ONCE_S);
+    (void)malformed(rows[i].name, "job-600000", 0, true, AT_ONCE_S);
+    check_known(rows[i].name, true, AT_ONCE_S);
+    sim_run_until(sim_now() + 10);
+    assert_true(malformed(rows[i].name, "job-600000", 0, false, AT_ONCE_S) > 100);
+    impossible(rows[i].name, 0, false, AT_ONCE_S);
+    check_known(rows[i].name, false, AT_ONCE_S);
+    refused_are_unknown(rows[i].name);
+    if (world_so_far().broken) fail_msg("%s: %s", rows[i].name, world_so_far().first);
+  }
+}
+
+/* Without the state service nobody can say that a job is not known: neither 400 nor
+ * 422 for what can be read as a job's, and nobody waits to hear that. */
+static void odd_requests_in_an_outage(void **state) {
+  (void)state;
+  world_set_up(31, 0);
+  three_jobs();
+  double began = sim_now();
+  world_state_down(60);
+  reply first = ask(0, "POST", "/api/jobs", "{\"id\":\"job-000002\"}");
+  check_reply("not noticed yet", &first, first.status == 503, 2.1);
+  sim_run_until(began + 6);
+  for (size_t i = 0; i < G_N_ELEMENTS(k_impossible); i++) {
+    char *body = body_with("job-700000", k_impossible[i].field, k_impossible[i].value);
+    reply r = ask((unsigned)i % WORLD_NODES, "POST", "/api/jobs", body);
+    check_reply(k_impossible[i].name, &r, r.status == 503, AT_ONCE_S);
+    g_free(body);
+  }
+  static const struct {
+    const char *name, *body;
+    int status;
+  } rows[] = {
+      {"a field missing", "{\"id\":\"job-600000\"}", 503},
+      {"a field missing, of a job that runs", "{\"id\":\"job-000002\"}", 503},
+      {"no id", "{\"squad\":\"c\"}", 400},
+      {"an id of no such form", "{\"id\":\"x\"}", 400},
+      {"not JSON", "hello", 400},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    reply r = ask((unsigned)i % WORLD_NODES, "POST", "/api/jobs", rows[i].body);
+    check_reply(rows[i].name, &r, r.status == rows[i].status, AT_ONCE_S);
+  }
+  unsigned n = malformed("in an outage", "job-600000", 1, true, AT_ONCE_S);
+  print_message("in an outage %u were told 400\n", n);
+  check_known("in an outage", true, AT_ONCE_S);
+  reply over = ask(2, "POST", "/api/jobs/job-000001/withdraw", "");
+  check_reply("a done job is called off", &over, over.status == 200 && strstr(over.body, "done"), AT_ONCE_S);
+  sim_run_until(began + 75);
+  assert_true(malformed("after it", "job-600000", 1, false, AT_ONCE_S) > 100);
+  impossible("after it", 1, false, AT_ONCE_S);
+  check_known("after it", false, AT_ONCE_S);
+  refused_are_unknown("after it");
+  if (world_so_far().broken) fail_msg("%s", world_so_far().first);
+}
+
+/* Accepted by one a moment ago, and asked about elsewhere where word of it has not come
+ * yet: nobody calls it unknown, malformed or impossible. */
+static void odd_requests_about_what_was_just_accepted(void **state) {
+  (void)state;
+  world_set_up(51, 0);
+  world_start_nodes();
+  sim_run_until(sim_now() + 6);
+  world_state_slow(1e6, 0.5);
+  unsigned known = 0;
+  for (unsigned i = 0; i < 12; i++) {
+    char id[32], path[64], says[60];
+    g_snprintf(id, sizeof id, "job-%06u", i);
+    g_snprintf(path, sizeof path, "/api/jobs/%s", id);
+    g_snprintf(says, sizeof says, "\"id\":\"%s\"", id);
+    char *bodies[] = {body_with(id, NULL, NULL), body_with(id, "cpus", "41"), body_with(id, "club", "\"green\""),
+                      body_with(id, "runs", NULL)};
+    reply first = ask(i % WORLD_NODES, "POST", "/api/jobs", bodies[0]), r[10];
+    if (first.status == 201) {
+      for (unsigned n = 0; n < 2; n++) {
+        unsigned node = (i + 1 + n) % WORLD_NODES;
+        for (unsigned k = 0; k < 4; k++) call(&r[n * 5 + k], node, "POST", "/api/jobs", bodies[k]);
+        call(&r[n * 5 + 4], node, "GET", path, "");
+      }
+      sim_run_until(sim_now() + 8.1);
+      for (unsigned k = 0; k < G_N_ELEMENTS(r); k++) {
+        bool fits = (r[k].status == 200 && strstr(r[k].body, says)) || r[k].status == 503;
+        if (!fits) print_message("%s, question %u: %d %s\n", id, k % 5, r[k].status, r[k].body);
+        check_row(id, fits);
+        known += r[k].status == 200;
+      }
+    }
+    for (unsigned k = 0; k < 4; k++) g_free(bodies[k]);
+  }
+  print_message("of 120 answers %u knew it\n", known);
+  assert_true(known > 60); /* a refusal to all would prove nothing */
+}
+
+static void odd_requests_before_types_are_known(void **state) {
+  (void)state;
+  world_set_up(41, 0);
+  world_cloud_down(true);
+  world_start_nodes();
+  sim_run_until(sim_now() + 6);
+  for (unsigned n = 0; n < WORLD_NODES; n++) {
+    for (size_t i = 0; i <= G_N_ELEMENTS(k_impossible); i++) {
+      bool last = i == G_N_ELEMENTS(k_impossible); /* one that can run */
+      char *body = last ? body_with("job-700000", NULL, NULL)
+                        : body_with("job-700000", k_impossible[i].field, k_impossible[i].value);
+      reply r = ask(n, "POST", "/api/jobs", body);
+      check_reply(last ? "a good one" : k_impossible[i].name, &r, r.status == 503, AT_ONCE_S);
+      g_free(body);
+    }
+    assert_true(malformed("types unknown", "job-600000", n, false, AT_ONCE_S) > 100);
+    assert_int_equal(world_ask(n, "/ready"), 503);
+  }
+  refused_are_unknown("types unknown");
+  world_cloud_down(false);
+  sim_run_until(sim_now() + 6);
+  impossible("types known", 0, false, AT_ONCE_S);
+  char *body = body_with("job-700000", NULL, NULL);
+  reply r = ask(0, "POST", "/api/jobs", body);
+  check_reply("types known", &r, r.status == 201, AT_ONCE_S);
+  g_free(body);
+}
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void) {
+  return "detect_leaks=0";
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(asked_at_the_end),
+                                     cmocka_unit_test(odd_requests),
+                                     cmocka_unit_test(limits),
+                                     cmocka_unit_test(odd_requests_after_a_takeover),
+                                     cmocka_unit_test(odd_requests_in_an_outage),
+                                     cmocka_unit_test(odd_requests_about_what_was_just_accepted),
+                                     cmocka_unit_test(odd_requests_before_types_are_known)};
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
