A report of a lease that is over is not believed, though none newer was heard

Once a worker's lease is certainly over its tasks are started elsewhere; a report of before, held back that long, was newer than any its owner had heard, and its list was taken: three tasks that ran elsewhere were said to run twice (scene reports_of_a_lease_that_is_over, row 'most machines, while they hang', which fails without the mend). The owner now counts on the next session from there on.

The order of reports removed, the scene fails as well.

--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -84,7 +84,7 @@
     /* Older commands are refused from here on, so none can arrive late. */
     for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->stray = FC_STRAY_NONE;
   }
-  if (!m->reported || r->session != m->session) m->session_from = now;
+  if (!m->reported || r->session != m->session || !m->seq) m->session_from = now;
   m->session = r->session;
   m->seq = r->seq;
   m->seen_token = r->token;
@@ -677,6 +677,16 @@
   return over;
 }
 
+/* The worker has given up its tasks and is in a later session, or will be when it goes
+ * on. A report of the one before may still come, newer than any we have heard: tasks
+ * that had been started elsewhere were once said to run here as well (scene
+ * reports_of_a_lease_that_is_over). */
+static void end_session(fc_machine *m) {
+  if (!m->reported) return; /* it may have been in any */
+  m->session++;
+  m->seq = 0;
+}
+
 void fc_workers_expire(fc_controller *c) {
   fc_table *t = c->table;
   double now = fc_now();
@@ -690,6 +700,7 @@
     if (m->placements->len > 0 || m->settled_term != t->term.number) {
       if (m->announced) g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
       fc_machine_clear(t, m);
+      end_session(m);
       m->settled_term = t->term.number;
       if (fc_table_check_settled(t)) fc_round_soon(c);
     }
--- /dev/null
+++ b/tests/test_late.c
@@ -0,0 +1,128 @@
+/* What comes late: reports that newer ones, a lease or a leader have overtaken, and
+ * transactions without an answer that are carried out after newer ones. */
+#include "check.h"
+
+#include <stdlib.h>
+
+#include "sim/world.h"
+
+typedef struct reply {
+  int status;
+  char body[400];
+  bool came;
+} reply;
+
+static void on_reply(int status, const char *body, void *arg) {
+  reply *r = arg;
+  r->status = status;
+  g_strlcpy(r->body, body, sizeof r->body);
+  r->came = true;
+}
+
+static reply ask(unsigned node, const char *id) {
+  static reply r;
+  char path[64];
+  memset(&r, 0, sizeof r);
+  g_snprintf(path, sizeof path, "/api/jobs/%s", id);
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), "GET", path, "", 8, on_reply, &r);
+  while (!r.came) sim_run_until(sim_now() + 0.005);
+  return r;
+}
+
+/* The number of tasks that run, as told; -1: not told now. */
+static int told_running(unsigned node, const char *id) {
+  reply r = ask(node, id);
+  const char *at = strstr(r.body, "\"running\":");
+  if (r.status != 200 || !at) return -1;
+  return atoi(at + strlen("\"running\":"));
+}
+
+static const char *const k_ids[] = {"job-000001", "job-000002", "job-000003"};
+
+/* Six machines, and on them a service, an array and a gang that have long to go. */
+static void set_scene(uint32_t seed) {
+  world_set_up(seed, 0);
+  world_capacity(12, 0);
+  world_keep_idle();
+  world_start_nodes();
+  world_machines_up(0, 3);
+  world_machines_up(1, 3);
+  world_submit(k_ids[0], "service", "prod", 6, 1, 1e6, 5);
+  world_submit(k_ids[1], "sweep", "standard", 6, 1, 1e6, 5);
+  world_submit(k_ids[2], "gang", "high", 2, 3, 1e6, 5);
+  sim_run_until(sim_now() + 20);
+  assert_int_equal(world_running(), 14);
+}
+
+/* No more than what is there is said to run. */
+static void check_counts(const char *name) {
+  for (unsigned n = 0; n < WORLD_NODES; n++) {
+    for (size_t k = 0; k < G_N_ELEMENTS(k_ids); k++) {
+      unsigned there = world_tasks_of(k_ids[k]);
+      int told = told_running(n, k_ids[k]);
+      there = MAX(there, world_tasks_of(k_ids[k])); /* one may have begun meanwhile */
+      if (told > (int)there) print_message("%s: %s: %u says %d run, %u do\n", name, k_ids[k], n, told, there);
+      check_row(name, told <= (int)there);
+    }
+  }
+}
+
+/* Reports of before come when the lease is over and the tasks run elsewhere, to the
+ * owner and to others: nothing is believed to run because of them, nothing is started
+ * or stopped, and no lease moves. */
+static void reports_of_a_lease_that_is_over(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned hung; /* of six: most of them stay, a single one is returned */
+    double hang_s, in_s;
+    bool settled; /* nothing is on its way when they come */
+    int crash;    /* that controller; -1: none */
+    double crash_s;
+  } rows[] = {
+      {"one machine", 1, 60, 40, true, -1, 0},
+      {"most machines, while they hang", 4, 60, 40, true, -1, 0},
+      {"most machines, when they are back", 4, 30, 50, true, -1, 0},
+      {"most machines, a moment after", 4, 30, 30.3, false, -1, 0},
+      {"most machines, under a new leader", 4, 60, 45, true, 0, 22},
+      {"most machines, another new leader", 4, 60, 45, true, 1, 22},
+      {"most machines, another never heard them", 4, 80, 60, true, 2, 0.5},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    set_scene(70 + (uint32_t)i);
+    for (unsigned m = 1; m <= rows[i].hung; m++)
+      for (unsigned k = 0; k < WORLD_NODES * 2; k++)
+        world_report_later(m, k % WORLD_NODES, rows[i].in_s + 1.2 * (k / 3));
+    world_hang(1, 1 + rows[i].hung, rows[i].hang_s);
+    double at = sim_now();
+    unsigned first = world_so_far().starts;
+    if (rows[i].crash >= 0) {
+      sim_run_until(at + rows[i].crash_s);
+      world_crash((unsigned)rows[i].crash, 4);
+    }
+    sim_run_until(at + rows[i].in_s - 0.1);
+    unsigned starts = world_so_far().starts, stopped = world_ended("stopped");
+    print_message("%s: %u started by then, %u run\n", rows[i].name, starts, world_running());
+    check_row(rows[i].name, starts > first);
+    for (unsigned k = 0; k < 12; k++) {
+      sim_run_until(at + rows[i].in_s + 0.02 + k * 0.3);
+      check_counts(rows[i].name);
+    }
+    check_row(rows[i].name, !rows[i].settled || world_so_far().starts == starts);
+    check_row(rows[i].name, !rows[i].settled || world_ended("stopped") == stopped);
+    sim_run_until(at + 110);
+    if (world_so_far().broken) fail_msg("%s: %s", rows[i].name, world_so_far().first);
+    check_counts(rows[i].name);
+    for (size_t k = 0; k < 3; k++) check_row(rows[i].name, world_tasks_of(k_ids[k]) == (k < 2 ? 6 : 2));
+  }
+}
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void) {
+  return "detect_leaks=0";
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(reports_of_a_lease_that_is_over)};
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
