Arrays that share a zone or are scattered are not split

What is judged by where the rest of it is belongs to one owner; the hand-over still moves it to where the room is.

The split is also checked by itself in test_protocol.

--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -134,6 +134,9 @@
 unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit) {
   unsigned slices = 1;
   if (spec->kind != FC_KIND_ARRAY) return slices; /* gangs and services are never split */
+  /* Nor is what is judged by where the rest of it is: the owners of two slices can't see
+   * what the other places at the same moment, and put them in different zones. */
+  if (spec->one_zone || spec->spread) return slices;
   while (slices * 2 <= MIN(limit, FC_SLICES_MAX) && spec->tasks / (slices * 2) >= 2) slices *= 2;
   return slices;
 }
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -58,7 +58,8 @@
   char *handed[FC_SLICES_MAX]; /* NULL: as dealt */
 } fc_job_record;
 
-/* An array is halved into virtual jobs of at least two tasks, at most `limit`. */
+/* An array is halved into virtual jobs of at least two tasks, at most `limit`; not one
+ * whose tasks must share a zone or be scattered. */
 unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit);
 /* `origin` NULL: not known. */
 json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -391,13 +391,18 @@
   s->op.over_keep_s = 20; /* jobs are put away in the middle of the troubles */
 }
 
+void world_notice(unsigned at, double in_s) {
+  worker *w = machine(at);
+  w->notice_at = sim_now();
+  w->taken_at = sim_now() + in_s;
+  w->changed = true;
+}
+
 bool world_give_notice(double in_s) {
   for (guint i = 0; i < g_order->len; i++) {
-    worker *w = g_order->pdata[i];
+    const worker *w = g_order->pdata[i];
     if (w->gone || !w->up || !w->spot || w->tasks->len == 0) continue;
-    w->notice_at = sim_now();
-    w->taken_at = sim_now() + in_s;
-    w->changed = true;
+    world_notice(i, in_s);
     return true;
   }
   return false;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -29,6 +29,7 @@
 unsigned world_machines(void); /* rented ever */
 void world_add_job(const char *id, const char *kind, unsigned tasks, double gpus, double run_s);
 bool world_give_notice(double in_s); /* to a cheap machine in use */
+void world_notice(unsigned machine, double in_s);
 unsigned world_ended(const char *cause);
 void world_capacity(unsigned ordinary, unsigned spot); /* of a zone */
 /* A deployment of that many machines, instead of the small one: to be said before the
--- /dev/null
+++ b/tests/test_places.c
@@ -0,0 +1,110 @@
+/* Where tasks may be, and how much of them at once, while machines, controllers and
+ * links fail: zones, limits of teams, more work than room. */
+#include "check.h"
+
+#include "sim/world.h"
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void) {
+  return "detect_leaks=0";
+}
+
+typedef enum { KILLED, HUNG, CUT_OFF, MUTE, DEAF, NOTICED } trouble;
+
+static void befalls(trouble what, unsigned machine, double for_s) {
+  switch (what) {
+    case KILLED:
+      world_kill(machine, machine + 1);
+      break;
+    case HUNG:
+      world_hang(machine, machine + 1, for_s);
+      break;
+    case CUT_OFF:
+      for (unsigned n = 0; n < WORLD_NODES; n++) world_cut_pair(n, machine, for_s, SIM_HELD);
+      break;
+    case MUTE:
+      world_mute(machine, machine + 1, for_s);
+      break;
+    case DEAF:
+      world_deaf(machine, machine + 1, for_s);
+      break;
+    default:
+      world_notice(machine, 6);
+  }
+}
+
+/* Jobs bound to zones, arrays that are large enough to be split among them, with more
+ * arrays than the first zone holds: who places them can't look where others do. */
+static const world_job k_bound[] = {
+    {.id = "job-000001", .kind = "sweep", .tasks = 12, .gpus = 1, .run_s = 25, .one_zone = true},
+    {.id = "job-000002", .kind = "sweep", .tasks = 12, .gpus = 1, .run_s = 25, .one_zone = true},
+    {.id = "job-000003", .kind = "sweep", .tasks = 9, .gpus = 1, .run_s = 25, .spread = true},
+    {.id = "job-000004", .kind = "sweep", .tasks = 8, .gpus = 1, .run_s = 25, .zone = "b"},
+    {.id = "job-000005", .kind = "service", .rank = "prod", .tasks = 3, .gpus = 1, .run_s = 1e6, .one_zone = true},
+    {.id = "job-000006", .kind = "service", .rank = "prod", .tasks = 5, .gpus = 1, .run_s = 1e6, .spread = true},
+    {.id = "job-000007", .kind = "gang", .rank = "high", .tasks = 3, .gpus = 2, .run_s = 25, .one_zone = true},
+    {.id = "job-000008", .kind = "gang", .rank = "high", .tasks = 3, .gpus = 2, .run_s = 25, .zone = "b"},
+};
+
+static void submit_bound(double in_s) {
+  for (size_t k = 0; k < G_N_ELEMENTS(k_bound); k++) {
+    world_job j = k_bound[k];
+    j.in_s = in_s + (double)k * 0.05;
+    world_submit_job(&j);
+  }
+}
+
+/* Each of them loses a machine while controllers come and go: its replacements go where
+ * it may be, judged by all of it that may still be anywhere, and it goes on. */
+static void bound_jobs_lose_machines(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    trouble what;
+    double for_s;
+    unsigned crashes;
+    double crash_after_s;
+  } rows[] = {
+      {"killed", KILLED, 0, 0, 0},
+      {"killed, and a controller is replaced", KILLED, 0, 1, 1},
+      {"hung for less than a lease", HUNG, 9, 0, 0},
+      {"hung for longer", HUNG, 30, 0, 0},
+      {"hung, and two controllers are replaced", HUNG, 20, 2, 3},
+      {"cut off for less than a lease", CUT_OFF, 10, 1, 4},
+      {"cut off for longer", CUT_OFF, 30, 1, 8},
+      {"mute, and two controllers are replaced", MUTE, 25, 2, 2},
+      {"deaf, and a controller is replaced", DEAF, 25, 1, 5},
+      {"taken with notice", NOTICED, 0, 0, 0},
+      {"taken with notice, all controllers are replaced", NOTICED, 0, 3, 0.5},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows) * 2; i++) {
+    const unsigned row = (unsigned)i / 2;
+    world_set_up(200 + (uint32_t)i, 0);
+    world_capacity(9, 0);
+    world_start_nodes();
+    world_machines_up(0, 7);
+    world_machines_up(1, 7);
+    submit_bound(5);
+    sim_run_until(sim_now() + (i % 2 ? 16 : 22));
+    for (size_t k = 0; k < G_N_ELEMENTS(k_bound); k++) {
+      int at = world_machine_of(k_bound[k].id, 0);
+      if (at >= 0) befalls(rows[row].what, (unsigned)at, rows[row].for_s);
+    }
+    sim_run_until(sim_now() + rows[row].crash_after_s);
+    for (unsigned n = 0; n < rows[row].crashes; n++) world_crash(n, i % 2 ? 0.3 : 4);
+    sim_run_until(sim_now() + 150);
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s, %u: %s", rows[row].name, (unsigned)i, r.first);
+    print_message("%s, %u: %u done, %u started\n", rows[row].name, (unsigned)i, r.finished, r.starts);
+    check_row(rows[row].name, r.finished == 6);
+    check_row(rows[row].name, world_tasks_of("job-000005") == 3);
+    check_row(rows[row].name, world_tasks_of("job-000006") == 5);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(bound_jobs_lose_machines),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -113,6 +113,31 @@
   fc_job_spec_clear(&s);
 }
 
+/* Only what nothing of it has to look at the rest for is split. */
+static void arrays_are_split(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    fc_job_kind kind;
+    uint32_t tasks;
+    bool one_zone, spread;
+    unsigned limit, slices;
+  } rows[] = {
+      {"an array", FC_KIND_ARRAY, 12, false, false, 16, 4},
+      {"up to the limit", FC_KIND_ARRAY, 12, false, false, 2, 2},
+      {"too small", FC_KIND_ARRAY, 3, false, false, 16, 1},
+      {"all in one zone", FC_KIND_ARRAY, 12, true, false, 16, 1},
+      {"scattered", FC_KIND_ARRAY, 12, false, true, 16, 1},
+      {"a gang", FC_KIND_GANG, 12, false, false, 16, 1},
+      {"a service", FC_KIND_SERVICE, 12, false, false, 16, 1},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    const fc_job_spec s = {
+        .kind = rows[i].kind, .tasks = rows[i].tasks, .one_zone = rows[i].one_zone, .spread = rows[i].spread};
+    check_row(rows[i].name, fc_job_slices(&s, rows[i].limit) == rows[i].slices);
+  }
+}
+
 static void ranges(void **state) {
   (void)state;
   static const struct {
@@ -349,6 +374,7 @@
       cmocka_unit_test(submissions),
       cmocka_unit_test(deep_json_is_refused),
       cmocka_unit_test(job_records_round_trip),
+      cmocka_unit_test(arrays_are_split),
       cmocka_unit_test(ranges),
       cmocka_unit_test(worker_reports),
       cmocka_unit_test(large_reports),
