A slice that was handed over is clear once the members that may hold it are settled

After a change of term a slice that had once been handed over waited until every machine of the fleet was settled, where others waited for their owner's machines alone: in a large fleet some machine is always dying. Who hands over knows all of the slice, and that it is on the own machines or nowhere. The record now says so: the term of the last hand-over, and on whose machines tasks of the slice were then or could be started from then on (the receiver, and the giver where any ran). While the names in the term are the same, the slice is clear once the machines of those members are settled, for which the table latches each member by itself. A record without the field, or written by a controller that doesn't know it, is read as before. A hand-over also tells anew where a slice may be when a member has come or gone since its job was accepted.

Seen to hold by nine rows more in clear_at_home, the plan's rows in handing_over and the record's round trip.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -99,15 +99,28 @@
   }
 }
 
-/* Slices that only ever were ours: the members have had the same names since before
- * the job was accepted, so that no slice and no machine was dealt anew, and it has not
- * been handed over. Its tasks were started by our name alone, on machines that were
- * ours, and a machine leaves us only empty: they are on our machines or nowhere. */
+/* The members on whose machines tasks of a slice of ours may be; 0: not known. While
+ * the members have the same names, no slice and no machine is dealt anew: a slice is
+ * started by its owner alone, on machines that are the owner's, and a machine leaves a
+ * member only empty. So a slice that was never handed over since it was accepted is on
+ * our machines or nowhere, and one that was, where its hand-over said: who hands over
+ * knows all of it. */
+static unsigned homes_of(const fc_table *t, const fc_job *j, unsigned slice) {
+  bool moved = j->origin.moved >> slice & 1;
+  uint64_t since = moved ? j->origin.last_move[slice].term : j->origin.term;
+  if (!since || since < t->term.names_since) return 0;
+  return moved ? j->origin.last_move[slice].members : 1u << t->self;
+}
+
+/* Slices of ours that are on machines of members with nothing unsettled, or nowhere. */
 static unsigned at_home(const fc_table *t, const fc_job *j) {
   unsigned home = 0;
-  if (t->self < 0 || !j->origin.term || j->origin.term < t->term.names_since) return 0;
-  for (unsigned i = 0; i < j->slices; i++) home |= (unsigned)(fc_job_owner(j, i) == t->self) << i;
-  return home & ~j->origin.moved;
+  if (t->self < 0 || t->members_latch != t->term.number) return 0;
+  for (unsigned i = 0; i < j->slices; i++) {
+    unsigned homes = fc_job_owner(j, i) == t->self ? homes_of(t, j, i) : 0;
+    home |= (unsigned)(homes && !(homes & ~t->settled_members)) << i;
+  }
+  return home;
 }
 
 /* What the latches of this term make clear. A job that is read anew after one of them
@@ -115,7 +128,7 @@
 static void make_clear(const fc_table *t, fc_job *j) {
   if (!t->term_version) return;
   if (t->settled_latch == t->term.number) j->clear = ~0u;
-  if (t->home_latch == t->term.number) j->clear |= at_home(t, j);
+  j->clear |= at_home(t, j);
 }
 
 fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
@@ -498,22 +511,26 @@
 bool fc_table_check_settled(fc_table *t) {
   if (t->settled_latch == t->term.number && t->term_version) return true;
   if (!t->term_version || t->self < 0) return false;
-  bool all = true, ours = t->home_latch != t->term.number;
+  const unsigned before = t->members_latch == t->term.number ? t->settled_members : 0;
+  const unsigned everyone = (1u << t->term.count) - 1;
+  unsigned unsettled = 0; /* a bit a member */
+  bool all = true;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
-  while ((all || ours) && g_hash_table_iter_next(&it, NULL, &value)) {
+  while ((all || (unsettled | before) != everyone) && g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
     /* Nothing was ever started on a machine whose address is not recorded.
      * Waiting for such machines too, a fleet that keeps renting would start
      * nothing for long after every change of term: one is always booting. */
     if (!m->announced || m->settled_term == t->term.number) continue;
     all = false;
-    if (m->owner == t->self) ours = false;
+    if (m->owner >= 0) unsettled |= 1u << m->owner;
   }
   if (all) t->settled_latch = t->term.number;
-  if (ours) t->home_latch = t->term.number;
-  if (!all && !ours) return false;
+  t->members_latch = t->term.number;
+  t->settled_members = before | (everyone & ~unsettled);
+  if (!all && t->settled_members == before) return false;
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) make_clear(t, value);
   return all;
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -139,9 +139,10 @@
    * share of the term before, where that was carried over; INFINITY: not known. */
   double carried_cpus[FC_TEAMS_MAX], carried_gpus[FC_TEAMS_MAX];
   fc_demand_stats demand;
-  bool archive;           /* jobs that are over may have been put away */
-  uint64_t settled_latch; /* term in which every machine has been settled */
-  uint64_t home_latch;    /* term in which every machine of ours has been */
+  bool archive;             /* jobs that are over may have been put away */
+  uint64_t settled_latch;   /* term in which every machine has been settled */
+  uint64_t members_latch;   /* term that settled_members tells of */
+  unsigned settled_members; /* a bit a member: every machine of it has been settled in that term */
   uint64_t next_serial;
   uint64_t view; /* number of the newest view of our machines */
   int self;      /* index in the term; -1: not a member */
@@ -248,11 +249,11 @@
 /* Derives a machine's owner after its record changed. */
 void fc_table_derive_owner(fc_table *t, fc_machine *m, double now);
 /* Latches once every machine that may hold anything from before the present term is
- * settled in it: every job is clear then. And before that, once all machines of ours
- * are: then those slices are clear that have never been anybody else's. In a fleet of
- * a thousand some machine is always dying; waiting for each of them, at each change of
- * term anew, a rolling restart started nothing old for two minutes (fleet day
- * "restart", simulated). */
+ * settled in it: every job is clear then. And before that for each member, once all
+ * machines of that one are: then those slices of ours are clear of which nothing can be
+ * on any other's. In a fleet of a thousand some machine is always dying; waiting for
+ * each of them, at each change of term anew, a rolling restart started nothing old for
+ * two minutes (fleet day "restart", simulated). */
 bool fc_table_check_settled(fc_table *t);
 
 #endif
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -36,8 +36,10 @@
 typedef struct handover_arg {
   char id[32];
   char to[FC_SLICES_MAX][64];
+  unsigned homes[FC_SLICES_MAX];
   unsigned slices;
   uint64_t version, term; /* of the records it is conditional on */
+  uint64_t term_number;
   fc_controller *c;
 } handover_arg;
 
@@ -46,8 +48,15 @@
   const fc_job *j = fc_table_job(c->table, a->id);
   if (!j || j->version != a->version) return NULL;
   char *handed[FC_SLICES_MAX];
-  for (unsigned i = 0; i < FC_SLICES_MAX; i++) handed[i] = (a->slices >> i & 1) ? (char *)a->to[i] : j->handed[i];
-  const fc_job_origin origin = {.term = j->origin.term, .moved = j->origin.moved | a->slices};
+  fc_job_origin origin = j->origin;
+  origin.moved |= a->slices;
+  for (unsigned i = 0; i < FC_SLICES_MAX; i++) {
+    handed[i] = j->handed[i];
+    if (!(a->slices >> i & 1)) continue;
+    handed[i] = (char *)a->to[i];
+    origin.last_move[i].term = a->term_number;
+    origin.last_move[i].members = a->homes[i];
+  }
   fc_write *w = fc_write_job(j, a->version, j->phase, j->done, handed, &origin);
   fc_write_if(w, FC_KEY_TERM, a->term);
   return w;
@@ -84,11 +93,13 @@
     a->c = c;
     a->version = j->version;
     a->term = c->table->term_version;
+    a->term_number = c->table->term.number;
     g_strlcpy(a->id, j->spec.id, sizeof a->id);
     for (guint k = i; k < plan->len; k++) {
       const fc_handover *h = &g_array_index(plan, fc_handover, k);
       if (h->job != j) continue;
       a->slices |= 1u << h->slice;
+      a->homes[h->slice] = h->homes;
       g_strlcpy(a->to[h->slice], c->table->term.members[h->to].name, sizeof a->to[h->slice]);
       g_debug("hand over job=%s slice=%u to=%s", a->id, h->slice, a->to[h->slice]);
     }
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -141,6 +141,37 @@
   return slices;
 }
 
+/* {"3":[term,members]}; NULL: there is nothing to say. */
+static json_t *last_moves_encode(const fc_job_origin *origin, unsigned slices) {
+  json_t *v = NULL;
+  for (unsigned i = 0; i < slices; i++) {
+    if (!(origin->moved >> i & 1) || !origin->last_move[i].term) continue;
+    if (!v) v = json_object();
+    char slice[16];
+    g_snprintf(slice, sizeof slice, "%u", i);
+    json_object_set_new(
+        v, slice, json_pack("[II]", (json_int_t)origin->last_move[i].term, (json_int_t)origin->last_move[i].members));
+  }
+  return v;
+}
+
+static void read_last_moves(fc_reader *r, fc_job_record *out) {
+  const json_t *moves = json_object_get(r->object, "lastMove");
+  const char *slice;
+  json_t *pair;
+  json_object_foreach((json_t *)moves, slice, pair) {
+    unsigned long i = strtoul(slice, NULL, 10);
+    json_int_t term = json_integer_value(json_array_get(pair, 0));
+    json_int_t members = json_integer_value(json_array_get(pair, 1));
+    if (i >= out->slices || term <= 0 || members <= 0 || members > UINT32_MAX) {
+      fc_reader_fail(r, "lastMove", "not a hand-over of a slice of the job");
+      return;
+    }
+    out->origin.last_move[i].term = (uint64_t)term;
+    out->origin.last_move[i].members = (unsigned)members;
+  }
+}
+
 json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
                              char *const *handed, const fc_job_origin *origin) {
   json_t *to = NULL;
@@ -155,6 +186,8 @@
                         k_phases[phase], "done", done && *done ? done : NULL, "slices", (int)slices, "to", to);
   if (origin && origin->term) json_object_set_new(v, "term", json_integer((json_int_t)origin->term));
   if (origin && origin->moved) json_object_set_new(v, "moved", json_integer((json_int_t)origin->moved));
+  json_t *moves = origin ? last_moves_encode(origin, slices) : NULL;
+  if (moves) json_object_set_new(v, "lastMove", moves);
   return v;
 }
 
@@ -184,6 +217,7 @@
   out->origin.term = fc_read_count_or(&r, "term", 0, (uint64_t)INT64_MAX, 0);
   out->origin.moved = (unsigned)fc_read_count_or(&r, "moved", 0, UINT32_MAX, 0);
   if (fc_reader_ok(&r)) read_handed(&r, out);
+  if (fc_reader_ok(&r)) read_last_moves(&r, out);
   const json_t *spec = fc_read_object(&r, "spec");
   fc_reader sr;
   fc_reader_init(&sr, spec);
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -47,6 +47,13 @@
 typedef struct fc_job_origin {
   uint64_t term;  /* it was accepted in this term or later; 0: not known */
   unsigned moved; /* a bit a slice: it has been handed over since */
+  /* Of a slice that was: the term of the last hand-over, and a bit for each member of
+   * that term on whose machines tasks of it were then, or could be started from then on.
+   * 0, 0: not known. */
+  struct {
+    uint64_t term;
+    unsigned members;
+  } last_move[FC_SLICES_MAX];
 } fc_job_origin;
 
 typedef struct fc_job_record {
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -153,6 +153,15 @@
   return true;
 }
 
+/* Is any task of the slice on a machine? On one of ours then, or it isn't handed over. */
+static bool runs_here(const fc_job *j, unsigned slice) {
+  for (guint i = 0; i < j->placements->len; i++) {
+    const fc_placement *p = j->placements->pdata[i];
+    if (p->index < j->spec.tasks && fc_job_slice_of(j, p->index) == slice) return true;
+  }
+  return false;
+}
+
 /* A queued job: what is missing of each of its slices, and which of ours find room
  * in our own part, and so stay. */
 typedef struct queued {
@@ -214,7 +223,8 @@
       int to = best_holder(t, told, room, j, s, q->want[s]);
       if (to < 0) continue;
       (void)hold_job(room, t, j, to, q->want[s], true);
-      fc_handover h = {.job = j, .slice = s, .to = to};
+      fc_handover h = {.job = j, .slice = s, .to = to, .homes = 1u << to};
+      if (runs_here(j, s)) h.homes |= 1u << t->self;
       g_array_append_val(out, h);
     }
   }
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -24,6 +24,7 @@
   fc_job *job;
   unsigned slice;
   int to;
+  unsigned homes; /* a bit a member: on whose machines its tasks are, or may be started from then on */
 } fc_handover;
 
 /* Slices of ours that have waited and find room only in another part. */
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -95,7 +95,8 @@
   char error[200];
   assert_true(fc_job_spec_parse(k_good, strlen(k_good), &s, error, sizeof error));
   char *handed[4] = {NULL, NULL, (char *)"paddock-2", NULL};
-  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", 4, handed, &(fc_job_origin){.term = 6, .moved = 5});
+  const fc_job_origin origin = {.term = 6, .moved = 5, .last_move = {[2] = {9, 6}}};
+  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", 4, handed, &origin);
   fc_job_record r;
   assert_true(fc_job_record_decode(v, &r));
   assert_int_equal(r.phase, FC_PHASE_CANCELLED);
@@ -104,9 +105,20 @@
   assert_string_equal(r.handed[2], "paddock-2");
   assert_null(r.handed[0]);
   assert_true(r.origin.term == 6 && r.origin.moved == 5);
+  assert_true(r.origin.last_move[2].term == 9 && r.origin.last_move[2].members == 6);
+  assert_true(r.origin.last_move[0].term == 0 && r.origin.last_move[0].members == 0);
   assert_int_equal(r.spec.tasks, 16);
   assert_true(r.spec.deadline_s == 900.0 && r.spec.zone == NULL && strcmp(r.spec.types[0], "g8") == 0);
   fc_job_record_clear(&r);
+  json_t *moves = json_incref(json_object_get(v, "lastMove"));
+  json_object_del(v, "lastMove"); /* written before there was such a field */
+  assert_true(fc_job_record_decode(v, &r));
+  assert_true(r.origin.moved == 5 && r.origin.last_move[2].term == 0 && r.origin.last_move[2].members == 0);
+  fc_job_record_clear(&r);
+  json_object_set_new(moves, "4", json_pack("[ii]", 9, 6)); /* no slice of it */
+  json_object_set_new(v, "lastMove", moves);
+  assert_false(fc_job_record_decode(v, &r));
+  json_object_del(v, "lastMove");
   json_object_set_new(v, "f", json_integer(2)); /* a format we don't know */
   assert_false(fc_job_record_decode(v, &r));
   json_decref(v);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -362,22 +362,34 @@
     uint64_t accepted, names_since; /* terms; this is the tenth */
     unsigned moved;
     bool other_owner, clear;
+    uint64_t moved_in; /* the first slice's last hand-over: its term, where it may be since */
+    unsigned homes;
   } rows[] = {
-      {"all are settled", true, true, 0, 10, 1, true, true},
-      {"ours are", true, false, 5, 5, 0, false, true},
-      {"ours are, but the job's term is not known", true, false, 0, 1, 0, false, false},
-      {"ours are not", false, true, 5, 5, 0, false, false},
-      {"a member has come or gone since", true, false, 5, 6, 0, false, false},
-      {"the slice has been handed over", true, false, 5, 5, 1, false, false},
-      {"another slice has been", true, false, 5, 5, 2, false, true},
-      {"it is not ours", true, false, 5, 5, 0, true, false},
+      {"all are settled", true, true, 0, 10, 1, true, true, 0, 0},
+      {"ours are", true, false, 5, 5, 0, false, true, 0, 0},
+      {"ours are, but the job's term is not known", true, false, 0, 1, 0, false, false, 0, 0},
+      {"ours are not", false, true, 5, 5, 0, false, false, 0, 0},
+      {"a member has come or gone since", true, false, 5, 6, 0, false, false, 0, 0},
+      {"the slice has been handed over", true, false, 5, 5, 1, false, false, 0, 0},
+      {"another slice has been", true, false, 5, 5, 2, false, true, 0, 0},
+      {"it is not ours", true, false, 5, 5, 0, true, false, 0, 0},
+      {"handed over to us, with nothing elsewhere", true, false, 5, 5, 1, false, true, 7, 1},
+      {"handed over to us, and on theirs", true, false, 5, 5, 1, false, false, 7, 3},
+      {"theirs are settled, and it is on ours too", false, true, 5, 5, 1, false, false, 7, 3},
+      {"theirs are settled, and it is on theirs alone", false, true, 5, 5, 1, false, true, 7, 2},
+      {"handed over since a member has come or gone", true, false, 3, 6, 1, false, true, 6, 1},
+      {"handed over before that", true, false, 3, 6, 1, false, false, 5, 1},
+      {"handed over, and the job's term is not known", true, false, 0, 6, 1, false, true, 7, 1},
+      {"handed over, and not ours any more", true, false, 5, 5, 1, true, false, 7, 1},
+      {"never handed over: the rest says nothing", true, false, 5, 6, 0, false, false, 7, 1},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     fc_settings s = world_settings();
     fc_table *t = world_table(&s);
     fc_machine *m = world_machine(t, "vm-1", "a", false), *n = world_machine(t, "vm-2", "a", false);
     fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 4, 1, "");
-    j->origin = (fc_job_origin){.term = rows[i].accepted, .moved = rows[i].moved};
+    j->origin = (fc_job_origin){
+        .term = rows[i].accepted, .moved = rows[i].moved, .last_move = {{rows[i].moved_in, rows[i].homes}}};
     j->handed[0] = g_strdup(rows[i].other_owner ? "paddock-1" : "paddock-0");
     g_strlcpy(n->rec.owner, "paddock-1", sizeof n->rec.owner);
     fc_term term = {
@@ -451,7 +463,10 @@
     }
     GArray *plan = fc_share_handovers(t, &told, 90);
     check_row(rows[i].name, plan->len == rows[i].expect);
-    if (plan->len) check_row(rows[i].name, g_array_index(plan, fc_handover, 0).to == 1);
+    if (plan->len) {
+      const fc_handover *h = &g_array_index(plan, fc_handover, 0);
+      check_row(rows[i].name, h->to == 1 && h->homes == (rows[i].running ? 3 : 2));
+    }
     g_array_free(plan, TRUE);
     fc_table_free(t);
   }
