Scene: handed-over arrays go on while another controller's machines are out of reach

Arrays of one zone are handed over to a controller that has room; it and another are replaced while that other's machines hang for most of a lease.

--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -29,6 +29,7 @@
   bool *done;
   unsigned done_count;
   bool submitting, over;
+  unsigned starts;
   double answered_at; /* when a question about it was last answered */
   double started_at;  /* when its first task had its image; 0: not yet */
   double began_at;    /* the same, of a gang when all its tasks ran */
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -56,6 +56,7 @@
 static void check_start(worker *w, task *t) {
   g_result.starts++;
   job *j = t->job;
+  j->starts++;
   if (!j->started_at) j->started_at = sim_now();
   if (!j->began_at && strcmp(j->kind, "gang") != 0) j->began_at = sim_now();
   start_check c = {.w = w, .t = t};
@@ -93,6 +94,11 @@
   return s.count;
 }
 
+unsigned world_starts_of(const char *id) {
+  const job *j = g_hash_table_lookup(g_jobs, id);
+  return j->starts;
+}
+
 int world_machine_of(const char *id, unsigned index) {
   task_search s = {.id = id, .index = (int)index};
   each_on_machine(see_task, &s);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -187,6 +187,10 @@
   for (unsigned i = from; i < to; i++) ((worker *)g_order->pdata[i])->gone = true;
 }
 
+unsigned world_node_of(unsigned at) {
+  return (unsigned)machine(at)->node;
+}
+
 unsigned world_gone(unsigned from, unsigned to) {
   unsigned n = 0;
   for (unsigned i = from; i < to; i++) n += ((worker *)g_order->pdata[i])->gone;
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -9,6 +9,12 @@
   return "detect_leaks=0";
 }
 
+static const char *name_of(unsigned k) {
+  static char id[32];
+  g_snprintf(id, sizeof id, "job-%06u", k);
+  return id;
+}
+
 typedef enum { KILLED, HUNG, CUT_OFF, MUTE, DEAF, NOTICED } trouble;
 
 static void befalls(trouble what, unsigned machine, double for_s) {
@@ -102,9 +108,88 @@
   }
 }
 
+/* Services that fill a machine each: room is where they are called off. */
+static void fill(unsigned machines, double in_s) {
+  for (unsigned k = 0; k < machines; k++) {
+    world_submit_job(&(world_job){.id = name_of(100 + k),
+                                  .kind = "service",
+                                  .rank = "prod",
+                                  .tasks = 1,
+                                  .gpus = 4,
+                                  .run_s = 1e6,
+                                  .in_s = in_s + k * 0.02});
+  }
+}
+
+/* Makes room on machines of that controller alone; how many. */
+static unsigned make_room_at(unsigned node, unsigned filled) {
+  unsigned n = 0;
+  for (unsigned k = 0; k < filled; k++) {
+    int at = world_machine_of(name_of(100 + k), 0);
+    if (at < 0 || world_node_of((unsigned)at) != node) continue;
+    world_cancel(name_of(100 + k), -1, 0);
+    n++;
+  }
+  return n;
+}
+
+/* Arrays were handed over to a controller that is replaced, while machines of another
+ * that is replaced too are out of reach: they go on as soon as those machines are known
+ * that may hold them, not once every machine of the fleet is. */
+static void moved_slices_go_on(void **state) {
+  (void)state;
+  enum { machines = 18, arrays = 3 };
+  static const struct {
+    const char *name;
+    double hang_s, back_in_s;
+  } rows[] = {
+      {"every machine answers", 0, 0.3},
+      {"another's machines hang", 13, 0.3},
+      {"another's machines hang, replaced later", 13, 3},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows) * 3; i++) {
+    const unsigned row = (unsigned)i / 3;
+    world_set_up(300 + (uint32_t)i, 0);
+    world_capacity(machines / 2, 0);
+    world_start_nodes();
+    world_machines_up(0, machines / 2);
+    world_machines_up(1, machines / 2);
+    fill(machines, 5);
+    sim_run_until(sim_now() + 25);
+    for (unsigned k = 0; k < arrays; k++) {
+      world_submit_job(
+          &(world_job){.id = name_of(k), .kind = "sweep", .tasks = 20, .gpus = 4, .run_s = 4, .one_zone = true});
+    }
+    sim_run_until(sim_now() + 5);
+    unsigned freed = make_room_at(1, machines);
+    sim_run_until(sim_now() + 12);
+    unsigned moved = 0;
+    for (unsigned n = 0; n < WORLD_NODES; n++) moved += (unsigned)world_counts(n).handed_over;
+    for (unsigned m = 0; m < machines; m++)
+      if (world_node_of(m) == 2) world_hang(m, m + 1, rows[row].hang_s);
+    world_crash(2, rows[row].back_in_s);
+    world_crash(1, rows[row].back_in_s);
+    double from = sim_now();
+    sim_run_until(from + 2); /* what had been sent off */
+    unsigned before[arrays], had_begun = 0, go_on = 0;
+    for (unsigned k = 0; k < arrays; k++) {
+      before[k] = world_starts_of(name_of(k));
+      had_begun += before[k] > 0;
+    }
+    sim_run_until(from + rows[row].back_in_s + 9);
+    for (unsigned k = 0; k < arrays; k++) go_on += before[k] > 0 && world_starts_of(name_of(k)) > before[k];
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s: %s", rows[row].name, r.first);
+    print_message("%s: room for %u, %u moved, %u of %u go on\n", rows[row].name, freed, moved, go_on, had_begun);
+    check_row(rows[row].name, moved >= 2 && had_begun >= 1);
+    check_row(rows[row].name, go_on == had_begun);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(bound_jobs_lose_machines),
+      cmocka_unit_test(moved_slices_go_on),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
