A zone that is cut off keeps its machines through a change of their owners

New scene: a zone with a controller in it is cut off for one to almost five leases while controllers are replaced; jobs bound to it wait, what is called off ends, and its machines serve again.

A machine with an address was up; while its zone is in doubt it gets the time of a zone that is cut off.

--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -266,12 +266,15 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
     bool ours = m->owner == t->self, mute = fc_machine_mute(t, m, now);
-    if (!m->version || !m->announced || m->owner < 0 || (ours && !m->reported && !mute)) continue;
+    if (!m->version || !m->announced || m->owner < 0) continue;
     /* Of others' machines we know as much as they tell us: those of a member that is cut
      * off too once counted as well, and half a zone was returned (fleet day "zone"). */
-    if (!ours && (m->settled_term != t->term.number || !fc_member_fit(c, m->owner))) continue;
+    bool known = ours ? m->reported || mute : m->settled_term == t->term.number && fc_member_fit(c, m->owner);
+    /* Nor do machines that we know nothing of yet speak for their zone: dealt anew as a
+     * member in it was excluded, they left one old machine to judge it by, which went. */
+    count_mute(&zones[m->zone], mute || !known);
+    if (!known) continue;
     count_mute(&fleet, mute);
-    count_mute(&zones[m->zone], mute);
     if (ours) count_mute(&mine, mute);
   }
   suspicion s = {.all = most(&mine) || most(&fleet)};
@@ -293,7 +296,11 @@
   if (m->reported && fc_machine_out_of_touch(m, now - after) && unkept(c, m, now - quiet)) return LOST;
   if (fc_machine_unheard(t, m, now) && (!patient || now > m->owned_since + after) && unkept(c, m, m->owned_since))
     return LOST;
-  if (!m->reported && boot_s > 0 && now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s)
+  /* One that has an address was up: dealt anew while its zone is cut off, it says nothing
+   * to its new owner, and was returned before the zone was back. */
+  bool cut_off = m->announced && patient && now <= m->owned_since + after;
+  if (!m->reported && !cut_off && boot_s > 0 &&
+      now > MAX(m->first_seen, m->owned_since) + 3 * boot_s + c->settings->lease_s)
     return NEVER_UP;
   if (!m->faulty && holds_lost_start(m, now - c->settings->lease_s * 2)) m->faulty = m->closed = true;
   if (m->faulty && fc_machine_vacant(m) && settled) return FAULTY;
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -186,10 +186,75 @@
   }
 }
 
+/* A zone with a controller in it is cut off from everything for longer than a lease: jobs
+ * that may run nowhere else wait and go on there, what is called off meanwhile ends, and
+ * its machines serve again. */
+static void a_zone_comes_back(void **state) {
+  (void)state;
+  const unsigned machines = 11;
+  static const struct {
+    const char *name;
+    double for_s;
+    unsigned outside, inside; /* how often a controller is replaced meanwhile */
+    bool state_too;           /* the state service is out as the zone comes back */
+  } rows[] = {
+      {"for one lease", 15, 0, 0, false},     {"for three", 40, 0, 0, false},
+      {"for almost five", 66, 0, 0, false}, {"a controller outside is replaced", 40, 1, 0, false},
+      {"and both outside", 30, 2, 0, false},  {"the controller inside is replaced", 30, 0, 1, false},
+      {"all are", 30, 2, 1, false},           {"the state service is out when it comes back", 30, 1, 0, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows) * 2; i++) {
+    const unsigned row = (unsigned)i / 2;
+    world_set_up(400 + (uint32_t)i, 0);
+    world_capacity(machines, 0);
+    world_keep_idle();
+    world_start_nodes();
+    world_machines_up(0, machines);
+    world_machines_up(1, machines);
+    submit_bound(5);
+    world_submit_job(&(world_job){.id = "job-000020",
+                                  .kind = "service",
+                                  .rank = "prod",
+                                  .tasks = 3,
+                                  .gpus = 1,
+                                  .run_s = 1e6,
+                                  .in_s = 5,
+                                  .zone = "b"});
+    sim_run_until(sim_now() + (i % 2 ? 14 : 20));
+    world_cut_zone(1, rows[row].for_s);
+    double back = sim_now() + rows[row].for_s;
+    /* These may run in the lost zone alone, or in one of both. */
+    world_submit_job(
+        &(world_job){.id = "job-000021", .kind = "sweep", .tasks = 8, .gpus = 1, .run_s = 10, .zone = "b"});
+    world_submit_job(
+        &(world_job){.id = "job-000022", .kind = "sweep", .tasks = 10, .gpus = 1, .run_s = 10, .one_zone = true});
+    world_submit_job(
+        &(world_job){.id = "job-000023", .kind = "sweep", .tasks = 10, .gpus = 1, .run_s = 10, .spread = true});
+    world_cancel("job-000020", 0, 6);
+    sim_run_until(sim_now() + 5);
+    for (unsigned n = 0; n < rows[row].outside; n++) world_crash(n * 2, i % 2 ? 0.3 : 4);
+    if (rows[row].inside) world_crash(1, 4);
+    sim_run_until(back - 1);
+    check_row(rows[row].name, world_starts_of("job-000021") == 0);
+    if (rows[row].state_too) world_state_down(8);
+    sim_run_until(back + 75);
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s, %u: %s", rows[row].name, (unsigned)i, r.first);
+    print_message("%s, %u: %u done, %u returned, began %.1f s after it was back\n", rows[row].name, (unsigned)i,
+                  r.finished, world_gone(0, machines * 2), world_began("job-000021") - back);
+    check_row(rows[row].name, world_gone(0, machines * 2) == 0);
+    check_row(rows[row].name, r.finished == 9);
+    check_row(rows[row].name, world_tasks_of("job-000005") == 3);
+    check_row(rows[row].name, world_tasks_of("job-000006") == 5);
+    check_row(rows[row].name, world_cancelled_at("job-000020") > 0 && world_tasks_of("job-000020") == 0);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(bound_jobs_lose_machines),
       cmocka_unit_test(moved_slices_go_on),
+      cmocka_unit_test(a_zone_comes_back),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
