--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -235,6 +235,9 @@
   if (j->spec.one_zone) {
     unsigned best = 0;
     for (unsigned z = 0; z < t->settings->zone_count; z++) {
+      /* A gang may be bound to a zone by name, too: planned for the other one, which had
+       * no less room, it was never rented for, and held up its team. */
+      if (j->spec.zone && strcmp(j->spec.zone, t->settings->zones[z]) != 0) continue;
       unsigned n = gang_fits(p, j, z, owner, tasks);
       bool refused = p->refused && p->refused(0, t->settings->zones[z], false, p->arg);
       if (zone == FC_ANY_ZONE || n > best || (n == best && !refused)) {
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -184,6 +184,9 @@
     const char *extra;
     unsigned expect_spot, expect_ordinary;
   } rows[] = {
+      {"a gang bound to the first zone, all its tasks in one", "red", "gang", 2, "\"ground\":\"a\",\"samePlace\":true",
+       1, 0},
+      {"a gang bound to the last", "red", "gang", 2, "\"ground\":\"b\",\"samePlace\":true", 1, 0},
       {"cheap where allowed", "red", "sweep", 8, "", 2, 0},
       {"ordinary where not", "red", "service", 8, "\"loaners\":false", 0, 2},
       {"not beyond the limit", "blue", "sweep", 100, "", 4, 0},
