A share of a limit too small for any task is given up when others lack

Dealt evenly, what was left of a limit came to 0.67 GPUs a part. The largest part used 10 of its 10.67 and wanted more, so it gave nothing; the other two couldn't start a task of one GPU in 0.67 each, nor grow. A part now gives up what is too little for the most modest that it wants, down to what may be in use. Four rows; the first fails without the mend. The random steps of the test (20,000) now draw the least as well.

--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -18,6 +18,11 @@
   fc_demand cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX], gpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
 } tally;
 
+static void want(fc_demand *d, double amount) {
+  if (d->least <= 0 || amount < d->least) d->least = amount;
+  d->wanted += amount;
+}
+
 /* Gangs start all at once: two parts that each hold half of what one needs would
  * both wait for ever (fault test, seed 15). So it is asked for one gang of a team
  * at a time, the same on all members. */
@@ -25,8 +30,8 @@
   int owner = fc_job_owner(j, 0);
   if (owner < 0) return;
   double n = j->spec.tasks - j->done_count;
-  out->cpus[owner][j->team].wanted += n * j->spec.cpus;
-  out->gpus[owner][j->team].wanted += n * j->spec.gpus;
+  want(&out->cpus[owner][j->team], n * j->spec.cpus);
+  want(&out->gpus[owner][j->team], n * j->spec.gpus);
 }
 
 /* `pessimistic`: a machine that is not settled may be full of any team's tasks. */
@@ -66,8 +71,8 @@
     for (guint i = 0; i < missing->len; i++) {
       int owner = fc_job_owner(j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
       if (owner < 0) continue;
-      out->cpus[owner][j->team].wanted += j->spec.cpus;
-      out->gpus[owner][j->team].wanted += j->spec.gpus;
+      want(&out->cpus[owner][j->team], j->spec.cpus);
+      want(&out->gpus[owner][j->team], j->spec.gpus);
     }
     g_array_free(missing, TRUE);
   }
--- a/src/coordination/quota.c
+++ b/src/coordination/quota.c
@@ -25,7 +25,12 @@
     double even = unassigned / (double)(others->count + 1);
     double grow = need - own_share > even ? need - own_share : even;
     if (grow > unassigned) grow = unassigned;
-    return grow > 0 ? own_share + grow : own_share;
+    if (grow < 0) grow = 0;
+    /* Fractions of a task that every part kept, none enough for one, left a team below
+     * its limit for as long as the largest part's tasks took. */
+    if (own_share + grow < own->used + own->least - 1e-6 && others->lacking > 0)
+      return own->used < own_share ? own->used : own_share;
+    return own_share + grow;
   }
   double missing = others->lacking - unassigned, spare = own_share - need;
   if (missing <= 0) return own_share;
--- a/src/coordination/quota.h
+++ b/src/coordination/quota.h
@@ -11,6 +11,7 @@
 typedef struct fc_demand {
   double used;   /* what may be running on the part's machines */
   double wanted; /* what its queue asks for besides */
+  double least;  /* what the most modest of that can start with; 0: not known */
 } fc_demand;
 
 /* First division in a term: every part keeps what it uses, the rest is dealt
@@ -27,7 +28,8 @@
 /* The share this part should ask for now. Never below what it uses, never above
  * what the limit leaves. Every change is a write that others wait behind: a part
  * that needs more takes its part of what is free along, and gives back only when
- * others lack more than is free, and then half of what it can spare at least. */
+ * others lack more than is free, and then half of what it can spare at least, or what
+ * is too little for any that it wants. */
 double fc_quota_adjust(double limit, const fc_quota_others *others, double own_share, const fc_demand *own);
 
 #endif
--- a/tests/test_coordination.c
+++ b/tests/test_coordination.c
@@ -116,11 +116,11 @@
     fc_demand parts[3];
     double expect[3];
   } rows[] = {
-      {"nothing asked", 30, {{0, 0}, {0, 0}, {0, 0}}, {10, 10, 10}},
-      {"use is kept", 30, {{12, 0}, {0, 0}, {0, 0}}, {18, 6, 6}},
-      {"by demand", 30, {{0, 20}, {0, 10}, {0, 30}}, {10, 5, 15}},
-      {"full", 30, {{20, 5}, {10, 5}, {0, 5}}, {20, 10, 0}},
-      {"over", 30, {{20, 5}, {15, 5}, {0, 5}}, {20, 15, 0}},
+      {"nothing asked", 30, {{0, 0, 0}, {0, 0, 0}, {0, 0, 0}}, {10, 10, 10}},
+      {"use is kept", 30, {{12, 0, 0}, {0, 0, 0}, {0, 0, 0}}, {18, 6, 6}},
+      {"by demand", 30, {{0, 20, 0}, {0, 10, 0}, {0, 30, 0}}, {10, 5, 15}},
+      {"full", 30, {{20, 5, 0}, {10, 5, 0}, {0, 5, 0}}, {20, 10, 0}},
+      {"over", 30, {{20, 5, 0}, {15, 5, 0}, {0, 5, 0}}, {20, 15, 0}},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     double shares[3];
@@ -136,14 +136,18 @@
     fc_demand demand;
     double expect;
   } steps[] = {
-      {"keeps what nobody else needs", {10, 0, 2}, 20, {5, 3}, 20},
-      {"gives what others lack", {10, 10, 2}, 20, {5, 3}, 10},
-      {"gives half of what it can spare at least", {10, 1, 2}, 20, {5, 3}, 14},
-      {"what is free comes first", {5, 5, 2}, 20, {5, 3}, 20},
-      {"never below its use", {10, 50, 2}, 20, {20, 0}, 20},
-      {"takes its part of what is free along", {9, 0, 2}, 6, {5, 2}, 11},
-      {"takes only what is left", {20, 0, 2}, 5, {5, 50}, 10},
-      {"keeps what it has when all is taken", {25, 0, 2}, 5, {2, 50}, 5},
+      {"keeps what nobody else needs", {10, 0, 2}, 20, {5, 3, 0}, 20},
+      {"gives what others lack", {10, 10, 2}, 20, {5, 3, 0}, 10},
+      {"gives half of what it can spare at least", {10, 1, 2}, 20, {5, 3, 0}, 14},
+      {"what is free comes first", {5, 5, 2}, 20, {5, 3, 0}, 20},
+      {"never below its use", {10, 50, 2}, 20, {20, 0, 0}, 20},
+      {"takes its part of what is free along", {9, 0, 2}, 6, {5, 2, 0}, 11},
+      {"takes only what is left", {20, 0, 2}, 5, {5, 50, 0}, 10},
+      {"keeps what it has when all is taken", {25, 0, 2}, 5, {2, 50, 0}, 5},
+      {"gives up less than any task needs", {25, 9, 2}, 5, {4.5, 50, 1}, 4.5},
+      {"but not while nobody lacks any", {25, 0, 2}, 5, {4.5, 50, 1}, 5},
+      {"takes none that is too little", {29.5, 9, 2}, 0.25, {0, 50, 1}, 0},
+      {"what it has and what is free is enough for one", {29, 9, 2}, 0.5, {0, 50, 1}, 1},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
     check_row(steps[i].name, fc_quota_adjust(30, &steps[i].others, steps[i].own, &steps[i].demand) == steps[i].expect);
@@ -153,7 +157,7 @@
   for (int n = 0; n < 20000; n++) {
     int k = g_rand_int_range(rand, 0, 3);
     used[k] = g_rand_double_range(rand, 0, share[k] + 1e-12); /* within its share */
-    fc_demand d = {used[k], g_rand_double_range(rand, 0, 40)};
+    fc_demand d = {used[k], g_rand_double_range(rand, 0, 40), g_rand_double_range(rand, 0, 2)};
     fc_quota_others o = {share[(k + 1) % 3] + share[(k + 2) % 3], g_rand_double_range(rand, 0, 20), 2};
     share[k] = fc_quota_adjust(30, &o, share[k], &d);
     assert_true(share[0] + share[1] + share[2] <= 30 + 1e-6);
