--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -84,8 +84,7 @@
 void world_cloud_down(bool down);           /* it answers every request with 503 */
 void world_limit(double cpus, double gpus); /* of team blue, before the controllers start */
 unsigned world_tasks_of(const char *id);    /* on machines now, those of cut and hung ones too */
-unsigned world_starts_of(const char *id); /* that had their image */
-unsigned world_tasks_of(const char *id);  /* on machines now, those of cut and hung ones too */
+unsigned world_starts_of(const char *id);   /* that had their image */
 /* The machine that a task of the job is on, in order of creation; -1: none. */
 int world_machine_of(const char *id, unsigned index);
 int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -198,10 +198,10 @@
     unsigned outside, inside; /* how often a controller is replaced meanwhile */
     bool state_too;           /* the state service is out as the zone comes back */
   } rows[] = {
-      {"for one lease", 15, 0, 0, false},     {"for three", 40, 0, 0, false},
-      {"for almost five", 66, 0, 0, false}, {"a controller outside is replaced", 40, 1, 0, false},
-      {"and both outside", 30, 2, 0, false},  {"the controller inside is replaced", 30, 0, 1, false},
-      {"all are", 30, 2, 1, false},           {"the state service is out when it comes back", 30, 1, 0, true},
+      {"for one lease", 15, 0, 0, false},    {"for three", 40, 0, 0, false},
+      {"for almost five", 66, 0, 0, false},  {"a controller outside is replaced", 40, 1, 0, false},
+      {"and both outside", 30, 2, 0, false}, {"the controller inside is replaced", 30, 0, 1, false},
+      {"all are", 30, 2, 1, false},          {"the state service is out when it comes back", 30, 1, 0, true},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows) * 2; i++) {
     const unsigned row = (unsigned)i / 2;
