--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -187,6 +187,46 @@
 
 /* An exited task is cleared only when its end is recorded, and never while a
  * copy of its start may arrive: that would run it again. */
+/* A start is judged when it is sent, not when it was decided: its job may be cancelled
+ * meanwhile, by a record that was read or by what a peer has told; and what a member keeps
+ * alive for another is halted by the same word. */
+static void starts_of_cancelled_jobs(void **state) {
+  (void)state;
+  enum { NOT, READ, TOLD, TOLD_UNKNOWN };
+  static const struct {
+    const char *name;
+    int cancelled;
+    bool owner, running;
+    const char *says, *says_not;
+  } rows[] = {
+      {"not cancelled", NOT, true, false, "\"call\":\"start\"", "halt"},
+      {"cancelled, as it was read", READ, true, false, "\"calls\":[]", "start"},
+      {"cancelled, as a peer told", TOLD, true, false, "\"calls\":[]", "start"},
+      {"running for another member", NOT, false, true, "\"calls\":[]", "halt"},
+      {"running for another, cancelled as a peer told", TOLD, false, true, "\"call\":\"halt\"", "start"},
+      {"running for another, a job never read", TOLD_UNKNOWN, false, true, "\"call\":\"halt\"", "start"},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_table *t = b->c.table;
+    fc_machine *m = world_machine(t, "vm-1", "a", false);
+    fc_job *j = NULL;
+    if (rows[i].cancelled != TOLD_UNKNOWN) j = world_job(t, "job-000001", "sweep", "standard", "red", 1, 1, "");
+    if (rows[i].owner) (void)fc_table_place(t, m, "job-000001", 0, 1, fc_now());
+    if (!rows[i].owner) {
+      m->owner = 1;
+      b->c.peers[0].heard_at = -1e9;
+    }
+    if (rows[i].cancelled == READ) j->phase = FC_PHASE_CANCELLED;
+    if (rows[i].cancelled >= TOLD) fc_table_cancel(t, "job-000001", 99, fc_now(), fc_now());
+    GString *out = g_string_new(NULL);
+    check_row(rows[i].name, report(b, 1, 1, 5, rows[i].running ? RUNNING(0) : "", out) == 200);
+    check_row(rows[i].name, says(out, rows[i].says) && !says(out, rows[i].says_not));
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
 static void clearing(void **state) {
   (void)state;
   static const struct {
@@ -451,6 +491,7 @@
       cmocka_unit_test(fenced_before_commanded),
       cmocka_unit_test(reports_in_order),
       cmocka_unit_test(starts),
+      cmocka_unit_test(starts_of_cancelled_jobs),
       cmocka_unit_test(clearing),
       cmocka_unit_test(late_copies),
       cmocka_unit_test(late_copy_after_the_machine_moved),
