--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -14,7 +14,7 @@
 static void stop_unwanted(fc_controller *c, fc_machine *m, bool *work) {
   for (guint i = 0; i < m->placements->len; i++) {
     fc_placement *p = m->placements->pdata[i];
-    if (p->state == FC_TASK_EXITED || p->stopping) continue;
+    if (p->state == FC_TASK_EXITED || (p->stopping && p->grace_s <= 0)) continue;
     const fc_job *j = p->job;
     /* A gang that lost a task before it started waits for nothing. */
     bool orphan = j && j->spec.kind == FC_KIND_GANG && p->state == FC_TASK_WAITING &&
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -184,7 +184,8 @@
       }
       /* Sent but not seen: the worker ignores a stop of what it has not got. */
       cmd.op = FC_COMMAND_STOP;
-      cmd.grace_s = p->grace_s;
+      /* What is being saved when its job is cancelled is ended at once by a second halt. */
+      cmd.grace_s = fc_workers_unwanted(c, p) ? 0 : p->grace_s;
     } else if (!p->reported) {
       /* One direct copy is enough to keep track of; the rest goes with reports. */
       if (direct && p->stray != FC_STRAY_NONE) continue;
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -198,13 +198,16 @@
     int cancelled;
     bool owner, running;
     const char *says, *says_not;
+    double stopping; /* with so much time to save */
   } rows[] = {
-      {"not cancelled", NOT, true, false, "\"call\":\"start\"", "halt"},
-      {"cancelled, as it was read", READ, true, false, "\"calls\":[]", "start"},
-      {"cancelled, as a peer told", TOLD, true, false, "\"calls\":[]", "start"},
-      {"running for another member", NOT, false, true, "\"calls\":[]", "halt"},
-      {"running for another, cancelled as a peer told", TOLD, false, true, "\"call\":\"halt\"", "start"},
-      {"running for another, a job never read", TOLD_UNKNOWN, false, true, "\"call\":\"halt\"", "start"},
+      {"not cancelled", NOT, true, false, "\"call\":\"start\"", "halt", 0},
+      {"cancelled, as it was read", READ, true, false, "\"calls\":[]", "start", 0},
+      {"cancelled, as a peer told", TOLD, true, false, "\"calls\":[]", "start", 0},
+      {"saving", NOT, true, true, "\"leewayS\":9", "\"leewayS\":0", 9},
+      {"saving, then cancelled", TOLD, true, true, "\"leewayS\":0", "\"leewayS\":9", 9},
+      {"running for another member", NOT, false, true, "\"calls\":[]", "halt", 0},
+      {"running for another, cancelled as a peer told", TOLD, false, true, "\"call\":\"halt\"", "start", 0},
+      {"running for another, a job never read", TOLD_UNKNOWN, false, true, "\"call\":\"halt\"", "start", 0},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     bench *b = bench_new();
@@ -212,7 +215,12 @@
     fc_machine *m = world_machine(t, "vm-1", "a", false);
     fc_job *j = NULL;
     if (rows[i].cancelled != TOLD_UNKNOWN) j = world_job(t, "job-000001", "sweep", "standard", "red", 1, 1, "");
-    if (rows[i].owner) (void)fc_table_place(t, m, "job-000001", 0, 1, fc_now());
+    fc_placement *p = rows[i].owner ? fc_table_place(t, m, "job-000001", 0, 1, fc_now()) : NULL;
+    if (p && rows[i].running) p->sent = p->reported = true;
+    if (p && rows[i].stopping > 0) {
+      p->stopping = true;
+      p->grace_s = rows[i].stopping;
+    }
     if (!rows[i].owner) {
       m->owner = 1;
       b->c.peers[0].heard_at = -1e9;
