A late write no longer brings back the record of a machine that was returned

A rented machine's record is now conditional on its intent, and one that has reported on a mark that every removal of records writes.

Scenes of late writes: shares of 0.2 to 1.0, 2 to 12 s and 10 to 90 s late, with and without a replaced controller; and each kind of write alone, 45 to 60 s late, after what it was about has gone. A late intent still rents machines that nobody needs; they are returned at once.

--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -139,10 +139,11 @@
    * share of the term before, where that was carried over; INFINITY: not known. */
   double carried_cpus[FC_TEAMS_MAX], carried_gpus[FC_TEAMS_MAX];
   fc_demand_stats demand;
-  bool archive;             /* jobs that are over may have been put away */
-  uint64_t settled_latch;   /* term in which every machine has been settled */
-  uint64_t members_latch;   /* term that settled_members tells of */
-  unsigned settled_members; /* a bit a member: every machine of it has been settled in that term */
+  bool archive;              /* jobs that are over may have been put away */
+  uint64_t returned_version; /* of the mark that every removal of machines writes; 0: none yet */
+  uint64_t settled_latch;    /* term in which every machine has been settled */
+  uint64_t members_latch;    /* term that settled_members tells of */
+  unsigned settled_members;  /* a bit a member: every machine of it has been settled in that term */
   uint64_t next_serial;
   uint64_t view; /* number of the newest view of our machines */
   int self;      /* index in the term; -1: not a member */
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -75,14 +75,19 @@
 /* The records of machines just rented, in as many transactions as it takes. Should
  * we end in between, whoever repeats the hire gets the same names and writes those
  * that are missing. */
-static bool record_hired(fc_controller *c, const fc_hire_record *h, const GPtrArray *ids) {
+static bool record_hired(fc_controller *c, const char *name, const fc_hire_record *h, const GPtrArray *ids) {
   fc_table *t = c->table;
+  char *intent = g_strconcat(FC_PREFIX_HIRE, name, NULL);
   unsigned given[FC_MEMBERS_MAX] = {0};
   uint64_t revision = 0, term = t->term_version;
   bool ok = true;
   for (guint i = 0; i < ids->len && ok;) {
     fc_write *w = fc_write_new();
     fc_write_if(w, FC_KEY_TERM, term);
+    /* A copy that comes late finds that there is no record of a machine also when it has
+     * been returned since; the intent is gone by then, for good (scene
+     * writes_about_what_is_gone: a returned machine was on record again). */
+    fc_write_if(w, intent, h->version);
     unsigned n = 0;
     for (; i < ids->len && n < fc_commit_most(c->commit); i++) {
       fc_machine *m = fc_table_machine(t, ids->pdata[i]);
@@ -105,6 +110,7 @@
     }
     ok = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + 5.0, &revision) == FC_STATE_OK;
   }
+  g_free(intent);
   /* Not all written: the intent is still there, and is repeated. */
   if (ok) return ids->len == 0 || fc_wait_revision(c, revision, fc_now() + 2.0);
   (void)fc_wait_fresh(c, fc_now() + 2.0);
@@ -169,7 +175,7 @@
   for (guint i = 0; i < hires->len; i++) ask_cloud(c, hires->pdata[i], ref);
   for (guint i = 0; i < hires->len; i++) {
     const hire *h = hires->pdata[i];
-    if (h->decided && fc_may_act(c)) (void)(record_hired(c, &h->record, h->ids) && end_hire(c, h->name));
+    if (h->decided && fc_may_act(c)) (void)(record_hired(c, h->name, &h->record, h->ids) && end_hire(c, h->name));
   }
   g_ptr_array_free(hires, TRUE);
 }
@@ -334,7 +340,9 @@
   bool ok = true;
   for (guint i = 0; i < ids->len && ok;) {
     fc_write *w = fc_write_new();
-    for (unsigned n = 0; i < ids->len && n < fc_commit_most(c->commit); i++) {
+    /* Who wants to record a machine that has reported names the version of this mark. */
+    fc_write_put(w, FC_KEY_RETURNED, json_pack("{si}", "f", 1));
+    for (unsigned n = 1; i < ids->len && (n == 1 || n < fc_commit_most(c->commit)); i++) {
       const fc_machine *m = fc_table_machine(t, ids->pdata[i]);
       if (!m || !m->version) continue;
       char *key = g_strconcat(FC_PREFIX_MACHINE, m->id, NULL);
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -112,6 +112,8 @@
     }
   } else if (strcmp(key, FC_KEY_ARCHIVE) == 0) {
     t->archive = ch->value != NULL;
+  } else if (strcmp(key, FC_KEY_RETURNED) == 0) {
+    t->returned_version = MAX(t->returned_version, ch->version);
   } else if (g_str_has_prefix(key, FC_PREFIX_JOB)) {
     apply_job(c, key + strlen(FC_PREFIX_JOB), ch, ordered);
   } else if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) {
@@ -131,6 +133,7 @@
     if (ch->value && fc_hire_record_decode(ch->value, &h)) {
       fc_hire_record *copy = g_new(fc_hire_record, 1);
       *copy = h;
+      copy->version = ch->version;
       g_hash_table_replace(t->hires, g_strdup(name), copy);
     } else {
       g_hash_table_remove(t->hires, name);
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -324,6 +324,9 @@
   int to = fc_term_find(&t->term, rec.owner);
   if (to >= 0) c->giving[to]++;
   fc_write *w = fc_write_machine(r->machine, 0, t->term_version, &rec);
+  /* Carried out late, it must not bring back the record of a machine that has been
+   * recorded, used and returned since. */
+  fc_write_if(w, FC_KEY_RETURNED, t->returned_version);
   uint64_t revision = 0;
   fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 2.0, &revision);
   if (to >= 0) c->giving[to]--;
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -19,6 +19,8 @@
 #define FC_PREFIX_HIRE FC_PREFIX "hire/"
 /* There once it may be that jobs have been put away. */
 #define FC_KEY_ARCHIVE FC_PREFIX "archive"
+/* Written with every removal of machines' records. */
+#define FC_KEY_RETURNED FC_PREFIX "returned"
 /* Jobs that are long over. Outside the prefix that every controller holds. */
 #define FC_PREFIX_OVER "fc1over/"
 
@@ -54,6 +56,7 @@
   char type[64], zone[64], owner[64]; /* owner: the part that the machines go to */
   bool spot;
   unsigned count;
+  uint64_t version; /* of the record; not part of it */
 } fc_hire_record;
 
 json_t *fc_hire_record_encode(const fc_hire_record *h);
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -33,6 +33,18 @@
 static double g_slow_until, g_slow_most_s, g_blind_until, g_blind_next_s;
 static char g_blind_key[48];
 double g_late_writes;
+static double g_late_least_s, g_late_most_s;
+
+static const char *g_late_only;
+
+void world_late_only(const char *text) {
+  g_late_only = text;
+}
+
+void world_lateness(double least_s, double most_s) {
+  g_late_least_s = least_s;
+  g_late_most_s = most_s;
+}
 
 static gint by_key(gconstpointer a, gconstpointer b, gpointer d) {
   (void)d;
@@ -313,8 +325,9 @@
 static void serve(const sim_request *r, void *arg) {
   (void)arg;
   double late = 0;
-  if (g_late_writes > 0 && strcmp(r->path, "/commit") == 0 && sim_chance(g_late_writes)) {
-    late = sim_draw(2, 12);
+  if (g_late_writes > 0 && strcmp(r->path, "/commit") == 0 && (!g_late_only || strstr(r->body, g_late_only)) &&
+      sim_chance(g_late_writes)) {
+    late = sim_draw(g_late_least_s, g_late_most_s);
   } else if (sim_now() < g_slow_until) {
     late = sim_draw(0, g_slow_most_s);
   }
@@ -337,6 +350,8 @@
   g_next_lease = 0;
   g_down = false;
   g_slow_until = g_blind_until = g_blind_next_s = g_late_writes = 0;
+  world_lateness(2, 12);
+  world_late_only(NULL);
   sim_serve(WORLD_STATE_IP, serve, NULL);
   tick(NULL);
 }
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -220,6 +220,7 @@
   j->spread = s->spread;
   j->spot = s->spot;
   j->submit_at = s->in_s;
+  j->cancel_at = s->cancel_in_s;
   job_enter(j, 1);
 }
 
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -213,6 +213,10 @@
   }
 }
 
+void world_return_idle(void) {
+  for (int n = 0; n < WORLD_NODES; n++) g_settings[n].op.idle_keep_share = 0.01;
+}
+
 void world_large(unsigned machines) {
   world_capacity(machines / 2, 0);
   world_keep_idle();
@@ -465,7 +469,7 @@
 
 /* A machine that was returned is not taken back into use by a late report; its record
  * goes a moment after it. */
-static void check_returned(void) {
+void world_check_returned(void) {
   for (guint i = 0; i < g_order->len; i++) {
     const worker *w = g_order->pdata[i];
     char *key = g_strconcat("fc1/machine/", w->id, NULL);
@@ -487,7 +491,7 @@
   g_quiet_from = end + 45; /* the longest trouble */
   sim_after(15, fault, &end);
   sim_run_until(end + quiet_s);
-  check_returned();
+  world_check_returned();
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, g_jobs);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -35,7 +35,8 @@
 /* A deployment of that many machines, instead of the small one: to be said before the
  * controllers start. */
 void world_large(unsigned machines);
-void world_keep_idle(void); /* idle machines are not returned */
+void world_return_idle(void); /* idle machines are returned at once */
+void world_keep_idle(void);   /* idle machines are not returned */
 /* What a controller has counted since its last start. */
 fc_counts world_counts(unsigned node);
 void world_machines_up(unsigned zone, unsigned count); /* ordinary ones, there from the start */
@@ -45,6 +46,7 @@
   unsigned tasks;
   double gpus, run_s, in_s;
   bool one_zone, spread, spot;
+  double cancel_in_s; /* after its user is told that it is accepted; 0: never */
 } world_job;
 void world_submit_job(const world_job *spec);
 void world_submit(const char *id, const char *kind, const char *rank, unsigned tasks, double gpus, double run_s,
@@ -76,6 +78,9 @@
 void world_state_blind(const char *id, double for_s);
 /* That share of transactions gets no answer and is carried out 2 to 12 s late. */
 void world_late_writes(double share);
+void world_lateness(double least_s, double most_s);       /* of those; instead of 2 to 12 s */
+void world_late_only(const char *text);                   /* of those whose body holds that; NULL: all */
+void world_check_returned(void);                          /* no record is left of a machine that was returned */
 void world_cancel(const char *id, int node, double in_s); /* by that controller first; -1: any */
 double world_cancelled_at(const char *id);                /* when its user was told; 0: not yet */
 void world_cancel_at_end(double share);
