--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -165,6 +165,26 @@
   return says;
 }
 
+typedef struct each_arg {
+  const char *prefix;
+  void (*fn)(const char *id);
+} each_arg;
+
+static gboolean each_key(gpointer key, gpointer value, gpointer data) {
+  (void)value;
+  const each_arg *a = data;
+  if (!g_str_has_prefix(key, a->prefix)) return FALSE;
+  char *id = g_strndup((const char *)key + strlen(a->prefix), strlen("job-000000"));
+  a->fn(id);
+  g_free(id);
+  return FALSE;
+}
+
+void state_each(const char *prefix, void (*fn)(const char *id)) {
+  each_arg a = {prefix, fn};
+  g_tree_foreach(g_keys, each_key, &a);
+}
+
 void state_down(bool down) {
   /* After an outage every lease has its full time again. */
   if (g_down && !down) {
