A slice with a mate on another member's machine is handed over all the same

After a change of term a replica may run on a machine that now belongs to another member than the job does. Such a slice was never handed over: the rest of the job waited in a full part, beside room in others, for as long as the mate ran.

What is on the receiver's own settled machine it knows first. What is older than the term and on a third's settled machine it sees before that machine settles for it; the record then says so ("unseen"), and the slice is clear for the receiver only once all machines are. What a third has started in this very term still keeps the slice where it is, and gangs are never handed over in part.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -170,8 +170,9 @@
     g_free(j->handed[i]);
     j->handed[i] = g_strdup(r->handed[i]);
     /* A slice is handed over by the one who knows all of it, and only after we
-     * have acknowledged a view that shows whatever of it is on a machine. */
-    if (!was_mine && !is_new) j->clear |= 1u << i;
+     * have acknowledged a view that shows whatever of it is on a machine; or it says
+     * that some of it is on others' machines, which settle for us one by one. */
+    if (!was_mine && !is_new && !(r->origin.unseen >> i & 1)) j->clear |= 1u << i;
   }
   j->origin = r->origin;
   fc_job_deal(t, j);
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -37,8 +37,8 @@
   char id[32];
   char to[FC_SLICES_MAX][64];
   unsigned homes[FC_SLICES_MAX];
-  unsigned slices;
-  uint64_t version, term; /* of the records it is conditional on */
+  unsigned slices, unseen; /* a bit a slice */
+  uint64_t version, term;  /* of the records it is conditional on */
   uint64_t term_number;
   fc_controller *c;
 } handover_arg;
@@ -50,6 +50,7 @@
   char *handed[FC_SLICES_MAX];
   fc_job_origin origin = j->origin;
   origin.moved |= a->slices;
+  origin.unseen = (origin.unseen & ~a->slices) | a->unseen;
   for (unsigned i = 0; i < FC_SLICES_MAX; i++) {
     handed[i] = j->handed[i];
     if (!(a->slices >> i & 1)) continue;
@@ -100,6 +101,7 @@
       if (h->job != j) continue;
       a->slices |= 1u << h->slice;
       a->homes[h->slice] = h->homes;
+      a->unseen |= (unsigned)h->unseen << h->slice;
       g_strlcpy(a->to[h->slice], c->table->term.members[h->to].name, sizeof a->to[h->slice]);
       g_debug("hand over job=%s slice=%u to=%s", a->id, h->slice, a->to[h->slice]);
     }
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -188,6 +188,7 @@
   if (origin && origin->moved) json_object_set_new(v, "moved", json_integer((json_int_t)origin->moved));
   json_t *moves = origin ? last_moves_encode(origin, slices) : NULL;
   if (moves) json_object_set_new(v, "lastMove", moves);
+  if (origin && origin->unseen) json_object_set_new(v, "unseen", json_integer((json_int_t)origin->unseen));
   return v;
 }
 
@@ -216,6 +217,7 @@
   out->slices = (unsigned)fc_read_count_or(&r, "slices", 1, FC_SLICES_MAX, 1);
   out->origin.term = fc_read_count_or(&r, "term", 0, (uint64_t)INT64_MAX, 0);
   out->origin.moved = (unsigned)fc_read_count_or(&r, "moved", 0, UINT32_MAX, 0);
+  out->origin.unseen = (unsigned)fc_read_count_or(&r, "unseen", 0, UINT32_MAX, 0);
   if (fc_reader_ok(&r)) read_handed(&r, out);
   if (fc_reader_ok(&r)) read_last_moves(&r, out);
   const json_t *spec = fc_read_object(&r, "spec");
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -54,6 +54,10 @@
     uint64_t term;
     unsigned members;
   } last_move[FC_SLICES_MAX];
+  /* A bit a slice: whoever it was handed to last may not have seen all of its tasks. They
+   * are older than the term of the hand-over and on settled machines, so it has once all
+   * machines are settled for it too. */
+  unsigned unseen;
 } fc_job_origin;
 
 typedef struct fc_job_record {
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -141,25 +141,42 @@
   g_array_free(missing, TRUE);
 }
 
-/* Does `to` know of everything of the slice that may be on a machine? */
-static bool knows(const fc_table *t, const fc_told *told, const fc_job *j, unsigned slice, int to) {
+typedef enum { KNOWS_NOT, KNOWS_ONCE_SETTLED, KNOWS_ALL } knowledge;
+
+/* Does `to` know of everything of the slice that may be on a machine? After a change of
+ * term some of a job may be on machines of others; if that kept it from being handed
+ * over, a replica lost or never started waited beside room for as long as its mate ran
+ * (scene ten_in_two_minutes). What is on a machine of `to` it has told us itself. What
+ * is older than the term and on a third's machine it sees before that machine is
+ * settled for it; only what was started there in this term could be told too late. */
+static knowledge knows(const fc_table *t, const fc_told *told, const fc_job *j, unsigned slice, int to) {
+  knowledge least = KNOWS_ALL;
   for (guint i = 0; i < j->placements->len; i++) {
     const fc_placement *p = j->placements->pdata[i];
+    const fc_machine *m = p->machine;
     if (p->index >= j->spec.tasks || fc_job_slice_of(j, p->index) != slice) continue;
-    if (j->spec.kind == FC_KIND_GANG) return false;
-    if (p->machine->owner != t->self || told->view[to] < p->told || told->revision[to] < p->machine->version)
-      return false;
+    if (j->spec.kind == FC_KIND_GANG) return KNOWS_NOT;
+    if (m->owner == t->self) {
+      if (told->view[to] < p->told || told->revision[to] < m->version) return KNOWS_NOT;
+      continue;
+    }
+    if (m->settled_term != t->term.number) return KNOWS_NOT;
+    if (m->owner == to) continue;
+    if (fc_attempt_term(p->attempt) >= t->term.number) return KNOWS_NOT;
+    least = KNOWS_ONCE_SETTLED;
   }
-  return true;
+  return least;
 }
 
-/* Is any task of the slice on a machine? On one of ours then, or it isn't handed over. */
-static bool runs_here(const fc_job *j, unsigned slice) {
+/* A bit for each member on whose machines tasks of the slice are. */
+static unsigned homes_of(const fc_job *j, unsigned slice) {
+  unsigned homes = 0;
   for (guint i = 0; i < j->placements->len; i++) {
     const fc_placement *p = j->placements->pdata[i];
-    if (p->index < j->spec.tasks && fc_job_slice_of(j, p->index) == slice) return true;
+    if (p->index >= j->spec.tasks || fc_job_slice_of(j, p->index) != slice || p->machine->owner < 0) continue;
+    homes |= 1u << p->machine->owner;
   }
-  return false;
+  return homes;
 }
 
 /* A queued job: what is missing of each of its slices, and which of ours find room
@@ -234,7 +251,7 @@
   int best = -1;
   unsigned best_n = 0;
   for (int m = 0; m < (int)t->term.count; m++) {
-    if (m == t->self || !told->fit[m] || !knows(t, told, j, slice, m)) continue;
+    if (m == t->self || !told->fit[m] || knows(t, told, j, slice, m) == KNOWS_NOT) continue;
     unsigned n = hold_job(room, t, j, m, want, false);
     if (j->spec.kind == FC_KIND_GANG && n < want) continue;
     if (n <= best_n) continue;
@@ -264,8 +281,8 @@
       int to = best_holder(t, told, room, j, s, q->want[s]);
       if (to < 0) continue;
       (void)hold_job(room, t, j, to, q->want[s], true);
-      fc_handover h = {.job = j, .slice = s, .to = to, .homes = 1u << to};
-      if (runs_here(j, s)) h.homes |= 1u << t->self;
+      fc_handover h = {.job = j, .slice = s, .to = to, .homes = homes_of(j, s) | 1u << to};
+      h.unseen = knows(t, told, j, s, to) != KNOWS_ALL;
       g_array_append_val(out, h);
     }
   }
--- a/src/scheduler/share.h
+++ b/src/scheduler/share.h
@@ -25,6 +25,7 @@
   unsigned slice;
   int to;
   unsigned homes; /* a bit a member: on whose machines its tasks are, or may be started from then on */
+  bool unseen;    /* `to` may not know yet of tasks on machines of others */
 } fc_handover;
 
 /* Slices of ours that have waited and find room only in another part. */
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -514,6 +514,75 @@
   }
 }
 
+/* After a change of term a mate may be on a machine of another member. The slice goes
+ * to one who knows of it, or will once all is settled, and is clear there only then. */
+static void handing_over_with_a_mate_elsewhere(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    int mate_on; /* member */
+    uint64_t started_in;
+    bool settled;
+    unsigned expect;
+    bool unseen, mate_gang;
+  } rows[] = {
+      {"on the receiver's machine", 1, 4, true, 1, false, false},
+      {"started there in this term", 1, 5, true, 1, false, false},
+      {"on the receiver's machine, not settled", 1, 4, false, 0, false, false},
+      {"on a third's machine", 2, 4, true, 1, true, false},
+      {"started there in this term, which may be news", 2, 5, true, 0, false, false},
+      {"on a third's machine, not settled", 2, 4, false, 0, false, false},
+      {"a gang is never torn apart", 1, 4, true, 0, false, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    fc_table *t = world_table(&s);
+    t->term = (fc_term){
+        .number = 5, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 1}, {"paddock-2", 1}}, .count = 3};
+    fc_machine *m = world_machine(t, "vm-1", "a", false), *n = world_machine(t, "vm-2", "a", false);
+    fc_machine *o = world_machine(t, "vm-3", "a", false);
+    m->heard_at = 90;
+    n->owner = 1;
+    o->owner = 2;
+    fc_job *full = world_job(t, "job-000001", "service", "prod", "red", 2, 4, "");
+    fc_table_place(t, m, full->spec.id, 0, 1, 10)->state = FC_TASK_RUNNING;
+    fc_job *j = world_job(t, "job-000002", rows[i].mate_gang ? "gang" : "service", "standard", "red", 2, 1, "");
+    j->handed[0] = g_strdup("paddock-0");
+    fc_job_deal(t, j);
+    j->clear = 1;
+    fc_machine *at = rows[i].mate_on == 1 ? n : o;
+    fc_table_place(t, at, j->spec.id, 0, fc_attempt(rows[i].started_in, 1), 10)->state = FC_TASK_RUNNING;
+    if (rows[i].mate_on == 2) o->remote_closed = true; /* no room but at the other */
+    if (!rows[i].settled) at->settled_term = 4;
+    fc_machine *spare = world_machine(t, "vm-4", "a", false); /* room at the receiver in any case */
+    spare->owner = 1;
+    fc_told told = {.fit = {true, true, true}};
+    GArray *plan = fc_share_handovers(t, &told, 90);
+    check_row(rows[i].name, plan->len == rows[i].expect);
+    if (plan->len) {
+      check_row(rows[i].name, g_array_index(plan, fc_handover, 0).to == 1);
+      check_row(rows[i].name, g_array_index(plan, fc_handover, 0).unseen == rows[i].unseen);
+    }
+    g_array_free(plan, TRUE);
+    /* What whoever gets it makes of it, by its record, before and after all is settled. */
+    t->self = 1;
+    t->term_version = 1;
+    o->settled_term = 4;
+    j->clear = 0;
+    fc_job_record r = {.spec = j->spec,
+                       .origin = {.moved = 1, .unseen = rows[i].unseen},
+                       .phase = FC_PHASE_ACCEPTED,
+                       .done = (char *)"",
+                       .slices = 1};
+    r.handed[0] = (char *)"paddock-1";
+    (void)fc_table_put_job(t, "job-000002", &r, 30, true, 91);
+    check_row(rows[i].name, (j->clear & 1) == !rows[i].unseen);
+    n->settled_term = o->settled_term = 5;
+    check_row(rows[i].name, fc_table_check_settled(t) && (j->clear & 1));
+    fc_table_free(t);
+  }
+}
+
 /* Two members; the job may run in zone b only. Which of them may get it? */
 static void dealing_new_jobs(void **state) {
   (void)state;
@@ -615,6 +684,7 @@
       cmocka_unit_test(clear_at_home),
       cmocka_unit_test(handing_over),
       cmocka_unit_test(a_limit_claims_no_room),
+      cmocka_unit_test(handing_over_with_a_mate_elsewhere),
       cmocka_unit_test(gangs_take_turns),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
