Changes of leader as scenes; a machine kept by a member that ended is not returned

New scenes (test_leaders): ten changes of leader in two minutes, also inside outages; all controllers away for longer than a worker's lease; handing over and back within a second, right after a member's key or a term was written, and one that returns alone. The world learns to end a controller at its next write of a key, to say how often a job's tasks were started, and who was answered when.

Found: an owner knew its machine from what another member had told it of the machine's reports. That member ended, and its next life, which speaks for itself alone, counted as proof that nobody had heard the machine since: a sound machine full of long tasks was returned as lost two seconds after the term changed, while its worker was still waiting for the one that had ended. Silence now counts from the term in which a member's life ended.

Ruled out on the way: leases that end after the return of the first of several controllers are those of sessions that nobody had answered yet.

--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -64,6 +64,7 @@
   bool term_unknown; /* a term transaction may still be applied */
 
   double term_since; /* when we learned of the present term */
+  double ended_at;   /* when we last learned of a term without another member's life */
 
   bool loaded;
   uint64_t revision;                  /* everything up to here is in the table */
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -217,6 +217,11 @@
 /* Has nobody else answered it since? Another member may reach it when we can't. */
 static bool unkept(fc_controller *c, const fc_machine *m, double since) {
   if (m->kept_hears_at > since) return false;
+  /* What a life that has ended answered last, nobody can tell us; and its workers try it
+   * once more before they come to others. A machine full of work was returned as lost
+   * while it did, seconds after the member that had kept it was back (scene
+   * ten_in_two_minutes). */
+  if (c->ended_at > since) return false;
   for (int i = 0; i < (int)c->table->term.count; i++) {
     if (i == c->table->self) continue;
     const fc_peer *peer = fc_peer_of(c, i);
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -9,6 +9,16 @@
  * every page costs its way there and back. */
 #define PAGE 1000u
 
+/* Is the life of a member of the old term no longer in the new one? Ours does not count. */
+static bool life_ended(const fc_table *t, const fc_term *next) {
+  for (int i = 0; i < (int)t->term.count; i++) {
+    const fc_member *m = &t->term.members[i];
+    int at = fc_term_find(next, m->name);
+    if (i != t->self && (at < 0 || next->members[at].boot != m->boot)) return true;
+  }
+  return false;
+}
+
 static void apply_term(fc_controller *c, const fc_change *ch) {
   fc_term term;
   if (!ch->value || !fc_term_decode(ch->value, &term)) {
@@ -21,6 +31,7 @@
   int now_at = fc_term_find(&term, c->settings->name);
   continuous = continuous && now_at >= 0 && term.members[now_at].boot == c->boot;
   c->term_since = fc_now();
+  if (c->table->term_version && life_ended(c->table, &term)) c->ended_at = c->term_since;
   for (size_t k = 0; k < c->settings->peer_count; k++) {
     c->peers[k].covered_at = 0;
     c->peers[k].acked_view = c->peers[k].acked_revision = c->peers[k].acked_seq = 0;
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -23,7 +23,7 @@
   char id[32];
   unsigned tasks;
   const char *kind, *rank, *team;
-  double cpus, gpus, run_s;
+  double cpus, gpus, run_s, later_s;
   bool one_zone, spread, spot;
   const char *zone; /* the only one allowed; NULL: any */
   char *body;
@@ -37,6 +37,7 @@
   unsigned done_count;
   bool submitting, over;
   unsigned starts;
+  double told_done_at, accepted_at;
   double answered_at; /* when a question about it was last answered */
   double started_at;  /* when its first task had its image; 0: not yet */
   double began_at;    /* the same, of a gang when all its tasks ran */
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -228,6 +228,7 @@
     const char *key = json_string_value(json_object_get(item, "set"));
     if (key) {
       put(key, json_object_get(item, "v"), (uint64_t)json_integer_value(json_object_get(item, "pass")));
+      world_wrote(r->exchange, key);
     } else {
       put(json_string_value(json_object_get(item, "remove")), NULL, 0);
     }
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -2,6 +2,16 @@
 #include "parts.h"
 
 double g_cancel_at_end;
+static int g_users_node;
+
+void world_users_to(int node) {
+  g_users_node = node;
+}
+
+/* What the load balancer chooses. */
+static int pick_node(void) {
+  return g_users_node >= 0 ? g_users_node : world_any_node();
+}
 
 static void user_poll(void *arg);
 static void user_cancel(void *arg);
@@ -28,6 +38,7 @@
   if (q->told_cancelled && !cancelled) world_broke("went_back", j->id);
   if (done && !j->told_done) {
     j->told_done = true;
+    j->told_done_at = sim_now();
     j->over = true;
     g_result.finished++;
   }
@@ -50,8 +61,10 @@
   question *q = arg;
   job *j = q->j;
   if (status == 200 || status == 201) {
-    if (!j->told_accepted) g_result.accepted++;
-    if (!j->told_accepted) j->accepted_at = sim_now();
+    if (!j->told_accepted) {
+      g_result.accepted++;
+      j->accepted_at = sim_now();
+    }
     j->told_accepted = true;
     if (status == 200) read_status(q, body);
     sim_after(sim_draw(1, 5), user_poll, j);
@@ -67,7 +80,7 @@
 static void user_submit(void *arg) {
   job *j = arg;
   j->submitting = true;
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "POST", "/api/jobs", j->body, 5, on_submitted, ask(j));
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "POST", "/api/jobs", j->body, 5, on_submitted, ask(j));
 }
 
 static void on_repeated(int status, const char *body, void *arg) {
@@ -96,9 +109,9 @@
   job *j = arg;
   char path[64];
   g_snprintf(path, sizeof path, "/api/jobs/%s", j->id);
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "GET", path, "", 2, on_poll, ask(j));
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "GET", path, "", 2, on_poll, ask(j));
   if (sim_chance(0.1))
-    sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "POST", "/api/jobs", j->body, 5, on_repeated, ask(j));
+    sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "POST", "/api/jobs", j->body, 5, on_repeated, ask(j));
   /* Often enough that two lost answers in a row are no 75 s without one. */
   sim_after(j->over ? sim_draw(4, 12) : sim_draw(4, 6), user_poll, j);
 }
@@ -225,8 +238,8 @@
   sim_after(sim_draw(0, 0.6), cancel_there, a);
   char path[64];
   g_snprintf(path, sizeof path, "/api/jobs/%s", j->id);
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "GET", path, "", 2, on_poll, ask(j));
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "POST", "/api/jobs", j->body, 5, on_repeated, ask(j));
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "GET", path, "", 2, on_poll, ask(j));
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "POST", "/api/jobs", j->body, 5, on_repeated, ask(j));
 }
 
 static void on_unknown(int status, const char *body, void *arg) {
@@ -363,11 +376,12 @@
 void users_init(void) {
   g_odd_until = 0;
   g_jobs = g_hash_table_new(g_str_hash, g_str_equal);
+  g_users_node = -1;
 }
 
 void ask_unknown(void *arg) {
   (void)arg;
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(world_any_node()), "GET", "/api/jobs/job-999999", "", 2, on_unknown, NULL);
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "GET", "/api/jobs/job-999999", "", 2, on_unknown, NULL);
   sim_after(sim_draw(5, 15), ask_unknown, NULL);
 }
 
@@ -403,6 +417,7 @@
   j->tasks = s->tasks;
   j->cpus = j->gpus = s->gpus;
   j->run_s = s->run_s;
+  j->later_s = s->later_s;
   j->one_zone = s->one_zone;
   j->spread = s->spread;
   j->spot = s->spot;
@@ -440,6 +455,23 @@
   return j->began_at;
 }
 
+double world_told_done_at(const char *id) {
+  const job *j = g_hash_table_lookup(g_jobs, id);
+  return j->told_done_at;
+}
+
+unsigned world_unanswered(double since) {
+  GHashTableIter it;
+  gpointer value;
+  unsigned n = 0;
+  g_hash_table_iter_init(&it, g_jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const job *j = value;
+    n += j->told_accepted && j->accepted_at < since && !j->over && j->answered_at < since;
+  }
+  return n;
+}
+
 void job_new(unsigned n, double busy_s, bool meetings) {
   job *j = g_new0(job, 1);
   g_snprintf(j->id, sizeof j->id, "job-%06u", n * 7919 % 900000);
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -58,6 +58,7 @@
   job *j = t->job;
   j->starts++;
   j->last_start = sim_now();
+  g_result.done_starts += j->done[t->index];
   if (!j->started_at) j->started_at = sim_now();
   if (!j->began_at && strcmp(j->kind, "gang") != 0) j->began_at = sim_now();
   start_check c = {.w = w, .t = t};
@@ -216,6 +217,7 @@
 
 static void check_lease(worker *w) {
   if (sim_now() <= w->last_ok + LEASE_S) return;
+  if (g_verbose && w->tasks->len > 0) g_printerr("%.2f lease over %s tasks=%u\n", sim_now(), w->id, w->tasks->len);
   for (guint i = 0; i < w->tasks->len; i++) g_free(w->tasks->pdata[i]);
   g_result.lease_kills += w->tasks->len;
   g_ptr_array_set_size(w->tasks, 0);
@@ -371,7 +373,7 @@
     bool gang = strcmp(j->kind, "gang") == 0;
     t->state = gang ? T_WAITING : T_RUNNING;
     t->since = now;
-    t->until = now + j->run_s;
+    t->until = now + j->run_s + j->later_s * t->index;
     w->changed = true;
     check_start(w, t);
     /* The result of a finished task is kept. */
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -114,6 +114,34 @@
   sim_after(back_in_s, node_boot, &g_settings[node]);
 }
 
+/* Waits for a controller's next write of such a key, to end it then. */
+typedef struct strike {
+  const char *prefix; /* NULL: none */
+  unsigned node;
+  double after_s, back_in_s;
+} strike;
+
+static strike g_strikes[WORLD_NODES];
+
+static void strike_now(void *arg) {
+  const strike *s = arg;
+  world_crash(s->node, s->back_in_s);
+  g_free(arg);
+}
+
+void world_wrote(const struct sim_exchange *x, const char *key) {
+  int n = node_of(*(const uint32_t *)x); /* first field: the sender */
+  if (n < 0 || !g_strikes[n].prefix || !g_str_has_prefix(key, g_strikes[n].prefix)) return;
+  strike *s = g_new(strike, 1);
+  *s = g_strikes[n];
+  g_strikes[n].prefix = NULL;
+  sim_after(s->after_s, strike_now, s);
+}
+
+void world_crash_at_write(unsigned node, const char *prefix, double after_s, double back_in_s) {
+  g_strikes[node] = (strike){prefix, node, after_s, back_in_s};
+}
+
 void world_alone(unsigned node, double for_s) {
   cut c = {.kind = CUT_NODE_ALONE, .node = (int)node, .until = sim_now() + for_s, .mode = SIM_HELD};
   g_array_append_val(g_cuts, c);
@@ -282,6 +310,17 @@
   sim_after(for_s, state_up, NULL);
 }
 
+static void state_goes_down(void *arg) {
+  world_state_down(*(double *)arg);
+  g_free(arg);
+}
+
+void world_state_down_in(double in_s, double for_s) {
+  double *s = g_new(double, 1);
+  *s = for_s;
+  sim_after(in_s, state_goes_down, s);
+}
+
 static worker *any_worker(void) {
   if (g_order->len == 0) return NULL;
   return g_order->pdata[g_rand_int_range(sim_rand(), 0, (gint32)g_order->len)];
@@ -448,6 +487,7 @@
   logging = g_verbose;
   memset(&g_result, 0, sizeof g_result);
   memset(g_refuse_until, 0, sizeof g_refuse_until);
+  memset(g_strikes, 0, sizeof g_strikes);
   g_copies = g_quiet_from = g_cancel_at_end = 0;
   world_capacity(5, 3);
   users_init();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -20,6 +20,7 @@
   unsigned late_starts;  /* after the user was told that the job is cancelled */
   unsigned odd;          /* requests that must be refused, or repeat what is over */
   unsigned served_least; /* of a class, a team, a class's largest jobs: percent */
+  unsigned done_starts; /* of tasks that had completed before */
 } world_result;
 
 /* Plays one day with the faults that the seed draws; with meetings, also troubles that
@@ -48,6 +49,7 @@
   const char *zone;                    /* the only one allowed; NULL: any */
   unsigned tasks;
   double gpus, run_s, in_s;
+  double later_s; /* so much later than the one before it each task ends */
   bool one_zone, spread, spot;
   double cancel_in_s; /* after its user is told that it is accepted; 0: never */
 } world_job;
@@ -56,6 +58,9 @@
                   double in_s);
 double world_began(const char *id); /* 0: not yet */
 void world_crash(unsigned node, double back_in_s);
+/* It ends that long after it next writes a key that begins so: within the way of the
+ * answer it has not learned of the write. */
+void world_crash_at_write(unsigned node, const char *prefix, double after_s, double back_in_s);
 void world_alone(unsigned node, double for_s);             /* with nobody but its workers */
 void world_cut_zone(unsigned zone, double for_s);          /* from everything */
 void world_still(unsigned node, double for_s);             /* while its clock runs on */
@@ -76,6 +81,7 @@
 void world_report_later(unsigned machine, unsigned node, double in_s);
 void world_refuse(unsigned node, double for_s); /* by the state service, alone */
 void world_state_down(double for_s);
+void world_state_down_in(double in_s, double for_s);
 void world_state_slow(double for_s, double most_s); /* each answer takes up to so long */
 /* From the next write of the job on, reads of changes wait; writes are served. */
 void world_state_blind(const char *id, double for_s);
@@ -86,6 +92,7 @@
 void world_check_returned(void);                          /* no record is left of a machine that was returned */
 void world_cancel(const char *id, int node, double in_s); /* by that controller first; -1: any */
 double world_cancelled_at(const char *id);                /* when its user was told; 0: not yet */
+void world_users_to(int node); /* the only healthy one; -1: any */
 void world_cancel_at_end(double share);
 double world_ended_at(const char *id);      /* when its last task completed; 0: not yet */
 const char *world_told(const char *id);     /* the final state that its user was told first; NULL: none yet */
@@ -93,6 +100,9 @@
 void world_limit(double cpus, double gpus); /* of team blue, before the controllers start */
 unsigned world_tasks_of(const char *id);    /* on machines now, those of cut and hung ones too */
 unsigned world_starts_of(const char *id);   /* that had their image */
+double world_told_done_at(const char *id); /* 0: not yet */
+/* Jobs accepted before then that aren't over, and about which no question was answered since then. */
+unsigned world_unanswered(double since);
 /* The machine that a task of the job is on, in order of creation; -1: none. */
 int world_machine_of(const char *id, unsigned index);
 int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
@@ -110,6 +120,7 @@
 bool state_says(const char *key, const char *text);              /* its value, as compact JSON, holds that */
 void state_each(const char *prefix, void (*fn)(const char *id)); /* the ids of jobs behind it */
 bool world_state_refuses(const struct sim_exchange *x);
+void world_wrote(const struct sim_exchange *x, const char *key);
 void world_broke(const char *rule, const char *detail);
 
 #endif
--- /dev/null
+++ b/tests/test_leaders.c
@@ -0,0 +1,243 @@
+/* Changes of leader: every controller owns a part, and any of them may end, come back,
+ * or be left out of the term while work runs that nobody may start twice or lose. */
+#include "check.h"
+
+#include <stdlib.h>
+
+#include "sim/world.h"
+
+enum { MACHINES = 12, SERVICES = 4, ARRAYS = 3, GANG = 40, NEW_WORK = 500 };
+enum { LONG_TASKS = SERVICES * 2 + ARRAYS * 3 + 2 };
+
+static const char *job_id(unsigned k) {
+  static char id[32];
+  g_snprintf(id, sizeof id, "job-%06u", k);
+  return id;
+}
+
+/* The same scenes with other luck. */
+static uint32_t luck(uint32_t seed) {
+  const char *salt = g_getenv("LEADERS_SALT");
+  return seed + 10000 * (uint32_t)(salt ? atoi(salt) : 0);
+}
+
+static unsigned g_long_starts; /* of the long work, before any trouble */
+
+/* How often the long work has been started since. */
+static unsigned started_again(void) {
+  unsigned n = world_starts_of(job_id(GANG));
+  for (unsigned k = 0; k < SERVICES; k++) n += world_starts_of(job_id(k));
+  for (unsigned k = 0; k < ARRAYS; k++) n += world_starts_of(job_id(20 + k));
+  return n - g_long_starts;
+}
+
+/* Twelve machines, and on them long work of every kind: replicas, tasks of arrays and a
+ * gang; about half the room is left. */
+static void long_work(uint32_t seed) {
+  world_set_up(luck(seed), 0);
+  world_capacity(MACHINES / 2, 0);
+  world_keep_idle();
+  world_start_nodes();
+  world_machines_up(0, MACHINES / 2);
+  world_machines_up(1, MACHINES / 2);
+  for (unsigned k = 0; k < SERVICES; k++) world_submit(job_id(k), "service", "prod", 2, 1, 1e6, 5 + k * 0.1);
+  for (unsigned k = 0; k < ARRAYS; k++) world_submit(job_id(20 + k), "sweep", "standard", 3, 1, 1e6, 5 + k * 0.1);
+  world_submit(job_id(GANG), "gang", "high", 2, 4, 1e6, 5);
+  sim_run_until(sim_now() + 20);
+  g_long_starts = 0;
+  g_long_starts = started_again();
+  assert_int_equal(world_running(), LONG_TASKS);
+}
+
+/* Short work goes on arriving. */
+static unsigned stream(unsigned first, unsigned count, double every_s) {
+  for (unsigned i = 0; i < count; i++)
+    world_submit(job_id(first + i), "sweep", "standard", 1 + i % 3, 1, 3 + i % 5, i * every_s);
+  return count;
+}
+
+static void rules_hold(const char *name) {
+  world_result r = world_so_far();
+  if (r.broken) fail_msg("row '%s': %u rules broken, first %s", name, r.broken, r.first);
+}
+
+/* The last trouble is over: new work begins within `within_s`, questions about every
+ * open job are answered again, at every controller, and 90 s later all that can end has. */
+static void all_is_well(const char *name, double within_s, unsigned running, unsigned finished) {
+  double over = sim_now();
+  world_submit(job_id(NEW_WORK), "sweep", "standard", 2, 1, 5, 0);
+  world_submit(job_id(NEW_WORK + 1), "service", "standard", 2, 1, 1e6, 0); /* stops nothing to have room */
+  while (sim_now() < over + within_s && !(world_began(job_id(NEW_WORK)) > 0 && world_began(job_id(NEW_WORK + 1)) > 0))
+    sim_run_until(sim_now() + 0.5);
+  double began = MAX(world_began(job_id(NEW_WORK)), world_began(job_id(NEW_WORK + 1)));
+  print_message("%s: new work after %.1f s", name, began - over);
+  sim_run_until(over + 12); /* users ask every 4 to 6 s */
+  unsigned unanswered = world_unanswered(over), kills = world_so_far().lease_kills;
+  while (sim_now() < over + 90 && !(world_so_far().finished == finished + 1 && world_running() == running + 2))
+    sim_run_until(sim_now() + 1);
+  sim_run_until(sim_now() + 20); /* longer than a lease: it stays so */
+  world_result r = world_so_far();
+  print_message(", %u unanswered, %u run, %u done, %u starts, %u lease kills, %u of tasks done before\n", unanswered,
+                world_running(), r.finished, r.starts, r.lease_kills, r.done_starts);
+  rules_hold(name);
+  check_row(name, world_began(job_id(NEW_WORK)) > 0 && world_began(job_id(NEW_WORK + 1)) > 0);
+  check_row(name, unanswered == 0);
+  check_row(name, r.lease_kills == kills); /* reports are answered again */
+  check_row(name, r.accepted == r.submitted);
+  check_row(name, r.finished == finished + 1);
+  check_row(name, world_running() == running + 2);
+  for (unsigned n = 0; n < WORLD_NODES; n++) check_row(name, world_ask(n, "/api/jobs/job-000000") == 200);
+}
+
+/* Ten changes of leader in two minutes, some inside an outage of the state service. */
+static void ten_in_two_minutes(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint32_t seed;
+    double back_s;
+    unsigned at_once;
+    double out_at_s[3], out_s; /* outages of the state service; 0: none */
+    bool due;                  /* leases of workers may have ended */
+  } rows[] = {
+      {"in turn, back in four seconds", 100, 4, 1, {0}, 0, false},
+      {"in turn, back at once", 101, 0.2, 1, {0}, 0, false},
+      {"in turn, away for longer than a member's lease", 102, 10.5, 1, {0}, 0, false},
+      {"two at once", 103, 4, 2, {0}, 0, false},
+      {"with short outages", 104, 4, 1, {10, 45, 80}, 9, false},
+      {"with short outages, and machines kept by one that ends", 10104, 4, 1, {10, 45, 80}, 9, false},
+      {"back at once, with short outages", 105, 0.3, 1, {11, 47, 83}, 9, false},
+      {"two at once, with long outages", 106, 4, 2, {9, 44, 82}, 25, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    long_work(rows[i].seed);
+    unsigned done = stream(600, 40, 2.5);
+    for (unsigned k = 0; k < 3; k++)
+      if (rows[i].out_at_s[k] > 0) world_state_down_in(rows[i].out_at_s[k], rows[i].out_s);
+    for (unsigned k = 0; k < 10; k++) {
+      for (unsigned n = 0; n < rows[i].at_once; n++) world_crash((k + n) % WORLD_NODES, rows[i].back_s);
+      sim_run_until(sim_now() + (k < 9 ? 12 : rows[i].back_s));
+    }
+    all_is_well(rows[i].name, 15, LONG_TASKS, done);
+    /* What runs long was found, not started anew. */
+    if (!rows[i].due) check_row(rows[i].name, world_so_far().lease_kills == 0 && started_again() == 0);
+  }
+}
+
+/* All controllers are away for longer than a worker's lease: everything on the machines
+ * ends, sessions move on, and what was under way to them must not start any more. */
+static void all_away(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double back_s[WORLD_NODES];
+    bool held;       /* commands to half of the machines are held up until after the leases */
+    bool state_down; /* the state service is out for most of it */
+    bool ends;       /* leases end */
+  } rows[] = {
+      {"for less than a lease", {7, 7, 7}, false, false, false},
+      {"and come back at once", {25, 25, 25}, false, false, true},
+      {"just beyond it", {15, 15, 15}, false, false, true},
+      {"one after the other", {22, 34, 46}, false, false, true},
+      {"the others long after the first", {60, 22, 60}, false, false, true},
+      {"starts held up meanwhile", {25, 25, 25}, true, false, true},
+      {"starts held up, one after the other", {40, 20, 30}, true, false, true},
+      {"the state service too", {25, 25, 25}, false, true, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    long_work(200 + (uint32_t)i);
+    unsigned done = 0;
+    if (rows[i].held)
+      for (unsigned m = 0; m < MACHINES; m += 2)
+        for (unsigned n = 0; n < WORLD_NODES; n++) world_cut_pair(n, m, 19, SIM_HELD);
+    done += stream(600, 16, 0.1);
+    sim_run_until(sim_now() + 1.6);
+    if (rows[i].state_down) world_state_down(24);
+    double away = sim_now(), last = 0;
+    for (unsigned n = 0; n < WORLD_NODES; n++) {
+      world_crash(n, rows[i].back_s[n]);
+      last = MAX(last, rows[i].back_s[n]);
+    }
+    done += stream(700, 8, 1);
+    sim_run_until(away + last);
+    all_is_well(rows[i].name, 15, LONG_TASKS, done);
+    check_row(rows[i].name, (world_so_far().lease_kills > 0) == rows[i].ends);
+    check_row(rows[i].name, rows[i].ends ? started_again() >= LONG_TASKS : started_again() == 0);
+  }
+}
+
+/* They hand over and back, all end, and one returns, also within a second, and in the
+ * middle of its return. */
+static void over_and_back(void **state) {
+  (void)state;
+  static const unsigned orders[][WORLD_NODES] = {{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
+  static const struct {
+    const char *name;
+    double gap_s, back_s[WORLD_NODES]; /* in the order in which they end */
+    unsigned times;
+    const char *again_at; /* the first ends once more right after it next wrote this */
+    double again_after_s, again_back_s;
+    /* With a single one left of three a worker may try the two others for longer than its
+     * lease has left: four seconds, and one more, each. */
+    bool ends;
+  } rows[] = {
+      {"back at once", 0.1, {0.05, 0.05, 0.05}, 3, NULL, 0, 0, false},
+      {"back within a second", 0.4, {1, 0.3, 0.6}, 3, NULL, 0, 0, false},
+      {"two at once, then the third", 0, {0.3, 1, 0.05}, 3, NULL, 0, 0, false},
+      {"right after the member's key", 0.3, {0.2, 0.5, 1}, 2, "fc1/member/", 0, 0.1, false},
+      {"its key's answer has come", 0.3, {0.2, 0.5, 1}, 2, "fc1/member/", 0.02, 1, false},
+      {"right after the term", 0.3, {0.2, 0.5, 1}, 2, "fc1/term", 0, 0.1, false},
+      {"the term's answer has come", 0.3, {0.2, 0.5, 1}, 2, "fc1/term", 0.02, 1, false},
+      {"one returns alone", 0.5, {1, 50, 50}, 1, NULL, 0, 0, true},
+      {"one returns alone, and ends in its term", 0.5, {1, 50, 50}, 1, "fc1/term", 0.01, 0.3, true},
+      {"the last returns alone", 2, {50, 50, 0.5}, 1, NULL, 0, 0, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    /* Two orders a row, each in every third row; all of them with other luck. */
+    size_t step = g_getenv("LEADERS_SALT") ? 1 : 3;
+    for (size_t o = i % step; o < G_N_ELEMENTS(orders); o += step) {
+      char name[100];
+      g_snprintf(name, sizeof name, "%s, %u %u %u", rows[i].name, orders[o][0], orders[o][1], orders[o][2]);
+      long_work(300 + (uint32_t)(i * G_N_ELEMENTS(orders) + o));
+      unsigned done = stream(600, 16, 1);
+      double back_at = 0;
+      for (unsigned k = 0; k < rows[i].times; k++) {
+        if (rows[i].again_at)
+          world_crash_at_write(orders[o][0], rows[i].again_at, rows[i].again_after_s, rows[i].again_back_s);
+        for (unsigned n = 0; n < WORLD_NODES; n++) {
+          world_crash(orders[o][n], rows[i].back_s[n]);
+          back_at = MAX(back_at, sim_now() + rows[i].back_s[n] + rows[i].again_back_s);
+          sim_run_until(sim_now() + rows[i].gap_s);
+        }
+        sim_run_until(sim_now() + 1.5);
+      }
+      if (rows[i].back_s[0] > 10 || rows[i].back_s[1] > 10) {
+        /* With a single one for long: work goes on meanwhile, at the latest once it may take
+         * the others out of the term, which is cancel_s - lease_s after its entry. */
+        unsigned alone = rows[i].back_s[0] < 10 ? 0 : 2;
+        sim_run_until(sim_now() + 8);
+        world_users_to((int)orders[o][alone]);
+        world_submit(job_id(800), "sweep", "standard", 2, 1, 3, 0);
+        done++;
+        sim_run_until(sim_now() + 20);
+        check_row(name, world_began(job_id(800)) > 0);
+        world_users_to(-1);
+      }
+      sim_run_until(MAX(back_at, sim_now()));
+      all_is_well(name, 15, LONG_TASKS, done);
+      if (!rows[i].ends) check_row(name, world_so_far().lease_kills == 0 && started_again() == 0);
+    }
+  }
+}
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void) {
+  return "detect_leaks=0";
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(ten_in_two_minutes), cmocka_unit_test(all_away),
+                                     cmocka_unit_test(over_and_back)};
+  if (g_getenv("LEADERS_ONLY")) cmocka_set_test_filter(g_getenv("LEADERS_ONLY"));
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
