Arrays that end far apart across changes of leader, as a scene

Two to five tasks that end up to eighty seconds apart, while controllers end in turn, all at once, for good, at the very write of a task's end, and old reports come to the next one; with and without room, so that slices are handed over half done. Each task is started once, none that is done runs again, every user is told.

--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -230,6 +230,93 @@
   }
 }
 
+/* Arrays of a few tasks that end far apart, with changes of leader in between: what is
+ * done stays done and is not run again, and the user is told when the last one is. */
+static void ends_far_apart(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint32_t seed;
+    unsigned ends;      /* controllers, one after the other, from the one that the seed says */
+    double at_s, gap_s; /* after the tasks have begun; the first ones end 6 to 9 s after that */
+    double back_s;
+    const char *at_write; /* or each at its next write of that, from then on */
+    double old_reports_s; /* machines' reports of before come again so much later; 0: they don't */
+    unsigned die;         /* so many machines die once the first tasks are done */
+    unsigned room;        /* whole machines in each zone */
+  } rows[] = {
+      {"all in turn", 400, 3, 12, 10, 4, NULL, 0, 0, 9},
+      {"all in turn, at once back", 401, 3, 8, 9, 0.2, NULL, 0, 0, 9},
+      {"all at once", 402, 3, 14, 0, 3, NULL, 0, 0, 9},
+      {"all in turn, again and again", 403, 9, 7, 4.7, 0.3, NULL, 0, 0, 9},
+      {"one, for good", 404, 1, 12, 0, 1e6, NULL, 0, 0, 9},
+      {"another, for good", 405, 1, 12, 0, 1e6, NULL, 0, 0, 9},
+      {"the third, for good", 406, 1, 12, 0, 1e6, NULL, 0, 0, 9},
+      {"two, for good", 407, 2, 12, 9, 1e6, NULL, 0, 0, 9},
+      {"just as the end is written", 408, 3, 2, 0, 0.5, "fc1/job/", 0, 0, 9},
+      {"just as the end is written, back later", 409, 3, 2, 0, 4, "fc1/job/", 0, 0, 9},
+      {"and old reports come to the next", 410, 3, 9, 9, 4, NULL, 5, 0, 9},
+      {"and machines die, in turn", 411, 3, 20, 8, 4, NULL, 0, 4, 9},
+      {"and machines die, all at once", 412, 3, 24, 0, 1, NULL, 0, 6, 9},
+      {"half done where there is no room", 413, 3, 12, 12, 4, NULL, 0, 0, 4},
+      {"half done where there is no room, at once back", 414, 9, 9, 5, 0.3, NULL, 0, 0, 4},
+  };
+  static const unsigned tasks[] = {2, 3, 2, 3, 2, 5};
+  unsigned handed = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    world_set_up(luck(rows[i].seed), 0);
+    world_capacity(rows[i].room, 0);
+    world_keep_idle();
+    world_start_nodes();
+    world_machines_up(0, rows[i].room);
+    world_machines_up(1, rows[i].room);
+    /* Whole machines: a part holds six, or three, so that some are handed over. */
+    for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++) {
+      world_job j = {.id = job_id(k), .kind = "sweep", .tasks = tasks[k], .gpus = 4, .run_s = 8, .in_s = 6};
+      j.later_s = 17 + k;
+      world_submit_job(&j);
+    }
+    sim_run_until(sim_now() + 10);
+    double end_at = sim_now() + rows[i].at_s, last = 0;
+    if (rows[i].die) {
+      sim_run_until(end_at - 3);
+      world_kill(0, rows[i].die);
+    }
+    for (unsigned k = 0; k < rows[i].ends; k++) {
+      unsigned n = (rows[i].seed + k) % WORLD_NODES;
+      sim_run_until(end_at + k * rows[i].gap_s);
+      for (unsigned m = 0; m < 2 * rows[i].room && rows[i].old_reports_s > 0; m++)
+        for (unsigned to = 0; to < WORLD_NODES; to++) world_report_later(m, to, rows[i].old_reports_s);
+      if (rows[i].at_write) {
+        world_crash_at_write(n, rows[i].at_write, 0, rows[i].back_s);
+      } else {
+        world_crash(n, rows[i].back_s);
+      }
+      if (rows[i].ends < 3) world_users_to((int)(n + 1) % WORLD_NODES);
+    }
+    sim_run_until(end_at + 130);
+    world_result r = world_so_far();
+    for (unsigned n = 0; n < WORLD_NODES; n++) handed += (unsigned)world_counts(n).handed_over;
+    for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++) {
+      double told = world_told_done_at(job_id(k));
+      check_row(rows[i].name, told > 0);
+      last = MAX(last, told - world_ended_at(job_id(k)));
+    }
+    print_message("%s: %u starts, %u lease kills, told %.1f s after the end at most, %u handed over so far\n",
+                  rows[i].name, r.starts, r.lease_kills, last, handed);
+    rules_hold(rows[i].name);
+    /* No lease ends: one controller at least can be reached within it. */
+    check_row(rows[i].name, r.lease_kills == 0 && r.done_starts == 0);
+    check_row(rows[i].name, r.finished == G_N_ELEMENTS(tasks));
+    /* A worker may first try one that has ended, and its user asks every 4 to 6 s. */
+    check_row(rows[i].name, last < 20);
+    for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++)
+      check_row(rows[i].name, rows[i].die > 0 || world_starts_of(job_id(k)) == tasks[k]);
+    check_row(rows[i].name, r.starts <= 17 + rows[i].die);
+  }
+  assert_true(handed > 0);
+}
+
 const char *__asan_default_options(void);
 const char *__asan_default_options(void) {
   return "detect_leaks=0";
@@ -237,7 +324,7 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(ten_in_two_minutes), cmocka_unit_test(all_away),
-                                     cmocka_unit_test(over_and_back)};
+                                     cmocka_unit_test(over_and_back), cmocka_unit_test(ends_far_apart)};
   if (g_getenv("LEADERS_ONLY")) cmocka_set_test_filter(g_getenv("LEADERS_ONLY"));
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
