A machine cut off from its owner alone keeps its work when a controller ends

Scene out_of_reach: a controller ends while machines with long tasks hang, are mute or deaf, or can't talk to one of the others. Where somebody could answer them all the time, work was lost all the same: in one play thirteen tasks were started again, four sound machines returned, five tasks ended by their lease.

- A worker that came from its unreachable owner, or from a member that was gone, was sent straight back to that owner: four seconds and one more each time, until its lease was over.
Whoever it comes to now keeps it while its owner shows that it is out of touch with it, or has not settled it in this term; the owner goes on asking it directly.
- The owner returned it as lost while it was on its way, or in the second before it had shown to the other member that it hears.
A machine that others have answered lately gets the time for that; and a report that is sent on shows hearing too.

All rules held before; what was lost was work.

--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -97,6 +97,7 @@
   double heard_at;       /* when the last report or direct answer came */
   double deaf_since;     /* its reports come since then without a sign that it hears us; 0: it does */
   double kept_hears_at;  /* when another member kept it and it showed that it hears */
+  double kept_deaf_at;   /* when others began to keep it with no such sign, if after that */
   bool probe;            /* to be asked directly whether it hears, and what it holds */
   bool reborn;           /* started anew in this term: its reports can't be told from its earlier life's */
   bool odd;              /* a report contradicted its record; that has been logged */
@@ -107,13 +108,14 @@
   double reserved_until;
   bool closed; /* takes no new tasks: to be drained or returned */
   bool releasing;
-  bool ordering;      /* a direct command is under way */
-  bool remote_closed; /* its owner said so */
-  bool remote_mute;   /* its owner is out of touch with it */
-  unsigned errors;    /* jobs that failed here first, net of tasks that did well */
-  bool faulty;        /* so many that it is drained and returned */
-  uint64_t shown;     /* a digest of what our newest view says of it; 0: nothing yet */
-  uint64_t shown_at;  /* the view in which that last changed */
+  bool ordering;         /* a direct command is under way */
+  bool remote_closed;    /* its owner said so */
+  bool remote_mute;      /* its owner is out of touch with it */
+  double remote_mute_at; /* when it began to say so */
+  unsigned errors;       /* jobs that failed here first, net of tasks that did well */
+  bool faulty;           /* so many that it is drained and returned */
+  uint64_t shown;        /* a digest of what our newest view says of it; 0: nothing yet */
+  uint64_t shown_at;     /* the view in which that last changed */
   GPtrArray *placements;
   GPtrArray *images; /* GRefString, most recently used last */
 };
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -217,6 +217,10 @@
 /* Has nobody else answered it since? Another member may reach it when we can't. */
 static bool unkept(fc_controller *c, const fc_machine *m, double since) {
   if (m->kept_hears_at > since) return false;
+  /* It has just come to another from us, in vain. Only its next report there shows that it
+   * hears: cut off from its owner alone, a machine full of work was returned within the
+   * second (scene out_of_reach). */
+  if (m->kept_deaf_at > m->kept_hears_at && fc_now() < m->kept_deaf_at + c->settings->report_s * 2) return false;
   /* What a life that has ended answered last, nobody can tell us; and its workers try it
    * once more before they come to others. A machine full of work was returned as lost
    * while it did, seconds after the member that had kept it was back (scene
@@ -304,8 +308,14 @@
   /* After several leases it is not a cut any more, whoever's it was. */
   bool patient = doubts->all || doubts->zone[m->zone];
   double after = patient ? c->settings->lease_s * 5 : quiet;
-  if (m->reported && fc_machine_out_of_touch(m, now - after) && unkept(c, m, now - quiet)) return LOST;
-  if (fc_machine_unheard(t, m, now) && (!patient || now > m->owned_since + after) && unkept(c, m, m->owned_since))
+  /* What others answer reaches us up to half a report interval later, and sent to us in
+   * vain it is with nobody for a whole one more. */
+  double unheard_of = quiet + c->settings->report_s;
+  if (m->reported && fc_machine_out_of_touch(m, now - after) && unkept(c, m, now - unheard_of)) return LOST;
+  /* One that another has answered since, or just before, was there; it gets the time that
+   * it takes to come back from us and to show there that it hears. */
+  bool at_once = !patient && m->kept_at <= m->owned_since - quiet;
+  if (fc_machine_unheard(t, m, now) && (at_once || now > m->owned_since + after) && unkept(c, m, m->owned_since))
     return LOST;
   /* One that has an address was up: dealt anew while its zone is cut off, it says nothing
    * to its new owner, and was returned before the zone was back. */
--- a/src/controller/view.c
+++ b/src/controller/view.c
@@ -139,6 +139,7 @@
   g_ptr_array_free(kept, TRUE);
   m->settled_term = t->term.number;
   m->remote_closed = f->closed;
+  if (f->mute && !m->remote_mute) m->remote_mute_at = now;
   m->remote_mute = f->mute;
 }
 
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -221,10 +221,13 @@
 }
 
 /* Asks a machine directly whether it hears: one whose reports come without a
- * sign that it has heard us, or one that may have been started anew. */
+ * sign that it has heard us, one that others keep, or one that may have been started anew. */
 bool fc_workers_doubt(const fc_controller *c, fc_machine *m) {
   if (!m->reported || m->settled_term != c->table->term.number) return false;
-  if (m->deaf_since && fc_now() > m->deaf_since + c->settings->lease_s * 0.2) m->probe = true;
+  double now = fc_now();
+  if (m->deaf_since && now > m->deaf_since + c->settings->lease_s * 0.2) m->probe = true;
+  /* Another keeps it and sends it to us once we are in touch with it again. */
+  if (m->kept_hears_at > now - c->settings->report_s * 2 && fc_machine_mute(c->table, m, now)) m->probe = true;
   return m->probe;
 }
 
@@ -346,10 +349,21 @@
 
 /* Should the worker be sent to its owner? Not when we do not hear of the owner,
  * and not when the worker has just come back from there in vain. */
-static bool owner_reachable(fc_controller *c, const fc_machine *m) {
+static bool owner_reachable(fc_controller *c, const fc_machine *m, const fc_worker_report *r) {
   double now = fc_now();
   const fc_peer *owner = fc_peer_of(c, m->owner);
   if (!owner || now > owner->heard_at + c->settings->report_s * 1.5) return false;
+  if (r->task_count > 0) {
+    /* An owner that has not settled it yet, or not heard of it lately, asks it directly all
+     * the time, and shows it when it gets through. Until then another try there only takes
+     * from its lease, and from the time after which its owner takes it for lost; with a
+     * third member gone it took more than there was (scene out_of_reach). Where the owner
+     * never gets through though reports do, it is sent there in the end. */
+    bool settled = m->settled_term == c->table->term.number;
+    if (!settled && now < c->term_since + c->settings->lease_s * 0.6) return false;
+    if (m->remote_mute && now < m->remote_mute_at + c->settings->lease_s * 3) return false;
+    if ((!settled || m->remote_mute) && now > m->answered_at + c->settings->report_s * 2) return false;
+  }
   return now > m->redirected_at + c->settings->lease_s * 0.6;
 }
 
@@ -402,7 +416,9 @@
   if (m->writing) goto refused; /* it may belong to another already */
   if (!agrees(m, &r)) goto refused;
   if (m->owner != t->self) {
-    if (owner_reachable(c, m)) {
+    if (owner_reachable(c, m, &r)) {
+      /* It may show on its way that it has heard us; that it doesn't would show nothing. */
+      if (newer(m, &r) && fc_now() < m->answered_at + FC_WORKER_PATIENCE_S) note_hearing(c, m, req->connection);
       m->redirected_at = fc_now();
       *status = 421;
       fc_worker_redirect(out, t->term.members[m->owner].name);
@@ -656,7 +672,9 @@
   bool old = k->session < m->session || (k->session == m->session && k->seq < m->seq);
   m->kept_at = MAX(m->kept_at, at);
   if (old && m->owner == c->table->self) m->probe = true;
-  if (k->hears && !old) m->kept_hears_at = MAX(m->kept_hears_at, at);
+  if (old) return;
+  if (k->hears) m->kept_hears_at = MAX(m->kept_hears_at, at);
+  if (!k->hears && at > m->kept_hears_at && m->kept_deaf_at <= m->kept_hears_at) m->kept_deaf_at = at;
 }
 
 /* When the worker has certainly given up its tasks; INFINITY: not known. Any
--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -317,6 +317,71 @@
   assert_true(handed > 0);
 }
 
+/* A controller ends while machines with long tasks can't be reached, or don't hear its
+ * successor: their tasks are neither started twice nor lost. */
+static void out_of_reach(void **state) {
+  (void)state;
+  enum { HUNG, MUTE, DEAF, PAIR_HELD, PAIR_RESET, NEXT_HELD, NEXT_RESET, NODE_HELD };
+  static const struct {
+    const char *name;
+    uint32_t seed;
+    int how;
+    unsigned from, to;            /* machines */
+    double for_s, ends_s, back_s; /* the trouble; when the controller ends, from its begin on */
+    bool all;                     /* controllers end, one second apart */
+    bool kept;                    /* somebody can always answer them: no work is lost */
+  } rows[] = {
+      {"hung, for less than a lease", 500, HUNG, 0, 4, 10, 2, 4, false, false},
+      {"hung, for longer", 501, HUNG, 0, 4, 25, 2, 4, false, false},
+      {"hung, all controllers end", 502, HUNG, 2, 6, 12, 1, 2, true, false},
+      {"one hung, its owner back at once", 503, HUNG, 1, 2, 13, 5, 0.2, false, false},
+      {"mute, for less than a lease", 504, MUTE, 0, 4, 9, 1, 4, false, false},
+      {"mute, for longer", 505, MUTE, 4, 8, 30, 4, 4, false, false},
+      {"deaf, for less than a lease", 506, DEAF, 0, 4, 9, 1, 4, false, false},
+      {"deaf, for longer", 507, DEAF, 5, 9, 30, 5, 11, false, false},
+      {"deaf, all controllers end", 508, DEAF, 0, 3, 11, 1, 1, true, false},
+      {"cut from its owner, held", 509, PAIR_HELD, 0, 6, 20, 3, 4, false, true},
+      {"cut from its owner, reset", 510, PAIR_RESET, 6, 12, 40, 3, 0.3, false, true},
+      {"cut from the others, held", 511, NEXT_HELD, 0, 5, 12, 1, 40, false, true},
+      {"cut from the others, reset", 512, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
+      {"cut from one of the others, for good", 513, NEXT_RESET, 0, 12, 60, 1, 12, false, true},
+      {"the one that ended is cut off when it is back", 514, NODE_HELD, 0, 0, 30, 1, 2, false, true},
+  };
+  const size_t all_nodes = g_getenv("LEADERS_SALT") ? WORLD_NODES : 1;
+  for (size_t i = 0; i < G_N_ELEMENTS(rows) * all_nodes; i++) {
+    const size_t at = i / all_nodes;
+    unsigned node = (unsigned)(rows[at].seed + i % all_nodes) % WORLD_NODES;
+    char name[100];
+    g_snprintf(name, sizeof name, "%s, %u", rows[at].name, node);
+    long_work(rows[at].seed + (uint32_t)i * 100);
+    unsigned done = stream(600, 12, 2);
+    unsigned from = rows[at].from, to = rows[at].to;
+    double for_s = rows[at].for_s,
+           over = sim_now() + MAX(for_s, rows[at].ends_s + rows[at].back_s + (rows[at].all ? 2 : 0));
+    if (rows[at].how == HUNG) world_hang(from, to, for_s);
+    if (rows[at].how == MUTE) world_mute(from, to, for_s);
+    if (rows[at].how == DEAF) world_deaf(from, to, for_s);
+    if (rows[at].how == NODE_HELD) world_cut_node(node, for_s, SIM_HELD);
+    for (unsigned m = from; m < to; m++) {
+      if (rows[at].how == PAIR_HELD) world_cut_pair(node, m, for_s, SIM_HELD);
+      if (rows[at].how == PAIR_RESET) world_cut_pair(node, m, for_s, SIM_RESET);
+      if (rows[at].how == NEXT_HELD) world_cut_pair((node + 1) % WORLD_NODES, m, for_s, SIM_HELD);
+      if (rows[at].how == NEXT_RESET) world_cut_pair((node + 1 + m % 2) % WORLD_NODES, m, for_s, SIM_RESET);
+    }
+    sim_run_until(sim_now() + rows[at].ends_s);
+    for (unsigned k = 0; k < (rows[at].all ? 3 : 1); k++) {
+      world_crash((node + k) % WORLD_NODES, rows[at].back_s);
+      sim_run_until(sim_now() + 1);
+    }
+    sim_run_until(MAX(over, sim_now()));
+    rules_hold(name);
+    all_is_well(name, 15, LONG_TASKS, done);
+    unsigned gone = world_gone(0, MACHINES);
+    print_message("%s: %u started again, %u returned\n", name, started_again(), gone);
+    if (rows[at].kept) check_row(name, world_so_far().lease_kills == 0 && started_again() == 0);
+  }
+}
+
 const char *__asan_default_options(void);
 const char *__asan_default_options(void) {
   return "detect_leaks=0";
@@ -324,7 +389,8 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(ten_in_two_minutes), cmocka_unit_test(all_away),
-                                     cmocka_unit_test(over_and_back), cmocka_unit_test(ends_far_apart)};
+                                     cmocka_unit_test(over_and_back), cmocka_unit_test(ends_far_apart),
+                                     cmocka_unit_test(out_of_reach)};
   if (g_getenv("LEADERS_ONLY")) cmocka_set_test_filter(g_getenv("LEADERS_ONLY"));
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
