Scene out_of_reach: a row that fails without the redirect's restraint

"cut from the others, reset, another place": without keeping a worker whose owner shows that it is out of touch, tasks are started again; with it none is.

--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -345,6 +345,7 @@
       {"cut from the others, held", 511, NEXT_HELD, 0, 5, 12, 1, 40, false, true},
       {"cut from the others, reset", 512, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
       {"cut from one of the others, for good", 513, NEXT_RESET, 0, 12, 60, 1, 12, false, true},
+      {"cut from the others, reset, another place", 52912, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
       {"the one that ended is cut off when it is back", 514, NODE_HELD, 0, 0, 30, 1, 2, false, true},
   };
   const size_t all_nodes = g_getenv("LEADERS_SALT") ? WORLD_NODES : 1;
