--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -37,7 +37,7 @@
   unsigned done_count;
   bool submitting, over;
   unsigned starts;
-  double told_done_at, accepted_at;
+  double told_done_at;
   double answered_at; /* when a question about it was last answered */
   double started_at;  /* when its first task had its image; 0: not yet */
   double began_at;    /* the same, of a gang when all its tasks ran */
