A stop is sent directly until it is carried out

New scene: a team is at its limit as controllers are replaced, machines of one of its jobs hang, are cut off, deaf, mute or dead, and that job is called off. A mute machine reports nowhere: its tasks ended with its lease, and the freed share was given out when the machine had been returned, 7.2 s after the last of them was gone.

The scene asks for the next job within six seconds of the end of the last task (fetch, report and round), and within a lease where its machine is dead.

--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -63,10 +63,14 @@
   }
 }
 
-static bool owes_commands(const fc_machine *m) {
+/* Starts that have not been sent, and stops that the answer to a report would have
+ * carried by now: a machine that reaches nobody hears of them directly or never. */
+static bool owes_commands(const fc_controller *c, const fc_machine *m) {
+  bool quiet = fc_now() > m->heard_at + c->settings->report_s * 1.25;
   for (guint i = 0; i < m->placements->len; i++) {
     const fc_placement *p = m->placements->pdata[i];
     if (!p->reported && !p->sent && !p->stopping) return true;
+    if (quiet && p->stopping && p->sent && fc_placement_live(p)) return true;
   }
   return false;
 }
@@ -144,8 +148,11 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
     if (m->owner != t->self || !m->version) continue;
-    bool work = m->settled_term != t->term.number || fc_workers_doubt(c, m);
-    stop_unwanted(c, m, &work);
+    bool settled = m->settled_term == t->term.number;
+    bool work = !settled || fc_workers_doubt(c, m);
+    /* Before it is settled it is sent nothing but the question what it holds. Marked to
+     * be stopped by then, a task was never told so, where the machine did not report. */
+    if (settled) stop_unwanted(c, m, &work);
     drain(c, m, &work);
     if (work) g_ptr_array_add(push, m);
   }
@@ -161,7 +168,7 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
-    if (m->owner == t->self && m->settled_term == t->term.number && owes_commands(m) &&
+    if (m->owner == t->self && m->settled_term == t->term.number && owes_commands(c, m) &&
         !g_ptr_array_find(push, m, NULL))
       g_ptr_array_add(push, m);
   }
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -98,7 +98,7 @@
     }
     sim_run_until(sim_now() + rows[row].crash_after_s);
     for (unsigned n = 0; n < rows[row].crashes; n++) world_crash(n, i % 2 ? 0.3 : 4);
-    sim_run_until(sim_now() + 150);
+    sim_run_until(sim_now() + 110);
     world_result r = world_so_far();
     if (r.broken) fail_msg("%s, %u: %s", rows[row].name, (unsigned)i, r.first);
     print_message("%s, %u: %u done, %u started\n", rows[row].name, (unsigned)i, r.finished, r.starts);
@@ -250,11 +250,82 @@
   }
 }
 
+/* A team is at its limit as controllers are replaced and the machines of one of its jobs
+ * can't be asked; that job is called off then. What may be on them counts as used; once
+ * it is gone for certain the next job of the team begins at once. */
+static void a_limit_and_a_cancellation(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    trouble what;
+    double for_s;
+    unsigned crashes;
+    double within_s; /* of the end of the last task; of a dead one nobody has told */
+  } rows[] = {
+      {"hung for less than a lease, and one is replaced", HUNG, 9, 1, 6},
+      {"hung for longer, and one is", HUNG, 25, 1, 6},
+      {"hung for longer, and all are", HUNG, 25, 3, 6},
+      {"cut off for longer, and one is", CUT_OFF, 25, 1, 6},
+      {"cut off for longer, and two are", CUT_OFF, 25, 2, 6},
+      {"deaf, and one is", DEAF, 25, 1, 6},
+      {"deaf, and all are", DEAF, 25, 3, 6},
+      {"mute, and one is", MUTE, 25, 1, 6},
+      {"mute, and two are", MUTE, 25, 2, 6},
+      {"killed, and two are", KILLED, 0, 2, 14},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows) * 3; i++) {
+    const unsigned row = (unsigned)i / 3, services = 4;
+    world_set_up(500 + (uint32_t)i, 0);
+    world_capacity(8, 0);
+    world_start_nodes();
+    world_machines_up(0, 6);
+    world_machines_up(1, 6);
+    for (unsigned k = 0; k < services; k++)
+      world_submit_job(&(world_job){.id = name_of(k),
+                                    .kind = "service",
+                                    .rank = "prod",
+                                    .team = "blue",
+                                    .tasks = 3,
+                                    .gpus = 1,
+                                    .run_s = 1e6,
+                                    .in_s = 5});
+    world_submit_job(&(world_job){
+        .id = name_of(10), .kind = "sweep", .team = "blue", .tasks = 3, .gpus = 1, .run_s = 1e6, .in_s = 15});
+    sim_run_until(sim_now() + 25);
+    for (unsigned k = 0; k < services; k++) check_row(rows[row].name, world_tasks_of(name_of(k)) == 3);
+    check_row(rows[row].name, world_began(name_of(10)) == 0);
+    for (unsigned t = 0; t < 3; t++) {
+      int at = world_machine_of(name_of(0), t);
+      if (at >= 0) befalls(rows[row].what, (unsigned)at, rows[row].for_s);
+    }
+    const double back_in_s = (const double[]){4, 0.3, 20}[i % 3];
+    for (unsigned n = 0; n < rows[row].crashes; n++) world_crash(n, back_in_s);
+    world_cancel(name_of(0), -1, (double)(i % 3) * 1.5);
+    double from = sim_now(), gone = 0, next = 0;
+    while (sim_now() < from + 90 && !next) {
+      sim_run_until(sim_now() + 0.25);
+      /* Until its user is told it may be started anew. */
+      bool is_over = world_cancelled_at(name_of(0)) > 0 && world_tasks_of(name_of(0)) == 0;
+      gone = !is_over ? 0 : gone > 0 ? gone : sim_now();
+      if (world_tasks_of(name_of(10)) == 3) next = sim_now();
+    }
+    world_result r = world_so_far();
+    if (r.broken) fail_msg("%s, %u: %s", rows[row].name, (unsigned)i, r.first);
+    print_message("%s, %u: gone after %.1f s, the next all there %.1f s later\n", rows[row].name, (unsigned)i,
+                  gone - from, next - gone);
+    check_row(rows[row].name, gone > 0 && next > 0);
+    /* With all of them away it is proved when one is back and has asked the machines. */
+    double proved = rows[row].crashes == WORLD_NODES ? MAX(gone, from + back_in_s + 6) : gone;
+    check_row(rows[row].name, next - proved <= rows[row].within_s);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(bound_jobs_lose_machines),
       cmocka_unit_test(moved_slices_go_on),
       cmocka_unit_test(a_zone_comes_back),
+      cmocka_unit_test(a_limit_and_a_cancellation),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
