--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -18,6 +18,7 @@
 #define MACHINE_GPUS 4.0
 #define BLUE_GPUS_MAX 12.0 /* the limit of the team that has one */
 #define FORGOTTEN_S 75.0   /* without an answer about a job */
+#define WAITS_S 90.0
 
 typedef struct job {
   char id[32];
@@ -38,6 +39,7 @@
   bool submitting, over;
   unsigned starts;
   double told_done_at;
+  double waits_since; /* beside room, with nothing anywhere; 0: it doesn't */
   double answered_at; /* when a question about it was last answered */
   double started_at;  /* when its first task had its image; 0: not yet */
   double began_at;    /* the same, of a gang when all its tasks ran */
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -31,6 +31,8 @@
 typedef enum { SIM_CLEAR, SIM_HELD, SIM_RESET } sim_link;
 typedef sim_link (*sim_link_fn)(uint32_t from, uint32_t to);
 void sim_set_links(sim_link_fn fn, double lose_request, double lose_reply);
+/* Until then everything that is sent takes up to so much longer. */
+void sim_slow_links(double until, double most_s);
 
 /* A stand-in's server. It answers by sim_answer(), at once or later. */
 typedef struct sim_request {
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -108,6 +108,78 @@
   return s.on && g_ptr_array_find(g_order, s.on, &at) ? (int)at : -1;
 }
 
+/* How many tasks of the job the machine has room for. */
+static unsigned room_for(const worker *w, const job *j) {
+  if (w->gone || !w->up || w->hang_until > sim_now() || w->notice_at > 0) return 0;
+  if ((w->spot && !j->spot) || (j->zone && strcmp(j->zone, world_zones[w->zone]) != 0)) return 0;
+  double cpus = 40, gpus = 4;
+  for (guint i = 0; i < w->tasks->len; i++) {
+    const task *t = w->tasks->pdata[i];
+    if (t->state == T_EXITED || !t->job) continue;
+    cpus -= t->job->cpus;
+    gpus -= t->job->gpus;
+  }
+  return (unsigned)MAX(0, MIN(cpus / j->cpus, gpus / j->gpus) + 1e-6);
+}
+
+static bool anywhere(const job *j) {
+  for (guint i = 0; i < g_order->len; i++) {
+    const worker *w = g_order->pdata[i];
+    for (guint k = 0; !w->gone && k < w->tasks->len; k++) {
+      const task *t = w->tasks->pdata[k];
+      if (t->job == j && t->state != T_EXITED) return true;
+    }
+  }
+  return false;
+}
+
+typedef struct team_use {
+  const char *team;
+  double gpus;
+} team_use;
+
+static void add_use(worker *w, task *t, void *arg) {
+  (void)w;
+  team_use *u = arg;
+  if (t->job && strcmp(t->job->team, u->team) == 0) u->gpus += t->job->gpus;
+}
+
+/* Could it begin now? Of a gang all tasks at once. */
+static bool could_begin(const job *j) {
+  bool gang = strcmp(j->kind, "gang") == 0;
+  unsigned need = gang ? j->tasks : 1, in[2] = {0, 0};
+  team_use use = {.team = j->team};
+  each_on_machine(add_use, &use);
+  if (strcmp(j->team, "blue") == 0 && use.gpus + need * j->gpus > 12 + 1e-6) return false;
+  for (guint i = 0; i < g_order->len; i++) {
+    const worker *w = g_order->pdata[i];
+    in[w->zone] += room_for(w, j);
+  }
+  return j->one_zone ? MAX(in[0], in[1]) >= need : in[0] + in[1] >= need;
+}
+
+static void check_waits(void *arg) {
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, g_jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    job *j = value;
+    bool waits = j->told_accepted && !j->over && !j->cancel_asked && j->done_count < j->tasks && !anywhere(j);
+    if (!waits || !could_begin(j)) {
+      j->waits_since = 0;
+    } else if (!j->waits_since) {
+      j->waits_since = sim_now();
+    } else if (sim_now() > j->waits_since + WAITS_S) {
+      world_broke("waits beside room", j->id);
+    }
+  }
+  sim_after(1, check_waits, arg);
+}
+
+void world_troubles_end(double in_s) {
+  sim_after(in_s, check_waits, NULL);
+}
+
 static void add_exited(worker *w, const char *id, unsigned index, uint64_t attempt, const char *cause) {
   task *t = g_new0(task, 1);
   g_strlcpy(t->job_id, id, sizeof t->job_id);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -204,6 +204,10 @@
   state_blind(id, for_s);
 }
 
+void world_slow_links(double for_s, double most_s) {
+  sim_slow_links(sim_now() + for_s, most_s);
+}
+
 void world_late_writes(double share) {
   g_late_writes = share;
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -85,6 +85,10 @@
 void world_state_slow(double for_s, double most_s); /* each answer takes up to so long */
 /* From the next write of the job on, reads of changes wait; writes are served. */
 void world_state_blind(const char *id, double for_s);
+void world_slow_links(double for_s, double most_s); /* whatever is sent takes up to so much longer */
+/* From then on it breaks a rule when a job has nothing anywhere for 90 s, while there
+ * is room for it and its team's limit allows it. */
+void world_troubles_end(double in_s);
 /* That share of transactions gets no answer and is carried out 2 to 12 s late. */
 void world_late_writes(double share);
 void world_lateness(double least_s, double most_s);       /* of those; instead of 2 to 12 s */
