A slice is handed over to a member on whose own machines its tasks are

A slice was handed over only when all of it was on the giver's machines, as the receiver had to be shown it. What is on its own machines the receiver knows best, if it has settled them in this term.

Four rows more in handing_over; its array has three tasks now, so that one is missing where two run.

--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -428,13 +428,18 @@
     bool running, told, room_here, clear;
     unsigned expect;
     bool away;
+    enum { NOT_THERE, THERE, THERE_UNSETTLED } theirs; /* a task on the other one's machine */
   } rows[] = {
-      {"nothing runs yet", false, false, false, true, 1, false},
-      {"room here", false, false, true, true, 0, false},
-      {"a task runs, not told", true, false, false, true, 0, false},
-      {"a task runs, told", true, true, false, true, 1, false},
-      {"something may run elsewhere", false, false, false, false, 0, false},
-      {"the other one is away", false, false, false, true, 0, true},
+      {"nothing runs yet", false, false, false, true, 1, false, NOT_THERE},
+      {"room here", false, false, true, true, 0, false, NOT_THERE},
+      {"a task runs, not told", true, false, false, true, 0, false, NOT_THERE},
+      {"a task runs, told", true, true, false, true, 1, false, NOT_THERE},
+      {"something may run elsewhere", false, false, false, false, 0, false, NOT_THERE},
+      {"a task runs there", false, false, false, true, 1, false, THERE},
+      {"a task ran there when it was last heard of", false, false, false, true, 0, false, THERE_UNSETTLED},
+      {"one here and one there, told", true, true, false, true, 1, false, THERE},
+      {"one here and one there, not told", true, false, false, true, 0, false, THERE},
+      {"the other one is away", false, false, false, true, 0, true, NOT_THERE},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     fc_settings s = world_settings();
@@ -448,7 +453,7 @@
     n->owner = 1;
     fc_job *full = world_job(t, "job-000001", "service", "prod", "red", 1, 3, "");
     fc_table_place(t, m, full->spec.id, 0, 1, 10)->state = FC_TASK_RUNNING;
-    fc_job *j = world_job(t, "job-000002", "sweep", "standard", "red", 2, 1, "");
+    fc_job *j = world_job(t, "job-000002", "sweep", "standard", "red", 3, 1, "");
     j->handed[0] = g_strdup("paddock-0");
     fc_job_deal(t, j);
     j->clear = rows[i].clear ? 1 : 0;
@@ -459,6 +464,8 @@
       fc_table_place(t, m, full->spec.id, 9, 3, 10)->state = FC_TASK_RUNNING;
       full->spec.gpus = 2;
     }
+    if (rows[i].theirs) fc_table_place(t, n, j->spec.id, 1, 4, 10)->state = FC_TASK_RUNNING;
+    if (rows[i].theirs == THERE_UNSETTLED) n->settled_term = 0;
     fc_told told = {.fit = {true, !rows[i].away}};
     if (rows[i].told) {
       told.view[1] = 100;
