One tally of the teams' use, one way to begin a return, one name for a job's id in tests

No change in behaviour. The use of a machine's tasks by team was added up in the same loop in placing, renting and hand-over (fc_machine_use); closing a machine and noting why it goes back stood in two places (fc_machine_begin_return); what is overdue is asked in one file alone and no longer declared for all; three test files wrote the id of a job each for itself.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -395,6 +395,15 @@
   return (fc_room){mt->cpus, mt->gpus, mt->memory_gb};
 }
 
+void fc_machine_use(const fc_machine *m, double cpus[FC_TEAMS_MAX], double gpus[FC_TEAMS_MAX]) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+    cpus[p->job->team] += p->job->spec.cpus;
+    gpus[p->job->team] += p->job->spec.gpus;
+  }
+}
+
 int fc_quota_member(const fc_quota_record *q, const char *member) {
   for (size_t i = 0; i < q->member_count; i++)
     if (strcmp(q->members[i], member) == 0) return (int)i;
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -241,6 +241,8 @@
  * known: a controller that has just started knows none, and once took machines
  * full of tasks for empty (fault test, seed 686). */
 fc_room fc_machine_whole(const fc_table *t, const fc_machine *m);
+/* Adds what the tasks on the machine use, by team. */
+void fc_machine_use(const fc_machine *m, double cpus[FC_TEAMS_MAX], double gpus[FC_TEAMS_MAX]);
 /* What the tasks on this part's machines use of a team's limit, at most: machines
  * that are not settled count as full, as far as what was carried over allows. */
 void fc_table_usage(const fc_table *t, int team, double *cpus, double *gpus);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -139,10 +139,10 @@
 /* rent.c */
 /* Waits for our share of the cloud's rate; false: cancelled. */
 bool fc_cloud_turn(fc_controller *c);
+/* Takes nothing new from here on, and is among those to be given back. */
+void fc_machine_begin_return(fc_machine *m, const char *why, GPtrArray *ids);
 /* The cloud has confirmed that these machines are gone: nothing is on them any more. */
 void fc_machines_gone(fc_controller *c, const GPtrArray *ids);
-/* Has the machine to go back for a cancelled task that is not proved gone? */
-bool fc_machine_overdue(const fc_table *t, const fc_machine *m, double now);
 
 /* view.c */
 /* A view of our machines for the peer, in as many frames as it takes: all of them, or
--- a/src/controller/overdue.c
+++ b/src/controller/overdue.c
@@ -14,7 +14,8 @@
   return p->sent && p->state != FC_TASK_EXITED;
 }
 
-bool fc_machine_overdue(const fc_table *t, const fc_machine *m, double now) {
+/* Has the machine to go back for a cancelled task that is not proved gone? */
+static bool overdue(const fc_table *t, const fc_machine *m, double now) {
   const fc_settings *s = t->settings;
   for (guint i = 0; i < m->placements->len; i++) {
     const fc_placement *p = m->placements->pdata[i];
@@ -35,10 +36,8 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < FC_RELEASE_MOST) {
     fc_machine *m = value;
-    if (m->owner != t->self || !m->version || m->writing || !fc_machine_overdue(t, m, now)) continue;
-    if (!m->releasing) g_info("return machine=%s why=overdue", m->id);
-    m->closed = m->releasing = true;
-    g_ptr_array_add(ids, g_strdup(m->id));
+    if (m->owner != t->self || !m->version || m->writing || !overdue(t, m, now)) continue;
+    fc_machine_begin_return(m, "overdue", ids);
   }
   if (ids->len > 0 && fc_cloud_turn(c) && fc_may_act(c) &&
       fc_cloud_release(c->cloud, (const char *const *)ids->pdata, ids->len, fc_now() + c->settings->report_s) ==
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -376,6 +376,12 @@
   }
 }
 
+void fc_machine_begin_return(fc_machine *m, const char *why, GPtrArray *ids) {
+  if (!m->releasing) g_info("return machine=%s why=%s", m->id, why);
+  m->closed = m->releasing = true;
+  g_ptr_array_add(ids, g_strdup(m->id));
+}
+
 /* Returns machines: closed first, so that nothing is placed on them; gone from
  * the table only after the cloud has confirmed. */
 static void give_back(fc_controller *c) {
@@ -393,10 +399,7 @@
     if (m->owner != t->self || !m->version || m->writing) continue;
     fate f = fate_of(c, m, &doubts, &surplus, now);
     if (f == STAYS) continue;
-    m->closed = true;
-    if (!m->releasing) g_info("return machine=%s why=%s", m->id, why[f]);
-    m->releasing = true;
-    g_ptr_array_add(ids, g_strdup(m->id));
+    fc_machine_begin_return(m, why[f], ids);
   }
   if (ids->len > 0 && fc_cloud_turn(c) && fc_may_act(c) &&
       fc_cloud_release(c->cloud, (const char *const *)ids->pdata, ids->len, fc_now() + 4.0) == FC_CLOUD_OK)
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -446,12 +446,7 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
-    for (guint i = 0; i < m->placements->len; i++) {
-      const fc_placement *p = m->placements->pdata[i];
-      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
-      rs->used_cpus[p->job->team] += p->job->spec.cpus;
-      rs->used_gpus[p->job->team] += p->job->spec.gpus;
-    }
+    fc_machine_use(m, rs->used_cpus, rs->used_gpus);
     if (!fc_machine_usable(t, m, rs->now)) continue;
     slot s = {.machine = m, .type = t->types->pdata[m->type], .room = fc_machine_room(t, m)};
     if (fc_room_fits(&s.room, least)) g_array_append_val(rs->slots, s);
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -80,12 +80,7 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    for (guint i = 0; i < m->placements->len; i++) {
-      const fc_placement *pl = m->placements->pdata[i];
-      if (!fc_placement_live(pl) || !pl->job || pl->job->team < 0) continue;
-      p->cpus[pl->job->team] += pl->job->spec.cpus;
-      p->gpus[pl->job->team] += pl->job->spec.gpus;
-    }
+    fc_machine_use(m, p->cpus, p->gpus);
     if (!m->version || m->type < 0 || m->owner < 0 || m->closed || m->remote_closed || m->notice_until ||
         overdue(t, m, now))
       continue;
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -196,15 +196,7 @@
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    const fc_machine *m = value;
-    for (guint i = 0; i < m->placements->len; i++) {
-      const fc_placement *p = m->placements->pdata[i];
-      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
-      out->cpus[p->job->team] += p->job->spec.cpus;
-      out->gpus[p->job->team] += p->job->spec.gpus;
-    }
-  }
+  while (g_hash_table_iter_next(&it, NULL, &value)) fc_machine_use(value, out->cpus, out->gpus);
 }
 
 /* How many of `want` tasks its team's limit leaves room for. */
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -411,6 +411,14 @@
   sim_after(j->submit_at, user_submit, j);
 }
 
+const char *world_id(unsigned k) {
+  static char id[4][32];
+  static unsigned next;
+  char *out = id[next++ % 4];
+  g_snprintf(out, sizeof id[0], "job-%06u", k);
+  return out;
+}
+
 void world_submit_job(const world_job *s) {
   job *j = g_new0(job, 1);
   g_strlcpy(j->id, s->id, sizeof j->id);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -44,6 +44,8 @@
 /* What a controller has counted since its last start. */
 fc_counts world_counts(unsigned node);
 void world_machines_up(unsigned zone, unsigned count); /* ordinary ones, there from the start */
+/* "job-000007"; good until the fourth call after it. */
+const char *world_id(unsigned k);
 typedef struct world_job {
   const char *id, *kind, *rank, *team; /* rank, team: NULL: standard, red */
   const char *zone;                    /* the only one allowed; NULL: any */
--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -6,14 +6,6 @@
 
 #include "sim/world.h"
 
-static const char *job_id(unsigned k) {
-  static char id[4][32];
-  static unsigned next;
-  char *out = id[next++ % 4];
-  g_snprintf(out, sizeof id[0], "job-%06u", k);
-  return out;
-}
-
 /* Six machines in each zone and so many services of two tasks. */
 static void a_running_fleet(uint32_t seed, unsigned jobs) {
   world_set_up(seed, 0);
@@ -23,7 +15,7 @@
   world_start_nodes();
   world_machines_up(0, 6);
   world_machines_up(1, 6);
-  for (unsigned k = 0; k < jobs; k++) world_submit(job_id(k), "service", "prod", 2, 1, 1e6, 5);
+  for (unsigned k = 0; k < jobs; k++) world_submit(world_id(k), "service", "prod", 2, 1, 1e6, 5);
   sim_run_until(sim_now() + 30);
   assert_int_equal(world_running(), jobs * 2);
 }
@@ -64,20 +56,20 @@
       if (early) world_refuse(refused, 14);
       if (!rows[i].linked) world_cut_node_peers(refused, 80);
       sim_run_until(zero + rows[i].cancel_at);
-      if (rows[i].blind) world_state_blind(job_id(0), 3);
-      for (unsigned k = 0; k < called_off; k++) world_cancel(job_id(k), (int)writer, 0);
+      if (rows[i].blind) world_state_blind(world_id(0), 3);
+      for (unsigned k = 0; k < called_off; k++) world_cancel(world_id(k), (int)writer, 0);
       if (rows[i].by == FROM_CACHE) {
         sim_run_until(zero + 0.5);
-        for (unsigned k = 0; k < called_off; k++) world_cancel(job_id(k), (int)other, 0);
+        for (unsigned k = 0; k < called_off; k++) world_cancel(world_id(k), (int)other, 0);
       } else if (rows[i].by == RESTARTED) {
         /* Its next life is asked again, and has it from what it reads at its start. */
         sim_run_until(zero + rows[i].cancel_at + 0.006);
         world_crash(writer, 0.3);
         sim_run_until(zero + 1.5);
-        for (unsigned k = 0; k < called_off; k++) world_cancel(job_id(k), (int)writer, 0);
+        for (unsigned k = 0; k < called_off; k++) world_cancel(world_id(k), (int)writer, 0);
       } else if (rows[i].by == DYING) {
-        while (!world_cancelled_at(job_id(0)) && sim_now() < zero + 3) sim_run_until(sim_now() + 0.0005);
-        check_row(rows[i].name, world_cancelled_at(job_id(0)) > 0);
+        while (!world_cancelled_at(world_id(0)) && sim_now() < zero + 3) sim_run_until(sim_now() + 0.0005);
+        check_row(rows[i].name, world_cancelled_at(world_id(0)) > 0);
         world_crash(writer, 0.3);
       }
       if (!early) {
@@ -88,9 +80,9 @@
       world_state_down(54);
       bool told[4];
       unsigned told_count = 0, soon = 0;
-      for (unsigned k = 0; k < called_off; k++) told_count += told[k] = world_cancelled_at(job_id(k)) > 0;
+      for (unsigned k = 0; k < called_off; k++) told_count += told[k] = world_cancelled_at(world_id(k)) > 0;
       sim_run_until(zero + 8);
-      for (unsigned k = 0; k < called_off; k++) soon += told[k] ? world_tasks_of(job_id(k)) : 0;
+      for (unsigned k = 0; k < called_off; k++) soon += told[k] ? world_tasks_of(world_id(k)) : 0;
       sim_run_until(zero + 100);
       world_result r = world_so_far();
       print_message("%s, refused %u: %u of %u told, %u of their tasks on after 8 s, %u tasks ended by a lease\n",
@@ -130,13 +122,13 @@
       a_running_fleet(100 + 10 * (uint32_t)i + node, 6);
       unsigned held = 6;
       world_cut_node_workers(node, rows[i].for_s, SIM_HELD);
-      for (unsigned k = 6; k < 6 + held; k++) world_submit(job_id(k), "sweep", "standard", 2, 1, 1e6, 0);
+      for (unsigned k = 6; k < 6 + held; k++) world_submit(world_id(k), "sweep", "standard", 2, 1, 1e6, 0);
       sim_run_until(sim_now() + rows[i].cancel_s);
       /* Three that run too, on machines that others keep alive meanwhile. */
-      for (unsigned k = 3; k < 6 + held; k++) world_cancel(job_id(k), -1, 0);
+      for (unsigned k = 3; k < 6 + held; k++) world_cancel(world_id(k), -1, 0);
       /* Halted by those, long before any machine has to go back for it. */
       sim_run_until(sim_now() + 20);
-      for (unsigned k = 3; k < 6; k++) check_row(rows[i].name, world_tasks_of(job_id(k)) == 0);
+      for (unsigned k = 3; k < 6; k++) check_row(rows[i].name, world_tasks_of(world_id(k)) == 0);
       sim_run_until(sim_now() + rows[i].for_s + 40);
       world_result r = world_so_far();
       print_message("%s, controller %u: %u cancelled, %u started after that, %u ended by a lease\n", rows[i].name, node,
@@ -185,7 +177,7 @@
           if (rows[i].how == MUTE) world_mute(0, rows[i].count, rows[i].for_s);
           if (rows[i].how == DEAF) world_deaf(0, rows[i].count, rows[i].for_s);
         } else {
-          for (unsigned k = 0; k < 5; k++) world_cancel(job_id(k), -1, 0);
+          for (unsigned k = 0; k < 5; k++) world_cancel(world_id(k), -1, 0);
         }
         if (turn == 0) sim_run_until(sim_now() + MAX(rows[i].before_s, -rows[i].before_s));
       }
@@ -198,7 +190,7 @@
                     r.lease_kills, world_gone(0, world_machines()));
       if (r.broken) fail_msg("%s, seed %u: %s", rows[i].name, seed, r.first);
       check_row(rows[i].name, r.cancelled == 5);
-      for (unsigned k = 0; k < 5; k++) check_row(rows[i].name, world_tasks_of(job_id(k)) == 0);
+      for (unsigned k = 0; k < 5; k++) check_row(rows[i].name, world_tasks_of(world_id(k)) == 0);
       /* What was not cancelled goes on, here or elsewhere, unless there is no machine left. */
       if (world_gone(0, world_machines()) < 6) check_row(rows[i].name, world_running() == 6);
     }
@@ -231,9 +223,9 @@
       if (rows[i].refused_s > 0) world_refuse(node, rows[i].refused_s);
       if (rows[i].slow_s > 0) world_state_slow(rows[i].slow_s, 1.5);
       sim_run_until(sim_now() + 3);
-      for (unsigned k = 0; k < 5; k++) world_cancel(job_id(k), (int)((node + 1 + k % 2) % WORLD_NODES), k * 0.3);
+      for (unsigned k = 0; k < 5; k++) world_cancel(world_id(k), (int)((node + 1 + k % 2) % WORLD_NODES), k * 0.3);
       for (unsigned s = 0; s < 30; s++) {
-        world_ask_job(node, job_id(s % jobs)); /* what it says is checked */
+        world_ask_job(node, world_id(s % jobs)); /* what it says is checked */
         sim_run_until(sim_now() + 0.2);
         if (s == 14 && rows[i].down_s > 0) world_state_down(rows[i].down_s);
       }
--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -9,12 +9,6 @@
 enum { MACHINES = 12, SERVICES = 4, ARRAYS = 3, GANG = 40, NEW_WORK = 500 };
 enum { LONG_TASKS = SERVICES * 2 + ARRAYS * 3 + 2 };
 
-static const char *job_id(unsigned k) {
-  static char id[32];
-  g_snprintf(id, sizeof id, "job-%06u", k);
-  return id;
-}
-
 /* The same scenes with other luck. */
 static uint32_t luck(uint32_t seed) {
   const char *salt = g_getenv("LEADERS_SALT");
@@ -25,9 +19,9 @@
 
 /* How often the long work has been started since. */
 static unsigned started_again(void) {
-  unsigned n = world_starts_of(job_id(GANG));
-  for (unsigned k = 0; k < SERVICES; k++) n += world_starts_of(job_id(k));
-  for (unsigned k = 0; k < ARRAYS; k++) n += world_starts_of(job_id(20 + k));
+  unsigned n = world_starts_of(world_id(GANG));
+  for (unsigned k = 0; k < SERVICES; k++) n += world_starts_of(world_id(k));
+  for (unsigned k = 0; k < ARRAYS; k++) n += world_starts_of(world_id(20 + k));
   return n - g_long_starts;
 }
 
@@ -40,9 +34,9 @@
   world_start_nodes();
   world_machines_up(0, MACHINES / 2);
   world_machines_up(1, MACHINES / 2);
-  for (unsigned k = 0; k < SERVICES; k++) world_submit(job_id(k), "service", "prod", 2, 1, 1e6, 5 + k * 0.1);
-  for (unsigned k = 0; k < ARRAYS; k++) world_submit(job_id(20 + k), "sweep", "standard", 3, 1, 1e6, 5 + k * 0.1);
-  world_submit(job_id(GANG), "gang", "high", 2, 4, 1e6, 5);
+  for (unsigned k = 0; k < SERVICES; k++) world_submit(world_id(k), "service", "prod", 2, 1, 1e6, 5 + k * 0.1);
+  for (unsigned k = 0; k < ARRAYS; k++) world_submit(world_id(20 + k), "sweep", "standard", 3, 1, 1e6, 5 + k * 0.1);
+  world_submit(world_id(GANG), "gang", "high", 2, 4, 1e6, 5);
   sim_run_until(sim_now() + 20);
   g_long_starts = 0;
   g_long_starts = started_again();
@@ -52,7 +46,7 @@
 /* Short work goes on arriving. */
 static unsigned stream(unsigned first, unsigned count, double every_s) {
   for (unsigned i = 0; i < count; i++)
-    world_submit(job_id(first + i), "sweep", "standard", 1 + i % 3, 1, 3 + i % 5, i * every_s);
+    world_submit(world_id(first + i), "sweep", "standard", 1 + i % 3, 1, 3 + i % 5, i * every_s);
   return count;
 }
 
@@ -65,11 +59,12 @@
  * open job are answered again, at every controller, and 90 s later all that can end has. */
 static void all_is_well(const char *name, double within_s, unsigned running, unsigned finished) {
   double over = sim_now();
-  world_submit(job_id(NEW_WORK), "sweep", "standard", 2, 1, 5, 0);
-  world_submit(job_id(NEW_WORK + 1), "service", "standard", 2, 1, 1e6, 0); /* stops nothing to have room */
-  while (sim_now() < over + within_s && !(world_began(job_id(NEW_WORK)) > 0 && world_began(job_id(NEW_WORK + 1)) > 0))
+  world_submit(world_id(NEW_WORK), "sweep", "standard", 2, 1, 5, 0);
+  world_submit(world_id(NEW_WORK + 1), "service", "standard", 2, 1, 1e6, 0); /* stops nothing to have room */
+  while (sim_now() < over + within_s &&
+         !(world_began(world_id(NEW_WORK)) > 0 && world_began(world_id(NEW_WORK + 1)) > 0))
     sim_run_until(sim_now() + 0.5);
-  double began = MAX(world_began(job_id(NEW_WORK)), world_began(job_id(NEW_WORK + 1)));
+  double began = MAX(world_began(world_id(NEW_WORK)), world_began(world_id(NEW_WORK + 1)));
   print_message("%s: new work after %.1f s", name, began - over);
   sim_run_until(over + 12); /* users ask every 4 to 6 s */
   unsigned unanswered = world_unanswered(over), kills = world_so_far().lease_kills;
@@ -80,7 +75,7 @@
   print_message(", %u unanswered, %u run, %u done, %u starts, %u lease kills, %u of tasks done before\n", unanswered,
                 world_running(), r.finished, r.starts, r.lease_kills, r.done_starts);
   rules_hold(name);
-  check_row(name, world_began(job_id(NEW_WORK)) > 0 && world_began(job_id(NEW_WORK + 1)) > 0);
+  check_row(name, world_began(world_id(NEW_WORK)) > 0 && world_began(world_id(NEW_WORK + 1)) > 0);
   check_row(name, unanswered == 0);
   check_row(name, r.lease_kills == kills); /* reports are answered again */
   check_row(name, r.accepted == r.submitted);
@@ -217,10 +212,10 @@
         unsigned alone = rows[i].back_s[0] < 10 ? 0 : 2;
         sim_run_until(sim_now() + 8);
         world_users_to((int)orders[o][alone]);
-        world_submit(job_id(800), "sweep", "standard", 2, 1, 3, 0);
+        world_submit(world_id(800), "sweep", "standard", 2, 1, 3, 0);
         done++;
         sim_run_until(sim_now() + 20);
-        check_row(name, world_began(job_id(800)) > 0);
+        check_row(name, world_began(world_id(800)) > 0);
         world_users_to(-1);
       }
       sim_run_until(MAX(back_at, sim_now()));
@@ -272,7 +267,7 @@
     world_machines_up(1, rows[i].room);
     /* Whole machines: a part holds six, or three, so that some are handed over. */
     for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++) {
-      world_job j = {.id = job_id(k), .kind = "sweep", .tasks = tasks[k], .gpus = 4, .run_s = 8, .in_s = 6};
+      world_job j = {.id = world_id(k), .kind = "sweep", .tasks = tasks[k], .gpus = 4, .run_s = 8, .in_s = 6};
       j.later_s = 17 + k;
       world_submit_job(&j);
     }
@@ -298,9 +293,9 @@
     world_result r = world_so_far();
     for (unsigned n = 0; n < WORLD_NODES; n++) handed += (unsigned)world_counts(n).handed_over;
     for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++) {
-      double told = world_told_done_at(job_id(k));
+      double told = world_told_done_at(world_id(k));
       check_row(rows[i].name, told > 0);
-      last = MAX(last, told - world_ended_at(job_id(k)));
+      last = MAX(last, told - world_ended_at(world_id(k)));
     }
     print_message("%s: %u starts, %u lease kills, told %.1f s after the end at most, %u handed over so far\n",
                   rows[i].name, r.starts, r.lease_kills, last, handed);
@@ -311,7 +306,7 @@
     /* A worker may first try one that has ended, and its user asks every 4 to 6 s. */
     check_row(rows[i].name, last < 20);
     for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++)
-      check_row(rows[i].name, rows[i].die > 0 || world_starts_of(job_id(k)) == tasks[k]);
+      check_row(rows[i].name, rows[i].die > 0 || world_starts_of(world_id(k)) == tasks[k]);
     check_row(rows[i].name, r.starts <= 17 + rows[i].die);
   }
   assert_true(handed > 0);
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -9,12 +9,6 @@
   return "detect_leaks=0";
 }
 
-static const char *name_of(unsigned k) {
-  static char id[32];
-  g_snprintf(id, sizeof id, "job-%06u", k);
-  return id;
-}
-
 /* Until so many jobs are done, for `most_s` at most. */
 static void run_until_done(unsigned jobs, double most_s) {
   double end = sim_now() + most_s;
@@ -118,7 +112,7 @@
 /* Services that fill a machine each: room is where they are called off. */
 static void fill(unsigned machines, double in_s) {
   for (unsigned k = 0; k < machines; k++) {
-    world_submit_job(&(world_job){.id = name_of(100 + k),
+    world_submit_job(&(world_job){.id = world_id(100 + k),
                                   .kind = "service",
                                   .rank = "prod",
                                   .tasks = 1,
@@ -132,9 +126,9 @@
 static unsigned make_room_at(unsigned node, unsigned filled) {
   unsigned n = 0;
   for (unsigned k = 0; k < filled; k++) {
-    int at = world_machine_of(name_of(100 + k), 0);
+    int at = world_machine_of(world_id(100 + k), 0);
     if (at < 0 || world_node_of((unsigned)at) != node) continue;
-    world_cancel(name_of(100 + k), -1, 0);
+    world_cancel(world_id(100 + k), -1, 0);
     n++;
   }
   return n;
@@ -165,7 +159,7 @@
     sim_run_until(sim_now() + 25);
     for (unsigned k = 0; k < arrays; k++) {
       world_submit_job(
-          &(world_job){.id = name_of(k), .kind = "sweep", .tasks = 20, .gpus = 4, .run_s = 4, .one_zone = true});
+          &(world_job){.id = world_id(k), .kind = "sweep", .tasks = 20, .gpus = 4, .run_s = 4, .one_zone = true});
     }
     sim_run_until(sim_now() + 5);
     unsigned freed = make_room_at(1, machines);
@@ -180,11 +174,11 @@
     sim_run_until(from + 2); /* what had been sent off */
     unsigned before[arrays], had_begun = 0, go_on = 0;
     for (unsigned k = 0; k < arrays; k++) {
-      before[k] = world_starts_of(name_of(k));
+      before[k] = world_starts_of(world_id(k));
       had_begun += before[k] > 0;
     }
     sim_run_until(from + rows[row].back_in_s + 9);
-    for (unsigned k = 0; k < arrays; k++) go_on += before[k] > 0 && world_starts_of(name_of(k)) > before[k];
+    for (unsigned k = 0; k < arrays; k++) go_on += before[k] > 0 && world_starts_of(world_id(k)) > before[k];
     world_result r = world_so_far();
     if (r.broken) fail_msg("%s: %s", rows[row].name, r.first);
     print_message("%s: room for %u, %u moved, %u of %u go on\n", rows[row].name, freed, moved, go_on, had_begun);
@@ -289,7 +283,7 @@
     world_machines_up(0, 6);
     world_machines_up(1, 6);
     for (unsigned k = 0; k < services; k++)
-      world_submit_job(&(world_job){.id = name_of(k),
+      world_submit_job(&(world_job){.id = world_id(k),
                                     .kind = "service",
                                     .rank = "prod",
                                     .team = "blue",
@@ -298,24 +292,24 @@
                                     .run_s = 1e6,
                                     .in_s = 5});
     world_submit_job(&(world_job){
-        .id = name_of(10), .kind = "sweep", .team = "blue", .tasks = 3, .gpus = 1, .run_s = 1e6, .in_s = 15});
+        .id = world_id(10), .kind = "sweep", .team = "blue", .tasks = 3, .gpus = 1, .run_s = 1e6, .in_s = 15});
     sim_run_until(sim_now() + 25);
-    for (unsigned k = 0; k < services; k++) check_row(rows[row].name, world_tasks_of(name_of(k)) == 3);
-    check_row(rows[row].name, world_began(name_of(10)) == 0);
+    for (unsigned k = 0; k < services; k++) check_row(rows[row].name, world_tasks_of(world_id(k)) == 3);
+    check_row(rows[row].name, world_began(world_id(10)) == 0);
     for (unsigned t = 0; t < 3; t++) {
-      int at = world_machine_of(name_of(0), t);
+      int at = world_machine_of(world_id(0), t);
       if (at >= 0) befalls(rows[row].what, (unsigned)at, rows[row].for_s);
     }
     const double back_in_s = (const double[]){4, 0.3, 20}[i % 3];
     for (unsigned n = 0; n < rows[row].crashes; n++) world_crash(n, back_in_s);
-    world_cancel(name_of(0), -1, (double)(i % 3) * 1.5);
+    world_cancel(world_id(0), -1, (double)(i % 3) * 1.5);
     double from = sim_now(), gone = 0, next = 0;
     while (sim_now() < from + 90 && !next) {
       sim_run_until(sim_now() + 0.25);
       /* Until its user is told it may be started anew. */
-      bool is_over = world_cancelled_at(name_of(0)) > 0 && world_tasks_of(name_of(0)) == 0;
+      bool is_over = world_cancelled_at(world_id(0)) > 0 && world_tasks_of(world_id(0)) == 0;
       gone = !is_over ? 0 : gone > 0 ? gone : sim_now();
-      if (world_tasks_of(name_of(10)) == 3) next = sim_now();
+      if (world_tasks_of(world_id(10)) == 3) next = sim_now();
     }
     world_result r = world_so_far();
     if (r.broken) fail_msg("%s, %u: %s", rows[row].name, (unsigned)i, r.first);
@@ -364,7 +358,7 @@
         bool large = k == each;
         double in_s = large ? 10 : 1 + k * 3 + r * 0.2;
         sent[r][k] = sim_now() + in_s;
-        world_submit_job(&(world_job){.id = name_of(r * 100 + k),
+        world_submit_job(&(world_job){.id = world_id(r * 100 + k),
                                       .kind = r == 1 && (large || k % 3 == 0) ? "gang" : "sweep",
                                       .rank = ranks[r],
                                       .team = !large && k % 4 == 0 ? "blue" : "red",
@@ -387,10 +381,10 @@
     double mean[4] = {0}, largest[4];
     for (unsigned r = 0; r < 4; r++) {
       for (unsigned k = 0; k <= each; k++) {
-        check_row(rows[i].name, world_began(name_of(r * 100 + k)) > 0);
-        if (k < each) mean[r] += (world_began(name_of(r * 100 + k)) - sent[r][k]) / each;
+        check_row(rows[i].name, world_began(world_id(r * 100 + k)) > 0);
+        if (k < each) mean[r] += (world_began(world_id(r * 100 + k)) - sent[r][k]) / each;
       }
-      largest[r] = world_began(name_of(r * 100 + each)) - sent[r][each];
+      largest[r] = world_began(world_id(r * 100 + each)) - sent[r][each];
       print_message(" %s %.1f s (largest %.1f)", ranks[r], mean[r], largest[r]);
     }
     print_message("\n");
