Use of processor, system calls and bytes counted per duty; lag of the loop

A routine names the duty it works for; the transport counts switches, socket calls, bytes and time there. In /metrics and, once a worker lease, in the log. No duty behaves otherwise.

--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -62,6 +62,7 @@
 
 void fc_archive_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_COMMITS);
   /* A small part of our share of the writes, and none while others wait. */
   guint most = MAX(1, fc_commit_most(c->commit) / 2);
   while (!fc_routine_cancelled()) {
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -270,17 +270,21 @@
   res->close = req->crowded && route != FC_ROUTE_REPORT;
   switch (route) {
     case FC_ROUTE_REPORT:
+      fc_metrics_duty(&c->metrics, FC_DUTY_REPORTS);
       fc_workers_report(c, req, &res->status, res->body);
       break;
     case FC_ROUTE_SUBMIT:
+      fc_metrics_duty(&c->metrics, FC_DUTY_SUBMISSIONS);
       submit(c, req, res);
       fc_metrics_time(&c->metrics, FC_TIME_SUBMIT, fc_now() - began);
       break;
     case FC_ROUTE_POLL:
+      fc_metrics_duty(&c->metrics, FC_DUTY_QUERIES);
       poll(c, id, res);
       fc_metrics_time(&c->metrics, FC_TIME_POLL, fc_now() - began);
       break;
     case FC_ROUTE_CANCEL:
+      fc_metrics_duty(&c->metrics, FC_DUTY_QUERIES);
       withdraw(c, id, res);
       break;
     case FC_ROUTE_READY:
--- a/src/controller/member.c
+++ b/src/controller/member.c
@@ -164,6 +164,7 @@
 
 void fc_member_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_MEMBERSHIP);
   while (!fc_routine_cancelled()) {
     fc_right_lost(&c->right);
     c->boot = 0;
--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -7,6 +7,11 @@
 
 static const char *const k_names[] = {"submit", "poll", "start", "round"};
 
+static const char *const k_duty_names[FC_DUTIES] = {
+    "other", "reports", "commands", "rounds",     "rental",      "views_sent", "views_taken",
+    "watch", "load",    "commits",  "membership", "submissions", "queries",
+};
+
 void fc_metrics_init(fc_metrics *m) {
   double edges[BINS + 1];
   edges[0] = 0;
@@ -37,6 +42,35 @@
   g_string_append_printf(out, "fieldcleat_%s_seconds_count %.0f\n", name, total);
 }
 
+void fc_metrics_duty(fc_metrics *m, fc_duty duty) {
+  fc_routine_account(&m->usage[duty]);
+}
+
+void fc_metrics_log_usage(const fc_metrics *m) {
+  for (int k = 0; k < FC_DUTIES; k++) {
+    const fc_usage *u = &m->usage[k];
+    g_info("usage duty=%s busy_s=%.3f switches=%" G_GUINT64_FORMAT " system_calls=%" G_GUINT64_FORMAT
+           " bytes_in=%" G_GUINT64_FORMAT " bytes_out=%" G_GUINT64_FORMAT,
+           k_duty_names[k], u->busy_s, (guint64)u->switches, (guint64)u->system_calls, (guint64)u->bytes_in,
+           (guint64)u->bytes_out);
+  }
+  g_info("usage loop turns=%u lag_s=%.3f", fc_loop_turns(), fc_loop_lag());
+}
+
+static void write_usage(const fc_usage *u, const char *duty, GString *out) {
+  const struct {
+    const char *name;
+    double value;
+  } figures[] = {
+      {"switches", (double)u->switches}, {"system_calls", (double)u->system_calls},
+      {"bytes_in", (double)u->bytes_in}, {"bytes_out", (double)u->bytes_out},
+      {"busy_seconds", u->busy_s},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(figures); i++)
+    g_string_append_printf(out, "fieldcleat_duty_%s_total{duty=\"%s\"} %.10g\n", figures[i].name, duty,
+                           figures[i].value);
+}
+
 void fc_metrics_write(const fc_controller *c, GString *out) {
   const fc_counts *n = &c->counts;
   fc_commit_counts writes = fc_commit_count(c->commit);
@@ -50,6 +84,8 @@
       {"jobs", g_hash_table_size(c->table->jobs)},
       {"machines", g_hash_table_size(c->table->machines)},
       {"routines", (double)fc_routine_count()},
+      {"loop_turns_total", (double)fc_loop_turns()},
+      {"loop_lag_seconds", fc_loop_lag()},
       {"rounds_total", (double)n->rounds},
       {"state_reads_total", (double)n->reads},
       {"state_commits_total", (double)writes.transactions},
@@ -69,5 +105,6 @@
   for (int k = 0; k < FC_WRITE_KINDS; k++)
     g_string_append_printf(out, "fieldcleat_state_writes_total{kind=\"%s\"} %.10g\n", fc_write_kind_names[k],
                            (double)writes.writes[k]);
+  for (int k = 0; k < FC_DUTIES; k++) write_usage(&c->metrics.usage[k], k_duty_names[k], out);
   for (int k = 0; k < FC_TIMES; k++) write_times(c->metrics.times[k], k_names[k], out);
 }
--- a/src/controller/overdue.c
+++ b/src/controller/overdue.c
@@ -48,6 +48,7 @@
 
 void fc_overdue_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_RENTAL);
   while (fc_routine_sleep(c->settings->report_s * 0.5) != FC_WAKE_CANCELLED)
     if (fc_may_act(c)) give_back_overdue(c);
 }
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -130,6 +130,7 @@
 static void link_main(void *arg) {
   link_arg *l = arg;
   fc_controller *c = l->c;
+  fc_metrics_duty(&c->metrics, FC_DUTY_VIEWS_SENT);
   uint64_t seq = 0;
   fc_conn *conn = NULL;
   while (!fc_routine_cancelled()) {
@@ -222,6 +223,7 @@
 
 static void serve_peer(fc_conn *conn, void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_VIEWS_TAKEN);
   for (;;) {
     fc_frame_type type;
     uint32_t len;
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -242,6 +242,7 @@
 
 void fc_quota_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_MEMBERSHIP);
   bool any = false;
   for (size_t k = 0; k < c->settings->team_count; k++) any |= limited(&c->settings->teams[k]);
   lift_caps(c);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -452,6 +452,7 @@
 
 void fc_rent_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_RENTAL);
   double swept_at = fc_now();
   refusals ref = {.until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free)};
   while (!fc_routine_cancelled()) {
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -219,6 +219,7 @@
          (guint64)w.transactions, (guint64)w.writes[FC_KIND_JOBS], (guint64)w.writes[FC_KIND_MACHINES],
          (guint64)w.writes[FC_KIND_HIRES], (guint64)w.writes[FC_KIND_SHARES], (guint64)w.writes[FC_KIND_OTHERS],
          w.waited_s);
+  fc_metrics_log_usage(&c->metrics);
 }
 
 void fc_round_soon(fc_controller *c) {
@@ -228,6 +229,7 @@
 
 void fc_round_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_ROUNDS);
   double logged_at = fc_now();
   /* Between rounds that events ask for, so that a burst is placed together. */
   double least = c->settings->op.round_s * 0.05;
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -266,10 +266,12 @@
   fc_controller *c = arg;
   double backoff = 0;
   while (!fc_routine_cancelled()) {
+    fc_metrics_duty(&c->metrics, FC_DUTY_LOAD);
     if (!c->loaded && !load(c)) {
       (void)fc_routine_sleep(g_random_double_range(0.2, 0.5));
       continue;
     }
+    fc_metrics_duty(&c->metrics, FC_DUTY_WATCH);
     double began = fc_now();
     fc_state_result r = read_changes(c, c->settings->report_s * 0.5);
     backoff = r == FC_STATE_OK || r == FC_STATE_GONE ? 0 : backoff > 0 ? MIN(backoff * 2, 1.0) : 0.1;
@@ -282,6 +284,7 @@
  * moment for proof that the table is current. */
 void fc_read_index_main(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_WATCH);
   while (!fc_routine_cancelled()) {
     if (c->readers == 0 || !c->loaded) {
       (void)fc_cond_wait(&c->read_now, fc_now() + 1.0);
@@ -339,5 +342,6 @@
 
 void fc_commit_duty(void *arg) {
   fc_controller *c = arg;
+  fc_metrics_duty(&c->metrics, FC_DUTY_COMMITS);
   fc_commit_main(c->commit);
 }
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -504,6 +504,7 @@
   push_arg a = *(push_arg *)arg;
   g_free(arg);
   fc_controller *c = a.c;
+  fc_metrics_duty(&c->metrics, FC_DUTY_COMMANDS);
   fc_table *t = c->table;
   uint64_t term = t->term.number;
   for (int tries = 0; tries < 2; tries++) {
@@ -611,6 +612,7 @@
   record_arg a = *(record_arg *)arg;
   g_free(arg);
   fc_controller *c = a.c;
+  fc_metrics_duty(&c->metrics, FC_DUTY_COMMITS);
   for (;;) {
     /* Ends are written batched, once a round; the last ones at once, for somebody
      * waits to be told. An array of 150 would be written 150 times. */
--- a/src/transport/conn.c
+++ b/src/transport/conn.c
@@ -40,6 +40,12 @@
   return true;
 }
 
+/* One more system call by the running routine; what it returned is passed on. */
+static ssize_t count_call(ssize_t result) {
+  fc_routine_usage()->system_calls++;
+  return result;
+}
+
 static void on_io(struct ev_loop *loop, ev_io *w, int events) {
   fc_conn *c = w->data;
   if (c->waiter && (events & (c->wanted | EV_ERROR))) {
@@ -62,7 +68,7 @@
   c->fd = fd;
   int one = 1;
   /* Best effort: without it messages are only slower. */
-  (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  (void)count_call(setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one));
   ev_io_init(&c->io, on_io, fd, EV_READ);
   c->io.data = c;
   return c;
@@ -82,13 +88,13 @@
 }
 
 fc_conn *fc_conn_connect(const fc_endpoint *to, double deadline) {
-  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int fd = (int)count_call(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (fd < 0) return NULL;
   fc_conn *c = conn_new(fd);
   if (!c) return NULL;
   struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(to->port)};
   sa.sin_addr.s_addr = to->ip;
-  if (connect(fd, (struct sockaddr *)&sa, sizeof sa) == 0) return c;
+  if (count_call(connect(fd, (struct sockaddr *)&sa, sizeof sa)) == 0) return c;
   if (errno != EINPROGRESS) goto fail;
   if (conn_wait(c, EV_WRITE, deadline) != FC_WAKE_OK) goto fail;
   int err = 0;
@@ -107,8 +113,11 @@
       c->wait_first = false;
       if (conn_wait(c, EV_READ, deadline) != FC_WAKE_OK) return -1;
     }
-    ssize_t n = recv(c->fd, buf, size, 0);
-    if (n >= 0) return n;
+    ssize_t n = count_call(recv(c->fd, buf, size, 0));
+    if (n >= 0) {
+      fc_routine_usage()->bytes_in += (uint64_t)n;
+      return n;
+    }
     if (errno == EINTR) continue;
     if (errno != EAGAIN && errno != EWOULDBLOCK) return -1;
     if (conn_wait(c, EV_READ, deadline) != FC_WAKE_OK) return -1;
@@ -118,8 +127,9 @@
 bool fc_conn_write(fc_conn *c, const void *buf, size_t size, double deadline) {
   const char *p = buf;
   while (size > 0) {
-    ssize_t n = send(c->fd, p, size, MSG_NOSIGNAL);
+    ssize_t n = count_call(send(c->fd, p, size, MSG_NOSIGNAL));
     if (n > 0) {
+      fc_routine_usage()->bytes_out += (uint64_t)n;
       p += n;
       size -= (size_t)n;
       continue;
@@ -134,14 +144,14 @@
 
 bool fc_conn_stale(fc_conn *c) {
   char byte;
-  ssize_t n = recv(c->fd, &byte, 1, MSG_PEEK);
+  ssize_t n = count_call(recv(c->fd, &byte, 1, MSG_PEEK));
   return !(n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
 void fc_conn_close(fc_conn *c) {
   if (!c) return;
   ev_io_stop(fc_loop(), &c->io);
-  close(c->fd);
+  (void)count_call(close(c->fd));
   free(c);
 }
 
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -1,5 +1,6 @@
 #include "transport/routine.h"
 
+#include <math.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,13 +28,16 @@
 #define STACK_BYTES (96u * 1024u)
 #define GUARD_BYTES 4096u
 #define SPARE_STACKS 16u
+#define LAG_HALF_LIFE_S 1.0
 
 struct fc_routine {
   fcontext_t context;
   fc_routine_fn fn;
   void *arg;
   char *stack;
+  fc_usage *usage;
   ev_timer timer;
+  double due; /* when the timer should fire */
   fc_wake reason;
   bool parked;
   bool queued; /* in the run queue */
@@ -57,6 +61,9 @@
 static char *g_spare[SPARE_STACKS];
 static size_t g_spare_count;
 static size_t g_count;
+static fc_usage g_unaccounted; /* of routines that never said what they are for */
+static double g_slice_from;    /* use before this is counted already */
+static double g_lag_s, g_lag_at;
 
 double fc_now(void) {
   struct timespec ts;
@@ -77,6 +84,38 @@
   return g_count;
 }
 
+fc_usage *fc_routine_usage(void) {
+  return g_self ? g_self->usage : &g_unaccounted;
+}
+unsigned fc_loop_turns(void) {
+  return ev_iteration(g_loop);
+}
+
+/* Counts the time since the last call as used by the running routine. */
+static void count_slice(double now) {
+  g_self->usage->busy_s += now - g_slice_from;
+  g_slice_from = now;
+}
+
+void fc_routine_account(fc_usage *usage) {
+  if (!g_self || g_self->usage == usage) return;
+  count_slice(fc_now());
+  g_self->usage = usage;
+}
+
+static double lag_at(double now) {
+  return g_lag_s * exp2((g_lag_at - now) / LAG_HALF_LIFE_S);
+}
+
+double fc_loop_lag(void) {
+  return lag_at(fc_now());
+}
+
+static void note_lag(double now, double late_s) {
+  g_lag_s = fmax(late_s, lag_at(now));
+  g_lag_at = now;
+}
+
 static char *stack_take(void) {
   if (g_spare_count > 0) {
     char *spare = g_spare[--g_spare_count];
@@ -107,6 +146,7 @@
   fc_routine *r = t.data;
   r->fn(r->arg);
   r->finished = true;
+  count_slice(fc_now());
   jump_fcontext(g_main_context, r);
   abort(); /* a finished routine is never entered again */
 }
@@ -126,6 +166,7 @@
 static void run_one(fc_routine *r) {
   fc_routine *before = g_self;
   g_self = r;
+  r->usage->switches++;
   transfer_t t = jump_fcontext(r->context, r);
   r->context = t.fctx;
   g_self = before;
@@ -140,6 +181,7 @@
 static void drain_queue(void) {
   /* One sweep only: routines that wake each other must not starve the sockets. */
   fc_routine *last = g_queue_tail;
+  if (last) g_slice_from = fc_now();
   while (g_queue_head) {
     fc_routine *r = g_queue_head;
     bool stop = r == last;
@@ -188,6 +230,8 @@
   (void)events;
   fc_routine *r = w->data;
   if (!r->parked) return;
+  double now = fc_now();
+  note_lag(now, now - r->due);
   r->parked = false;
   r->reason = FC_WAKE_TIMEOUT;
   enqueue(r);
@@ -203,6 +247,7 @@
   }
   r->fn = fn;
   r->arg = arg;
+  r->usage = fc_routine_usage();
   r->context = make_fcontext(r->stack + STACK_BYTES, STACK_BYTES - GUARD_BYTES, entry);
   ev_timer_init(&r->timer, on_timer, 0., 0.);
   r->timer.data = r;
@@ -218,6 +263,8 @@
   if (deadline <= now) return FC_WAKE_TIMEOUT;
   r->parked = true;
   r->reason = FC_WAKE_OK;
+  r->due = deadline;
+  count_slice(now);
   ev_now_update(g_loop);
   ev_timer_set(&r->timer, deadline - now, 0.);
   ev_timer_start(g_loop, &r->timer);
--- a/src/transport/routine.h
+++ b/src/transport/routine.h
@@ -7,6 +7,7 @@
 #include <ev.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 typedef struct fc_routine fc_routine;
 typedef void (*fc_routine_fn)(void *arg);
@@ -29,6 +30,26 @@
 bool fc_routine_cancelled(void);
 size_t fc_routine_count(void);
 
+/* What the routines of one duty have used since the process started. */
+typedef struct fc_usage {
+  uint64_t switches;     /* times one of them was switched to */
+  uint64_t system_calls; /* made on sockets */
+  uint64_t bytes_in, bytes_out;
+  double busy_s; /* steady time between being switched to and giving way */
+} fc_usage;
+
+/* Counts what the calling routine uses from now on as `usage`, which has to outlive it;
+ * routines that it starts begin with the same. */
+void fc_routine_account(fc_usage *usage);
+/* Where the calling routine's use is counted; never NULL. */
+fc_usage *fc_routine_usage(void);
+
+/* How many times the loop has looked for events. */
+unsigned fc_loop_turns(void);
+/* How late timers fire, in seconds: the worst lately, halved every second. A process
+ * that gets less processor time than it needs sees it grow. */
+double fc_loop_lag(void);
+
 /* Waits until woken, cancelled or the deadline (steady clock) has come. */
 fc_wake fc_routine_park(double deadline);
 void fc_routine_wake(fc_routine *r);
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -171,6 +171,20 @@
 void fc_routine_cancel(fc_routine *r) {
   (void)r;
 }
+/* Nothing here takes time or makes system calls, so there is nothing to account for. */
+void fc_routine_account(fc_usage *usage) {
+  (void)usage;
+}
+fc_usage *fc_routine_usage(void) {
+  static fc_usage unaccounted;
+  return &unaccounted;
+}
+unsigned fc_loop_turns(void) {
+  return 0;
+}
+double fc_loop_lag(void) {
+  return 0;
+}
 
 static void entry(transfer_t t) {
   g_main = t.fctx;
