A machine is asked once about what another member answered, not at every acknowledgement

Cause: members tell for two leases which of others' machines they answered. An entry older than what has come to the owner since may be of a machine started anew, so it is asked directly; but every repeat of the entry asked again.

A direct answer whose question was sent after the other member's answer settles it (both clocks' drift allowed for). Ruled out: remembering the entry, since a machine started anew twice counts from one again.

--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -534,7 +534,10 @@
         if (!m->reborn) g_info("started anew machine=%s tasks=%u", m->id, m->placements->len);
         forget_life(m, &r);
       }
-      if (newer(m, &r)) adopt(c, m, &r, false);
+      if (newer(m, &r)) {
+        adopt(c, m, &r, false);
+        m->asked_at = asked;
+      }
       /* A new session, or the first word from this machine: fence with it. */
       again = fencing && result == FC_ORDER_REFUSED && r.token <= term && m->settled_term != term;
     }
@@ -673,7 +676,11 @@
    * start that was held back reached it (fault test, seed 158). */
   bool old = k->session < m->session || (k->session == m->session && k->seq < m->seq);
   m->kept_at = MAX(m->kept_at, at);
-  if (old && m->owner == c->table->self) m->probe = true;
+  /* Peers repeat what they answered for two leases. What a machine has told us directly
+   * since then settles it: asked again at every acknowledgement, machines that had come
+   * back from another member cost more than all reports. */
+  double latest = at + k->age_ms / 1000.0 * 2 * FC_DRIFT;
+  if (old && m->owner == c->table->self && latest >= m->asked_at) m->probe = true;
   if (old) return;
   if (k->hears) m->kept_hears_at = MAX(m->kept_hears_at, at);
   if (!k->hears && at > m->kept_hears_at && m->kept_deaf_at <= m->kept_hears_at) m->kept_deaf_at = at;
--- a/tests/test_scenes.c
+++ b/tests/test_scenes.c
@@ -313,11 +313,37 @@
   }
 }
 
+/* Machines that were kept by the others while their controller was away come back to it.
+ * The others go on telling what they answered for two leases: each machine is asked about
+ * that once, not at every acknowledgement. */
+static void machines_that_come_back_are_asked_once(void **state) {
+  (void)state;
+  const unsigned machines = 60;
+  world_set_up(95, 0);
+  world_large(machines);
+  world_start_nodes();
+  world_machines_up(0, machines / 2);
+  world_machines_up(1, machines / 2);
+  alike(10, "service", "prod", 1e6);
+  sim_run_until(sim_now() + 25);
+  world_crash(1, 8);
+  sim_run_until(sim_now() + 8);
+  uint64_t before = world_counts(0).pushes + world_counts(2).pushes;
+  sim_run_until(sim_now() + 30);
+  uint64_t asked = world_counts(0).pushes + world_counts(1).pushes + world_counts(2).pushes - before;
+  print_message("%u machines, %u direct calls\n", machines, (unsigned)asked);
+  world_result r = world_so_far();
+  if (r.broken) fail_msg("%s", r.first);
+  assert_int_equal(r.lease_kills, 0);
+  /* Each is fenced once in the new term, and about a third come back from another. */
+  assert_true(asked <= machines * 2);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(a_whole_fleet_on_one), cmocka_unit_test(old_jobs_go_on),
       cmocka_unit_test(a_zone_cut_off),       cmocka_unit_test(a_controller_stands_still),
       cmocka_unit_test(the_largest_begin),    cmocka_unit_test(with_its_workers_alone),
-      cmocka_unit_test(deaf_machines)};
+      cmocka_unit_test(deaf_machines),        cmocka_unit_test(machines_that_come_back_are_asked_once)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -434,6 +434,43 @@
   }
 }
 
+/* A report that another member answered, older than what has come to us, may be of a
+ * machine that was started anew: it is asked, unless it has been since. */
+static void asked_about_what_others_answered(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned session, seq; /* of that report; ours came with (2, 9) */
+    double answered_s;     /* ago, by the other member */
+    double asked_s;        /* ago; 0: never */
+    int owner;
+    bool asks;
+  } rows[] = {
+      {"newer than ours", 2, 10, 5, 0, 0, false},
+      {"older, never asked", 2, 8, 5, 0, 0, true},
+      {"of an earlier session", 1, 50, 5, 0, 0, true},
+      {"older, asked before it was answered", 2, 8, 5, 6, 0, true},
+      {"older, asked since", 2, 8, 5, 4, 0, false},
+      {"older, asked since, but within what clocks may be off", 2, 8, 20, 19.97, 0, true},
+      {"older, the machine is another member's", 2, 8, 5, 0, 1, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    m->owner = rows[i].owner;
+    m->reported = true;
+    m->session = 2;
+    m->seq = 9;
+    double now = fc_now();
+    m->asked_at = rows[i].asked_s > 0 ? now - rows[i].asked_s : 0;
+    fc_frame_kept k = {.machine = "vm-1", .session = rows[i].session, .seq = rows[i].seq};
+    k.age_ms = (uint32_t)(rows[i].answered_s * 1000);
+    fc_workers_kept(&b->c, &k, now);
+    check_row(rows[i].name, m->probe == rows[i].asks);
+    bench_free(b);
+  }
+}
+
 /* What was placed before the machine is settled is in no view that anybody has taken. */
 static void settled_is_news(void **state) {
   (void)state;
@@ -506,6 +543,7 @@
       cmocka_unit_test(deaf_machines),
       cmocka_unit_test(machine_started_anew),
       cmocka_unit_test(lease_over),
+      cmocka_unit_test(asked_about_what_others_answered),
       cmocka_unit_test(settled_is_news),
       cmocka_unit_test(calls_take_their_share),
       cmocka_unit_test(contradicting_report),
