Waits on a socket without a call to the kernel each; short chains of wakes in one turn

Cause: conn_wait() set the watcher anew at every wait; libev then takes the descriptor for a new one and calls epoll_ctl twice, of which the first fails. And a routine that wakes another cost a look at the sockets in between.

--- a/src/transport/conn.c
+++ b/src/transport/conn.c
@@ -52,6 +52,7 @@
     fc_routine *r = c->waiter;
     c->waiter = NULL;
     fc_routine_wake(r);
+    return; /* it stays armed: for most messages the next wait is for the same event */
   }
   /* Level-triggered: without a routine to read it, the event would fire for ever. */
   ev_io_stop(loop, w);
@@ -77,11 +78,13 @@
 static fc_wake conn_wait(fc_conn *c, int events, double deadline) {
   c->wanted = events;
   c->waiter = fc_routine_self();
-  if (!ev_is_active(&c->io) || (c->io.events & (EV_READ | EV_WRITE)) != events) {
+  if ((c->io.events & (EV_READ | EV_WRITE)) != events) {
     ev_io_stop(fc_loop(), &c->io);
-    ev_io_set(&c->io, c->fd, events);
-    ev_io_start(fc_loop(), &c->io);
+    /* Not ev_io_set(): after it libev takes the descriptor for a new one, and tells the
+     * kernel of it with a call that fails and one that does not, at every wait. */
+    ev_io_modify(&c->io, events);
   }
+  ev_io_start(fc_loop(), &c->io); /* nothing when it is active */
   fc_wake w = fc_routine_park(deadline);
   c->waiter = NULL;
   return w;
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -28,6 +28,7 @@
 #define STACK_BYTES (96u * 1024u)
 #define GUARD_BYTES 4096u
 #define SPARE_STACKS 16u
+#define SWEEPS_MOST 4u
 #define LAG_HALF_LIFE_S 1.0
 
 struct fc_routine {
@@ -178,10 +179,9 @@
   }
 }
 
-static void drain_queue(void) {
-  /* One sweep only: routines that wake each other must not starve the sockets. */
+/* Runs the routines that are ready now, not those that these make ready. */
+static void sweep_queue(void) {
   fc_routine *last = g_queue_tail;
-  if (last) g_slice_from = fc_now();
   while (g_queue_head) {
     fc_routine *r = g_queue_head;
     bool stop = r == last;
@@ -193,6 +193,13 @@
   }
 }
 
+/* Routines that wake each other must not starve the sockets; but each look at those is a
+ * system call, so a short chain of them is run to its end first. */
+static void drain_queue(void) {
+  if (g_queue_head) g_slice_from = fc_now();
+  for (unsigned sweep = 0; sweep < SWEEPS_MOST && g_queue_head; sweep++) sweep_queue();
+}
+
 static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events) {
   (void)w;
   (void)events;
