--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -12,23 +12,46 @@
   fc_peer *peer;
 } link_arg;
 
-static bool read_exact(fc_conn *conn, uint8_t *out, size_t n, double deadline) {
-  while (n > 0) {
-    ssize_t got = fc_conn_read(conn, out, n, deadline);
+/* What has been read beyond the frame that was asked for: head and body of most frames
+ * come in one system call. */
+typedef struct link_buffer {
+  fc_conn *conn;
+  size_t from, to;
+  uint8_t bytes[2048];
+} link_buffer;
+
+static size_t take_buffered(link_buffer *b, uint8_t *out, size_t n) {
+  n = MIN(n, b->to - b->from);
+  memcpy(out, b->bytes + b->from, n);
+  b->from += n;
+  return n;
+}
+
+static bool read_exact(link_buffer *b, uint8_t *out, size_t n, double deadline) {
+  for (size_t had; n > 0; out += had, n -= had) {
+    had = take_buffered(b, out, n);
+    if (had == n) break;
+    if (had > 0) continue;
+    bool large = n >= sizeof b->bytes;
+    ssize_t got = fc_conn_read(b->conn, large ? out : b->bytes, large ? n : sizeof b->bytes, deadline);
     if (got <= 0) return false;
-    out += got;
-    n -= (size_t)got;
+    if (large) {
+      had = (size_t)got;
+    } else {
+      b->from = 0;
+      b->to = (size_t)got;
+    }
   }
   return true;
 }
 
 /* Reads one frame; the body is the caller's. */
-static uint8_t *read_frame(fc_conn *conn, double deadline, uint8_t head[FC_FRAME_HEAD], fc_frame_type *type,
+static uint8_t *read_frame(link_buffer *b, double deadline, uint8_t head[FC_FRAME_HEAD], fc_frame_type *type,
                            uint32_t *len) {
   memset(head, 0, FC_FRAME_HEAD);
-  if (!read_exact(conn, head, FC_FRAME_HEAD, deadline) || !fc_frame_head(head, type, len)) return NULL;
+  if (!read_exact(b, head, FC_FRAME_HEAD, deadline) || !fc_frame_head(head, type, len)) return NULL;
   uint8_t *body = g_malloc(*len + 1);
-  if (read_exact(conn, body, *len, deadline)) return body;
+  if (read_exact(b, body, *len, deadline)) return body;
   g_free(body);
   return NULL;
 }
@@ -75,19 +98,19 @@
   fc_cancels_read(c->cancels, all);
 }
 
-static bool exchange(fc_controller *c, fc_peer *peer, fc_conn *conn, uint64_t seq) {
+static bool exchange(fc_controller *c, fc_peer *peer, link_buffer *link, uint64_t seq) {
   GByteArray *out = g_byte_array_new();
   fc_view_make(c, peer, seq, out);
   double sent = fc_now(), deadline = sent + c->settings->report_s;
   uint64_t term = c->table->term.number, boot = c->boot, view = c->table->view;
   size_t k = (size_t)(peer - c->peers);
-  bool ok = fc_conn_write(conn, out->data, out->len, deadline);
+  bool ok = fc_conn_write(link->conn, out->data, out->len, deadline);
   g_byte_array_free(out, TRUE);
   if (!ok) goto lost;
   fc_frame_type type;
   uint32_t len;
   uint8_t head[FC_FRAME_HEAD];
-  uint8_t *body = read_frame(conn, deadline, head, &type, &len);
+  uint8_t *body = read_frame(link, deadline, head, &type, &len);
   fc_ack ack = {0};
   ok = body && type == FC_FRAME_ACK && fc_ack_decode(body, len, &ack);
   g_free(body);
@@ -133,12 +156,16 @@
   fc_metrics_duty(&c->metrics, FC_DUTY_VIEWS_SENT);
   uint64_t seq = 0;
   fc_conn *conn = NULL;
+  link_buffer *in = g_new0(link_buffer, 1);
   while (!fc_routine_cancelled()) {
     double began = fc_now();
     uint64_t events = c->view_events;
     c->counts.exchanges++;
-    if (!conn) conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5);
-    if (conn && !exchange(c, l->peer, conn, ++seq)) {
+    if (!conn) {
+      conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5);
+      *in = (link_buffer){.conn = conn};
+    }
+    if (conn && !exchange(c, l->peer, in, ++seq)) {
       fc_conn_close(conn);
       conn = NULL;
     }
@@ -150,6 +177,7 @@
     if (now < least) (void)fc_routine_sleep(least - now);
   }
   fc_conn_close(conn);
+  g_free(in);
   g_free(l);
 }
 
@@ -224,14 +252,18 @@
 static void serve_peer(fc_conn *conn, void *arg) {
   fc_controller *c = arg;
   fc_metrics_duty(&c->metrics, FC_DUTY_VIEWS_TAKEN);
+  link_buffer in = {.conn = conn};
   for (;;) {
     fc_frame_type type;
     uint32_t len;
     uint8_t head[FC_FRAME_HEAD];
-    uint8_t *body = read_frame(conn, fc_now() + c->settings->lease_s, head, &type, &len);
+    uint8_t *body = read_frame(&in, fc_now() + c->settings->lease_s, head, &type, &len);
     if (!body && fc_frame_is_http(head)) {
       fc_http_server_options opt = {.idle_s = c->settings->lease_s, .request_s = c->settings->report_s};
-      fc_http_serve_conn(conn, (const char *)head, sizeof head, &opt, serve_operator, c);
+      uint8_t first[sizeof head + sizeof in.bytes];
+      memcpy(first, head, sizeof head);
+      size_t more = take_buffered(&in, first + sizeof head, sizeof in.bytes);
+      fc_http_serve_conn(conn, (const char *)first, sizeof head + more, &opt, serve_operator, c);
       return;
     }
     fc_view v;
