A routine's timer is left in place over waits with like deadlines

Every wait set and removed a timer, and read the clock twice. One that an earlier wait has left is kept when it fires no later and not much too early.

--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -38,7 +38,8 @@
   char *stack;
   fc_usage *usage;
   ev_timer timer;
-  double due; /* when the timer should fire */
+  double armed_until; /* when the timer fires, if it is active */
+  double deadline;    /* of the present wait */
   fc_wake reason;
   bool parked;
   bool queued; /* in the run queue */
@@ -232,13 +233,31 @@
   ev_run(g_loop, 0);
 }
 
+static void arm(fc_routine *r, double now) {
+  ev_timer_stop(g_loop, &r->timer);
+  ev_now_update(g_loop);
+  ev_timer_set(&r->timer, r->deadline - now, 0.);
+  ev_timer_start(g_loop, &r->timer);
+  r->armed_until = r->deadline;
+}
+
+/* A timer that an earlier wait has left is good for this one if it fires no later, and
+ * not so early that it would mostly fire for nothing. */
+static bool armed_well(const fc_routine *r, double now) {
+  return ev_is_active(&r->timer) && r->armed_until <= r->deadline && r->armed_until - now >= (r->deadline - now) * 0.5;
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events) {
   (void)loop;
   (void)events;
   fc_routine *r = w->data;
   if (!r->parked) return;
   double now = fc_now();
-  note_lag(now, now - r->due);
+  if (now < r->deadline) {
+    arm(r, now);
+    return;
+  }
+  note_lag(now, now - r->deadline);
   r->parked = false;
   r->reason = FC_WAKE_TIMEOUT;
   enqueue(r);
@@ -270,14 +289,11 @@
   if (deadline <= now) return FC_WAKE_TIMEOUT;
   r->parked = true;
   r->reason = FC_WAKE_OK;
-  r->due = deadline;
+  r->deadline = deadline;
   count_slice(now);
-  ev_now_update(g_loop);
-  ev_timer_set(&r->timer, deadline - now, 0.);
-  ev_timer_start(g_loop, &r->timer);
+  if (!armed_well(r, now)) arm(r, now);
   transfer_t t = jump_fcontext(g_main_context, r);
   g_main_context = t.fctx;
-  ev_timer_stop(g_loop, &r->timer);
   return r->reason;
 }
 
