--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -28,6 +28,7 @@
   fc_task_state state;
   fc_exit_cause cause;
   bool reported;                                                /* the machine has named it in a report */
+  bool listed;                                                  /* in the list that is being taken over */
   bool sent;                                                    /* a start may have reached the machine */
   uint64_t sent_seq;                                            /* the report whose answer carried the start last */
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
--- a/src/controller/view.c
+++ b/src/controller/view.c
@@ -121,7 +121,7 @@
 static void apply_machine(fc_controller *c, fc_machine *m, const fc_frame_machine *f) {
   fc_table *t = c->table;
   double now = fc_now();
-  GPtrArray *kept = g_ptr_array_new();
+  for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->listed = false;
   for (size_t i = 0; i < f->task_count; i++) {
     const fc_frame_task *ft = &f->tasks[i];
     fc_placement *p = fc_machine_find(m, ft->job, ft->index, ft->attempt);
@@ -130,13 +130,12 @@
     p->cause = (fc_exit_cause)ft->cause;
     p->reported = p->sent = true;
     if (p->state == FC_TASK_RUNNING && !p->running_since) p->running_since = now;
-    g_ptr_array_add(kept, p);
+    p->listed = true;
   }
   for (guint i = m->placements->len; i-- > 0;) {
     fc_placement *p = m->placements->pdata[i];
-    if (!g_ptr_array_find(kept, p, NULL)) fc_table_unplace(t, p);
+    if (!p->listed) fc_table_unplace(t, p);
   }
-  g_ptr_array_free(kept, TRUE);
   m->settled_term = t->term.number;
   m->remote_closed = f->closed;
   if (f->mute && !m->remote_mute) m->remote_mute_at = now;
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -95,17 +95,17 @@
   if (r->notice_s >= 0 && !m->notice_until) m->notice_until = now + r->notice_s;
   if (r->endpoint[0]) g_strlcpy(m->rec.endpoint, r->endpoint, sizeof m->rec.endpoint);
   if (m->settled_term != t->term.number && !settles) return; /* not fenced: proves nothing yet */
-  GHashTable *listed = g_hash_table_new(NULL, NULL);
+  for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->listed = false;
   for (size_t i = 0; i < r->task_count; i++) {
     const fc_task_report *tr = &r->tasks[i];
     fc_placement *p = fc_machine_find(m, tr->job, tr->index, tr->attempt);
     if (!p) p = fc_table_place(t, m, tr->job, tr->index, tr->attempt, now);
     update_placement(c, p, tr, now);
-    g_hash_table_add(listed, p);
+    p->listed = true;
   }
   for (guint i = m->placements->len; i-- > 0;) {
     fc_placement *p = m->placements->pdata[i];
-    if (g_hash_table_contains(listed, p)) continue;
+    if (p->listed) continue;
     bool gone;
     if (settles) {
       gone = true; /* fenced: what it does not list can't start any more */
@@ -126,7 +126,6 @@
       fc_views_soon(c);
     }
   }
-  g_hash_table_destroy(listed);
   if (settles) {
     m->settled_term = t->term.number;
     /* No view so far has shown the machine as settled, and only that is taken: a slice
