--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -121,13 +121,15 @@
   c->pool[c->pool_count++] = (pooled){.conn = conn, .since = fc_now()};
 }
 
+/* One for all: nothing waits between filling it and having parsed what is in it. */
+static char g_input[16u * 1024u];
+
 /* Reads one whole answer into `a`; true when it is complete. */
 static bool read_answer(fc_conn *conn, http_parser *p, answer *a, double deadline) {
-  char buf[4096];
   while (!a->complete) {
-    ssize_t n = fc_conn_read(conn, buf, sizeof buf, deadline);
+    ssize_t n = fc_conn_read(conn, g_input, sizeof g_input, deadline);
     if (n < 0) return false;
-    http_parser_execute(p, &k_settings, buf, (size_t)n); /* n == 0 tells the parser of the end */
+    http_parser_execute(p, &k_settings, g_input, (size_t)n); /* n == 0 tells the parser of the end */
     enum http_errno err = HTTP_PARSER_ERRNO(p);
     if (err != HPE_OK && err != HPE_PAUSED) return false;
     if (n == 0) break;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -111,9 +111,13 @@
   return ok;
 }
 
+/* One for all: nothing waits between filling it and having parsed what is in it. On each
+ * connection's stack it took a page of memory for as long as the connection is open. */
+static char g_input[16u * 1024u];
+
 /* Reads one request; false ends the connection. */
 static bool read_request(server *s, fc_conn *c, http_parser *p, exchange *x) {
-  char buf[4096];
+  char *buf = g_input;
   double deadline = fc_now() + s->opt.idle_s;
   bool timed = false;
   while (!x->complete) {
@@ -122,7 +126,7 @@
       memcpy(buf, s->first, s->first_len);
       s->first_len = 0;
     } else {
-      n = fc_conn_read(c, buf, sizeof buf, deadline);
+      n = fc_conn_read(c, buf, sizeof g_input, deadline);
     }
     if (n <= 0) return false;
     if (!timed) {
