--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -65,8 +65,8 @@
 
 /* Starts that have not been sent, and stops that the answer to a report would have
  * carried by now: a machine that reaches nobody hears of them directly or never. */
-static bool owes_commands(const fc_controller *c, const fc_machine *m) {
-  bool quiet = fc_now() > m->heard_at + c->settings->report_s * 1.25;
+static bool owes_commands(const fc_controller *c, const fc_machine *m, double now) {
+  bool quiet = now > m->heard_at + c->settings->report_s * 1.25;
   for (guint i = 0; i < m->placements->len; i++) {
     const fc_placement *p = m->placements->pdata[i];
     if (!p->reported && !p->sent && !p->stopping) return true;
@@ -168,7 +168,7 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
-    if (m->owner == t->self && m->settled_term == t->term.number && owes_commands(c, m) &&
+    if (m->owner == t->self && m->settled_term == t->term.number && owes_commands(c, m, now) &&
         !g_ptr_array_find(push, m, NULL))
       g_ptr_array_add(push, m);
   }
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -685,26 +685,29 @@
   if (!k->hears && at > m->kept_hears_at && m->kept_deaf_at <= m->kept_hears_at) m->kept_deaf_at = at;
 }
 
-/* When the worker has certainly given up its tasks; INFINITY: not known. Any
- * member may answer its reports, so each has to have told us until when it did
- * not; what dead lives answered, they did before we learned of the term. */
-static double lease_over_at(fc_controller *c, const fc_machine *m) {
+/* When the worker has certainly given up its tasks, if nobody we have not heard of has
+ * answered it. Any member may answer its reports, so each has to have told us until when
+ * it did not; what dead lives answered, they did before we learned of the term. */
+static double lease_over_at(const fc_controller *c, const fc_machine *m) {
   double last = MAX(MAX(m->answered_at, m->kept_at), MAX(m->owned_since, c->term_since));
   /* A new session has its full time from its own beginning, though nobody has
    * answered it yet: what was started on it by direct commands alone was once
    * taken for gone, and started elsewhere (fault test, seed 43). */
   last = MAX(last, m->session_from);
-  double over = last + c->settings->lease_s * (1 + 2 * FC_DRIFT) + c->settings->report_s * 0.25;
+  return last + c->settings->lease_s * (1 + 2 * FC_DRIFT) + c->settings->report_s * 0.25;
+}
+
+/* Has everybody who might have answered its worker told us until then that it didn't? */
+static bool others_covered(fc_controller *c, double over) {
   for (int i = 0; i < (int)c->table->term.count; i++) {
     if (i == c->table->self) continue;
     const fc_peer *peer = fc_peer_of(c, i);
-    if (!peer || peer->covered_at < over) return INFINITY;
+    if (!peer || peer->covered_at < over) return false;
   }
   /* One that was no member may have entered since we last read of it, and keep the
    * worker alive: alone in a term, and cut off from the state service, we started its
    * tasks again (fault test, seed 353). */
-  if (c->table->term.count < c->settings->peer_count + 1 && c->fresh_sent < over) return INFINITY;
-  return over;
+  return c->table->term.count >= c->settings->peer_count + 1 || c->fresh_sent >= over;
 }
 
 /* The worker has given up its tasks and is in a later session, or will be when it goes
@@ -726,7 +729,8 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
     if (m->owner != t->self || !m->version) continue;
-    if (now < lease_over_at(c, m)) continue;
+    double over = lease_over_at(c, m);
+    if (now < over || !others_covered(c, over)) continue;
     if (m->placements->len > 0 || m->settled_term != t->term.number) {
       if (m->announced) g_info("lease over machine=%s tasks=%u", m->id, m->placements->len);
       fc_machine_clear(t, m);
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -174,7 +174,12 @@
 static guint each_missing(const fc_job *j, unsigned slices, guint most, GArray *out) {
   uint8_t small[SMALL_BITMAP], *taken = taken_tasks(j, small);
   guint n = 0;
+  if (!slices) most = 0;
   for (uint32_t i = 0; i < j->spec.tasks && n < most; i++) {
+    if (i % 8 == 0 && taken[i / 8] == 0xff) {
+      i += 7;
+      continue;
+    }
     if ((taken[i / 8] >> (i % 8) & 1) || !(slices >> fc_job_slice_of(j, i) & 1)) continue;
     if (out) g_array_append_val(out, i);
     n++;
@@ -423,11 +428,8 @@
     if (!fc_job_placeable(t, j, rs->now)) continue;
     /* What may be on a machine that we have not heard of is not started. */
     unsigned slices = slices_of(j, t->self) & j->clear & ~j->handing;
+    if (each_missing(j, slices, 1, NULL) == 0) continue;
     GArray *missing = fc_job_missing_in(j, slices, FC_MISSING_MOST);
-    if (missing->len == 0) {
-      g_array_free(missing, TRUE);
-      continue;
-    }
     candidate *c = g_new0(candidate, 1);
     c->job = j;
     c->missing = missing;
