--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -46,13 +46,14 @@
 static void update_recorded(fc_controller *c, fc_placement *p) {
   if (p->state != FC_TASK_EXITED || p->recorded) return;
   const fc_job *j = p->job;
-  if (p->cause != FC_CAUSE_DONE || (j && (j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index)))) {
-    p->recorded = true;
-  } else if (j) {
+  bool done = p->cause == FC_CAUSE_DONE;
+  if (done && j && j->phase == FC_PHASE_ACCEPTED && !fc_job_task_done(j, p->index)) {
     fc_workers_record(c, p->job_id);
-  } else if (p->since + c->settings->report_s < c->fresh_sent) {
-    p->recorded = true; /* no such job any more: it was over long ago */
+    return;
   }
+  /* With no such job any more it was over long ago, if all has been read since. */
+  if (done && !j && p->since + c->settings->report_s >= c->fresh_sent) return;
+  p->recorded = true;
 }
 
 static void update_placement(fc_controller *c, fc_placement *p, const fc_task_report *r, double now) {
--- a/src/protocol/operator.cc
+++ b/src/protocol/operator.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-struct Entry {
+struct entry {
   const char *table;
   const char *key;
   double least, most;
@@ -18,7 +18,7 @@
   void (*set)(fc_operator_settings *, double);
 };
 
-const Entry kNumbers[] = {
+const entry k_numbers[] = {
     {"scheduler", "round_s", 0.1, 60, false, [](fc_operator_settings *o, double v) { o->round_s = v; }},
     {"scheduler", "handover_wait_s", 0, 3600, false, [](fc_operator_settings *o, double v) { o->handover_wait_s = v; }},
     {"scheduler", "split_limit", 1, 1000, true,
@@ -41,7 +41,7 @@
     out->rent = *node.value<bool>();
     return true;
   }
-  for (const Entry &e : kNumbers) {
+  for (const entry &e : k_numbers) {
     if (std::string(table) != e.table || name != e.key) continue;
     auto v = node.value<double>();
     bool typed = e.whole ? node.is_integer() : node.is_number();
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -20,7 +20,10 @@
   fcontext_t fctx;
   void *data;
 } transfer_t;
+/* The names are boost_context's. */
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern transfer_t jump_fcontext(fcontext_t to, void *vp);
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern fcontext_t make_fcontext(void *sp, size_t size, void (*fn)(transfer_t));
 
 /* Only the pages a routine touches count as memory; what is reserved does not. */
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -471,8 +471,7 @@
     double delay = k < 0.006 ? sim_draw(1, 40) : k < 0.016 ? sim_draw(0.1, 0.5) : sim_draw(0.0003, 0.004);
     sim_after(delay + slowness(), deliver_request, x);
   }
-  /* What is lost is nowhere queued; nothing is freed before the scene is over. */
-  return x;  // NOLINT(clang-analyzer-unix.Malloc): exchanges live as long as the scene
+  return x;
 }
 
 void sim_serve(uint32_t ip, sim_server_fn fn, void *arg) {
@@ -547,7 +546,8 @@
   x->waiter = NULL;
   if (!x->answered) {
     x->given_up = true;
-    return false;
+    /* Where the request was lost nothing holds the exchange any more; none is freed. */
+    return false;  // NOLINT(clang-analyzer-unix.Malloc): exchanges live as long as the scene
   }
   reply->status = x->status;
   reply->retry_after_s = x->retry_after_s;
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -134,7 +134,7 @@
  * that may hold them, not once every machine of the fleet is. */
 static void moved_slices_go_on(void **state) {
   (void)state;
-  enum { machines = 18, arrays = 3 };
+  enum { MACHINES = 18, ARRAYS = 3 };
   static const struct {
     const char *name;
     double hang_s, back_in_s;
@@ -146,34 +146,34 @@
   for (size_t i = 0; i < G_N_ELEMENTS(rows) * 3; i++) {
     const unsigned row = (unsigned)i / 3;
     world_set_up(300 + (uint32_t)i, 0);
-    world_capacity(machines / 2, 0);
+    world_capacity(MACHINES / 2, 0);
     world_start_nodes();
-    world_machines_up(0, machines / 2);
-    world_machines_up(1, machines / 2);
-    fill(machines, 5);
+    world_machines_up(0, MACHINES / 2);
+    world_machines_up(1, MACHINES / 2);
+    fill(MACHINES, 5);
     sim_run_until(sim_now() + 25);
-    for (unsigned k = 0; k < arrays; k++) {
+    for (unsigned k = 0; k < ARRAYS; k++) {
       world_submit_job(
           &(world_job){.id = world_id(k), .kind = "sweep", .tasks = 20, .gpus = 4, .run_s = 4, .one_zone = true});
     }
     sim_run_until(sim_now() + 5);
-    unsigned freed = make_room_at(1, machines);
+    unsigned freed = make_room_at(1, MACHINES);
     sim_run_until(sim_now() + 12);
     unsigned moved = 0;
     for (unsigned n = 0; n < WORLD_NODES; n++) moved += (unsigned)world_counts(n).handed_over;
-    for (unsigned m = 0; m < machines; m++)
+    for (unsigned m = 0; m < MACHINES; m++)
       if (world_node_of(m) == 2) world_hang(m, m + 1, rows[row].hang_s);
     world_crash(2, rows[row].back_in_s);
     world_crash(1, rows[row].back_in_s);
     double from = sim_now();
     sim_run_until(from + 2); /* what had been sent off */
-    unsigned before[arrays], had_begun = 0, go_on = 0;
-    for (unsigned k = 0; k < arrays; k++) {
+    unsigned before[ARRAYS], had_begun = 0, go_on = 0;
+    for (unsigned k = 0; k < ARRAYS; k++) {
       before[k] = world_starts_of(world_id(k));
       had_begun += before[k] > 0;
     }
     sim_run_until(from + rows[row].back_in_s + 9);
-    for (unsigned k = 0; k < arrays; k++) go_on += before[k] > 0 && world_starts_of(world_id(k)) > before[k];
+    for (unsigned k = 0; k < ARRAYS; k++) go_on += before[k] > 0 && world_starts_of(world_id(k)) > before[k];
     world_result r = world_so_far();
     if (r.broken) fail_msg("%s: %s", rows[row].name, r.first);
     print_message("%s: room for %u, %u moved, %u of %u go on\n", rows[row].name, freed, moved, go_on, had_begun);
@@ -337,7 +337,7 @@
       {"slow links, a controller is replaced", 0.3, 1, 0},
       {"slow links, two are replaced and machines die", 0.3, 2, 3},
   };
-  enum { each = 12 };
+  enum { EACH = 12 };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     world_set_up(600 + (uint32_t)i, 0);
     world_capacity(6, 0);
@@ -346,11 +346,11 @@
     world_machines_up(1, 5);
     sim_run_until(sim_now() + 5);
     world_slow_links(70, rows[i].slow_s);
-    double sent[4][each + 1];
+    double sent[4][EACH + 1];
     /* Three times what there is room for, of all ranks alike; the last is the largest. */
     for (unsigned r = 0; r < 4; r++) {
-      for (unsigned k = 0; k <= each; k++) {
-        bool large = k == each;
+      for (unsigned k = 0; k <= EACH; k++) {
+        bool large = k == EACH;
         double in_s = large ? 10 : 1 + k * 3 + r * 0.2;
         sent[r][k] = sim_now() + in_s;
         world_submit_job(&(world_job){.id = world_id(r * 100 + k),
@@ -369,17 +369,17 @@
     world_kill(0, rows[i].dead);
     for (unsigned n = 0; n < rows[i].crashes; n++) world_crash(n, 4);
     world_troubles_end(50);
-    run_until_done(4 * (each + 1), 260);
+    run_until_done(4 * (EACH + 1), 260);
     world_result res = world_so_far();
     if (res.broken) fail_msg("%s: %s", rows[i].name, res.first);
-    print_message("%s: %u of %u done; mean wait", rows[i].name, res.finished, 4 * (each + 1));
+    print_message("%s: %u of %u done; mean wait", rows[i].name, res.finished, 4 * (EACH + 1));
     double mean[4] = {0}, largest[4];
     for (unsigned r = 0; r < 4; r++) {
-      for (unsigned k = 0; k <= each; k++) {
+      for (unsigned k = 0; k <= EACH; k++) {
         check_row(rows[i].name, world_began(world_id(r * 100 + k)) > 0);
-        if (k < each) mean[r] += (world_began(world_id(r * 100 + k)) - sent[r][k]) / each;
+        if (k < EACH) mean[r] += (world_began(world_id(r * 100 + k)) - sent[r][k]) / EACH;
       }
-      largest[r] = world_began(world_id(r * 100 + each)) - sent[r][each];
+      largest[r] = world_began(world_id(r * 100 + EACH)) - sent[r][EACH];
       print_message(" %s %.1f s (largest %.1f)", ranks[r], mean[r], largest[r]);
     }
     print_message("\n");
@@ -387,7 +387,7 @@
       check_row(rows[i].name, largest[r] <= 240);
       if (r > 0) check_row(rows[i].name, mean[r - 1] <= mean[r]);
     }
-    check_row(rows[i].name, res.finished == 4 * (each + 1));
+    check_row(rows[i].name, res.finished == 4 * (EACH + 1));
   }
 }
 
