The wire's names stand in src/protocol alone: ready, error, and a mark's format

No change of behaviour: the bodies are the same. GET /ready's answer and the value of a key that says all by being there are written by protocol/; the report handler's refusals use the error answer there is. http_server.c's own refusal stays: transport is a lower layer.

--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -21,7 +21,7 @@
 static bool set_mark(fc_controller *c) {
   fc_write *w = fc_write_new();
   fc_write_if(w, FC_KEY_ARCHIVE, 0);
-  fc_write_put(w, FC_KEY_ARCHIVE, json_pack("{si}", "f", 1));
+  fc_write_put(w, FC_KEY_ARCHIVE, fc_mark_encode());
   uint64_t revision = 0;
   fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_UPKEEP, fc_now() + c->settings->lease_s, &revision);
   if (r == FC_STATE_OK) return fc_wait_revision(c, revision, fc_now() + c->settings->report_s);
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -286,7 +286,7 @@
     case FC_ROUTE_READY:
       if (is_ready(c)) {
         res->status = 200;
-        g_string_append(res->body, "{\"ready\":true}");
+        fc_ready_answer(res->body);
       } else {
         later(res, 503, "not ready");
       }
--- a/src/controller/member.c
+++ b/src/controller/member.c
@@ -21,7 +21,7 @@
   fc_txn *t = fc_txn_new();
   /* Conditional: a late copy of an earlier attempt must not replace this one. */
   fc_txn_if(t, key, known ? *known : 0);
-  fc_txn_put_leased(t, key, json_pack("{si}", "f", 1), c->lease);
+  fc_txn_put_leased(t, key, fc_mark_encode(), c->lease);
   uint64_t revision = 0;
   fc_state_result r = fc_state_commit(c->state, t, fc_now() + 1.0, &revision, NULL);
   fc_txn_free(t);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -356,7 +356,7 @@
   for (guint i = 0; i < ids->len && ok;) {
     fc_write *w = fc_write_new();
     /* Who wants to record a machine that has reported names the version of this mark. */
-    fc_write_put(w, FC_KEY_RETURNED, json_pack("{si}", "f", 1));
+    fc_write_put(w, FC_KEY_RETURNED, fc_mark_encode());
     for (unsigned n = 1; i < ids->len && (n == 1 || n < fc_commit_most(c->commit)); i++) {
       const fc_machine *m = fc_table_machine(t, ids->pdata[i]);
       if (!m || !m->version) continue;
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -341,7 +341,8 @@
 
 static void refuse(int *status, GString *out) {
   *status = 503;
-  g_string_assign(out, "{\"error\":\"not entitled now\"}");
+  g_string_truncate(out, 0);
+  fc_error_answer(out, "not entitled now");
 }
 
 /* Should the worker be sent to its owner? Not when we do not hear of the owner,
@@ -398,7 +399,7 @@
   fc_table *t = c->table;
   if (!fc_worker_report_parse(req->body, req->body_len, &r, error, sizeof error)) {
     *status = 400;
-    g_string_append(out, "{\"error\":\"malformed report\"}");
+    fc_error_answer(out, "malformed report");
     g_info("malformed report: %s", error);
     return;
   }
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -246,6 +246,10 @@
   g_string_append_c(out, '}');
 }
 
+void fc_ready_answer(GString *out) {
+  fc_json_append(out, json_pack("{sb}", "ready", 1));
+}
+
 void fc_error_answer(GString *out, const char *what) {
   fc_json_append(out, json_pack("{ss}", "error", what));
 }
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -81,6 +81,8 @@
 /* The body of an answer to a user. */
 void fc_job_answer(GString *out, const char *id, fc_job_status status, uint32_t done, uint32_t running,
                    bool with_counts);
+/* The body of an answer to GET /ready by a node that is. */
+void fc_ready_answer(GString *out);
 void fc_error_answer(GString *out, const char *what);
 
 /* Ranges of task numbers <-> bitmap. Decoding refuses numbers >= tasks. */
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -19,6 +19,10 @@
   (void)fc_read_count(r, "f", FORMAT, FORMAT);
 }
 
+json_t *fc_mark_encode(void) {
+  return json_pack("{si}", "f", FORMAT);
+}
+
 json_t *fc_term_encode(const fc_term *t) {
   json_t *members = json_array();
   for (size_t i = 0; i < t->count; i++)
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -38,6 +38,9 @@
   size_t count;
 } fc_term;
 
+/* The value of a key that says all by being there: the format number alone. */
+json_t *fc_mark_encode(void);
+
 json_t *fc_term_encode(const fc_term *t);
 bool fc_term_decode(const json_t *v, fc_term *out);
 int fc_term_find(const fc_term *t, const char *name); /* -1: not a member */
