--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -8,8 +8,8 @@
 static const char *const k_names[] = {"submit", "poll", "start", "round"};
 
 static const char *const k_duty_names[FC_DUTIES] = {
-    "other", "reports", "commands", "rounds",     "rental",      "views_sent", "views_taken",
-    "watch", "load",    "commits",  "membership", "submissions", "queries",
+    "other", "reports", "commands", "rounds",       "rental",      "views_sent", "views_taken",
+    "watch", "load",    "commits",  "coordination", "submissions", "queries",
 };
 
 void fc_metrics_init(fc_metrics *m) {
