--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -24,9 +24,36 @@
 void sim_process_kill(uint32_t ip);
 /* It stands still while its clock runs on; what it is sent meanwhile waits. */
 void sim_process_still(uint32_t ip, double for_s);
+/* From its next start on it has that share of a processor: whatever wakes it, and each
+ * message and byte that it reads or sends, costs it time, in which nothing else of it runs;
+ * its clock runs on. Its timers fire up to late_s late besides. */
+void sim_process_share(uint32_t ip, double of_processor, double late_s);
 bool sim_process_alive(uint32_t ip);
 uint32_t sim_here(void); /* the process that runs now; 0: none */
 
+/* Of a whole processor, of one that has a share. */
+typedef struct sim_costs {
+  double wake_s, message_s, byte_s;
+} sim_costs;
+
+/* What the routine that has just run has cost besides, of a whole processor. */
+typedef double (*sim_work_fn)(uint32_t ip);
+void sim_set_work(sim_work_fn fn);
+
+/* What a process has sent and got since sim_init, its earlier lives included. */
+typedef struct sim_traffic {
+  uint64_t messages, bytes;
+} sim_traffic;
+typedef struct sim_way {
+  sim_traffic sent, got;
+} sim_way;
+typedef struct sim_load {
+  uint64_t wakes; /* of its routines */
+  double busy_s;  /* of a whole processor; counted of one that has a share */
+  sim_way peers, workers, others;
+} sim_load;
+sim_load sim_load_of(uint32_t ip);
+
 /* How traffic from one address to another fares at this moment. */
 typedef enum { SIM_CLEAR, SIM_HELD, SIM_RESET } sim_link;
 typedef sim_link (*sim_link_fn)(uint32_t from, uint32_t to);
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -24,6 +24,7 @@
 extern fcontext_t make_fcontext(void *sp, size_t size, void (*fn)(transfer_t));
 
 #define STACK ((size_t)512 * 1024)
+#define HTTP_HEAD_BYTES 90u /* the first line and the fields of a request or an answer */
 
 typedef struct event {
   double at;
@@ -37,6 +38,12 @@
   bool alive;
   double still_until; /* its routines don't run, its clock does, what comes waits */
   GPtrArray *routines;
+  /* With a share of a processor, its routines run one after the other as each is paid for. */
+  double share;      /* 0: nothing costs time */
+  double late_s;     /* its timers fire up to so much late */
+  double busy_until; /* what has run so far takes until then */
+  GQueue ready;      /* routines */
+  bool turn_due;
 } process;
 
 struct fc_routine {
@@ -47,6 +54,7 @@
   process *process;
   fc_wake reason;
   uint64_t waits; /* tells a timer of an earlier wait from the present one */
+  double owed_s;  /* of a whole processor: for what it reads next */
   bool parked, queued, finished, dead;
 };
 
@@ -71,6 +79,10 @@
 static double g_lose_request, g_lose_reply;
 static double g_slow_until, g_slow_most;
 static GPtrArray *g_spare;
+static GHashTable *g_shares; /* ip -> share: outlives the process */
+static GHashTable *g_loads;  /* ip -> sim_load: since the start of the simulation */
+static sim_work_fn g_work;
+static const sim_costs k_costs = {.wake_s = 20e-6, .message_s = 30e-6, .byte_s = 0.1e-6};
 
 static gint by_time(gconstpointer a, gconstpointer b, gpointer data) {
   (void)data;
@@ -90,8 +102,11 @@
   g_servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_listeners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   if (!g_spare) g_spare = g_ptr_array_new();
+  g_shares = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  g_loads = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   g_self = NULL;
   g_process = NULL;
+  g_work = NULL;
   g_slow_until = 0;
 }
 
@@ -139,6 +154,57 @@
   g_now = t;
 }
 
+/* ---- what a process costs ---- */
+
+typedef struct share {
+  double of_processor, late_s;
+} share;
+
+static sim_load *load_of(uint32_t ip) {
+  sim_load *l = g_hash_table_lookup(g_loads, GUINT_TO_POINTER(ip));
+  if (!l) {
+    l = g_new0(sim_load, 1);
+    g_hash_table_insert(g_loads, GUINT_TO_POINTER(ip), l);
+  }
+  return l;
+}
+
+sim_load sim_load_of(uint32_t ip) {
+  return *load_of(ip);
+}
+
+/* Of a whole processor. */
+static double message_cost(size_t bytes) {
+  return k_costs.message_s + k_costs.byte_s * (double)bytes;
+}
+
+static void charge(process *p, double cost_s) {
+  if (!p || p->share <= 0) return;
+  load_of(p->ip)->busy_s += cost_s;
+  p->busy_until = MAX(p->busy_until, g_now) + cost_s / p->share;
+}
+
+/* What it sends leaves it once all before has been paid for. */
+static double departs_in(const process *p) {
+  return p && p->share > 0 ? MAX(0, p->busy_until - g_now) : 0;
+}
+
+static sim_traffic *traffic(uint32_t ip, uint32_t other, bool sent) {
+  sim_load *l = load_of(ip);
+  bool peer = other >> 16 == ip >> 16; /* the other controllers are in its network */
+  bool worker = other >> 16 == (10u << 8 | 1);
+  sim_way *w = peer ? &l->peers : worker ? &l->workers : &l->others;
+  return sent ? &w->sent : &w->got;
+}
+
+static void count_message(uint32_t from, uint32_t to, size_t bytes) {
+  sim_traffic *t[] = {traffic(from, to, true), traffic(to, from, false)};
+  for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+    t[i]->messages++;
+    t[i]->bytes += bytes;
+  }
+}
+
 /* ---- routines ---- */
 
 bool fc_loop_init(void) {
@@ -210,21 +276,53 @@
   }
   r->queued = false;
   if (r->dead) return;
+  load_of(r->process->ip)->wakes++;
+  charge(r->process, k_costs.wake_s);
   fc_routine *self_before = g_self;
   process *process_before = g_process;
   g_self = r;
   g_process = r->process;
   transfer_t t = jump_fcontext(r->context, r);
   r->context = t.fctx;
+  if (g_work && r->process->share > 0) charge(r->process, g_work(r->process->ip));
   g_self = self_before;
   g_process = process_before;
   if (r->finished) release(r);
 }
 
+static void turn(void *arg);
+
+static void next_turn(process *p) {
+  if (p->turn_due || g_queue_is_empty(&p->ready)) return;
+  p->turn_due = true;
+  at(MAX(g_now, MAX(p->busy_until, p->still_until)), turn, p);
+}
+
+/* The first that is ready runs once all before it, and what it reads, has been paid for. */
+static void turn(void *arg) {
+  process *p = arg;
+  p->turn_due = false;
+  fc_routine *r = g_queue_peek_head(&p->ready);
+  if (g_now >= p->busy_until && g_now >= p->still_until && p->alive && r) {
+    charge(p, r->owed_s);
+    r->owed_s = 0;
+    if (p->busy_until <= g_now || r->dead) {
+      (void)g_queue_pop_head(&p->ready);
+      run(r);
+    }
+  }
+  if (p->alive) next_turn(p);
+}
+
 static void enqueue(fc_routine *r) {
   if (r->queued) return;
   r->queued = true;
-  at(g_now, run, r);
+  if (r->process->share > 0) {
+    g_queue_push_tail(&r->process->ready, r);
+    next_turn(r->process);
+  } else {
+    at(g_now, run, r);
+  }
 }
 
 static fc_routine *spawn_in(process *p, fc_routine_fn fn, void *arg) {
@@ -273,6 +371,7 @@
   r->reason = FC_WAKE_OK;
   timer *t = g_new(timer, 1);
   *t = (timer){.routine = r, .wait = ++r->waits};
+  if (r->process->late_s > 0) when += sim_draw(0, r->process->late_s);
   at(when, on_timer, t);
   transfer_t tr = jump_fcontext(g_main, NULL);
   g_main = tr.fctx;
@@ -327,6 +426,12 @@
   p->ip = ip;
   p->alive = true;
   p->routines = g_ptr_array_new();
+  g_queue_init(&p->ready);
+  const share *s = g_hash_table_lookup(g_shares, GUINT_TO_POINTER(ip));
+  if (s) {
+    p->share = s->of_processor;
+    p->late_s = s->late_s;
+  }
   g_hash_table_insert(g_processes, GUINT_TO_POINTER(ip), p);
   process *before = g_process;
   g_process = p;
@@ -346,6 +451,13 @@
   if (p) p->still_until = g_now + for_s;
 }
 
+/* From its next start on. */
+void sim_process_share(uint32_t ip, double of_processor, double late_s) {
+  share *s = g_new(share, 1);
+  *s = (share){of_processor, late_s};
+  g_hash_table_insert(g_shares, GUINT_TO_POINTER(ip), s);
+}
+
 uint32_t sim_here(void) {
   return g_process ? g_process->ip : 0;
 }
@@ -397,6 +509,7 @@
   if (x->given_up) return;
   x->answered = true;
   if (x->waiter) {
+    x->waiter->owed_s += message_cost(strlen(x->reply));
     fc_routine_wake(x->waiter);
   } else if (x->fn) {
     sim_reply_fn fn = x->fn;
@@ -422,8 +535,12 @@
   if (x->reply) return;
   x->status = status;
   x->reply = g_strdup(body);
+  size_t bytes = strlen(x->reply) + HTTP_HEAD_BYTES;
+  count_message(x->to, x->from, bytes);
+  process *sender = g_process && g_process->ip == x->to ? g_process : NULL;
+  charge(sender, message_cost(bytes));
   if (sim_chance(g_lose_reply)) return;
-  sim_after(sim_draw(0.0003, 0.004) + slowness(), reply_when_clear, x);
+  sim_after(sim_draw(0.0003, 0.004) + slowness() + departs_in(sender), reply_when_clear, x);
 }
 
 static void handler_main(void *arg) {
@@ -466,7 +583,11 @@
   char *key = place_key(x->to, x->port);
   server *s = g_hash_table_lookup(g_servers, key);
   g_free(key);
-  if (s && s->process->alive) (void)spawn_in(s->process, handler_main, x);
+  if (s && s->process->alive) {
+    count_message(x->from, x->to, strlen(x->path) + strlen(x->body) + HTTP_HEAD_BYTES);
+    fc_routine *r = spawn_in(s->process, handler_main, x);
+    r->owed_s = message_cost(strlen(x->path) + strlen(x->body) + HTTP_HEAD_BYTES);
+  }
 }
 
 static sim_exchange *send_request(uint32_t from, uint32_t to, uint16_t port, const char *method, const char *path,
@@ -478,12 +599,18 @@
   x->method = g_strdup(method);
   x->path = g_strdup(path);
   x->body = body ? g_strndup(body, len) : g_strdup("");
+  process *sender = g_process && g_process->ip == from ? g_process : NULL;
+  if (sender) {
+    size_t bytes = strlen(path) + len + HTTP_HEAD_BYTES;
+    count_message(from, to, bytes);
+    charge(sender, message_cost(bytes));
+  }
   if (!sim_chance(g_lose_request)) {
     /* Now and then slow, and now and then so late that the sender has given up
      * long ago: it is carried out all the same. */
     double k = g_lose_request > 0 ? sim_draw(0, 1) : 1; /* a good network */
     double delay = k < 0.006 ? sim_draw(1, 40) : k < 0.016 ? sim_draw(0.1, 0.5) : sim_draw(0.0003, 0.004);
-    sim_after(delay + slowness(), deliver_request, x);
+    sim_after(delay + slowness() + departs_in(sender), deliver_request, x);
   }
   return x;
 }
@@ -598,6 +725,7 @@
   process *process;
   bool closed;
   double clear_at; /* what is sent later arrives later */
+  double unpaid_s; /* for what has come and nobody has read yet */
 };
 
 typedef struct listener {
@@ -667,6 +795,11 @@
   bool end;
 } segment;
 
+static void pay_by(fc_conn *c, fc_routine *r) {
+  r->owed_s += c->unpaid_s;
+  c->unpaid_s = 0;
+}
+
 /* Delivers in order what may arrive by now. */
 static void pump(void *arg) {
   fc_conn *c = arg;
@@ -681,6 +814,8 @@
     if (!c->closed && c->process->alive) {
       if (s->end || l == SIM_RESET) c->other = NULL;
       if (!s->end && l == SIM_CLEAR) g_byte_array_append(c->inbox, s->data->data, s->data->len);
+      c->unpaid_s += message_cost(s->data->len);
+      if (c->waiter) pay_by(c, c->waiter);
       if (c->waiter) fc_routine_wake(c->waiter);
     }
     g_byte_array_free(s->data, TRUE);
@@ -694,7 +829,10 @@
   s->end = end;
   s->data = g_byte_array_new();
   g_byte_array_append(s->data, buf, (guint)n);
-  s->when = from->clear_at = MAX(g_now + sim_draw(0.0003, 0.003) + slowness(), from->clear_at);
+  count_message(from->local, from->remote, n);
+  charge(from->process, message_cost(n));
+  double leaves = g_now + departs_in(from->process);
+  s->when = from->clear_at = MAX(leaves + sim_draw(0.0003, 0.003) + slowness(), from->clear_at);
   g_queue_push_tail(&from->other->arriving, s);
   at(s->when, pump, from->other);
 }
@@ -707,6 +845,8 @@
     c->waiter = NULL;
     if (w != FC_WAKE_OK) return -1;
   }
+  charge(c->process, c->unpaid_s);
+  c->unpaid_s = 0;
   size_t n = MIN(size, c->inbox->len);
   memcpy(buf, c->inbox->data, n);
   g_byte_array_remove_range(c->inbox, 0, (guint)n);
@@ -738,6 +878,10 @@
   return true;
 }
 
+void sim_set_work(sim_work_fn fn) {
+  g_work = fn;
+}
+
 void sim_set_links(sim_link_fn fn, double lose_request, double lose_reply) {
   g_links = fn;
   g_lose_request = lose_request;
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -60,6 +60,12 @@
 static void on_submitted(int status, const char *body, void *arg) {
   question *q = arg;
   job *j = q->j;
+  g_result.submissions++;
+  g_result.unanswered += status == 0;
+  if (status == 429 || status == 503) {
+    g_result.refused++;
+    if (sim_retry_after() <= 0) world_broke("refused without Retry-After", body);
+  }
   if (status == 200 || status == 201) {
     if (!j->told_accepted) {
       g_result.accepted++;
@@ -93,6 +99,10 @@
 static void on_poll(int status, const char *body, void *arg) {
   question *q = arg;
   job *j = q->j;
+  g_result.questions++;
+  g_result.told += status == 200;
+  g_result.put_off += status == 503;
+  if (status == 503 && sim_retry_after() <= 0) world_broke("refused without Retry-After", body);
   if (status == 404) world_broke("forgotten", j->id);
   if (status == 200) {
     read_status(q, body);
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -493,6 +493,7 @@
     return;
   }
   if (alive(w)) {
+    if (w->up_at < now) g_result.lease_left_s = MIN(g_result.lease_left_s, MAX(0, w->last_ok + LEASE_S - now));
     check_lease(w);
     for (guint i = 0; i < w->tasks->len; i++) {
       task *t = w->tasks->pdata[i];
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -122,6 +122,7 @@
 } strike;
 
 static strike g_strikes[WORLD_NODES];
+static unsigned g_terms;
 
 static void strike_now(void *arg) {
   const strike *s = arg;
@@ -130,6 +131,7 @@
 }
 
 void world_wrote(const struct sim_exchange *x, const char *key) {
+  g_terms += strcmp(key, FC_KEY_TERM) == 0;
   int n = node_of(*(const uint32_t *)x); /* first field: the sender */
   if (n < 0 || !g_strikes[n].prefix || !g_str_has_prefix(key, g_strikes[n].prefix)) return;
   strike *s = g_new(strike, 1);
@@ -266,6 +268,53 @@
   }
 }
 
+void world_lean(unsigned machines) {
+  world_large(machines);
+  for (int n = 0; n < WORLD_NODES; n++) {
+    fc_settings *s = &g_settings[n];
+    s->state_rps = 100;
+    s->state_write_rps = 40;
+    s->cloud_rps = 2;
+    s->memory_mb = 27;
+    s->fd_limit = 900;
+    fc_operator_settings usual;
+    fc_operator_defaults(&usual);
+    s->op.over_keep_s = usual.over_keep_s;
+  }
+}
+
+/* A round looks at every machine and every job. */
+static double work(uint32_t ip) {
+  const double machine_s = 0.5e-6, job_s = 2e-6;
+  static uint64_t seen[WORLD_NODES];
+  int n = node_of(ip);
+  const fc_controller *c = g_controllers[n];
+  if (!c) return 0;
+  uint64_t rounds = c->counts.rounds, before = MIN(seen[n], rounds);
+  seen[n] = rounds;
+  return (double)(rounds - before) *
+         (machine_s * g_hash_table_size(c->table->machines) + job_s * g_hash_table_size(c->table->jobs));
+}
+
+void world_slow(unsigned node, double of_processor, double timers_late_s) {
+  sim_process_share(WORLD_NODE_IP(node), of_processor, timers_late_s);
+  sim_set_work(work);
+}
+
+unsigned world_terms(void) {
+  return g_terms;
+}
+
+void world_checks_from(double in_s) {
+  g_quiet_from = sim_now() + in_s;
+  checks_start();
+  world_troubles_end(in_s);
+}
+
+void world_checks_end(void) {
+  checks_end();
+}
+
 fc_counts world_counts(unsigned node) {
   return g_controllers[node]->counts;
 }
@@ -304,6 +353,10 @@
   return g_result;
 }
 
+void world_watch_leases(void) {
+  g_result.lease_left_s = LEASE_S;
+}
+
 static void state_up(void *arg) {
   (void)arg;
   state_down(false);
@@ -490,8 +543,10 @@
   if (g_verbose && !logging) g_log_set_writer_func(log_line, NULL, NULL);
   logging = g_verbose;
   memset(&g_result, 0, sizeof g_result);
+  world_watch_leases();
   memset(g_refuse_until, 0, sizeof g_refuse_until);
   memset(g_strikes, 0, sizeof g_strikes);
+  g_terms = 0;
   g_copies = g_quiet_from = g_cancel_at_end = 0;
   world_capacity(5, 3);
   users_init();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -17,10 +17,13 @@
   unsigned broken;
   char first[200]; /* the first broken rule */
   unsigned submitted, accepted, finished, unfinished, cancelled, starts, lease_kills, crashes, faults;
-  unsigned late_starts;  /* after the user was told that the job is cancelled */
-  unsigned odd;          /* requests that must be refused, or repeat what is over */
-  unsigned served_least; /* of a class, a team, a class's largest jobs: percent */
-  unsigned done_starts;  /* of tasks that had completed before */
+  unsigned late_starts;                      /* after the user was told that the job is cancelled */
+  unsigned odd;                              /* requests that must be refused, or repeat what is over */
+  unsigned served_least;                     /* of a class, a team, a class's largest jobs: percent */
+  unsigned done_starts;                      /* of tasks that had completed before */
+  unsigned submissions, unanswered, refused; /* sent; without any answer; with 429 or 503 */
+  double lease_left_s;                       /* the least that a worker in touch had left of its lease */
+  unsigned questions, told, put_off;         /* about jobs; answered with 200; with 503 */
 } world_result;
 
 /* Plays one day with the faults that the seed draws; with meetings, also troubles that
@@ -39,6 +42,17 @@
 /* A deployment of that many machines, instead of the small one: to be said before the
  * controllers start. */
 void world_large(unsigned machines);
+/* A deployment of that many machines on controllers with a fortieth of a core: rates of the
+ * state service and the cloud as such sites have them; nothing is rented or returned. */
+void world_lean(unsigned machines);
+/* The controller has that share of a processor, and timers up to so much late, from its next
+ * start on. */
+void world_slow(unsigned node, double of_processor, double timers_late_s);
+unsigned world_terms(void); /* written so far */
+/* From then on what must hold all through a quiet day is checked, and in the end what must
+ * hold then. */
+void world_checks_from(double in_s);
+void world_checks_end(void);
 void world_return_idle(void); /* idle machines are returned at once */
 void world_keep_idle(void);   /* idle machines are not returned */
 /* What a controller has counted since its last start. */
@@ -114,6 +128,7 @@
 int world_machine_of(const char *id, unsigned index);
 int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
 world_result world_so_far(void);
+void world_watch_leases(void);                     /* lease_left_s counts from here */
 unsigned world_running(void);                      /* tasks, now */
 void world_ask_job(unsigned node, const char *id); /* its user does, and checks the answer */
 int world_ask(unsigned node, const char *path);    /* the status of the answer */
