--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -53,6 +53,7 @@
   sim_way peers, workers, others;
 } sim_load;
 sim_load sim_load_of(uint32_t ip);
+size_t sim_process_routines(uint32_t ip); /* now */
 
 /* How traffic from one address to another fares at this moment. */
 typedef enum { SIM_CLEAR, SIM_HELD, SIM_RESET } sim_link;
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -458,6 +458,11 @@
   g_hash_table_insert(g_shares, GUINT_TO_POINTER(ip), s);
 }
 
+size_t sim_process_routines(uint32_t ip) {
+  const process *p = g_hash_table_lookup(g_processes, GUINT_TO_POINTER(ip));
+  return p ? p->routines->len : 0;
+}
+
 uint32_t sim_here(void) {
   return g_process ? g_process->ip : 0;
 }
--- /dev/null
+++ b/tests/small.h
@@ -0,0 +1,66 @@
+/* Fleets on controllers with a fortieth of a core: whatever wakes them, and each message and
+ * byte that they read or send, costs them virtual time (sim_process_share). */
+#ifndef FC_TESTS_SMALL_H
+#define FC_TESTS_SMALL_H
+
+#include "check.h"
+
+#include "sim/world.h"
+
+#define SHARE 0.024        /* of a core */
+#define TIMERS_LATE_S 0.05 /* half a period of the limit on processor time */
+#define JOB_TASKS 6u
+#define RECORDED_S 15.0 /* until all machines of a fleet that appears at once are on record */
+#define SETTLE_S 40.0
+
+/* Half the machines are filled with services of six tasks; nothing of them ends. */
+static inline unsigned services(unsigned first, unsigned count, double every_s) {
+  for (unsigned k = 0; k < count; k++) {
+    char id[32];
+    g_snprintf(id, sizeof id, "job-%06u", first + k);
+    world_submit(id, "service", "prod", JOB_TASKS, 1, 1e6, RECORDED_S + k * every_s);
+  }
+  return count * JOB_TASKS;
+}
+
+static inline void start_fleet(uint32_t seed, unsigned machines, unsigned slow_nodes, double share,
+                               double timers_late_s) {
+  world_set_up(seed, 0);
+  world_lean(machines);
+  for (unsigned n = 0; n < WORLD_NODES; n++)
+    if (slow_nodes & 1u << n) world_slow(n, share, timers_late_s);
+  world_start_nodes();
+  world_machines_up(0, machines / 2);
+  world_machines_up(1, machines - machines / 2);
+}
+
+static inline void check_rules(const char *name) {
+  world_result r = world_so_far();
+  if (r.broken) fail_msg("%s: %u broken, first %s", name, r.broken, r.first);
+}
+
+/* Where a scene stands: what has been counted so far. */
+typedef struct mark {
+  world_result r;
+  double at, used_s;
+  unsigned terms;
+} mark;
+
+static inline mark mark_now(void) {
+  world_watch_leases();
+  return (mark){world_so_far(), sim_now(), sim_load_of(WORLD_NODE_IP(0)).busy_s, world_terms()};
+}
+
+/* What has happened since; also the part of its share that the first controller used. */
+static inline void print_since(const char *name, const char *phase, const mark *m) {
+  world_result r = world_so_far();
+  print_message(
+      "%s, %s: %.1f%% of a core used, %u submissions sent, %u accepted, %u refused, %u unanswered, %u of %u questions "
+      "answered, %u put off, %u leases over, %.1f s left of a lease\n",
+      name, phase, 100 * (sim_load_of(WORLD_NODE_IP(0)).busy_s - m->used_s) / (sim_now() - m->at),
+      r.submissions - m->r.submissions, r.accepted - m->r.accepted, r.refused - m->r.refused,
+      r.unanswered - m->r.unanswered, r.told - m->r.told, r.questions - m->r.questions, r.put_off - m->r.put_off,
+      r.lease_kills - m->r.lease_kills, r.lease_left_s);
+}
+
+#endif
