--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -1,5 +1,6 @@
 /* src/transport's calls over virtual time; see sim.h. */
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/mman.h>
@@ -24,6 +25,7 @@
 extern fcontext_t make_fcontext(void *sp, size_t size, void (*fn)(transfer_t));
 
 #define STACK ((size_t)512 * 1024)
+#define LAG_HALF_LIFE_S 1.0
 #define HTTP_HEAD_BYTES 90u /* the first line and the fields of a request or an answer */
 
 typedef struct event {
@@ -43,6 +45,7 @@
   double late_s;     /* its timers fire up to so much late */
   double busy_until; /* what has run so far takes until then */
   GQueue ready;      /* routines */
+  double lag_s, lag_at;
   bool turn_due;
 } process;
 
@@ -54,7 +57,8 @@
   process *process;
   fc_wake reason;
   uint64_t waits; /* tells a timer of an earlier wait from the present one */
-  double owed_s;  /* of a whole processor: for what it reads next */
+  double owed_s;   /* of a whole processor: for what it reads next */
+  double deadline; /* of its present or last wait */
   bool parked, queued, finished, dead;
 };
 
@@ -248,8 +252,18 @@
 unsigned fc_loop_turns(void) {
   return 0;
 }
+/* As the real one: how late timers were, lately. */
+static double lag_of(const process *p) {
+  return p->lag_s * exp2((p->lag_at - g_now) / LAG_HALF_LIFE_S);
+}
+
 double fc_loop_lag(void) {
-  return 0;
+  return g_process ? lag_of(g_process) : 0;
+}
+
+static void note_lag(process *p, double late_s) {
+  p->lag_s = MAX(late_s, lag_of(p));
+  p->lag_at = g_now;
 }
 
 static void entry(transfer_t t) {
@@ -276,6 +290,7 @@
   }
   r->queued = false;
   if (r->dead) return;
+  if (r->waits > 0 && r->reason == FC_WAKE_TIMEOUT) note_lag(r->process, g_now - r->deadline);
   load_of(r->process->ip)->wakes++;
   charge(r->process, k_costs.wake_s);
   fc_routine *self_before = g_self;
@@ -371,6 +386,7 @@
   r->reason = FC_WAKE_OK;
   timer *t = g_new(timer, 1);
   *t = (timer){.routine = r, .wait = ++r->waits};
+  r->deadline = when;
   if (r->process->late_s > 0) when += sim_draw(0, r->process->late_s);
   at(when, on_timer, t);
   transfer_t tr = jump_fcontext(g_main, NULL);
