Submissions are admitted by what is left of the write rate and by the loop's lag

The burst counted as there although it had been spent, and writes gathered for the next transaction did not count.

--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -37,6 +37,7 @@
   double even_writes, even_requests; /* per second, when all ask for as much */
   double answer_s;
   GQueue queue[FC_RANKS];
+  double gathered;      /* writes of the transaction that waits for the rate */
   fc_cond work;         /* there is something to send, or one is settled */
   GPtrArray *under_way; /* transaction: being sent, or waiting for the rates */
   double pause_until;   /* the state service refuses */
@@ -319,7 +320,9 @@
     *t = (transaction){.commit = c, .batch = batch, .txn = build(batch)};
     g_ptr_array_add(c->under_way, t);
     double began = fc_now();
-    wait_for_rates(c, MIN((double)fc_txn_writes(t->txn), c->writes.burst));
+    c->gathered = MIN((double)fc_txn_writes(t->txn), c->writes.burst);
+    wait_for_rates(c, c->gathered);
+    c->gathered = 0;
     c->counts.transactions++;
     count_kinds(c, batch);
     c->counts.waited_s += fc_now() - began;
@@ -350,10 +353,13 @@
   return result;
 }
 
-bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s) {
-  guint ahead = 0;
-  for (int r = 0; r <= (int)rank; r++) ahead += g_queue_get_length((GQueue *)&c->queue[r]);
-  return ahead < c->writes.per_s * wait_s + c->writes.burst;
+/* By what is left of the rate now: the burst counted as there although it had been spent,
+ * and those gathered for the next transaction did not count, so that submissions waited for
+ * twice as long as said here and were refused in the end. */
+bool fc_commit_accepts(fc_commit *c, fc_write_rank rank, double wait_s) {
+  double ahead = c->gathered;
+  for (int r = 0; r <= (int)rank; r++) ahead += g_queue_get_length(&c->queue[r]);
+  return fc_budget_wait(&c->writes, ahead + 1, 0, fc_now()) <= wait_s;
 }
 
 fc_commit_counts fc_commit_count(const fc_commit *c) {
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -37,7 +37,7 @@
 /* Writes that one transaction holds at most. */
 unsigned fc_commit_most(const fc_commit *c);
 /* Does the queue of this rank have room for another write within wait_s? */
-bool fc_commit_accepts(const fc_commit *c, fc_write_rank rank, double wait_s);
+bool fc_commit_accepts(fc_commit *c, fc_write_rank rank, double wait_s);
 typedef enum {
   FC_KIND_JOBS,
   FC_KIND_MACHINES,
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -127,7 +127,8 @@
     }
     goto out;
   }
-  if (!fc_commit_accepts(c->commit, FC_RANK_SUBMISSION, 1.0)) {
+  /* What falls behind takes longer than the rate says. */
+  if (!fc_commit_accepts(c->commit, FC_RANK_SUBMISSION, 1.0 - fc_loop_lag())) {
     later(res, 429, "more submissions than can be written");
     goto out;
   }
