--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -29,7 +29,8 @@
  * its clock runs on. Its timers fire up to late_s late besides. */
 void sim_process_share(uint32_t ip, double of_processor, double late_s);
 bool sim_process_alive(uint32_t ip);
-uint32_t sim_here(void); /* the process that runs now; 0: none */
+uint32_t sim_allocates(void); /* the process on whose behalf memory is taken now; 0: none */
+uint32_t sim_here(void);      /* the process that runs now; 0: none */
 
 /* Of a whole processor, of one that has a share. */
 typedef struct sim_costs {
--- a/tests/sim/transport.c
+++ b/tests/sim/transport.c
@@ -56,7 +56,7 @@
   char *stack;
   process *process;
   fc_wake reason;
-  uint64_t waits; /* tells a timer of an earlier wait from the present one */
+  uint64_t waits;  /* tells a timer of an earlier wait from the present one */
   double owed_s;   /* of a whole processor: for what it reads next */
   double deadline; /* of its present or last wait */
   bool parked, queued, finished, dead;
@@ -136,10 +136,19 @@
   return g_now < g_slow_until ? sim_draw(0, g_slow_most) : 0;
 }
 
+/* What is under way here is the simulation's own work, not that of the process. */
+static unsigned g_own_work;
+
+uint32_t sim_allocates(void) {
+  return g_process && g_own_work == 0 ? g_process->ip : 0;
+}
+
 static void at(double t, sim_fn fn, void *arg) {
+  g_own_work++;
   event *e = g_new(event, 1);
   *e = (event){.at = t, .order = g_order++, .fn = fn, .arg = arg};
   g_sequence_insert_sorted(g_events, e, by_time, NULL);
+  g_own_work--;
 }
 
 void sim_after(double dt, sim_fn fn, void *arg) {
@@ -167,8 +176,10 @@
 static sim_load *load_of(uint32_t ip) {
   sim_load *l = g_hash_table_lookup(g_loads, GUINT_TO_POINTER(ip));
   if (!l) {
+    g_own_work++;
     l = g_new0(sim_load, 1);
     g_hash_table_insert(g_loads, GUINT_TO_POINTER(ip), l);
+    g_own_work--;
   }
   return l;
 }
@@ -341,6 +352,7 @@
 }
 
 static fc_routine *spawn_in(process *p, fc_routine_fn fn, void *arg) {
+  g_own_work++;
   fc_routine *r = g_new0(fc_routine, 1);
   r->fn = fn;
   r->arg = arg;
@@ -355,6 +367,7 @@
   r->context = make_fcontext(r->stack + STACK, STACK, entry);
   g_ptr_array_add(p->routines, r);
   enqueue(r);
+  g_own_work--;
   return r;
 }
 
@@ -384,11 +397,13 @@
   if (when <= g_now) return FC_WAKE_TIMEOUT;
   r->parked = true;
   r->reason = FC_WAKE_OK;
+  g_own_work++;
   timer *t = g_new(timer, 1);
   *t = (timer){.routine = r, .wait = ++r->waits};
   r->deadline = when;
   if (r->process->late_s > 0) when += sim_draw(0, r->process->late_s);
   at(when, on_timer, t);
+  g_own_work--;
   transfer_t tr = jump_fcontext(g_main, NULL);
   g_main = tr.fctx;
   return r->reason;
@@ -555,7 +570,9 @@
 void sim_answer(sim_exchange *x, int status, const char *body) {
   if (x->reply) return;
   x->status = status;
+  g_own_work++;
   x->reply = g_strdup(body);
+  g_own_work--;
   size_t bytes = strlen(x->reply) + HTTP_HEAD_BYTES;
   count_message(x->to, x->from, bytes);
   process *sender = g_process && g_process->ip == x->to ? g_process : NULL;
@@ -613,6 +630,7 @@
 
 static sim_exchange *send_request(uint32_t from, uint32_t to, uint16_t port, const char *method, const char *path,
                                   const char *body, size_t len) {
+  g_own_work++;
   sim_exchange *x = g_new0(sim_exchange, 1);
   x->from = from;
   x->to = to;
@@ -620,6 +638,7 @@
   x->method = g_strdup(method);
   x->path = g_strdup(path);
   x->body = body ? g_strndup(body, len) : g_strdup("");
+  g_own_work--;
   process *sender = g_process && g_process->ip == from ? g_process : NULL;
   if (sender) {
     size_t bytes = strlen(path) + len + HTTP_HEAD_BYTES;
@@ -768,12 +787,14 @@
 }
 
 static fc_conn *conn_new(process *p, uint32_t local, uint32_t remote) {
+  g_own_work++;
   fc_conn *c = g_new0(fc_conn, 1);
   c->process = p;
   c->local = local;
   c->remote = remote;
   c->inbox = g_byte_array_new();
   g_queue_init(&c->arriving);
+  g_own_work--;
   return c;
 }
 
@@ -846,6 +867,7 @@
 
 static void send_segment(fc_conn *from, const void *buf, size_t n, bool end) {
   if (!from->other) return;
+  g_own_work++;
   segment *s = g_new0(segment, 1);
   s->end = end;
   s->data = g_byte_array_new();
@@ -856,6 +878,7 @@
   s->when = from->clear_at = MAX(leaves + sim_draw(0.0003, 0.003) + slowness(), from->clear_at);
   g_queue_push_tail(&from->other->arriving, s);
   at(s->when, pump, from->other);
+  g_own_work--;
 }
 
 ssize_t fc_conn_read(fc_conn *c, void *buf, size_t size, double deadline) {
