--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -102,7 +102,7 @@
   bool probe;            /* to be asked directly whether it hears, and what it holds */
   bool reborn;           /* started anew in this term: its reports can't be told from its earlier life's */
   bool odd;              /* a report contradicted its record; that has been logged */
-  double asked_at;       /* when we sent the last direct call whose answer told what it holds */
+  double proved_at;      /* when we sent the last direct call whose answer told what it holds */
   double first_seen;     /* when we first knew of it */
   double notice_until;   /* the cloud takes it then; 0: no notice */
   double idle_since;     /* 0: in use */
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -533,7 +533,7 @@
       }
       if (newer(m, &r)) {
         adopt(c, m, &r, false);
-        m->asked_at = asked;
+        m->proved_at = asked;
       }
       /* A new session, or the first word from this machine: fence with it. */
       again = fencing && result == FC_ORDER_REFUSED && r.token <= term && m->settled_term != term;
@@ -677,7 +677,7 @@
    * since then settles it: asked again at every acknowledgement, machines that had come
    * back from another member cost more than all reports. */
   double latest = at + k->age_ms / 1000.0 * 2 * FC_DRIFT;
-  if (old && m->owner == c->table->self && latest >= m->asked_at) m->probe = true;
+  if (old && m->owner == c->table->self && latest >= m->proved_at) m->probe = true;
   if (old) return;
   if (k->hears) m->kept_hears_at = MAX(m->kept_hears_at, at);
   if (!k->hears && at > m->kept_hears_at && m->kept_deaf_at <= m->kept_hears_at) m->kept_deaf_at = at;
--- a/tests/test_small.c
+++ b/tests/test_small.c
@@ -81,11 +81,6 @@
   }
 }
 
-const char *__asan_default_options(void);
-const char *__asan_default_options(void) {
-  return "detect_leaks=0";
-}
-
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(a_slow_day)};
   return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_small_costs.c
+++ b/tests/test_small_costs.c
@@ -192,11 +192,6 @@
   assert_true((double)held[3] <= (double)held[1] * 1.05);
 }
 
-const char *__asan_default_options(void);
-const char *__asan_default_options(void) {
-  return "detect_leaks=0";
-}
-
 int main(void) {
   heap_start();
   const struct CMUnitTest tests[] = {
--- a/tests/test_small_requests.c
+++ b/tests/test_small_requests.c
@@ -205,11 +205,6 @@
   play_flood(&row, 203);
 }
 
-const char *__asan_default_options(void);
-const char *__asan_default_options(void) {
-  return "detect_leaks=0";
-}
-
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(bad_input_under_load), cmocka_unit_test(more_jobs_than_fit)};
   return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -461,7 +461,7 @@
     m->session = 2;
     m->seq = 9;
     double now = fc_now();
-    m->asked_at = rows[i].asked_s > 0 ? now - rows[i].asked_s : 0;
+    m->proved_at = rows[i].asked_s > 0 ? now - rows[i].asked_s : 0;
     fc_frame_kept k = {.machine = "vm-1", .session = rows[i].session, .seq = rows[i].seq};
     k.age_ms = (uint32_t)(rows[i].answered_s * 1000);
     fc_workers_kept(&b->c, &k, now);
