Hung machines go back when no member reaches them, not only by their lease

Once another member's incarnation had ended, an owner never took a silent machine for lost (rent.c unkept, ended_at): the ended incarnation may have kept it. For a machine that the owner had not heard since it owned it that lasted until its lease was over, counted from the last change of term, so a cancelled job's share of its team's limit was given out 6.8 to 13.8 s after the job's last task was gone, bound 6 s, in seven of thirty rows.

Ruled out: a bound by time. From the last answer of the ended incarnation a worker's next report takes up to 1.25 report_s, and each member that it tries in vain 4 s of patience and 1 s (seen in test_leaders: answered 119.25, with the next member at 131.25, its owner cut off and the member before ended). With one of three left to answer that is 12.5 s and the way of the news, of a lease of 14 s; from the end of the incarnation as the others learn of it, it is later than the lease leaves. Without the guard, machines full of work are returned, as before.

Mend: for two leases after another member's incarnation has ended, all members ask each other's silent machines directly (/orders without commands, as any member already does before it records a machine) and say in their acknowledgements what came of it. The guard lets a machine go once its owner and every other member of the term have asked it since the end, within the silence after which it is returned, and no other has reached it since; else its lease is waited for as before. The questions take a quarter of the sockets for calls at most. Peer link version 5: restart all controllers together.

--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -99,6 +99,13 @@
   double deaf_since;     /* its reports come since then without a sign that it hears us; 0: it does */
   double kept_hears_at;  /* when another member kept it and it showed that it hears */
   double kept_deaf_at;   /* when others began to keep it with no such sign, if after that */
+  /* Direct questions while another member's incarnation has ended: ours, and when each peer
+   * last asked in vain. */
+  double unanswered_at[FC_MEMBERS_MAX];
+  double asked_at;       /* when we sent the last one whose end we know, also as its owner */
+  bool asked_answered;   /* it ended with an answer */
+  bool asking;           /* another member's: ours is under way */
+  double reached_at;     /* when another member last asked, and was answered */
   bool probe;            /* to be asked directly whether it hears, and what it holds */
   bool reborn;           /* started anew in this term: its reports can't be told from its earlier life's */
   bool odd;              /* a report contradicted its record; that has been logged */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -177,6 +177,13 @@
                           unsigned *count);
 /* Another member has answered the machine's report. */
 void fc_workers_kept(fc_controller *c, const fc_frame_kept *k, double now);
+/* A peer has asked the machine directly. `sent`: when we sent the view that it answers. */
+void fc_workers_asked(fc_controller *c, size_t peer, const fc_frame_asked *a, double sent, double now);
+/* Asks another member's machine directly, where its owner may have to know whether anybody
+ * reaches it. */
+void fc_workers_ask(fc_controller *c, fc_machine *m);
+/* Since the last incarnation of a member ended: did every member ask the machine, in vain? */
+bool fc_workers_unreachable(const fc_controller *c, const fc_machine *m);
 /* Silent for so long that its worker has given up all its tasks? */
 void fc_workers_expire(fc_controller *c);
 
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -82,6 +82,8 @@
     peer->acked_revision = ack->revision;
   }
   for (size_t i = 0; i < ack->kept_count; i++) fc_workers_kept(c, &ack->kept[i], now);
+  size_t k = (size_t)(peer - c->peers);
+  for (size_t i = 0; i < ack->asked_count; i++) fc_workers_asked(c, k, &ack->asked[i], sent, now);
 }
 
 /* Facts, whatever term or life the sender is in. */
@@ -235,6 +237,24 @@
   }
 }
 
+/* Machines of other members that we have asked directly within two leases. */
+static void fill_asked(const fc_controller *c, fc_ack *ack) {
+  const fc_table *t = c->table;
+  double now = fc_now();
+  ack->asked = g_new0(fc_frame_asked, g_hash_table_size(t->machines));
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, t->machines);
+  while (g_hash_table_iter_next(&it, NULL, &value)) {
+    const fc_machine *m = value;
+    if (m->owner == t->self || !m->asked_at || now - m->asked_at > 2 * c->settings->lease_s) continue;
+    fc_frame_asked *a = &ack->asked[ack->asked_count++];
+    g_strlcpy(a->machine, m->id, sizeof a->machine);
+    a->age_ms = (uint32_t)ceil((now - m->asked_at) * 1000);
+    a->answered = m->asked_answered;
+  }
+}
+
 /* Operators read the metrics at the peer address, which users can't reach. */
 static void serve_operator(const fc_http_request *req, fc_http_response *res, void *arg) {
   char id[FC_ROUTE_ID_MAX];
@@ -300,6 +320,7 @@
                   .cancels = fc_cancels_frame(untold, untold_count, fc_now()),
                   .cancel_count = untold_count};
     fill_kept(c, &ack);
+    fill_asked(c, &ack);
     g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
     fc_view_clear(&v);
     GByteArray *out = g_byte_array_new();
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -221,11 +221,15 @@
    * hears: cut off from its owner alone, a machine full of work was returned within the
    * second (scene out_of_reach). */
   if (m->kept_deaf_at > m->kept_hears_at && fc_now() < m->kept_deaf_at + c->settings->report_s * 2) return false;
-  /* What a life that has ended answered last, nobody can tell us; and its workers try it
-   * once more before they come to others. A machine full of work was returned as lost
-   * while it did, seconds after the member that had kept it was back (scene
-   * ten_in_two_minutes). */
-  if (c->ended_at > since) return false;
+  /* What the ended incarnation of another member answered last, nobody can tell us. From
+   * there the worker's next report takes up to 1.25 report_s, and each member that it tries
+   * in vain its patience and a second: with two of three, about its lease. A machine full of
+   * work was returned as lost on that way, seconds after the member that had kept it was
+   * back (scenes ten_in_two_minutes, out_of_reach). No shorter time is safe; so every member
+   * asks such a machine directly, and it stays if one reaches it or has not tried. Waiting
+   * for its lease instead, hung machines held a team's freed share for up to 14 s (scene
+   * a_limit_and_a_cancellation). */
+  if (c->ended_at > since && !fc_workers_unreachable(c, m)) return false;
   for (int i = 0; i < (int)c->table->term.count; i++) {
     if (i == c->table->self) continue;
     const fc_peer *peer = fc_peer_of(c, i);
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -147,6 +147,7 @@
   GPtrArray *push = g_ptr_array_new();
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_machine *m = value;
+    if (m->owner != t->self) fc_workers_ask(c, m);
     if (m->owner != t->self || !m->version) continue;
     bool settled = m->settled_term == t->term.number;
     bool work = !settled || fc_workers_doubt(c, m);
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -216,6 +216,12 @@
   }
 }
 
+/* Has the incarnation of another member ended so lately that a worker it answered last may
+ * not have come to others yet? Their leases are over well before that. */
+static bool may_have_been_kept(const fc_controller *c, double now) {
+  return c->ended_at > 0 && now < c->ended_at + c->settings->lease_s * 2;
+}
+
 /* Asks a machine directly whether it hears: one whose reports come without a
  * sign that it has heard us, one that others keep, or one that may have been started anew. */
 bool fc_workers_doubt(const fc_controller *c, fc_machine *m) {
@@ -224,6 +230,8 @@
   if (m->deaf_since && now > m->deaf_since + c->settings->lease_s * 0.2) m->probe = true;
   /* Another keeps it and sends it to us once we are in touch with it again. */
   if (m->kept_hears_at > now - c->settings->report_s * 2 && fc_machine_mute(c->table, m, now)) m->probe = true;
+  /* A member that has ended may have kept it: is it there? */
+  if (may_have_been_kept(c, now) && fc_machine_mute(c->table, m, now)) m->probe = true;
   return m->probe;
 }
 
@@ -523,6 +531,10 @@
     bool read = result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
     m = fc_table_machine(t, a.id); /* it may be gone by now */
     if (m) decide_strays(m, result);
+    if (m && (fencing || probing)) {
+      m->asked_at = asked;
+      m->asked_answered = read;
+    }
     bool again = false;
     if (m && read && t->term.number == term && m->owner == t->self && strcmp(r.machine, m->id) == 0) {
       /* Every word of a worker is newer than what we had heard when we asked; if
@@ -683,6 +695,74 @@
   if (!k->hears && at > m->kept_hears_at && m->kept_deaf_at <= m->kept_hears_at) m->kept_deaf_at = at;
 }
 
+void fc_workers_asked(fc_controller *c, size_t peer, const fc_frame_asked *a, double sent, double now) {
+  fc_machine *m = fc_table_machine(c->table, a->machine);
+  if (!m) return;
+  /* The age was taken between `sent` and now. In doubt the machine counts as reached: the
+   * latest time for an answer, the earliest for none. */
+  if (a->answered) m->reached_at = MAX(m->reached_at, now - a->age_ms / 1000.0);
+  if (!a->answered) m->unanswered_at[peer] = MAX(m->unanswered_at[peer], sent - a->age_ms / 1000.0);
+}
+
+bool fc_workers_unreachable(const fc_controller *c, const fc_machine *m) {
+  /* A question of long ago shows nothing of now. */
+  double from = MAX(c->ended_at, fc_now() - fc_machine_quiet_s(c->settings));
+  if (m->asked_answered || m->asked_at <= from || m->reached_at > c->ended_at) return false;
+  for (int i = 0; i < (int)c->table->term.count; i++) {
+    if (i == c->table->self) continue;
+    int k = c->peer_of[i];
+    if (k < 0 || m->unanswered_at[k] <= from) return false;
+  }
+  return true;
+}
+
+static void ask_main(void *arg) {
+  push_arg a = *(push_arg *)arg;
+  g_free(arg);
+  fc_controller *c = a.c;
+  const fc_machine *known = fc_table_machine(c->table, a.id);
+  fc_endpoint at;
+  if (known && fc_endpoint_parse(known->rec.endpoint, &at)) {
+    double asked = fc_now();
+    fc_worker_report r;
+    fc_order_result result =
+        fc_worker_order(&at, c->table->term.number, known->session, NULL, 0, asked + c->settings->report_s * 0.75, &r);
+    bool answered = result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
+    fc_machine *m = fc_table_machine(c->table, a.id);
+    if (m) {
+      /* Another may have taken its address since; then that one has answered. */
+      m->asked_answered = answered && strcmp(r.machine, m->id) == 0;
+      m->asked_at = asked;
+    }
+    if (answered) fc_worker_report_clear(&r);
+  }
+  fc_machine *m = fc_table_machine(c->table, a.id);
+  if (m) m->asking = false;
+  c->pushing--;
+}
+
+void fc_workers_ask(fc_controller *c, fc_machine *m) {
+  const fc_table *t = c->table;
+  const fc_settings *s = c->settings;
+  double now = fc_now();
+  if (m->asking || m->owner < 0 || !m->announced || !m->rec.endpoint[0] || !may_have_been_kept(c, now)) return;
+  /* Its owner is out of touch with it, or should have settled it by now. */
+  bool doubtful = m->settled_term == t->term.number ? m->remote_mute : now > c->term_since + s->report_s * 1.5;
+  if (!doubtful || now < m->asked_at + s->report_s || !fc_may_act(c)) return;
+  /* Our own machines come first: of the sockets for calls these take a quarter at most. */
+  if (c->pushing >= MAX(s->fd_limit / 32, 1)) return;
+  push_arg *a = g_new0(push_arg, 1);
+  a->c = c;
+  g_strlcpy(a->id, m->id, sizeof a->id);
+  m->asking = true;
+  c->pushing++;
+  if (!fc_routine_spawn(ask_main, a)) {
+    m->asking = false;
+    c->pushing--;
+    g_free(a);
+  }
+}
+
 /* When the worker has certainly given up its tasks, if nobody we have not heard of has
  * answered it. Any member may answer its reports, so each has to have told us until when
  * it did not; what dead lives answered, they did before we learned of the term. */
--- a/src/protocol/frame.c
+++ b/src/protocol/frame.c
@@ -7,6 +7,7 @@
  * no count that a frame states can make us take more memory than it has bytes for. */
 #define MACHINE_LEAST (1u + 1u + 2u)
 #define KEPT_LEAST (1u + 4u + 1u + 8u + 8u)
+#define ASKED_LEAST (1u + 4u + 1u)
 #define TASK_LEAST (1u + 4u + 8u + 1u + 1u)
 #define CANCEL_LEAST (1u + 8u + 4u)
 
@@ -114,6 +115,12 @@
     put_u64(out, a->kept[i].session);
     put_u64(out, a->kept[i].seq);
   }
+  put_u32(out, (uint32_t)a->asked_count);
+  for (size_t i = 0; i < a->asked_count; i++) {
+    put_text(out, a->asked[i].machine);
+    put_u32(out, a->asked[i].age_ms);
+    put_u8(out, a->asked[i].answered);
+  }
   finish(out, at);
 }
 
@@ -287,6 +294,18 @@
   } else {
     c.bad = true;
   }
+  n = get_u32(&c);
+  if (!c.bad && n <= c.left / ASKED_LEAST) {
+    out->asked = g_new0(fc_frame_asked, n);
+    out->asked_count = n;
+    for (size_t i = 0; i < n; i++) {
+      get_text(&c, out->asked[i].machine, sizeof out->asked[i].machine);
+      out->asked[i].age_ms = get_u32(&c);
+      out->asked[i].answered = get_u8(&c) != 0;
+    }
+  } else {
+    c.bad = true;
+  }
   if (!c.bad && c.left == 0) return true;
   fc_ack_clear(out);
   return false;
@@ -294,6 +313,7 @@
 
 void fc_ack_clear(fc_ack *a) {
   g_free(a->kept);
+  g_free(a->asked);
   g_free(a->cancels);
   memset(a, 0, sizeof *a);
 }
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -9,7 +9,7 @@
 
 #include "protocol/worker.h"
 
-#define FC_FRAME_VERSION 4
+#define FC_FRAME_VERSION 5
 #define FC_FRAME_HEAD 8u
 /* Room for the answers of one controller to 65,535 workers, more than it has sockets
  * for. Only what a frame really brings is taken. */
@@ -71,6 +71,13 @@
   uint64_t session, seq; /* of the newest report answered */
 } fc_frame_kept;
 
+/* A machine of another member that the sender has asked directly what it holds. */
+typedef struct fc_frame_asked {
+  char machine[64];
+  uint32_t age_ms; /* since the question was sent */
+  bool answered;
+} fc_frame_asked;
+
 typedef struct fc_ack {
   char sender[64];
   uint64_t boot, term, seq;
@@ -84,6 +91,8 @@
   uint64_t revision;   /* what the sender's table held when it applied the view */
   fc_frame_kept *kept; /* machines of others whose reports it has answered lately */
   size_t kept_count;
+  fc_frame_asked *asked; /* machines of others that it has asked directly of late */
+  size_t asked_count;
 } fc_ack;
 
 /* What the machine takes in a view. */
--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -342,6 +342,7 @@
       {"cut from one of the others, for good", 513, NEXT_RESET, 0, 12, 60, 1, 12, false, true},
       {"cut from the others, reset, another place", 52912, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
       {"the one that ended is cut off when it is back", 514, NODE_HELD, 0, 0, 30, 1, 2, false, true},
+      {"cut from one of the others, for good, another place", 12913, NEXT_RESET, 0, 12, 60, 1, 12, false, true},
   };
   const size_t all_nodes = g_getenv("LEADERS_SALT") ? WORLD_NODES : 1;
   for (size_t i = 0; i < G_N_ELEMENTS(rows) * all_nodes; i++) {
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -299,6 +299,7 @@
   fc_frame_cancel *cancels = g_new0(fc_frame_cancel, FC_FRAME_CANCELS_MOST + 1);
   for (size_t i = 0; i <= FC_FRAME_CANCELS_MOST; i++) g_snprintf(cancels[i].job, sizeof cancels[i].job, "j%zu", i);
   fc_frame_kept kept = {.machine = "vm-1", .age_ms = 5, .hears = true, .session = 2, .seq = 9};
+  fc_frame_asked asked[] = {{"vm-2", 7, true}, {"vm-3", 1500, false}};
   static const struct {
     const char *name;
     size_t cancels;
@@ -314,6 +315,8 @@
     a.cancel_count = rows[i].cancels;
     a.kept = &kept;
     a.kept_count = 1;
+    a.asked = asked;
+    a.asked_count = G_N_ELEMENTS(asked);
     GByteArray *b = g_byte_array_new();
     fc_ack_encode(b, &a);
     const uint8_t *p = b->data + FC_FRAME_HEAD;
@@ -323,6 +326,9 @@
     if (rows[i].read) {
       check_row(rows[i].name, out.told_all && out.revision == 80 && out.cancel_count == rows[i].cancels);
       check_row(rows[i].name, out.kept_count == 1 && strcmp(out.kept[0].machine, "vm-1") == 0);
+      check_row(rows[i].name, out.asked_count == 2 && strcmp(out.asked[1].machine, "vm-3") == 0);
+      check_row(rows[i].name, out.asked[0].answered && out.asked[0].age_ms == 7);
+      check_row(rows[i].name, !out.asked[1].answered && out.asked[1].age_ms == 1500);
       fc_ack_clear(&out);
     }
     for (uint32_t n = 0; n < MIN(len, 200); n++) {
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -516,6 +516,97 @@
   }
 }
 
+/* A member's incarnation has ended: the machine counts as unreachable once we and every
+ * other member have asked it since, not long ago, and nobody was answered. */
+static void asked_by_all_in_vain(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double ended, ours; /* ago; 0: never */
+    bool answered;
+    double theirs; /* the age of their question as its answer to our view tells it, -1: none */
+    bool reached;
+    double view; /* ago: when we sent that view */
+    bool unreachable;
+    double again; /* ago: they asked once more, in vain; 0: no */
+  } rows[] = {
+      {"both in vain", 5, 2, false, 1.5, false, 0.5, true, 0},
+      {"they have not asked", 5, 2, false, -1, false, 0.5, false, 0},
+      {"they have reached it", 5, 2, false, 1.5, true, 0.5, false, 0},
+      {"they have reached it, and not a moment later", 5, 2, false, 1.5, true, 0.5, false, 0.5},
+      {"they reached it before the end", 5, 2, false, 6, true, 0.5, true, 1},
+      {"they reached it before the end, and nobody since", 5, 2, false, 6, true, 0.5, false, 0},
+      {"they asked before the end", 5, 2, false, 5.5, false, 0.1, false, 0},
+      {"or may have: the view was sent long before", 5, 2, false, 4.5, false, 1, false, 0},
+      {"we have not asked", 5, 0, false, 1.5, false, 0.5, false, 0},
+      {"we asked before the end", 5, 6, false, 1.5, false, 0.5, false, 0},
+      {"we were answered", 5, 2, true, 1.5, false, 0.5, false, 0},
+      {"asked long ago", 60, 30, false, 29, false, 0.5, false, 0},
+      {"theirs is long ago", 60, 2, false, 29, false, 0.5, false, 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    double now = fc_now();
+    b->c.peer_of[0] = -1;
+    b->c.peer_of[1] = 0;
+    b->c.ended_at = now - rows[i].ended;
+    m->asked_at = rows[i].ours > 0 ? now - rows[i].ours : 0;
+    m->asked_answered = rows[i].answered;
+    fc_frame_asked a = {.machine = "vm-1", .age_ms = (uint32_t)(rows[i].theirs * 1000), .answered = rows[i].reached};
+    if (rows[i].theirs >= 0) fc_workers_asked(&b->c, 0, &a, now - rows[i].view, now);
+    a.age_ms = (uint32_t)(rows[i].again * 1000);
+    a.answered = false;
+    if (rows[i].again > 0) fc_workers_asked(&b->c, 0, &a, now, now);
+    check_row(rows[i].name, fc_workers_unreachable(&b->c, m) == rows[i].unreachable);
+    bench_free(b);
+  }
+}
+
+/* Which machines of others are asked directly. */
+static void asked_for_their_owner(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    int owner;
+    double ended; /* ago */
+    bool settled, mute, announced;
+    double term, asked; /* ago */
+    unsigned under_way;
+    bool asks;
+  } rows[] = {
+      {"its owner is out of touch with it", 1, 5, true, true, true, 5, 10, 0, true},
+      {"in touch with it", 1, 5, true, false, true, 5, 10, 0, false},
+      {"its owner should have settled it", 1, 5, false, false, true, 5, 10, 0, true},
+      {"and has not had the time", 1, 2, false, false, true, 2, 10, 0, false},
+      {"nobody's", -1, 5, false, false, true, 5, 10, 0, false},
+      {"asked already", 1, 5, true, true, true, 5, 1, 0, false},
+      {"never up", 1, 5, true, true, false, 5, 10, 0, false},
+      {"nobody has ended for long", 1, 100, true, true, true, 5, 10, 0, false},
+      {"the last socket for it", 1, 5, true, true, true, 5, 10, 24, true},
+      {"no socket left for it", 1, 5, true, true, true, 5, 10, 25, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    double now = fc_now();
+    b->settings.fd_limit = 800;
+    b->c.pushing = rows[i].under_way;
+    b->c.ended_at = now - rows[i].ended;
+    b->c.term_since = now - rows[i].term;
+    m->owner = rows[i].owner;
+    m->announced = rows[i].announced;
+    m->remote_mute = rows[i].mute;
+    m->asked_at = now - rows[i].asked;
+    m->settled_term = rows[i].settled ? 5 : 0;
+    g_strlcpy(m->rec.endpoint, "10.1.0.2:9000", sizeof m->rec.endpoint);
+    fc_workers_ask(&b->c, m);
+    check_row(rows[i].name, m->asking == rows[i].asks);
+    check_row(rows[i].name, b->c.pushing == rows[i].under_way + rows[i].asks);
+    bench_free(b);
+  }
+}
+
 /* A report that does not fit the machine's record: refused at once, nothing placed. */
 static void contradicting_report(void **state) {
   (void)state;
@@ -545,6 +636,8 @@
       cmocka_unit_test(asked_about_what_others_answered),
       cmocka_unit_test(settled_is_news),
       cmocka_unit_test(calls_take_their_share),
+      cmocka_unit_test(asked_by_all_in_vain),
+      cmocka_unit_test(asked_for_their_owner),
       cmocka_unit_test(contradicting_report),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
