--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -169,12 +169,19 @@
 bool fc_workers_unwanted(const fc_controller *c, const fc_placement *p);
 /* Marks the machine to be asked directly when there is reason to; true: it is. */
 bool fc_workers_doubt(const fc_controller *c, fc_machine *m);
-/* Writes the ends of a job's tasks to the state service. */
-void fc_workers_record(fc_controller *c, const char *job_id);
 /* The member with the fewest machines of the kind; `count` (zeroed) collects
  * what one caller gives away in a row. */
 const char *fc_even_owner(const fc_table *t, const char *id, const char *type, const char *zone, bool spot,
                           unsigned *count);
+
+/* completions.c */
+/* Writes the ends of a job's tasks to the state service. */
+void fc_workers_record(fc_controller *c, const char *job_id);
+
+/* reachability.c */
+/* Has another member's incarnation ended so lately that a worker it answered last may not
+ * have come to others yet? */
+bool fc_workers_may_be_kept(const fc_controller *c, double now);
 /* Another member has answered the machine's report. */
 void fc_workers_kept(fc_controller *c, const fc_frame_kept *k, double now);
 /* A peer has asked the machine directly. `sent`: when we sent the view that it answers. */
