Views to peers follow the processor there is and the loop's lag; tight limits are told

Settings' limits.cpu is read now: under 0.002 of a core the process can't serve and ends with a line that names the field, exit 2; small limits that it can live with are a warning. Exchanges with peers take at most a twentieth of the processor (0.2 ms of a core each with both ends, measured on loopback): every 0.33 s with 2.4% of a core and two peers instead of every 0.2 s; unchanged with 8%. A loop that lags makes fewer, at least every 0.8 s.

Test: table in test_views; rows in command_line.sh.

--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -145,6 +145,10 @@
 void fc_machines_gone(fc_controller *c, const GPtrArray *ids);
 
 /* view.c */
+/* Seconds from the beginning of one exchange with a peer to that of the next, at least.
+ * Exchanges cost at most a small part of the processor, and a controller that falls behind
+ * by `lag_s` makes fewer; a peer hears of changes within a report interval all the same. */
+double fc_view_spacing(const fc_settings *s, double lag_s);
 /* A view of our machines for the peer, in as many frames as it takes: all of them, or
  * what has changed since the newest view that it holds. */
 void fc_view_make(fc_controller *c, const fc_peer *peer, uint64_t seq, GByteArray *out);
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -171,8 +171,7 @@
       fc_conn_close(conn);
       conn = NULL;
     }
-    /* At most ten exchanges in a report interval, at least two. */
-    double least = began + c->settings->report_s * 0.1;
+    double least = began + fc_view_spacing(c->settings, fc_loop_lag());
     if (events == c->view_events || !conn)
       (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.5 : 0.2));
     double now = fc_now();
--- a/src/controller/view.c
+++ b/src/controller/view.c
@@ -6,6 +6,16 @@
 
 #include "controller/controller.h"
 
+#define EXCHANGE_COST_S 0.0002 /* of a core, with both ends of it: measured on loopback */
+#define EXCHANGES_SHARE 0.05   /* of the processor */
+#define LAGS_BETWEEN 4.0
+
+double fc_view_spacing(const fc_settings *s, double lag_s) {
+  double least = s->report_s * 0.1, most = s->report_s * 0.4;
+  double affordable = EXCHANGE_COST_S * (double)s->peer_count / (EXCHANGES_SHARE * s->cpu);
+  return CLAMP(MAX(affordable, lag_s * LAGS_BETWEEN), least, most);
+}
+
 /* More tasks than a report may name can't be told whole; such a machine is shown as one
  * that nothing is known of, which holds back only what may be on it. */
 static bool tellable(const fc_machine *m) {
--- a/src/main.c
+++ b/src/main.c
@@ -90,6 +90,8 @@
     fprintf(stderr, "fieldcleat: %s\n", error);
     return 2;
   }
+  const char *tight = fc_settings_tight(&settings);
+  if (tight) fprintf(stderr, "fieldcleat: warning: %s\n", tight);
   if (check) {
     puts("settings are good");
     return 0;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -9,6 +9,12 @@
 
 /* Libraries, stacks and an empty table; with less the process would be killed as it starts. */
 #define MEMORY_LEAST_MB 6
+/* Links to the peers, the own lease and reads of changes alone take half of this. */
+#define CPU_LEAST 0.002
+/* With less a warning is given: measured needs of some hundred machines, twice. */
+#define MEMORY_ROOMY_MB 20
+#define CPU_ROOMY 0.015
+#define FD_ROOMY 256
 #define NAME_MAX_BYTES 64u
 #define AMOUNT_MAX 1e9
 
@@ -149,7 +155,9 @@
                           {"value_kb", &s->state_value_kb, 1, 1024},
                           {"txn_ops", &txn_ops, 1, 1e4}};
   const number cloud[] = {{"rps", &s->cloud_rps, 0.01, 1e6}, {"list_lag_s", &s->cloud_list_lag_s, 0, 3600}};
-  const number limits[] = {{"memory_mb", &s->memory_mb, MEMORY_LEAST_MB, 1e7}, {"fd_limit", &fd_limit, 32, 1e6}};
+  const number limits[] = {{"cpu", &s->cpu, CPU_LEAST, 1e4},
+                           {"memory_mb", &s->memory_mb, MEMORY_LEAST_MB, 1e7},
+                           {"fd_limit", &fd_limit, 32, 1e6}};
   if (!read_group(params, "workers", workers, G_N_ELEMENTS(workers), error, size) ||
       !read_group(params, "state", state, G_N_ELEMENTS(state), error, size) ||
       !read_group(params, "cloud", cloud, G_N_ELEMENTS(cloud), error, size) ||
@@ -232,6 +240,13 @@
   return ok;
 }
 
+const char *fc_settings_tight(const fc_settings *s) {
+  if (s->memory_mb < MEMORY_ROOMY_MB) return "settings.limits.memory_mb: little room for a larger fleet";
+  if (s->cpu < CPU_ROOMY) return "settings.limits.cpu: little room for a larger fleet";
+  if (s->fd_limit < FD_ROOMY) return "settings.limits.fd_limit: little room for workers and users";
+  return NULL;
+}
+
 void fc_operator_defaults(fc_operator_settings *out) {
   *out = (fc_operator_settings){
       .round_s = 2.0,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -58,6 +58,7 @@
   double state_rps, state_write_rps, state_value_kb;
   unsigned state_txn_ops;
   double cloud_rps, cloud_list_lag_s;
+  double cpu; /* share of one core */
   double memory_mb;
   unsigned fd_limit;
   fc_operator_settings op;
@@ -66,6 +67,9 @@
 /* Both write one line that names the field into `error` when they fail. */
 bool fc_settings_load(const char *path, fc_settings *out, char *error, size_t error_size);
 bool fc_operator_load(const char *path, fc_operator_settings *out, char *error, size_t error_size);
+/* Limits under which the service starts and keeps every rule, but has little room for a
+ * larger fleet: one line that names the fields; NULL when there are none. */
+const char *fc_settings_tight(const fc_settings *s);
 void fc_operator_defaults(fc_operator_settings *out);
 int fc_settings_team(const fc_settings *s, const char *name);      /* -1: unknown */
 unsigned fc_settings_zone(const fc_settings *s, const char *name); /* FC_ZONES_MAX: none of them */
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -48,8 +48,22 @@
 team without a name|"name":"t"|"nam":"t"|settings.teams[0].name
 too few sockets|"fd_limit":900|"fd_limit":31|settings.limits.fd_limit
 too little memory|"memory_mb":56.0|"memory_mb":2.0|settings.limits.memory_mb
+too little processor|"cpu":0.08|"cpu":0.0015|settings.limits.cpu
+no processor|"cpu":0.08,||settings.limits.cpu
 no zones|"zones":\["z1"\]|"zones":[]|settings.zones
 R
+# Tight limits are told, and no more: the settings are good.
+while IFS='|' read -r name from to text; do
+  sed "s/$from/$to/" "$dir/good.json" > "$dir/tight.json"
+  expect "$name" 0 "warning: $text" "$bin" --check --config "$dir/tight.json"
+  expect "$name, good" 0 "settings are good" "$bin" --check --config "$dir/tight.json"
+done <<'R'
+tight processor|"cpu":0.08|"cpu":0.002|settings.limits.cpu
+tight memory|"memory_mb":56.0|"memory_mb":6|settings.limits.memory_mb
+tight sockets|"fd_limit":900|"fd_limit":48|settings.limits.fd_limit
+R
+roomy=$("$bin" --check --config "$dir/good.json" 2>&1)
+[ "$roomy" = "settings are good" ] || { echo "not so: no warning with roomy limits: $roomy"; failed=1; }
 printf '[scheduler]\nround_s = 1.0\n[machines]\nrent = false\n' > "$dir/op.toml"
 expect "operators' settings" 0 good "$bin" --check --operator "$dir/op.toml" --config "$dir/good.json"
 printf '[scheduler]\nround = 1.0\n' > "$dir/op.toml"
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -276,6 +276,7 @@
     s->state_write_rps = 40;
     s->cloud_rps = 2;
     s->memory_mb = 27;
+    s->cpu = 0.024;
     s->fd_limit = 900;
     fc_operator_settings usual;
     fc_operator_defaults(&usual);
@@ -491,6 +492,7 @@
   s->state_txn_ops = 8;
   s->cloud_rps = 4;
   s->memory_mb = 56;
+  s->cpu = 0.08;
   s->fd_limit = 900;
   fc_operator_defaults(&s->op);
   s->op.over_keep_s = 20; /* jobs are put away in the middle of the troubles */
--- a/tests/test_views.c
+++ b/tests/test_views.c
@@ -273,11 +273,40 @@
   }
 }
 
+/* How often peers are told of changes follows the processor there is and how far behind we
+ * are, between ten times and two and a half times in a report interval. */
+static void spacing_follows_the_processor(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double cpu;
+    size_t peers;
+    double lag_s;
+    double least, most; /* of report_s */
+  } rows[] = {
+      {"a whole core", 1, 2, 0, 0.1, 0.1},
+      {"a twelfth of one", 0.08, 2, 0, 0.1, 0.1},
+      {"a fortieth", 0.024, 2, 0, 0.12, 0.2},
+      {"a fortieth, more peers", 0.024, 4, 0, 0.2, 0.4},
+      {"a hundredth", 0.01, 2, 0, 0.4, 0.4},
+      {"a whole core, a little behind", 1, 2, 0.01, 0.1, 0.1},
+      {"a whole core, behind", 1, 2, 0.1, 0.19, 0.21},
+      {"a whole core, far behind", 1, 2, 5, 0.4, 0.4},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    s.cpu = rows[i].cpu;
+    s.peer_count = rows[i].peers;
+    double spacing = fc_view_spacing(&s, rows[i].lag_s) / s.report_s;
+    check_row(rows[i].name, spacing >= rows[i].least - 1e-9 && spacing <= rows[i].most + 1e-9);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(a_whole_fleet_travels),       cmocka_unit_test(pieces_out_of_order),
       cmocka_unit_test(what_changed_needs_its_base), cmocka_unit_test(tasks_at_the_bound),
-      cmocka_unit_test(cancellations_travel),
+      cmocka_unit_test(cancellations_travel),        cmocka_unit_test(spacing_follows_the_processor),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -18,6 +18,7 @@
   s.cancel_s = 34;
   s.gang_peer_s = 5;
   s.gang_wait_s = 40;
+  s.cpu = 0.08;
   return s;
 }
 
