--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -428,8 +428,8 @@
   return fresh + MIN(old + feared, MAX(old, carried));
 }
 
-void fc_table_usage(const fc_table *t, int team, double *cpus, double *gpus) {
-  fc_room fresh = {0, 0, 0}, old = {0, 0, 0}, feared = {0, 0, 0};
+void fc_table_usage(const fc_table *t, double cpus[FC_TEAMS_MAX], double gpus[FC_TEAMS_MAX]) {
+  fc_room fresh[FC_TEAMS_MAX] = {{0}}, old[FC_TEAMS_MAX] = {{0}}, feared = {0, 0, 0};
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
@@ -444,14 +444,16 @@
     }
     for (guint i = 0; i < m->placements->len; i++) {
       const fc_placement *p = m->placements->pdata[i];
-      if (!fc_placement_live(p) || !p->job || p->job->team != team) continue;
-      fc_room *r = fc_attempt_term(p->attempt) == t->term.number ? &fresh : &old;
+      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+      fc_room *r = &(fc_attempt_term(p->attempt) == t->term.number ? fresh : old)[p->job->team];
       r->cpus += p->job->spec.cpus;
       r->gpus += p->job->spec.gpus;
     }
   }
-  *cpus = at_most(fresh.cpus, old.cpus, feared.cpus, t->carried_cpus[team]);
-  *gpus = at_most(fresh.gpus, old.gpus, feared.gpus, t->carried_gpus[team]);
+  for (size_t k = 0; k < t->settings->team_count; k++) {
+    cpus[k] = at_most(fresh[k].cpus, old[k].cpus, feared.cpus, t->carried_cpus[k]);
+    gpus[k] = at_most(fresh[k].gpus, old[k].gpus, feared.gpus, t->carried_gpus[k]);
+  }
 }
 
 fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running) {
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -252,9 +252,9 @@
 fc_room fc_machine_whole(const fc_table *t, const fc_machine *m);
 /* Adds what the tasks on the machine use, by team. */
 void fc_machine_use(const fc_machine *m, double cpus[FC_TEAMS_MAX], double gpus[FC_TEAMS_MAX]);
-/* What the tasks on this part's machines use of a team's limit, at most: machines
+/* What the tasks on this part's machines use of each team's limit, at most: machines
  * that are not settled count as full, as far as what was carried over allows. */
-void fc_table_usage(const fc_table *t, int team, double *cpus, double *gpus);
+void fc_table_usage(const fc_table *t, double cpus[FC_TEAMS_MAX], double gpus[FC_TEAMS_MAX]);
 fc_job_status fc_job_status_of(const fc_job *j, uint32_t *running);
 
 /* A new term: owners are derived again. `continuous`: this process was a
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -82,17 +82,17 @@
   const fc_table *t = c->table;
   bool valid = t->quota_version && t->quota.term == t->term.number;
   int at = valid ? fc_quota_member(&t->quota, c->settings->name) : -1;
+  double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX];
+  fc_table_usage(t, cpus, gpus);
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     out->cpus[k] = out->gpus[k] = INFINITY;
     if (!limited(ts)) continue;
-    double cpus, gpus;
-    fc_table_usage(t, (int)k, &cpus, &gpus);
     /* While a lower share of ours is being written, only that one counts. */
     double share_cpus = at >= 0 ? MIN(t->quota.cpus[at][k], c->share_cap_cpus[k]) : 0;
     double share_gpus = at >= 0 ? MIN(t->quota.gpus[at][k], c->share_cap_gpus[k]) : 0;
-    if (ts->cpus_max > 0) out->cpus[k] = share_cpus - cpus;
-    if (ts->gpus_max > 0) out->gpus[k] = share_gpus - gpus;
+    if (ts->cpus_max > 0) out->cpus[k] = share_cpus - cpus[k];
+    if (ts->gpus_max > 0) out->gpus[k] = share_gpus - gpus[k];
   }
 }
 
@@ -178,6 +178,8 @@
   if (at < 0) return false;
   bool changed = false, in_doubt[FC_MEMBERS_MAX] = {false};
   find_doubts(t, in_doubt);
+  double most_cpus[FC_TEAMS_MAX], most_gpus[FC_TEAMS_MAX];
+  fc_table_usage(t, most_cpus, most_gpus);
   for (size_t k = 0; k < c->settings->team_count; k++) {
     const fc_team_settings *ts = &c->settings->teams[k];
     fc_quota_others cpus = {0}, gpus = {0};
@@ -189,7 +191,8 @@
     }
     const fc_demand *cn = &now->cpus[t->self][k], *gn = &now->gpus[t->self][k];
     fc_demand cm = *cn, gm = *gn;
-    fc_table_usage(t, (int)k, &cm.used, &gm.used);
+    cm.used = most_cpus[k];
+    gm.used = most_gpus[k];
     bool bounded = isfinite(t->carried_gpus[k]);
     if (ts->cpus_max > 0)
       changed |= changes(&q->cpus[at][k], adjusted(ts->cpus_max, &cpus, q->cpus[at][k], cn, &cm, bounded));
