Simulated world: one function for each fault, call and step of a task

The faults, the calls of the state service and the cloud, and the steps of a task were branches of four functions of up to 73 lines.

--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -48,6 +48,34 @@
   free(s);
 }
 
+static void cloud_release(const sim_request *r) {
+  json_t *v = json_loads(r->body, 0, NULL), *id;
+  size_t i;
+  json_array_foreach(json_object_get(v, "paddocks"), i, id) {
+    worker *w = g_hash_table_lookup(g_workers, json_string_value(id));
+    if (w && !w->returned_at) w->returned_at = sim_now();
+    if (w) w->gone = true;
+  }
+  json_decref(v);
+  sim_answer(r->exchange, 200, "{}");
+}
+
+static void cloud_list(const sim_request *r) {
+  json_t *list = json_array();
+  for (guint i = 0; i < g_order->len; i++) {
+    const worker *w = g_order->pdata[i];
+    if (w->gone || sim_now() < w->born + 10) continue; /* the list is late */
+    json_array_append_new(
+        list, json_pack("{ss ss ss sb ss sf}", "id", w->id, "build", "g4", "ground", world_zones[w->zone], "loaners",
+                        (int)w->spot, "status", w->up ? "running" : "starting", "ageS", sim_now() - w->born));
+  }
+  json_t *v = json_pack("{so sb}", "paddocks", list, "more", 0);
+  char *s = json_dumps(v, JSON_COMPACT);
+  json_decref(v);
+  sim_answer(r->exchange, 200, s);
+  free(s);
+}
+
 static void cloud_serve(const sim_request *r, void *arg) {
   (void)arg;
   if (g_cloud_down) {
@@ -59,29 +87,9 @@
   } else if (strcmp(r->path, "/hosts") == 0) {
     cloud_hire(r);
   } else if (strcmp(r->path, "/hosts/release") == 0) {
-    json_t *v = json_loads(r->body, 0, NULL), *id;
-    size_t i;
-    json_array_foreach(json_object_get(v, "paddocks"), i, id) {
-      worker *w = g_hash_table_lookup(g_workers, json_string_value(id));
-      if (w && !w->returned_at) w->returned_at = sim_now();
-      if (w) w->gone = true;
-    }
-    json_decref(v);
-    sim_answer(r->exchange, 200, "{}");
+    cloud_release(r);
   } else {
-    json_t *list = json_array();
-    for (guint i = 0; i < g_order->len; i++) {
-      const worker *w = g_order->pdata[i];
-      if (w->gone || sim_now() < w->born + 10) continue; /* the list is late */
-      json_array_append_new(
-          list, json_pack("{ss ss ss sb ss sf}", "id", w->id, "build", "g4", "ground", world_zones[w->zone], "loaners",
-                          (int)w->spot, "status", w->up ? "running" : "starting", "ageS", sim_now() - w->born));
-    }
-    json_t *v = json_pack("{so sb}", "paddocks", list, "more", 0);
-    char *s = json_dumps(v, JSON_COMPACT);
-    json_decref(v);
-    sim_answer(r->exchange, 200, s);
-    free(s);
+    cloud_list(r);
   }
 }
 
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -197,10 +197,9 @@
   g_down = down;
 }
 
-static void commit(const sim_request *r) {
-  json_t *body = json_loads(r->body, 0, NULL);
-  json_t *when = json_object_get(body, "when"), *then = json_object_get(body, "then"), *item;
-  json_t *failed = json_array();
+/* The keys whose conditions don't hold; the caller's to drop. */
+static json_t *failed_conditions(const json_t *when) {
+  json_t *failed = json_array(), *item;
   size_t i;
   json_array_foreach(when, i, item) {
     const char *key = json_string_value(json_object_get(item, "key"));
@@ -208,21 +207,22 @@
     if ((e ? e->version : 0) != (uint64_t)json_integer_value(json_object_get(item, "edition")))
       json_array_append_new(failed, json_string(key));
   }
+  return failed;
+}
+
+static bool leases_there(const json_t *then) {
+  json_t *item;
+  size_t i;
   json_array_foreach(then, i, item) {
     json_t *pass = json_object_get(item, "pass");
-    if (pass && !g_hash_table_contains(g_leases, GSIZE_TO_POINTER((size_t)json_integer_value(pass)))) {
-      answer(r->exchange, 400, json_pack("{ss}", "error", "no such lease"));
-      json_decref(failed);
-      json_decref(body);
-      return;
-    }
+    if (pass && !g_hash_table_contains(g_leases, GSIZE_TO_POINTER((size_t)json_integer_value(pass)))) return false;
   }
-  if (json_array_size(failed) > 0) {
-    answer(r->exchange, 409, json_pack("{so sI}", "failed", failed, "round", g_revision));
-    json_decref(body);
-    return;
-  }
-  json_decref(failed);
+  return true;
+}
+
+static void apply_changes(const sim_request *r, const json_t *then) {
+  json_t *item;
+  size_t i;
   if (json_array_size(then) > 0) g_revision++;
   json_array_foreach(then, i, item) {
     const char *key = json_string_value(json_object_get(item, "set"));
@@ -233,6 +233,25 @@
       put(json_string_value(json_object_get(item, "remove")), NULL, 0);
     }
   }
+}
+
+static void commit(const sim_request *r) {
+  json_t *body = json_loads(r->body, 0, NULL);
+  const json_t *then = json_object_get(body, "then");
+  json_t *failed = failed_conditions(json_object_get(body, "when"));
+  if (!leases_there(then)) {
+    answer(r->exchange, 400, json_pack("{ss}", "error", "no such lease"));
+    json_decref(failed);
+    json_decref(body);
+    return;
+  }
+  if (json_array_size(failed) > 0) {
+    answer(r->exchange, 409, json_pack("{so sI}", "failed", failed, "round", g_revision));
+    json_decref(body);
+    return;
+  }
+  json_decref(failed);
+  apply_changes(r, then);
   if (g_blind_next_s > 0 && strstr(r->body, g_blind_key)) {
     g_blind_until = sim_now() + g_blind_next_s;
     g_blind_next_s = 0;
@@ -283,58 +302,78 @@
   g_blind_next_s = for_s;
 }
 
+static void grant_lease(const sim_request *r) {
+  json_t *body = json_loads(r->body, 0, NULL);
+  double ttl = (double)json_integer_value(json_object_get(body, "lifeMs")) / 1000;
+  json_decref(body);
+  size_t id = ++g_next_lease;
+  double *end = g_new(double, 1), *s = g_new(double, 1);
+  *end = sim_now() + ttl;
+  *s = ttl;
+  g_hash_table_insert(g_leases, GSIZE_TO_POINTER(id), end);
+  g_hash_table_insert(g_lease_s, GSIZE_TO_POINTER(id), s);
+  answer(r->exchange, 200, json_pack("{sI}", "pass", (json_int_t)id));
+}
+
+static void renew_lease(const sim_request *r) {
+  size_t id = strtoul(r->path + 7, NULL, 10);
+  double *end = g_hash_table_lookup(g_leases, GSIZE_TO_POINTER(id));
+  if (end) *end = sim_now() + *(double *)g_hash_table_lookup(g_lease_s, GSIZE_TO_POINTER(id));
+  sim_answer(r->exchange, end ? 200 : 404, "{}");
+}
+
+static void get_key(const sim_request *r) {
+  const char *key = r->path + strlen("/keys/");
+  const entry *e = g_tree_lookup(g_keys, key);
+  if (e) {
+    answer(r->exchange, 200, json_pack("{ss sO sI}", "key", key, "v", e->value, "edition", (json_int_t)e->version));
+  } else {
+    answer(r->exchange, 404, json_pack("{sI}", "round", (json_int_t)g_revision));
+  }
+}
+
+static void open_watch(const sim_request *r) {
+  watch *w = g_new0(watch, 1);
+  w->x = r->exchange;
+  w->prefix = query_value(r->path, "prefix");
+  char *from = query_value(r->path, "from"), *hold = query_value(r->path, "holdMs");
+  w->from = strtoull(from, NULL, 10);
+  w->until = sim_now() + atof(hold) / 1000;
+  g_free(from);
+  g_free(hold);
+  g_ptr_array_add(g_watches, w);
+  check_watches();
+}
+
+static void list_keys(const sim_request *r) {
+  listing l = {.rows = json_array()};
+  char *prefix = query_value(r->path, "prefix"), *after = query_value(r->path, "from"),
+       *page = query_value(r->path, "page");
+  l.prefix = prefix;
+  l.after = after;
+  l.most = page ? strtoul(page, NULL, 10) : 1000;
+  g_tree_foreach(g_keys, list_one, &l);
+  answer(r->exchange, 200, json_pack("{so sb sI}", "rows", l.rows, "more", (int)l.more, "round", g_revision));
+  g_free(prefix);
+  g_free(after);
+  g_free(page);
+}
+
 static void serve_now(const sim_request *r) {
   if (g_down || world_state_refuses(r->exchange)) {
     sim_answer(r->exchange, 503, "{}");
   } else if (strcmp(r->path, "/commit") == 0) {
     commit(r);
   } else if (strcmp(r->path, "/holds") == 0) {
-    json_t *body = json_loads(r->body, 0, NULL);
-    double ttl = (double)json_integer_value(json_object_get(body, "lifeMs")) / 1000;
-    json_decref(body);
-    size_t id = ++g_next_lease;
-    double *end = g_new(double, 1), *s = g_new(double, 1);
-    *end = sim_now() + ttl;
-    *s = ttl;
-    g_hash_table_insert(g_leases, GSIZE_TO_POINTER(id), end);
-    g_hash_table_insert(g_lease_s, GSIZE_TO_POINTER(id), s);
-    answer(r->exchange, 200, json_pack("{sI}", "pass", (json_int_t)id));
+    grant_lease(r);
   } else if (g_str_has_prefix(r->path, "/holds/")) {
-    size_t id = strtoul(r->path + 7, NULL, 10);
-    double *end = g_hash_table_lookup(g_leases, GSIZE_TO_POINTER(id));
-    if (end) *end = sim_now() + *(double *)g_hash_table_lookup(g_lease_s, GSIZE_TO_POINTER(id));
-    sim_answer(r->exchange, end ? 200 : 404, "{}");
+    renew_lease(r);
   } else if (g_str_has_prefix(r->path, "/keys/")) {
-    const entry *e = g_tree_lookup(g_keys, r->path + 6);
-    if (e) {
-      answer(r->exchange, 200,
-             json_pack("{ss sO sI}", "key", r->path + 6, "v", e->value, "edition", (json_int_t)e->version));
-    } else {
-      answer(r->exchange, 404, json_pack("{sI}", "round", (json_int_t)g_revision));
-    }
+    get_key(r);
   } else if (g_str_has_prefix(r->path, "/changes?")) {
-    watch *w = g_new0(watch, 1);
-    w->x = r->exchange;
-    w->prefix = query_value(r->path, "prefix");
-    char *from = query_value(r->path, "from"), *hold = query_value(r->path, "holdMs");
-    w->from = strtoull(from, NULL, 10);
-    w->until = sim_now() + atof(hold) / 1000;
-    g_free(from);
-    g_free(hold);
-    g_ptr_array_add(g_watches, w);
-    check_watches();
+    open_watch(r);
   } else {
-    listing l = {.rows = json_array()};
-    char *prefix = query_value(r->path, "prefix"), *after = query_value(r->path, "from"),
-         *page = query_value(r->path, "page");
-    l.prefix = prefix;
-    l.after = after;
-    l.most = page ? strtoul(page, NULL, 10) : 1000;
-    g_tree_foreach(g_keys, list_one, &l);
-    answer(r->exchange, 200, json_pack("{so sb sI}", "rows", l.rows, "more", (int)l.more, "round", g_revision));
-    g_free(prefix);
-    g_free(after);
-    g_free(page);
+    list_keys(r);
   }
 }
 
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -438,39 +438,71 @@
   exit_task(w, t, "done");
 }
 
-static void task_step(worker *w, task *t) {
+static bool is_gang(const job *j) {
+  return strcmp(j->kind, "gang") == 0;
+}
+
+static void image_fetched(worker *w, task *t) {
   job *j = t->job;
   double now = sim_now();
-  if (t->state == T_FETCHING && now >= t->until) {
-    bool gang = strcmp(j->kind, "gang") == 0;
-    t->state = gang ? T_WAITING : T_RUNNING;
-    t->since = now;
-    t->until = now + j->run_s + j->later_s * t->index;
+  t->state = is_gang(j) ? T_WAITING : T_RUNNING;
+  t->since = now;
+  t->until = now + j->run_s + j->later_s * t->index;
+  w->changed = true;
+  check_start(w, t);
+  /* The result of a finished task is kept. */
+  if (j->done[t->index]) finish(w, t);
+}
+
+/* They complete together. */
+static void gang_completes(worker *w, task *t) {
+  job *j = t->job;
+  for (unsigned i = 0; i < j->tasks; i++) j->done[i] = true;
+  if (j->done_count < j->tasks) users_job_ends(j);
+  j->done_count = j->tasks;
+  finish(w, t);
+}
+
+static void waiting_gang_step(worker *w, task *t, unsigned present) {
+  job *j = t->job;
+  double now = sim_now();
+  if (present == j->tasks) {
+    t->state = T_RUNNING;
+    t->until = now + j->run_s;
     w->changed = true;
-    check_start(w, t);
-    /* The result of a finished task is kept. */
-    if (j->done[t->index]) finish(w, t);
+    if (!j->began_at) j->began_at = now;
+  } else if (now > t->since + GANG_WAIT_S) {
+    exit_task(w, t, "incomplete");
   }
-  if (strcmp(j->kind, "gang") == 0 && (t->state == T_WAITING || t->state == T_RUNNING)) {
-    gang_view g = {.t = t};
-    each_on_machine(see_gang, &g);
-    if (t->state == T_WAITING && g.present == j->tasks) {
-      t->state = T_RUNNING;
-      t->until = now + j->run_s;
-      w->changed = true;
-      if (!j->began_at) j->began_at = now;
-    } else if (t->state == T_WAITING && now > t->since + GANG_WAIT_S) {
-      exit_task(w, t, "incomplete");
-    } else if (t->state == T_RUNNING && g.present < j->tasks && !j->done[0]) {
-      if (!t->broken_at) t->broken_at = now;
-      if (now > t->broken_at + GANG_PEER_S * 0.8) exit_task(w, t, "mates_gone");
-    } else if (t->state == T_RUNNING && now >= t->until) {
-      /* They complete together. */
-      for (unsigned i = 0; i < j->tasks; i++) j->done[i] = true;
-      if (j->done_count < j->tasks) users_job_ends(j);
-      j->done_count = j->tasks;
-      finish(w, t);
-    }
+}
+
+static void running_gang_step(worker *w, task *t, unsigned present) {
+  job *j = t->job;
+  double now = sim_now();
+  if (present < j->tasks && !j->done[0]) {
+    if (!t->broken_at) t->broken_at = now;
+    if (now > t->broken_at + GANG_PEER_S * 0.8) exit_task(w, t, "mates_gone");
+  } else if (now >= t->until) {
+    gang_completes(w, t);
+  }
+}
+
+static void gang_step(worker *w, task *t) {
+  gang_view g = {.t = t};
+  each_on_machine(see_gang, &g);
+  if (t->state == T_WAITING) {
+    waiting_gang_step(w, t, g.present);
+  } else {
+    running_gang_step(w, t, g.present);
+  }
+}
+
+static void task_step(worker *w, task *t) {
+  job *j = t->job;
+  double now = sim_now();
+  if (t->state == T_FETCHING && now >= t->until) image_fetched(w, t);
+  if (is_gang(j) && (t->state == T_WAITING || t->state == T_RUNNING)) {
+    gang_step(w, t);
   } else if (t->state == T_RUNNING && strcmp(j->kind, "sweep") == 0 && now >= t->until) {
     finish(w, t);
   }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -330,6 +330,92 @@
   return g_order->pdata[g_rand_int_range(sim_rand(), 0, (gint32)g_order->len)];
 }
 
+/* ---- faults: each draws its numbers in a fixed order, so that a seed is always the same day ---- */
+
+static void fault_crash_some(void) {
+  crash(world_any_node());
+  if (sim_chance(0.3)) crash(world_any_node());
+}
+
+static void fault_crash_all(void) {
+  for (int i = 0; i < WORLD_NODES; i++) crash(i);
+}
+
+static void fault_state_down(void) {
+  state_down(true);
+  sim_after(sim_draw(2, 25), state_up, NULL);
+}
+
+static void fault_cut(double until, sim_link mode) {
+  cut c = {.kind = (int)sim_draw(0, 6), .node = world_any_node(), .until = until, .mode = mode};
+  if (c.kind == CUT_ZONES) c.node = -1;
+  g_array_append_val(g_cuts, c);
+}
+
+/* Reports arrive, answers and commands don't. Now and then at many machines. */
+static void fault_deaf(double until) {
+  bool many = sim_chance(0.15);
+  for (guint i = 0; i < g_order->len; i++) {
+    worker *w = many ? g_order->pdata[i] : any_worker();
+    w->deaf_until = until;
+    if (!many) break;
+  }
+}
+
+static void fault_reborn(void) {
+  worker *w = any_worker();
+  if (w && w->up && !w->gone) worker_reborn(w);
+}
+
+/* Many machines at once: they die, or hang. */
+static void fault_many_machines(double until) {
+  bool die = sim_chance(0.5);
+  for (guint i = 0; i < g_order->len; i++) {
+    worker *w = g_order->pdata[i];
+    if (!w->up || w->gone || sim_chance(0.5)) continue;
+    if (die) w->gone = true;
+    w->hang_until = until;
+  }
+}
+
+/* For less and for more than its own lease, a worker's lease, a cancellation's time. */
+static void fault_still(double length) {
+  world_still((unsigned)world_any_node(), sim_chance(0.4) ? sim_draw(0.2, 3) : length * 1.4);
+}
+
+/* Back in a blink, twice in a row, two at once, in the middle of a term. */
+static void fault_blinks(void) {
+  int a = world_any_node(), b = world_any_node();
+  blink(a);
+  blink(b);
+  sim_after(sim_draw(0.1, 1.5), blink_again, &g_settings[a]);
+  sim_after(sim_draw(0.1, 1.5), blink_again, &g_settings[b]);
+}
+
+/* Spot machines mostly go with a notice. */
+static void machine_ends(worker *w, double now) {
+  if (w->spot && sim_chance(0.5)) {
+    w->notice_at = now;
+    w->taken_at = now + sim_draw(5, 15);
+  } else {
+    w->gone = true;
+  }
+}
+
+/* One machine hangs, is cut off or ends. */
+static void fault_machine(double k, double now, double length, sim_link mode) {
+  worker *w = any_worker();
+  if (!w || w->gone || !w->up) return; /* nothing to break */
+  if (k < 10.5) {
+    w->hang_until = now + length;
+  } else if (k < 11.3) {
+    cut c = {.kind = CUT_WORKER, .node = -1, .ip = w->ip, .until = now + length, .mode = mode};
+    g_array_append_val(g_cuts, c);
+  } else {
+    machine_ends(w, now);
+  }
+}
+
 static void fault(void *arg) {
   double end = *(double *)arg;
   if (sim_now() > end) return;
@@ -339,68 +425,29 @@
   double length = sim_draw(3, 30);
   if (g_verbose) g_printerr("%.1f fault %.2f length %.1f\n", now, k, length);
   if (k < 3) {
-    crash(world_any_node());
-    if (sim_chance(0.3)) crash(world_any_node());
+    fault_crash_some();
   } else if (k < 3.5) {
-    for (int i = 0; i < WORLD_NODES; i++) crash(i);
+    fault_crash_all();
   } else if (k < 5) {
-    state_down(true);
-    sim_after(sim_draw(2, 25), state_up, NULL);
+    fault_state_down();
   } else if (k < 6) {
     g_refuse_until[world_any_node()] = now + length;
   } else if (k < 9.5) {
-    cut c = {.kind = (int)sim_draw(0, 6), .node = world_any_node(), .until = now + length, .mode = mode};
-    if (c.kind == CUT_ZONES) c.node = -1;
-    g_array_append_val(g_cuts, c);
-  } else if (k >= 12 && k < 13) {
-    /* Deaf: reports arrive, answers and commands don't. Now and then many. */
-    bool many = sim_chance(0.15);
-    for (guint i = 0; i < g_order->len; i++) {
-      worker *w = many ? g_order->pdata[i] : any_worker();
-      w->deaf_until = now + length * 1.5;
-      if (!many) break;
-    }
-  } else if (k >= 13 && k < 14) {
-    worker *w = any_worker();
-    if (w && w->up && !w->gone) worker_reborn(w);
-  } else if (k >= 17.2) {
-    /* Many machines at once: they die, or hang. */
-    bool die = sim_chance(0.5);
-    for (guint i = 0; i < g_order->len; i++) {
-      worker *w = g_order->pdata[i];
-      if (!w->up || w->gone || sim_chance(0.5)) continue;
-      if (die) w->gone = true;
-      w->hang_until = now + length;
-    }
-  } else if (k >= 16.4) {
+    fault_cut(now + length, mode);
+  } else if (k < 12) {
+    fault_machine(k, now, length, mode);
+  } else if (k < 13) {
+    fault_deaf(now + length * 1.5);
+  } else if (k < 14) {
+    fault_reborn();
+  } else if (k < 15.5) {
+    fault_blinks();
+  } else if (k < 16.4) {
+    fault_still(length);
+  } else if (k < 17.2) {
     world_cut_zone(g_rand_int_range(sim_rand(), 0, 2), length * 1.4);
-  } else if (k >= 15.5) {
-    /* For less and for more than its own lease, a worker's lease, a cancellation's time. */
-    world_still((unsigned)world_any_node(), sim_chance(0.4) ? sim_draw(0.2, 3) : length * 1.4);
-  } else if (k >= 14) {
-    /* Back in a blink, twice in a row, two at once, in the middle of a term. */
-    int a = world_any_node(), b = world_any_node();
-    blink(a);
-    blink(b);
-    sim_after(sim_draw(0.1, 1.5), blink_again, &g_settings[a]);
-    sim_after(sim_draw(0.1, 1.5), blink_again, &g_settings[b]);
   } else {
-    worker *w = any_worker();
-    if (!w || w->gone || !w->up) {
-      /* nothing to break */
-    } else if (k < 10.5) {
-      w->hang_until = now + length;
-    } else if (k < 11.3) {
-      cut c = {.kind = CUT_WORKER, .node = -1, .ip = w->ip, .until = now + length, .mode = mode};
-      g_array_append_val(g_cuts, c);
-    } else {
-      if (w->spot && sim_chance(0.5)) {
-        w->notice_at = now;
-        w->taken_at = now + sim_draw(5, 15);
-      } else {
-        w->gone = true;
-      }
-    }
+    fault_many_machines(now + length);
   }
   sim_after(sim_draw(1, 16), fault, arg);
 }
