Simulated transport in three files: time and routines, exchanges, streams

No change of behaviour. What they share is in tests/sim/network.h; each keeps its own state, and a test's network is asked in one place (sim_link_now).

--- /dev/null
+++ b/tests/sim/events.c
@@ -0,0 +1,320 @@
+/* Virtual time, its events, and the routines and processes that they run; see sim.h. */
+#include <stdlib.h>
+#include <string.h>
+#include <sys/mman.h>
+
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/asan_interface.h>
+#else
+#define ASAN_UNPOISON_MEMORY_REGION(p, n) ((void)0)
+#endif
+
+#include "network.h"
+#include "sim.h"
+#include "transport/routine.h"
+
+typedef void *fcontext_t;
+typedef struct {
+  fcontext_t fctx;
+  void *data;
+} transfer_t;
+extern transfer_t jump_fcontext(fcontext_t to, void *vp);
+extern fcontext_t make_fcontext(void *sp, size_t size, void (*fn)(transfer_t));
+
+#define STACK ((size_t)512 * 1024)
+
+typedef struct event {
+  double at;
+  uint64_t order;
+  sim_fn fn;
+  void *arg;
+} event;
+
+struct fc_routine {
+  fcontext_t context;
+  fc_routine_fn fn;
+  void *arg;
+  char *stack;
+  sim_process *process;
+  fc_wake reason;
+  uint64_t waits; /* tells a timer of an earlier wait from the present one */
+  bool parked, queued, finished, dead;
+};
+
+struct fc_waiter {
+  fc_routine *routine;
+  struct fc_waiter *next;
+  bool signalled;
+};
+
+static double g_now;
+static uint64_t g_order;
+static GSequence *g_events;
+static GRand *g_rand;
+static GHashTable *g_processes; /* ip -> the newest process there */
+static fcontext_t g_main;
+static fc_routine *g_self;
+static sim_process *g_process; /* whose routine or handler runs */
+static GPtrArray *g_spare;
+
+static gint by_time(gconstpointer a, gconstpointer b, gpointer data) {
+  (void)data;
+  const event *x = a, *y = b;
+  if (x->at != y->at) return x->at < y->at ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+void sim_init(uint32_t seed) {
+  g_now = 100;
+  g_order = 0;
+  g_events = g_sequence_new(g_free);
+  g_rand = g_rand_new_with_seed(seed);
+  g_random_set_seed(seed);
+  g_processes = g_hash_table_new(NULL, NULL);
+  if (!g_spare) g_spare = g_ptr_array_new();
+  g_self = NULL;
+  g_process = NULL;
+  sim_exchanges_init();
+  sim_streams_init();
+}
+
+double sim_now(void) {
+  return g_now;
+}
+GRand *sim_rand(void) {
+  return g_rand;
+}
+double sim_draw(double least, double most) {
+  return g_rand_double_range(g_rand, least, most);
+}
+bool sim_chance(double p) {
+  return g_rand_double(g_rand) < p;
+}
+
+void sim_at(double t, sim_fn fn, void *arg) {
+  event *e = g_new(event, 1);
+  *e = (event){.at = t, .order = g_order++, .fn = fn, .arg = arg};
+  g_sequence_insert_sorted(g_events, e, by_time, NULL);
+}
+
+void sim_after(double dt, sim_fn fn, void *arg) {
+  sim_at(g_now + dt, fn, arg);
+}
+
+void sim_run_until(double t) {
+  while (!g_sequence_is_empty(g_events)) {
+    GSequenceIter *first = g_sequence_get_begin_iter(g_events);
+    event e = *(event *)g_sequence_get(first);
+    if (e.at > t) break;
+    g_sequence_remove(first);
+    if (e.at > g_now) g_now = e.at;
+    e.fn(e.arg);
+  }
+  g_now = t;
+}
+
+/* ---- routines ---- */
+
+bool fc_loop_init(void) {
+  return true;
+}
+struct ev_loop *fc_loop(void) {
+  return NULL;
+}
+void fc_loop_run(void) {}
+double fc_now(void) {
+  /* Steady clocks run up to 0.05% fast, each at its own rate. */
+  double drift = g_process ? 0.0005 * (g_process->ip % 7) / 6.0 : 0;
+  return g_now * (1 + drift);
+}
+
+static double true_time(double local) {
+  double drift = g_process ? 0.0005 * (g_process->ip % 7) / 6.0 : 0;
+  return local / (1 + drift);
+}
+
+fc_routine *fc_routine_self(void) {
+  return g_self;
+}
+bool fc_routine_cancelled(void) {
+  return false;
+}
+size_t fc_routine_count(void) {
+  return g_process ? g_process->routines->len : 0;
+}
+void fc_routine_cancel(fc_routine *r) {
+  (void)r;
+}
+
+static void entry(transfer_t t) {
+  g_main = t.fctx;
+  fc_routine *r = t.data;
+  r->fn(r->arg);
+  r->finished = true;
+  jump_fcontext(g_main, NULL);
+  abort();
+}
+
+static void release(fc_routine *r) {
+  g_ptr_array_remove_fast(r->process->routines, r);
+  g_ptr_array_add(g_spare, r->stack);
+  r->stack = NULL;
+  r->dead = true; /* kept: events may still name it */
+}
+
+static void run(void *arg) {
+  fc_routine *r = arg;
+  if (!r->dead && r->process->still_until > g_now) {
+    sim_at(r->process->still_until, run, r);
+    return;
+  }
+  r->queued = false;
+  if (r->dead) return;
+  fc_routine *self_before = g_self;
+  sim_process *process_before = g_process;
+  g_self = r;
+  g_process = r->process;
+  transfer_t t = jump_fcontext(r->context, r);
+  r->context = t.fctx;
+  g_self = self_before;
+  g_process = process_before;
+  if (r->finished) release(r);
+}
+
+static void enqueue(fc_routine *r) {
+  if (r->queued) return;
+  r->queued = true;
+  sim_at(g_now, run, r);
+}
+
+fc_routine *sim_spawn_in(sim_process *p, fc_routine_fn fn, void *arg) {
+  fc_routine *r = g_new0(fc_routine, 1);
+  r->fn = fn;
+  r->arg = arg;
+  r->process = p;
+  if (g_spare->len > 0) {
+    r->stack = g_ptr_array_steal_index_fast(g_spare, g_spare->len - 1);
+  } else {
+    r->stack = mmap(NULL, STACK, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+    if (r->stack == MAP_FAILED) abort();
+  }
+  ASAN_UNPOISON_MEMORY_REGION(r->stack, STACK); /* frames of one that was killed */
+  r->context = make_fcontext(r->stack + STACK, STACK, entry);
+  g_ptr_array_add(p->routines, r);
+  enqueue(r);
+  return r;
+}
+
+fc_routine *fc_routine_spawn(fc_routine_fn fn, void *arg) {
+  return sim_spawn_in(g_process, fn, arg);
+}
+
+typedef struct timer {
+  fc_routine *routine;
+  uint64_t wait;
+} timer;
+
+static void on_timer(void *arg) {
+  timer *t = arg;
+  fc_routine *r = t->routine;
+  if (!r->dead && r->parked && r->waits == t->wait) {
+    r->parked = false;
+    r->reason = FC_WAKE_TIMEOUT;
+    enqueue(r);
+  }
+  g_free(t);
+}
+
+fc_wake fc_routine_park(double deadline) {
+  fc_routine *r = g_self;
+  double when = true_time(deadline);
+  if (when <= g_now) return FC_WAKE_TIMEOUT;
+  r->parked = true;
+  r->reason = FC_WAKE_OK;
+  timer *t = g_new(timer, 1);
+  *t = (timer){.routine = r, .wait = ++r->waits};
+  sim_at(when, on_timer, t);
+  transfer_t tr = jump_fcontext(g_main, NULL);
+  g_main = tr.fctx;
+  return r->reason;
+}
+
+void fc_routine_wake(fc_routine *r) {
+  if (r->dead || !r->parked) return;
+  r->parked = false;
+  r->reason = FC_WAKE_OK;
+  enqueue(r);
+}
+
+fc_wake fc_routine_sleep(double seconds) {
+  double until = fc_now() + seconds;
+  while (fc_now() < until - 1e-9)
+    if (fc_routine_park(until) == FC_WAKE_TIMEOUT) break;
+  return FC_WAKE_OK;
+}
+
+fc_wake fc_cond_wait(fc_cond *c, double deadline) {
+  struct fc_waiter self = {.routine = g_self, .next = c->first};
+  c->first = &self;
+  for (;;) {
+    fc_wake w = fc_routine_park(deadline);
+    if (self.signalled) return FC_WAKE_OK;
+    if (w == FC_WAKE_OK) continue;
+    for (struct fc_waiter **p = &c->first; *p; p = &(*p)->next) {
+      if (*p != &self) continue;
+      *p = self.next;
+      break;
+    }
+    return w;
+  }
+}
+
+void fc_cond_broadcast(fc_cond *c) {
+  struct fc_waiter *w = c->first;
+  c->first = NULL;
+  while (w) {
+    struct fc_waiter *next = w->next;
+    w->signalled = true;
+    fc_routine_wake(w->routine);
+    w = next;
+  }
+}
+
+/* ---- processes ---- */
+
+void sim_process_start(uint32_t ip, sim_fn fn, void *arg) {
+  sim_process *p = g_new0(sim_process, 1);
+  p->ip = ip;
+  p->alive = true;
+  p->routines = g_ptr_array_new();
+  g_hash_table_insert(g_processes, GUINT_TO_POINTER(ip), p);
+  sim_process *before = g_process;
+  g_process = p;
+  fn(arg);
+  g_process = before;
+}
+
+void sim_process_kill(uint32_t ip) {
+  sim_process *p = g_hash_table_lookup(g_processes, GUINT_TO_POINTER(ip));
+  if (!p || !p->alive) return;
+  p->alive = false;
+  while (p->routines->len > 0) release(p->routines->pdata[0]);
+}
+
+void sim_process_still(uint32_t ip, double for_s) {
+  sim_process *p = g_hash_table_lookup(g_processes, GUINT_TO_POINTER(ip));
+  if (p) p->still_until = g_now + for_s;
+}
+
+sim_process *sim_process_here(void) {
+  return g_process;
+}
+
+uint32_t sim_here(void) {
+  return g_process ? g_process->ip : 0;
+}
+
+bool sim_process_alive(uint32_t ip) {
+  sim_process *p = g_hash_table_lookup(g_processes, GUINT_TO_POINTER(ip));
+  return p && p->alive;
+}
