--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -319,31 +319,37 @@
   }
 }
 
+/* Places all of the gang, in one zone where it must be, or keeps room for it. */
+static void place_whole_gang(round_state *rs, candidate *c) {
+  const fc_job *j = c->job;
+  if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return;
+  if (!allowed(rs, j, c->missing->len)) return;
+  unsigned best = FC_ANY_ZONE;
+  guint most = 0;
+  size_t zones = j->spec.one_zone ? rs->table->settings->zone_count : 1;
+  for (unsigned z = 0; z < zones; z++) {
+    unsigned zone = j->spec.one_zone ? z : FC_ANY_ZONE;
+    guint n = gang_room(rs, c, zone, false);
+    if (n == c->missing->len) {
+      place_gang(rs, c, zone);
+      return;
+    }
+    if (n > most) {
+      most = n;
+      best = zone;
+    }
+  }
+  /* What room there is is kept for a gang that waits for more: tasks of lower
+   * rank would take one machine after the other, and it would never start. */
+  if (most > 0) (void)gang_room(rs, c, best, true);
+}
+
 /* False when the job can get nothing more this round. */
 static bool place_some(round_state *rs, candidate *c) {
   fc_job *j = c->job;
   if (fc_gang_before(rs->table, rs->turn[j->team], j, rs->now)) return false;
   if (j->spec.kind == FC_KIND_GANG) {
-    if (c->missing->len != j->spec.tasks - j->done_count || j->placements->len > 0) return false;
-    if (!allowed(rs, j, c->missing->len)) return false;
-    unsigned best = FC_ANY_ZONE;
-    guint most = 0;
-    size_t zones = j->spec.one_zone ? rs->table->settings->zone_count : 1;
-    for (unsigned z = 0; z < zones; z++) {
-      unsigned zone = j->spec.one_zone ? z : FC_ANY_ZONE;
-      guint n = gang_room(rs, c, zone, false);
-      if (n == c->missing->len) {
-        place_gang(rs, c, zone);
-        return false;
-      }
-      if (n > most) {
-        most = n;
-        best = zone;
-      }
-    }
-    /* What room there is is kept for a gang that waits for more: tasks of lower
-     * rank would take one machine after the other, and it would never start. */
-    if (most > 0) (void)gang_room(rs, c, best, true);
+    place_whole_gang(rs, c);
     return false;
   }
   if (c->next >= c->missing->len || !allowed(rs, j, 1)) return false;
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -166,38 +166,56 @@
   return (spot ? mt->spot_price : mt->price) / MAX(fits, 1);
 }
 
+/* The best kind of machine found so far; bin.type -1: none. */
+typedef struct offer {
+  bin bin;
+  double price;  /* per task */
+  unsigned held; /* machines in its zone */
+} offer;
+
+/* Takes an ordinary or a spot machine of the type in the zone, where the job and the cloud
+ * allow it and it is better than `best`. */
+static void compare_offer(const pack *p, const fc_job *j, const bin *b, offer *best) {
+  const fc_machine_type *mt = p->table->types->pdata[b->type];
+  if (!fc_job_allows(&j->spec, mt->name, b->zone, b->spot)) return;
+  if (p->refused && p->refused(b->type, b->zone, b->spot, p->arg)) return;
+  unsigned held = p->held[b->zone_at];
+  double price = price_of(mt, b->spot, &j->spec);
+  bool better = price <= best->price + 1e-9 && (price <= best->price - 1e-9 || held < best->held);
+  if (best->bin.type < 0 || better) *best = (offer){*b, price, held};
+}
+
+static void compare_zones(const pack *p, const packing *pk, unsigned only, bin b, bool dear, offer *best) {
+  const fc_settings *s = p->table->settings;
+  const fc_machine_type *mt = p->table->types->pdata[b.type];
+  for (unsigned z = 0; z < s->zone_count; z++) {
+    const char *zone = s->zones[z];
+    if ((only != FC_ANY_ZONE && only != z) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
+    if (!fc_spread_open(&pk->spread, &pk->job->spec, z)) continue;
+    b.zone = zone;
+    b.zone_at = z;
+    for (int spot = dear ? 0 : 1; spot <= 1; spot++) {
+      b.spot = spot;
+      compare_offer(p, pk->job, &b, best);
+    }
+  }
+}
+
 /* The cheapest kind of machine that can hold a task of the job, in the zone `only`
  * when that is given; among equals, where the fewest machines are. */
 static bool rent_for(pack *p, packing *pk, unsigned only, int owner, bool dear) {
   const fc_table *t = p->table;
-  const fc_job *j = pk->job;
-  bin best = {.type = -1};
-  double best_price = 0;
-  unsigned best_held = 0;
+  offer best = {.bin = {.type = -1}};
   for (guint k = 0; k < t->types->len; k++) {
     const fc_machine_type *mt = t->types->pdata[k];
     fc_room room = {mt->cpus, mt->gpus, mt->memory_gb};
-    if (!fc_room_fits(&room, &j->spec)) continue;
-    for (unsigned z = 0; z < t->settings->zone_count; z++) {
-      const char *zone = t->settings->zones[z];
-      if ((only != FC_ANY_ZONE && only != z) || !g_strv_contains((const gchar *const *)mt->zones, zone)) continue;
-      if (!fc_spread_open(&pk->spread, &j->spec, z)) continue;
-      unsigned held = p->held[z];
-      for (int spot = 0; spot <= 1; spot++) {
-        if (!fc_job_allows(&j->spec, mt->name, zone, spot) || (!spot && !dear)) continue;
-        if (p->refused && p->refused((int)k, zone, spot, p->arg)) continue;
-        double price = price_of(mt, spot, &j->spec);
-        if (best.type >= 0 && (price > best_price + 1e-9 || (price > best_price - 1e-9 && held >= best_held))) continue;
-        best = (bin){
-            .type = (int)k, .owner = owner, .zone = zone, .zone_at = z, .spot = spot, .rented = true, .room = room};
-        best_price = price;
-        best_held = held;
-      }
-    }
+    if (!fc_room_fits(&room, &pk->job->spec)) continue;
+    bin b = {.type = (int)k, .owner = owner, .rented = true, .room = room};
+    compare_zones(p, pk, only, b, dear, &best);
   }
-  if (best.type < 0) return false;
-  put(&best, pk);
-  add_bin(p, &best);
+  if (best.bin.type < 0) return false;
+  put(&best.bin, pk);
+  add_bin(p, &best.bin);
   return true;
 }
 
@@ -222,36 +240,43 @@
   return n;
 }
 
+/* The zone that holds most of a gang which must be in one; among equals, not one that the
+ * cloud refused. */
+static unsigned gang_zone(const pack *p, const fc_job *j, int owner, unsigned tasks) {
+  const fc_settings *s = p->table->settings;
+  unsigned zone = FC_ANY_ZONE, best = 0;
+  for (unsigned z = 0; z < s->zone_count; z++) {
+    /* A gang may be bound to a zone by name, too: planned for the other one, which had
+     * no less room, it was never rented for, and held up its team. */
+    if (j->spec.zone && strcmp(j->spec.zone, s->zones[z]) != 0) continue;
+    unsigned n = gang_fits(p, j, z, owner, tasks);
+    bool refused = p->refused && p->refused(0, s->zones[z], false, p->arg);
+    if (zone == FC_ANY_ZONE || n > best || (n == best && !refused)) {
+      zone = z;
+      best = n;
+    }
+  }
+  return zone;
+}
+
+static bool pack_gang_existing(pack *p, packing *k, unsigned zone, int owner) {
+  for (; k->at < p->open->len; k->at++) {
+    bin *b = &g_array_index(p->bins, bin, g_array_index(p->open, guint, k->at));
+    if (!usable_for_gang(p, b, k->job, zone, owner)) continue;
+    put(b, k);
+    b->owner = owner;
+    return true;
+  }
+  return false;
+}
+
 static void pack_gang(pack *p, packing *k, unsigned tasks) {
-  const fc_table *t = p->table;
   const fc_job *j = k->job;
   int owner = fc_job_owner(j, 0);
-  unsigned zone = FC_ANY_ZONE;
-  if (j->spec.one_zone) {
-    unsigned best = 0;
-    for (unsigned z = 0; z < t->settings->zone_count; z++) {
-      /* A gang may be bound to a zone by name, too: planned for the other one, which had
-       * no less room, it was never rented for, and held up its team. */
-      if (j->spec.zone && strcmp(j->spec.zone, t->settings->zones[z]) != 0) continue;
-      unsigned n = gang_fits(p, j, z, owner, tasks);
-      bool refused = p->refused && p->refused(0, t->settings->zones[z], false, p->arg);
-      if (zone == FC_ANY_ZONE || n > best || (n == best && !refused)) {
-        zone = z;
-        best = n;
-      }
-    }
-  }
+  unsigned zone = j->spec.one_zone ? gang_zone(p, j, owner, tasks) : FC_ANY_ZONE;
   for (unsigned i = 0; i < tasks; i++) {
     if (!within_limit(p, j)) return;
-    bool packed = false;
-    for (; k->at < p->open->len && !packed; k->at += !packed) {
-      bin *b = &g_array_index(p->bins, bin, g_array_index(p->open, guint, k->at));
-      if (!usable_for_gang(p, b, j, zone, owner)) continue;
-      put(b, k);
-      b->owner = owner;
-      packed = true;
-    }
-    if (!packed && !rent_for(p, k, zone, owner, true)) return;
+    if (!pack_gang_existing(p, k, zone, owner) && !rent_for(p, k, zone, owner, true)) return;
   }
 }
 
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -253,6 +253,21 @@
   return best;
 }
 
+/* The slices of the job that are ours, known in full, and fit only elsewhere. */
+static void hand_over_slices(const fc_table *t, const fc_told *told, GArray *room, const queued *q, GArray *out) {
+  fc_job *j = q->job;
+  for (unsigned s = 0; s < j->slices; s++) {
+    if (fc_job_owner(j, s) != t->self || !(j->clear >> s & 1)) continue;
+    if (q->want[s] == 0 || (q->here >> s & 1)) continue;
+    int to = best_holder(t, told, room, j, s, q->want[s]);
+    if (to < 0) continue;
+    (void)hold_job(room, t, j, to, q->want[s], true);
+    fc_handover h = {.job = j, .slice = s, .to = to, .homes = homes_of(j, s) | 1u << to};
+    h.unseen = knows(t, told, j, s, to) != KNOWS_ALL;
+    g_array_append_val(out, h);
+  }
+}
+
 GArray *fc_share_handovers(const fc_table *t, const fc_told *told, double now) {
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_handover));
   if (t->self < 0 || t->term.count < 2) return out;
@@ -262,21 +277,11 @@
   GArray *queue = keep_roomy(t, room, &least) ? own_first(t, room, jobs) : NULL;
   for (guint i = 0; queue && i < queue->len && keep_roomy(t, room, &least); i++) {
     const queued *q = &g_array_index(queue, queued, i);
-    fc_job *j = q->job;
+    const fc_job *j = q->job;
     /* Where all parts are full, a job would go round and round. */
     double pause = t->settings->op.round_s * (1 + MIN(j->handed_count, 7));
     if (now < j->seen_at + t->settings->op.handover_wait_s || now < j->handed_at + pause) continue;
-    if (j->handing || now < j->blocked_until) continue;
-    for (unsigned s = 0; s < j->slices; s++) {
-      if (fc_job_owner(j, s) != t->self || !(j->clear >> s & 1)) continue;
-      if (q->want[s] == 0 || (q->here >> s & 1)) continue;
-      int to = best_holder(t, told, room, j, s, q->want[s]);
-      if (to < 0) continue;
-      (void)hold_job(room, t, j, to, q->want[s], true);
-      fc_handover h = {.job = j, .slice = s, .to = to, .homes = homes_of(j, s) | 1u << to};
-      h.unseen = knows(t, told, j, s, to) != KNOWS_ALL;
-      g_array_append_val(out, h);
-    }
+    if (!j->handing && now >= j->blocked_until) hand_over_slices(t, told, room, q, out);
   }
   if (queue) g_array_free(queue, TRUE);
   g_ptr_array_free(jobs, TRUE);
@@ -354,39 +359,46 @@
   return found;
 }
 
+/* What a gang still needs, and where. */
+typedef struct gang_need {
+  fc_job *job;
+  int owner;     /* member */
+  unsigned zone; /* or FC_ANY_ZONE */
+  unsigned left; /* tasks that have no room yet */
+} gang_need;
+
+/* Takes room on machines of the owner or of others, with or without stopping what is on
+ * them; ours among them become loans. */
+static void lend_pass(const fc_table *t, GArray *room, gang_need *g, bool of_owner, bool clearing, GArray *out) {
+  for (guint i = 0; i < room->len && g->left > 0; i++) {
+    spare *s = &g_array_index(room, spare, i);
+    fc_machine *m = (fc_machine *)s->machine;
+    fc_room r;
+    if ((m->owner == g->owner) != of_owner || !gang_use(s, g->job, g->owner, g->zone, clearing, &r)) continue;
+    s->claimed = true;
+    while (g->left > 0 && fc_room_fits(&r, &g->job->spec)) {
+      fc_room_take(&r, &g->job->spec);
+      g->left--;
+    }
+    if (m->owner != t->self || (of_owner && !clearing)) continue;
+    fc_loan l = {.machine = m, .to = g->owner, .gang = g->job, .clear = clearing};
+    g_array_append_val(out, l);
+  }
+}
+
 static void lend_to_gang(const fc_table *t, GArray *room, fc_job *j, double now, GArray *out) {
-  int owner = fc_job_owner(j, 0);
-  unsigned want = j->spec.tasks - j->done_count;
-  unsigned zone = FC_ANY_ZONE, own = 0;
-  bool clear = false;
-  if (!find_zone(t, room, j, owner, false, want, &zone, &own)) {
-    clear = true;
+  gang_need g = {.job = j, .owner = fc_job_owner(j, 0), .zone = FC_ANY_ZONE, .left = j->spec.tasks - j->done_count};
+  unsigned own = 0;
+  bool clear = !find_zone(t, room, j, g.owner, false, g.left, &g.zone, &own);
+  if (clear) {
     if (now < j->seen_at + 2 * t->settings->op.round_s) return;
-    if (!find_zone(t, room, j, owner, true, want, &zone, &own)) return;
-  } else if (own >= want) {
+    if (!find_zone(t, room, j, g.owner, true, g.left, &g.zone, &own)) return;
+  } else if (own >= g.left) {
     return; /* its owner places it alone */
   }
   /* The owner's own machines first, then idle ones, then what has to be cleared:
    * all members make the same choice from what they know. */
-  unsigned got = 0;
-  for (int pass = 0; pass < 4 && got < want; pass++) {
-    bool of_owner = pass == 0 || pass == 2, clearing = pass >= 2;
-    if (clearing && !clear) break;
-    for (guint i = 0; i < room->len && got < want; i++) {
-      spare *s = &g_array_index(room, spare, i);
-      fc_machine *m = (fc_machine *)s->machine;
-      fc_room r;
-      if ((m->owner == owner) != of_owner || !gang_use(s, j, owner, zone, clearing, &r)) continue;
-      s->claimed = true;
-      while (got < want && fc_room_fits(&r, &j->spec)) {
-        fc_room_take(&r, &j->spec);
-        got++;
-      }
-      if (m->owner != t->self || (of_owner && !clearing)) continue;
-      fc_loan l = {.machine = m, .to = owner, .gang = j, .clear = clearing};
-      g_array_append_val(out, l);
-    }
-  }
+  for (int pass = 0; pass < (clear ? 4 : 2); pass++) lend_pass(t, room, &g, pass % 2 == 0, pass >= 2, out);
 }
 
 /* Gangs that have waited for a hand-over in vain, in an order that is the same on
