Controller: submissions, shares of limits and renting in functions of their own

No change of behaviour. submit() was 88 lines with five kinds of answers and a goto into a branch; the shares' duty and the tally are cut by what they count or write.

--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -88,93 +88,123 @@
   }
 }
 
-static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
-  fc_job_spec spec;
-  char error[200];
-  double deadline = fc_now() + c->settings->report_s;
-  if (!fc_job_spec_parse(req->body, req->body_len, &spec, error, sizeof error)) {
-    refuse_malformed(c, req, res, error);
-    return;
-  }
-  fc_job *j = c->loaded ? fc_table_job(c->table, spec.id) : NULL;
+/* A repeat of a submission that the table knows is answered with the job's present state.
+ * False: the job is not known. */
+static bool answered_as_known(fc_controller *c, fc_http_response *res, const char *id, double deadline) {
+  fc_job *j = c->loaded ? fc_table_job(c->table, id) : NULL;
   if (j && !final(j)) {
     /* Where that is hopeless a repeat is not held until its user gives up either. */
-    if (!fc_state_reachable(c) || !fc_wait_fresh(c, deadline)) goto unreachable;
-    j = fc_table_job(c->table, spec.id);
+    if (!fc_state_reachable(c) || !fc_wait_fresh(c, deadline)) {
+      later(res, 503, "the state service can't be reached");
+      return true;
+    }
+    j = fc_table_job(c->table, id);
+  }
+  if (j) answer_job(res, 200, j, false);
+  return j != NULL;
+}
+
+/* What was accepted once is never refused: be sure it is not known. */
+static void refuse_impossible(fc_controller *c, fc_http_response *res, const char *id, const char *why,
+                              double deadline) {
+  if (!fc_wait_fresh(c, deadline)) {
+    later(res, 503, "the state service can't be reached");
+    return;
   }
+  fc_job *j = fc_table_job(c->table, id);
   if (j) {
     answer_job(res, 200, j, false);
-    goto out;
+  } else if (!answered_from_archive(c, res, id, false)) {
+    say(res, 422, why);
   }
+}
+
+/* Can the job be accepted now? False: that has been answered. */
+static bool admitted(fc_controller *c, fc_http_response *res, const fc_job_spec *spec, double deadline) {
   if (!fc_state_reachable(c)) {
-  unreachable:
     later(res, 503, "the state service can't be reached");
-    goto out;
+    return false;
   }
   if (c->table->types->len == 0) {
     later(res, 503, "machine types are not known yet");
-    goto out;
+    return false;
   }
-  const char *why = impossible(c, &spec);
+  const char *why = impossible(c, spec);
   if (why) {
-    /* What was accepted once is never refused: be sure it is not known. */
-    if (!fc_wait_fresh(c, deadline)) {
-      later(res, 503, "the state service can't be reached");
-    } else if ((j = fc_table_job(c->table, spec.id))) {
-      answer_job(res, 200, j, false);
-    } else if (!answered_from_archive(c, res, spec.id, false)) {
-      say(res, 422, why);
-    }
-    goto out;
+    refuse_impossible(c, res, spec->id, why, deadline);
+    return false;
   }
   if (!fc_commit_accepts(c->commit, FC_RANK_SUBMISSION, 1.0)) {
     later(res, 429, "more submissions than can be written");
-    goto out;
+    return false;
   }
-  char *key = g_strconcat(FC_PREFIX_JOB, spec.id, NULL);
-  unsigned slices = fc_job_slices(&spec, c->settings->op.split_limit);
+  return true;
+}
+
+/* The record of a new job, with its slices assigned to members; the caller's to drop.
+ * NULL: too large to be stored. */
+static json_t *new_record(fc_controller *c, const fc_job_spec *spec) {
+  unsigned slices = fc_job_slices(spec, c->settings->op.split_limit);
   char *handed[FC_SLICES_MAX] = {NULL};
   bool fit[FC_MEMBERS_MAX];
   for (size_t i = 0; i < c->table->term.count; i++) fit[i] = fc_member_fit(c, (int)i);
-  fc_share_deal(c->table, fit, &spec, slices, handed);
+  fc_share_deal(c->table, fit, spec, slices, handed);
   const fc_job_origin origin = {.term = c->table->term.number};
-  json_t *record = fc_job_record_encode(&spec, FC_PHASE_ACCEPTED, NULL, slices, handed, &origin);
+  json_t *record = fc_job_record_encode(spec, FC_PHASE_ACCEPTED, NULL, slices, handed, &origin);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
   bool too_large = (double)size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
   g_string_free(size, TRUE);
-  if (too_large) {
-    json_decref(record);
-    g_free(key);
-    /* Nor is this said to a repeat of what was accepted with fewer types. */
-    refuse_malformed(c, req, res, "body: description too large");
-    goto out;
-  }
+  if (!too_large) return record;
+  json_decref(record);
+  return NULL;
+}
+
+/* Writes the record, unless there is or was a job of this id, and answers. */
+static void accept_job(fc_controller *c, fc_http_response *res, const fc_job_spec *spec, json_t *record,
+                       double deadline) {
   fc_write *w = fc_write_new();
+  char *key = g_strconcat(FC_PREFIX_JOB, spec->id, NULL);
   fc_write_if(w, key, 0);
   fc_write_put(w, key, record);
   g_free(key);
-  key = g_strconcat(FC_PREFIX_OVER, spec.id, NULL);
+  key = g_strconcat(FC_PREFIX_OVER, spec->id, NULL);
   fc_write_if(w, key, 0); /* nor was there one that is over */
   g_free(key);
   uint64_t revision = 0;
   fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_SUBMISSION, deadline, &revision);
   if (r == FC_STATE_OK) {
     res->status = 201;
-    g_debug("accepted job=%s class=%s tasks=%u slices=%u", spec.id, spec.class_name, spec.tasks,
-            fc_job_slices(&spec, c->settings->op.split_limit));
-    fc_job_answer(res->body, spec.id, FC_STATUS_PENDING, 0, 0, false);
-  } else if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline)) {
-    j = fc_table_job(c->table, spec.id);
-    if (j) {
-      answer_job(res, 200, j, false);
-    } else if (!answered_from_archive(c, res, spec.id, false)) {
-      later(res, 503, "not written; ask again");
+    g_debug("accepted job=%s class=%s tasks=%u slices=%u", spec->id, spec->class_name, spec->tasks,
+            fc_job_slices(spec, c->settings->op.split_limit));
+    fc_job_answer(res->body, spec->id, FC_STATUS_PENDING, 0, 0, false);
+    return;
+  }
+  if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline)) {
+    fc_job *j = fc_table_job(c->table, spec->id);
+    if (j) answer_job(res, 200, j, false);
+    if (j || answered_from_archive(c, res, spec->id, false)) return;
+  }
+  later(res, 503, "not written; ask again");
+}
+
+static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
+  fc_job_spec spec;
+  char error[200];
+  double deadline = fc_now() + c->settings->report_s;
+  if (!fc_job_spec_parse(req->body, req->body_len, &spec, error, sizeof error)) {
+    refuse_malformed(c, req, res, error);
+    return;
+  }
+  if (!answered_as_known(c, res, spec.id, deadline) && admitted(c, res, &spec, deadline)) {
+    json_t *record = new_record(c, &spec);
+    if (record) {
+      accept_job(c, res, &spec, record, deadline);
+    } else {
+      /* Nor is this said to a repeat of what was accepted with fewer types. */
+      refuse_malformed(c, req, res, "body: description too large");
     }
-  } else {
-    later(res, 503, "not written; ask again");
   }
-out:
   fc_job_spec_clear(&spec);
 }
 
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -34,6 +34,35 @@
   want(&out->gpus[owner][j->team], n * j->spec.gpus);
 }
 
+/* Counts as full of every team's tasks. */
+static void use_all_of(const fc_table *t, const fc_machine *m, tally *out) {
+  fc_room whole = fc_machine_whole(t, m);
+  for (size_t k = 0; k < t->settings->team_count; k++) {
+    out->cpus[m->owner][k].used += whole.cpus;
+    out->gpus[m->owner][k].used += whole.gpus;
+  }
+}
+
+static void use_placements_of(const fc_machine *m, tally *out) {
+  for (guint i = 0; i < m->placements->len; i++) {
+    const fc_placement *p = m->placements->pdata[i];
+    if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
+    out->cpus[m->owner][p->job->team].used += p->job->spec.cpus;
+    out->gpus[m->owner][p->job->team].used += p->job->spec.gpus;
+  }
+}
+
+static void want_missing_of(const fc_job *j, tally *out) {
+  GArray *missing = fc_job_missing(j, -1, FC_MISSING_MOST);
+  for (guint i = 0; i < missing->len; i++) {
+    int owner = fc_job_owner(j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
+    if (owner < 0) continue;
+    want(&out->cpus[owner][j->team], j->spec.cpus);
+    want(&out->gpus[owner][j->team], j->spec.gpus);
+  }
+  g_array_free(missing, TRUE);
+}
+
 /* `pessimistic`: a machine that is not settled may be full of any team's tasks. */
 static void take_tally(const fc_table *t, bool pessimistic, tally *out) {
   memset(out, 0, sizeof *out);
@@ -47,19 +76,11 @@
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    if (pessimistic && m->announced && m->owner >= 0 && m->settled_term != t->term.number) {
-      fc_room whole = fc_machine_whole(t, m);
-      for (size_t k = 0; k < t->settings->team_count; k++) {
-        out->cpus[m->owner][k].used += whole.cpus;
-        out->gpus[m->owner][k].used += whole.gpus;
-      }
-      continue;
-    }
-    for (guint i = 0; m->owner >= 0 && i < m->placements->len; i++) {
-      const fc_placement *p = m->placements->pdata[i];
-      if (!fc_placement_live(p) || !p->job || p->job->team < 0) continue;
-      out->cpus[m->owner][p->job->team].used += p->job->spec.cpus;
-      out->gpus[m->owner][p->job->team].used += p->job->spec.gpus;
+    if (m->owner < 0) continue;
+    if (pessimistic && m->announced && m->settled_term != t->term.number) {
+      use_all_of(t, m, out);
+    } else {
+      use_placements_of(m, out);
     }
   }
   g_hash_table_iter_init(&it, t->jobs);
@@ -67,14 +88,7 @@
     const fc_job *j = value;
     if (j->team < 0 || j->phase != FC_PHASE_ACCEPTED || !limited(&t->settings->teams[j->team])) continue;
     if (j->spec.kind == FC_KIND_GANG || fc_gang_before(t, turn[j->team], j, now)) continue;
-    GArray *missing = fc_job_missing(j, -1, FC_MISSING_MOST);
-    for (guint i = 0; i < missing->len; i++) {
-      int owner = fc_job_owner(j, fc_job_slice_of(j, g_array_index(missing, uint32_t, i)));
-      if (owner < 0) continue;
-      want(&out->cpus[owner][j->team], j->spec.cpus);
-      want(&out->gpus[owner][j->team], j->spec.gpus);
-    }
-    g_array_free(missing, TRUE);
+    want_missing_of(j, out);
   }
 }
 
@@ -240,18 +254,47 @@
   return true;
 }
 
+static bool any_limited(const fc_settings *s) {
+  for (size_t k = 0; k < s->team_count; k++)
+    if (limited(&s->teams[k])) return true;
+  return false;
+}
+
+/* The first shares of the term; false: not yet, or not by us. */
+static bool first_shares(fc_controller *c, tally *now_used, fc_quota_record *q, double now) {
+  fc_table *t = c->table;
+  /* Everybody could write it; the first in the term does at once. */
+  if (now < c->term_since + c->settings->op.round_s * 0.5 * t->self) return false;
+  /* A hung machine of a dead owner would hold everybody up for a lease: after
+   * a while it counts as full instead. Whatever is settled by then can only
+   * have shrunk since; members we have not heard from are waited for. */
+  bool settled = fc_table_check_settled(t);
+  if (carry_over(t, q)) return true;
+  if (!settled && (now < c->term_since + c->settings->report_s * 1.5 || !all_acked(c))) return false;
+  take_tally(t, !settled, now_used);
+  return divide(c, now_used, q) || settled;
+}
+
+/* The shares with ours as it should be now; false: nothing is to be written. */
+static bool adjusted_shares(fc_controller *c, tally *now_used, fc_quota_record *q) {
+  *q = c->table->quota;
+  take_tally(c->table, false, now_used);
+  /* Where nothing is to change, the record is written as it is, or a write of
+   * unknown outcome would keep its caps up for good (fault test, seed 510: a
+   * gang waited for ever beside its share). */
+  return adjust(c, now_used, q) || c->share_capped;
+}
+
 void fc_quota_main(void *arg) {
   fc_controller *c = arg;
-  bool any = false;
-  for (size_t k = 0; k < c->settings->team_count; k++) any |= limited(&c->settings->teams[k]);
   lift_caps(c);
-  if (!any) return;
+  if (!any_limited(c->settings)) return;
   double adjusted_at = 0;
   fc_quota_record *q = g_new0(fc_quota_record, 1);
   tally *now_used = g_new0(tally, 1);
   while (!fc_routine_cancelled()) {
     (void)fc_routine_sleep(c->settings->op.round_s * 0.1);
-    fc_table *t = c->table;
+    const fc_table *t = c->table;
     /* A write of unknown outcome can be applied until the record has moved past
      * the version it was conditional on; so long the caps stay. */
     if (t->quota_version != c->share_cap_version) lift_caps(c);
@@ -259,26 +302,11 @@
     double now = fc_now();
     memset(q, 0, sizeof *q);
     if (t->quota.term != t->term.number) {
-      /* Everybody could write it; the first in the term does at once. */
-      if (now < c->term_since + c->settings->op.round_s * 0.5 * t->self) continue;
-      /* A hung machine of a dead owner would hold everybody up for a lease: after
-       * a while it counts as full instead. Whatever is settled by then can only
-       * have shrunk since; members we have not heard from are waited for. */
-      bool settled = fc_table_check_settled(t), carried = carry_over(t, q);
-      if (!carried && !settled && (now < c->term_since + c->settings->report_s * 1.5 || !all_acked(c))) continue;
-      if (!carried) {
-        take_tally(t, !settled, now_used);
-        if (!divide(c, now_used, q) && !settled) continue;
-      }
+      if (!first_shares(c, now_used, q, now)) continue;
     } else {
       if (now < adjusted_at + c->settings->op.round_s * 0.25) continue;
       adjusted_at = now;
-      *q = t->quota;
-      take_tally(t, false, now_used);
-      /* Where nothing is to change, the record is written as it is, or a write of
-       * unknown outcome would keep its caps up for good (fault test, seed 510: a
-       * gang waited for ever beside its share). */
-      if (!adjust(c, now_used, q) && !c->share_capped) continue;
+      if (!adjusted_shares(c, now_used, q)) continue;
     }
     lower_caps(c, q);
     write_quota(c, q);
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -450,6 +450,16 @@
   g_free(after);
 }
 
+/* What one member does for all. */
+static void rent_round(fc_controller *c, refusals *ref, double *swept_at) {
+  carry_out_all(c, ref);
+  if (g_hash_table_size(c->table->hires) == 0 && fc_may_act(c)) rent(c, ref);
+  carry_out_all(c, ref);
+  if (fc_now() <= *swept_at + MAX(c->settings->lease_s, c->settings->cloud_list_lag_s) * 3) return;
+  *swept_at = fc_now();
+  if (fc_may_act(c)) sweep(c);
+}
+
 void fc_rent_main(void *arg) {
   fc_controller *c = arg;
   double swept_at = fc_now();
@@ -458,15 +468,7 @@
     /* Prices move; a late one only costs money. */
     if (c->table->types->len == 0 || fc_now() > c->types_at + c->settings->lease_s * 2) read_types(c);
     if (c->table->types->len > 0 && fc_may_act(c) && fc_state_reachable(c)) {
-      if (c->table->self == 0 && c->settings->op.rent) {
-        carry_out_all(c, &ref);
-        if (g_hash_table_size(c->table->hires) == 0 && fc_may_act(c)) rent(c, &ref);
-        carry_out_all(c, &ref);
-        if (fc_now() > swept_at + MAX(c->settings->lease_s, c->settings->cloud_list_lag_s) * 3) {
-          swept_at = fc_now();
-          if (fc_may_act(c)) sweep(c);
-        }
-      }
+      if (c->table->self == 0 && c->settings->op.rent) rent_round(c, &ref, &swept_at);
       if (fc_may_act(c)) give_back(c);
     }
     (void)fc_routine_sleep(c->settings->op.round_s * (c->table->types->len ? 0.5 : 0.1));
