--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -20,83 +20,102 @@
   assert_int_equal(world_running(), jobs * 2);
 }
 
+typedef struct gap_row {
+  const char *name;
+  double refused_at, cancel_at, down_at; /* seconds from the same moment */
+  enum { WRITER, FROM_CACHE, RESTARTED, DYING } by;
+  bool blind;     /* changes can't be read from the cancellation on */
+  bool linked;    /* the refused one hears the others */
+  bool passed_on; /* what was confirmed can reach everybody */
+} gap_row;
+
+static const gap_row k_gaps[] = {
+    {"refused a second before", -1.0, 0, 0.3, WRITER, false, true, true},
+    {"refused just before", -0.02, 0, 0.1, WRITER, false, true, true},
+    {"refused just after", 0.02, 0, 0.1, WRITER, false, true, true},
+    {"down while the answer is on its way", -1.0, 0, 0.01, WRITER, false, true, true},
+    {"refused long before", -9.0, 0, 1.0, WRITER, false, true, true},
+    {"nobody reads of it, the writer neither", -1.0, 0, 1.5, WRITER, true, true, true},
+    {"another confirms it from its cache", -1.0, 0, 0.7, FROM_CACHE, false, true, true},
+    {"refused long before, another confirms it", -9.0, 0, 2.0, FROM_CACHE, false, true, true},
+    {"one that restarted confirms it", -9.0, -6.0, 2.0, RESTARTED, false, true, true},
+    {"the writer ends before it passes it on", -1.0, 0, 0.02, DYING, true, true, false},
+    {"no message gets through", -1.0, 0, 0.3, WRITER, false, false, false},
+};
+
+enum { GAP_JOBS = 8, GAP_CANCELLED = 4 };
+
+static void gap_cancel(unsigned node) {
+  for (unsigned k = 0; k < GAP_CANCELLED; k++) world_cancel(world_id(k), (int)node, 0);
+}
+
+/* Users cancel at `writer`; what the row says happens to it, and who else confirms it. */
+static void gap_cancellations(const gap_row *row, double zero, unsigned writer, unsigned other) {
+  gap_cancel(writer);
+  if (row->by == FROM_CACHE) {
+    sim_run_until(zero + 0.5);
+    gap_cancel(other);
+  } else if (row->by == RESTARTED) {
+    /* Its next life is asked again, and has it from what it reads at its start. */
+    sim_run_until(zero + row->cancel_at + 0.006);
+    world_crash(writer, 0.3);
+    sim_run_until(zero + 1.5);
+    gap_cancel(writer);
+  } else if (row->by == DYING) {
+    while (!world_cancelled_at(world_id(0)) && sim_now() < zero + 3) sim_run_until(sim_now() + 0.0005);
+    check_row(row->name, world_cancelled_at(world_id(0)) > 0);
+    world_crash(writer, 0.3);
+  }
+}
+
+static void gap_check(const gap_row *row, double zero, unsigned refused) {
+  bool told[GAP_CANCELLED];
+  unsigned told_count = 0, soon = 0;
+  for (unsigned k = 0; k < GAP_CANCELLED; k++) told_count += told[k] = world_cancelled_at(world_id(k)) > 0;
+  sim_run_until(zero + 8);
+  for (unsigned k = 0; k < GAP_CANCELLED; k++) soon += told[k] ? world_tasks_of(world_id(k)) : 0;
+  sim_run_until(zero + 100);
+  world_result r = world_so_far();
+  print_message("%s, refused %u: %u of %u told, %u of their tasks on after 8 s, %u tasks ended by a lease\n", row->name,
+                refused, told_count, (unsigned)GAP_CANCELLED, soon, r.lease_kills);
+  if (r.broken) fail_msg("%s, refused %u: %s", row->name, refused, r.first);
+  check_row(row->name, r.cancelled == GAP_CANCELLED);
+  check_row(row->name, told_count > 0 || row->down_at < 0.02);
+  check_row(row->name, world_running() == (GAP_JOBS - GAP_CANCELLED) * 2);
+  if (!row->passed_on) return;
+  /* What users were told was passed on: those tasks end at once, no other by a lease. */
+  check_row(row->name, soon == 0);
+  check_row(row->name, r.lease_kills == 0);
+}
+
+static void gap_scene(const gap_row *row, uint32_t seed, unsigned refused) {
+  a_running_fleet(seed, GAP_JOBS);
+  unsigned writer = (refused + 1) % WORLD_NODES, other = (refused + 2) % WORLD_NODES;
+  double zero = sim_now() + 10;
+  bool early = row->refused_at <= row->cancel_at;
+  sim_run_until(zero + MIN(row->refused_at, row->cancel_at));
+  if (early) world_refuse(refused, 14);
+  if (!row->linked) world_cut_node_peers(refused, 80);
+  sim_run_until(zero + row->cancel_at);
+  if (row->blind) world_state_blind(world_id(0), 3);
+  gap_cancellations(row, zero, writer, other);
+  if (!early) {
+    sim_run_until(zero + row->refused_at);
+    world_refuse(refused, 14);
+  }
+  sim_run_until(MAX(sim_now(), zero + row->down_at));
+  world_state_down(54);
+  gap_check(row, zero, refused);
+}
+
 /* The state service refuses one controller; another confirms cancellations; then it is
  * down for everybody, for longer than a cancellation may take. The tasks have to be gone
  * in time all the same, and nobody else's work may end for it. */
 static void the_gap(void **state) {
   (void)state;
-  static const struct {
-    const char *name;
-    double refused_at, cancel_at, down_at; /* seconds from the same moment */
-    enum { WRITER, FROM_CACHE, RESTARTED, DYING } by;
-    bool blind;     /* changes can't be read from the cancellation on */
-    bool linked;    /* the refused one hears the others */
-    bool passed_on; /* what was confirmed can reach everybody */
-  } rows[] = {
-      {"refused a second before", -1.0, 0, 0.3, WRITER, false, true, true},
-      {"refused just before", -0.02, 0, 0.1, WRITER, false, true, true},
-      {"refused just after", 0.02, 0, 0.1, WRITER, false, true, true},
-      {"down while the answer is on its way", -1.0, 0, 0.01, WRITER, false, true, true},
-      {"refused long before", -9.0, 0, 1.0, WRITER, false, true, true},
-      {"nobody reads of it, the writer neither", -1.0, 0, 1.5, WRITER, true, true, true},
-      {"another confirms it from its cache", -1.0, 0, 0.7, FROM_CACHE, false, true, true},
-      {"refused long before, another confirms it", -9.0, 0, 2.0, FROM_CACHE, false, true, true},
-      {"one that restarted confirms it", -9.0, -6.0, 2.0, RESTARTED, false, true, true},
-      {"the writer ends before it passes it on", -1.0, 0, 0.02, DYING, true, true, false},
-      {"no message gets through", -1.0, 0, 0.3, WRITER, false, false, false},
-  };
-  const unsigned jobs = 8, called_off = 4;
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    for (unsigned refused = 0; refused < WORLD_NODES; refused++) {
-      a_running_fleet(10 * (uint32_t)i + refused, jobs);
-      unsigned writer = (refused + 1) % WORLD_NODES, other = (refused + 2) % WORLD_NODES;
-      double zero = sim_now() + 10;
-      bool early = rows[i].refused_at <= rows[i].cancel_at;
-      sim_run_until(zero + MIN(rows[i].refused_at, rows[i].cancel_at));
-      if (early) world_refuse(refused, 14);
-      if (!rows[i].linked) world_cut_node_peers(refused, 80);
-      sim_run_until(zero + rows[i].cancel_at);
-      if (rows[i].blind) world_state_blind(world_id(0), 3);
-      for (unsigned k = 0; k < called_off; k++) world_cancel(world_id(k), (int)writer, 0);
-      if (rows[i].by == FROM_CACHE) {
-        sim_run_until(zero + 0.5);
-        for (unsigned k = 0; k < called_off; k++) world_cancel(world_id(k), (int)other, 0);
-      } else if (rows[i].by == RESTARTED) {
-        /* Its next life is asked again, and has it from what it reads at its start. */
-        sim_run_until(zero + rows[i].cancel_at + 0.006);
-        world_crash(writer, 0.3);
-        sim_run_until(zero + 1.5);
-        for (unsigned k = 0; k < called_off; k++) world_cancel(world_id(k), (int)writer, 0);
-      } else if (rows[i].by == DYING) {
-        while (!world_cancelled_at(world_id(0)) && sim_now() < zero + 3) sim_run_until(sim_now() + 0.0005);
-        check_row(rows[i].name, world_cancelled_at(world_id(0)) > 0);
-        world_crash(writer, 0.3);
-      }
-      if (!early) {
-        sim_run_until(zero + rows[i].refused_at);
-        world_refuse(refused, 14);
-      }
-      sim_run_until(MAX(sim_now(), zero + rows[i].down_at));
-      world_state_down(54);
-      bool told[4];
-      unsigned told_count = 0, soon = 0;
-      for (unsigned k = 0; k < called_off; k++) told_count += told[k] = world_cancelled_at(world_id(k)) > 0;
-      sim_run_until(zero + 8);
-      for (unsigned k = 0; k < called_off; k++) soon += told[k] ? world_tasks_of(world_id(k)) : 0;
-      sim_run_until(zero + 100);
-      world_result r = world_so_far();
-      print_message("%s, refused %u: %u of %u told, %u of their tasks on after 8 s, %u tasks ended by a lease\n",
-                    rows[i].name, refused, told_count, called_off, soon, r.lease_kills);
-      if (r.broken) fail_msg("%s, refused %u: %s", rows[i].name, refused, r.first);
-      check_row(rows[i].name, r.cancelled == called_off);
-      check_row(rows[i].name, told_count > 0 || rows[i].down_at < 0.02);
-      check_row(rows[i].name, world_running() == (jobs - called_off) * 2);
-      if (!rows[i].passed_on) continue;
-      /* What users were told was passed on: those tasks end at once, no other by a lease. */
-      check_row(rows[i].name, soon == 0);
-      check_row(rows[i].name, r.lease_kills == 0);
-    }
-  }
+  for (size_t i = 0; i < G_N_ELEMENTS(k_gaps); i++)
+    for (unsigned refused = 0; refused < WORLD_NODES; refused++)
+      gap_scene(&k_gaps[i], 10 * (uint32_t)i + refused, refused);
 }
 
 /* Starts and halts are held up between a controller and its workers, which go on with the
@@ -140,61 +159,69 @@
   }
 }
 
+typedef struct reach_row {
+  const char *name;
+  enum { HANG, MUTE, DEAF } how;
+  unsigned count;
+  double before_s, for_s; /* before the cancellation */
+  bool down, crash;
+} reach_row;
+
+static const reach_row k_out_of_reach[] = {
+    {"one hangs a moment", HANG, 1, 0.1, 3, false, false},
+    {"one hangs for most of a lease", HANG, 1, 0.1, 13, false, false},
+    {"one hangs for most of a lease, from just after", HANG, 1, -0.1, 13, false, false},
+    {"one hangs for long", HANG, 1, 1, 40, false, false},
+    {"eight hang for most of a lease", HANG, 8, 0.1, 13, false, false},
+    {"eight hang for long", HANG, 8, 0.1, 36, false, false},
+    {"all hang for long", HANG, 12, 0.1, 50, false, false},
+    {"all hang, and the state service is down", HANG, 12, 0.1, 33, true, false},
+    {"one reaches nobody", MUTE, 1, 3, 40, false, false},
+    {"all reach nobody", MUTE, 12, 3, 40, false, false},
+    {"all reach nobody, and controllers end", MUTE, 12, 3, 40, false, true},
+    {"one hears nobody", DEAF, 1, 3, 40, false, false},
+    {"all hear nobody", DEAF, 12, 3, 60, false, false},
+    {"all hear nobody, and the state service is down", DEAF, 12, 3, 60, true, false},
+    {"eight hang, and controllers end", HANG, 8, 0.1, 13, false, true},
+};
+
+static void reach_trouble(const reach_row *row) {
+  if (row->how == HANG) world_hang(0, row->count, row->for_s);
+  if (row->how == MUTE) world_mute(0, row->count, row->for_s);
+  if (row->how == DEAF) world_deaf(0, row->count, row->for_s);
+}
+
+static void reach_scene(const reach_row *row, uint32_t row_seed, uint32_t seed) {
+  a_running_fleet(row_seed + seed, 8);
+  for (int turn = 0; turn < 2; turn++) {
+    if ((row->before_s > 0) == (turn == 0)) {
+      reach_trouble(row);
+    } else {
+      for (unsigned k = 0; k < 5; k++) world_cancel(world_id(k), -1, 0);
+    }
+    if (turn == 0) sim_run_until(sim_now() + MAX(row->before_s, -row->before_s));
+  }
+  sim_run_until(sim_now() + 1.2);
+  if (row->crash) world_crash(seed, 4);
+  if (row->down) world_state_down(50);
+  sim_run_until(sim_now() + 130);
+  world_result r = world_so_far();
+  print_message("%s: %u cancelled, %u ended by a lease, %u machines returned\n", row->name, r.cancelled, r.lease_kills,
+                world_gone(0, world_machines()));
+  if (r.broken) fail_msg("%s, seed %u: %s", row->name, seed, r.first);
+  check_row(row->name, r.cancelled == 5);
+  for (unsigned k = 0; k < 5; k++) check_row(row->name, world_tasks_of(world_id(k)) == 0);
+  /* What was not cancelled goes on, here or elsewhere, unless there is no machine left. */
+  if (world_gone(0, world_machines()) < 6) check_row(row->name, world_running() == 6);
+}
+
 /* Machines of cancelled jobs that can't be halted just then: they hang and may go on at any
  * time, reach nobody, or hear nobody; one, or most of the fleet together, so that the
  * network is suspected; some of them while the state service is down. */
 static void machines_out_of_reach(void **state) {
   (void)state;
-  static const struct {
-    const char *name;
-    enum { HANG, MUTE, DEAF } how;
-    unsigned count;
-    double before_s, for_s; /* before the cancellation */
-    bool down, crash;
-  } rows[] = {
-      {"one hangs a moment", HANG, 1, 0.1, 3, false, false},
-      {"one hangs for most of a lease", HANG, 1, 0.1, 13, false, false},
-      {"one hangs for most of a lease, from just after", HANG, 1, -0.1, 13, false, false},
-      {"one hangs for long", HANG, 1, 1, 40, false, false},
-      {"eight hang for most of a lease", HANG, 8, 0.1, 13, false, false},
-      {"eight hang for long", HANG, 8, 0.1, 36, false, false},
-      {"all hang for long", HANG, 12, 0.1, 50, false, false},
-      {"all hang, and the state service is down", HANG, 12, 0.1, 33, true, false},
-      {"one reaches nobody", MUTE, 1, 3, 40, false, false},
-      {"all reach nobody", MUTE, 12, 3, 40, false, false},
-      {"all reach nobody, and controllers end", MUTE, 12, 3, 40, false, true},
-      {"one hears nobody", DEAF, 1, 3, 40, false, false},
-      {"all hear nobody", DEAF, 12, 3, 60, false, false},
-      {"all hear nobody, and the state service is down", DEAF, 12, 3, 60, true, false},
-      {"eight hang, and controllers end", HANG, 8, 0.1, 13, false, true},
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    for (uint32_t seed = 0; seed < 3; seed++) {
-      a_running_fleet(300 + 10 * (uint32_t)i + seed, 8);
-      for (int turn = 0; turn < 2; turn++) {
-        if ((rows[i].before_s > 0) == (turn == 0)) {
-          if (rows[i].how == HANG) world_hang(0, rows[i].count, rows[i].for_s);
-          if (rows[i].how == MUTE) world_mute(0, rows[i].count, rows[i].for_s);
-          if (rows[i].how == DEAF) world_deaf(0, rows[i].count, rows[i].for_s);
-        } else {
-          for (unsigned k = 0; k < 5; k++) world_cancel(world_id(k), -1, 0);
-        }
-        if (turn == 0) sim_run_until(sim_now() + MAX(rows[i].before_s, -rows[i].before_s));
-      }
-      sim_run_until(sim_now() + 1.2);
-      if (rows[i].crash) world_crash(seed, 4);
-      if (rows[i].down) world_state_down(50);
-      sim_run_until(sim_now() + 130);
-      world_result r = world_so_far();
-      print_message("%s: %u cancelled, %u ended by a lease, %u machines returned\n", rows[i].name, r.cancelled,
-                    r.lease_kills, world_gone(0, world_machines()));
-      if (r.broken) fail_msg("%s, seed %u: %s", rows[i].name, seed, r.first);
-      check_row(rows[i].name, r.cancelled == 5);
-      for (unsigned k = 0; k < 5; k++) check_row(rows[i].name, world_tasks_of(world_id(k)) == 0);
-      /* What was not cancelled goes on, here or elsewhere, unless there is no machine left. */
-      if (world_gone(0, world_machines()) < 6) check_row(rows[i].name, world_running() == 6);
-    }
-  }
+  for (size_t i = 0; i < G_N_ELEMENTS(k_out_of_reach); i++)
+    for (uint32_t seed = 0; seed < 3; seed++) reach_scene(&k_out_of_reach[i], 300 + 10 * (uint32_t)i, seed);
 }
 
 /* A controller loses the state service and the others, but neither its workers nor its
--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -226,104 +226,123 @@
   }
 }
 
+typedef struct late_row {
+  const char *name;
+  double share, for_s, least_s, most_s;
+  int crash;
+  unsigned seeds;
+} late_row;
+
+static const late_row k_late_writes[] = {
+    {"a fifth", 0.2, 60, 2, 12, -1, 2},
+    {"half", 0.5, 60, 2, 12, -1, 2},
+    {"all, for a while", 1, 12, 2, 12, -1, 2},
+    {"half, and one is replaced", 0.5, 50, 2, 12, 0, 2},
+    {"a fifth, by minutes", 0.2, 60, 10, 90, -1, 2},
+    {"half, by minutes", 0.5, 40, 10, 90, -1, 2},
+};
+
+enum { LATE_JOBS = 15 };
+
+/* Of every kind, size and team; a quarter is cancelled soon. */
+static void submit_of_every_kind(void) {
+  for (unsigned k = 0; k < LATE_JOBS; k++) {
+    char id[32];
+    g_snprintf(id, sizeof id, "job-%06u", k);
+    world_submit_job(&(world_job){.id = id,
+                                  .kind = k % 3 ? "sweep" : "gang",
+                                  .rank = k % 3 ? "standard" : "high",
+                                  .team = k % 2 ? "red" : "blue",
+                                  .tasks = k % 3 ? 1 + k % 5 : 2,
+                                  .gpus = k % 3 ? 1 : 2,
+                                  .run_s = 3 + k % 7,
+                                  .in_s = 1 + k * 5.0,
+                                  .one_zone = k % 3 == 0,
+                                  .spot = k % 2,
+                                  .cancel_in_s = k % 4 == 1 ? 2 : 0});
+  }
+}
+
+static void all_over(const char *name) {
+  for (unsigned k = 0; k < LATE_JOBS; k++) {
+    char id[32];
+    g_snprintf(id, sizeof id, "job-%06u", k);
+    if (!world_told(id)) print_message("%s: %s is not over\n", name, id);
+    check_row(name, world_told(id) && world_tasks_of(id) == 0);
+  }
+}
+
+/* The tasks that a start was on its way to as the user was told. */
+static unsigned late_writes_scene(const late_row *row, uint32_t seed_number) {
+  char name[80];
+  g_snprintf(name, sizeof name, "%s, seed %u", row->name, seed_number);
+  world_set_up(seed_number, 0);
+  world_capacity(5, 3);
+  world_start_nodes();
+  sim_run_until(sim_now() + 4);
+  double at = sim_now();
+  submit_of_every_kind();
+  world_lateness(row->least_s, row->most_s);
+  world_late_writes(row->share);
+  world_cancel_at_end(0.3);
+  if (row->crash >= 0) {
+    sim_run_until(at + row->for_s / 2);
+    world_crash((unsigned)row->crash, 4);
+  }
+  sim_run_until(at + row->for_s);
+  world_late_writes(0);
+  sim_run_until(at + 90 + row->most_s);
+  for (unsigned k = 0; k < 60; k++) { /* nothing comes back either, at any moment */
+    sim_run_until(sim_now() + 1);
+    world_check_returned();
+  }
+  world_result r = world_so_far();
+  if (r.broken) fail_msg("%s: %s", name, r.first);
+  check_row(name, r.accepted == LATE_JOBS);
+  all_over(name);
+  return r.late_starts;
+}
+
 /* Transactions without an answer are carried out late, after newer ones of the same
  * controller; jobs of every kind come, end, are called off and put away meanwhile,
  * machines are rented and returned. Afterwards nothing is left of it. */
 static void writes_carried_out_late(void **state) {
   (void)state;
-  static const struct {
-    const char *name;
-    double share, for_s, least_s, most_s;
-    int crash;
-    unsigned seeds;
-  } rows[] = {
-      {"a fifth", 0.2, 60, 2, 12, -1, 2},
-      {"half", 0.5, 60, 2, 12, -1, 2},
-      {"all, for a while", 1, 12, 2, 12, -1, 2},
-      {"half, and one is replaced", 0.5, 50, 2, 12, 0, 2},
-      {"a fifth, by minutes", 0.2, 60, 10, 90, -1, 2},
-      {"half, by minutes", 0.5, 40, 10, 90, -1, 2},
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    unsigned late_starts = 0; /* those a start was on its way to as the user was told */
-    for (unsigned seed = 0; seed < rows[i].seeds; seed++) {
-      char name[80];
-      g_snprintf(name, sizeof name, "%s, seed %zu", rows[i].name, 200 + i * 1000 + seed);
-      world_set_up((uint32_t)(200 + i * 1000 + seed), 0);
-      world_capacity(5, 3);
-      world_start_nodes();
-      sim_run_until(sim_now() + 4);
-      double at = sim_now();
-      const unsigned jobs = 15;
-      for (unsigned k = 0; k < jobs; k++) {
-        char id[32];
-        g_snprintf(id, sizeof id, "job-%06u", k);
-        world_submit_job(&(world_job){.id = id,
-                                      .kind = k % 3 ? "sweep" : "gang",
-                                      .rank = k % 3 ? "standard" : "high",
-                                      .team = k % 2 ? "red" : "blue",
-                                      .tasks = k % 3 ? 1 + k % 5 : 2,
-                                      .gpus = k % 3 ? 1 : 2,
-                                      .run_s = 3 + k % 7,
-                                      .in_s = 1 + k * 5.0,
-                                      .one_zone = k % 3 == 0,
-                                      .spot = k % 2,
-                                      .cancel_in_s = k % 4 == 1 ? 2 : 0});
-      }
-      world_lateness(rows[i].least_s, rows[i].most_s);
-      world_late_writes(rows[i].share);
-      world_cancel_at_end(0.3);
-      if (rows[i].crash >= 0) {
-        sim_run_until(at + rows[i].for_s / 2);
-        world_crash((unsigned)rows[i].crash, 4);
-      }
-      sim_run_until(at + rows[i].for_s);
-      world_late_writes(0);
-      sim_run_until(at + 90 + rows[i].most_s);
-      for (unsigned k = 0; k < 60; k++) { /* nothing comes back either, at any moment */
-        sim_run_until(sim_now() + 1);
-        world_check_returned();
-      }
-      world_result r = world_so_far();
-      if (r.broken) fail_msg("%s: %s", name, r.first);
-      check_row(name, r.accepted == jobs);
-      for (unsigned k = 0; k < jobs; k++) {
-        char id[32];
-        g_snprintf(id, sizeof id, "job-%06u", k);
-        if (!world_told(id)) print_message("%s: %s is not over\n", name, id);
-        check_row(name, world_told(id) && world_tasks_of(id) == 0);
-      }
-      late_starts += r.late_starts;
-    }
-    print_message("%s: %u tasks began after a cancellation\n", rows[i].name, late_starts);
+  for (size_t i = 0; i < G_N_ELEMENTS(k_late_writes); i++) {
+    const late_row *row = &k_late_writes[i];
+    unsigned late_starts = 0;
+    for (unsigned seed = 0; seed < row->seeds; seed++)
+      late_starts += late_writes_scene(row, (uint32_t)(200 + i * 1000 + seed));
+    print_message("%s: %u tasks began after a cancellation\n", row->name, late_starts);
   }
 }
 
+static const struct {
+  const char *name, *of;
+  double from_s, to_s; /* such writes are late between these */
+  bool report;         /* the machine is there and reports, instead of being rented */
+} k_writes_about_gone[] = {
+    {"records of rented machines", "\"set\":\"fc1/machine/", 0, 8, false},
+    {"records of machines that report", "\"set\":\"fc1/machine/", 0, 4, true},
+    {"addresses of machines", "\"endpoint\":\"10.", 0, 8, false},
+    {"removals of records", "\"remove\":\"fc1/machine/", 0, 40, false},
+    {"intents", "\"set\":\"fc1/hire/", 0, 4, false},
+    {"ends of intents", "\"remove\":\"fc1/hire/", 0, 8, false},
+    {"new jobs", "\"phase\":\"accepted\"", 0, 4, true},
+    {"ends of jobs", "\"phase\":\"done\"", 0, 20, true},
+    {"jobs put away", "\"set\":\"fc1over/", 0, 40, true},
+    {"shares of limits", "\"set\":\"fc1/quota", 0, 20, true},
+};
+
 /* What a writer is told nothing of is carried out when what it was about has come, gone
  * and been forgotten: the record of a machine that was returned stays away, nothing is
  * hired, and a job that is over and put away stays so. */
 static void writes_about_what_is_gone(void **state) {
   (void)state;
-  static const struct {
-    const char *name, *of;
-    double from_s, to_s; /* such writes are late between these */
-    bool report;         /* the machine is there and reports, instead of being rented */
-  } rows[] = {
-      {"records of rented machines", "\"set\":\"fc1/machine/", 0, 8, false},
-      {"records of machines that report", "\"set\":\"fc1/machine/", 0, 4, true},
-      {"addresses of machines", "\"endpoint\":\"10.", 0, 8, false},
-      {"removals of records", "\"remove\":\"fc1/machine/", 0, 40, false},
-      {"intents", "\"set\":\"fc1/hire/", 0, 4, false},
-      {"ends of intents", "\"remove\":\"fc1/hire/", 0, 8, false},
-      {"new jobs", "\"phase\":\"accepted\"", 0, 4, true},
-      {"ends of jobs", "\"phase\":\"done\"", 0, 20, true},
-      {"jobs put away", "\"set\":\"fc1over/", 0, 40, true},
-      {"shares of limits", "\"set\":\"fc1/quota", 0, 20, true},
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    for (unsigned seed = 0; seed < (strstr(rows[i].name, "records of") ? 2 : 1); seed++) {
+  for (size_t i = 0; i < G_N_ELEMENTS(k_writes_about_gone); i++) {
+    for (unsigned seed = 0; seed < (strstr(k_writes_about_gone[i].name, "records of") ? 2 : 1); seed++) {
       char name[80];
-      g_snprintf(name, sizeof name, "%s, seed %zu", rows[i].name, 300 + i * 10 + seed);
+      g_snprintf(name, sizeof name, "%s, seed %zu", k_writes_about_gone[i].name, 300 + i * 10 + seed);
       world_set_up((uint32_t)(300 + i * 10 + seed), 0);
       world_capacity(4, 0);
       world_return_idle();
@@ -331,7 +350,7 @@
       sim_run_until(sim_now() + 6);
       double at = sim_now();
       world_lateness(45, 60);
-      world_late_only(rows[i].of);
+      world_late_only(k_writes_about_gone[i].of);
       for (unsigned k = 0; k < 4; k++) {
         char id[32];
         g_snprintf(id, sizeof id, "job-%06u", k);
@@ -343,17 +362,17 @@
                                       .run_s = 2,
                                       .in_s = k * 0.5});
       }
-      sim_run_until(at + rows[i].from_s);
+      sim_run_until(at + k_writes_about_gone[i].from_s);
       world_late_writes(1);
-      if (rows[i].report) world_machines_up(0, 2);
-      sim_run_until(at + rows[i].to_s);
+      if (k_writes_about_gone[i].report) world_machines_up(0, 2);
+      sim_run_until(at + k_writes_about_gone[i].to_s);
       world_late_writes(0);
       /* The last comes before this. */
       unsigned machines = 0;
-      double t = rows[i].to_s;
+      double t = k_writes_about_gone[i].to_s;
       while (t < 180) {
         sim_run_until(at + t);
-        if (t > rows[i].to_s + 61) world_check_returned();
+        if (t > k_writes_about_gone[i].to_s + 61) world_check_returned();
         if (t < 40) machines = world_machines();
         t += 0.5;
       }
--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -225,46 +225,47 @@
   }
 }
 
+static const struct {
+  const char *name;
+  uint32_t seed;
+  unsigned ends;      /* controllers, one after the other, from the one that the seed says */
+  double at_s, gap_s; /* after the tasks have begun; the first ones end 6 to 9 s after that */
+  double back_s;
+  const char *at_write; /* or each at its next write of that, from then on */
+  double old_reports_s; /* machines' reports of before come again so much later; 0: they don't */
+  unsigned die;         /* so many machines die once the first tasks are done */
+  unsigned room;        /* whole machines in each zone */
+} k_ends_far_apart[] = {
+    {"all in turn", 400, 3, 12, 10, 4, NULL, 0, 0, 9},
+    {"all in turn, at once back", 401, 3, 8, 9, 0.2, NULL, 0, 0, 9},
+    {"all at once", 402, 3, 14, 0, 3, NULL, 0, 0, 9},
+    {"all in turn, again and again", 403, 9, 7, 4.7, 0.3, NULL, 0, 0, 9},
+    {"one, for good", 404, 1, 12, 0, 1e6, NULL, 0, 0, 9},
+    {"another, for good", 405, 1, 12, 0, 1e6, NULL, 0, 0, 9},
+    {"the third, for good", 406, 1, 12, 0, 1e6, NULL, 0, 0, 9},
+    {"two, for good", 407, 2, 12, 9, 1e6, NULL, 0, 0, 9},
+    {"just as the end is written", 408, 3, 2, 0, 0.5, "fc1/job/", 0, 0, 9},
+    {"just as the end is written, back later", 409, 3, 2, 0, 4, "fc1/job/", 0, 0, 9},
+    {"and old reports come to the next", 410, 3, 9, 9, 4, NULL, 5, 0, 9},
+    {"and machines die, in turn", 411, 3, 20, 8, 4, NULL, 0, 4, 9},
+    {"and machines die, all at once", 412, 3, 24, 0, 1, NULL, 0, 6, 9},
+    {"half done where there is no room", 413, 3, 12, 12, 4, NULL, 0, 0, 4},
+    {"half done where there is no room, at once back", 414, 9, 9, 5, 0.3, NULL, 0, 0, 4},
+};
+
 /* Arrays of a few tasks that end far apart, with changes of leader in between: what is
  * done stays done and is not run again, and the user is told when the last one is. */
 static void ends_far_apart(void **state) {
   (void)state;
-  static const struct {
-    const char *name;
-    uint32_t seed;
-    unsigned ends;      /* controllers, one after the other, from the one that the seed says */
-    double at_s, gap_s; /* after the tasks have begun; the first ones end 6 to 9 s after that */
-    double back_s;
-    const char *at_write; /* or each at its next write of that, from then on */
-    double old_reports_s; /* machines' reports of before come again so much later; 0: they don't */
-    unsigned die;         /* so many machines die once the first tasks are done */
-    unsigned room;        /* whole machines in each zone */
-  } rows[] = {
-      {"all in turn", 400, 3, 12, 10, 4, NULL, 0, 0, 9},
-      {"all in turn, at once back", 401, 3, 8, 9, 0.2, NULL, 0, 0, 9},
-      {"all at once", 402, 3, 14, 0, 3, NULL, 0, 0, 9},
-      {"all in turn, again and again", 403, 9, 7, 4.7, 0.3, NULL, 0, 0, 9},
-      {"one, for good", 404, 1, 12, 0, 1e6, NULL, 0, 0, 9},
-      {"another, for good", 405, 1, 12, 0, 1e6, NULL, 0, 0, 9},
-      {"the third, for good", 406, 1, 12, 0, 1e6, NULL, 0, 0, 9},
-      {"two, for good", 407, 2, 12, 9, 1e6, NULL, 0, 0, 9},
-      {"just as the end is written", 408, 3, 2, 0, 0.5, "fc1/job/", 0, 0, 9},
-      {"just as the end is written, back later", 409, 3, 2, 0, 4, "fc1/job/", 0, 0, 9},
-      {"and old reports come to the next", 410, 3, 9, 9, 4, NULL, 5, 0, 9},
-      {"and machines die, in turn", 411, 3, 20, 8, 4, NULL, 0, 4, 9},
-      {"and machines die, all at once", 412, 3, 24, 0, 1, NULL, 0, 6, 9},
-      {"half done where there is no room", 413, 3, 12, 12, 4, NULL, 0, 0, 4},
-      {"half done where there is no room, at once back", 414, 9, 9, 5, 0.3, NULL, 0, 0, 4},
-  };
   static const unsigned tasks[] = {2, 3, 2, 3, 2, 5};
   unsigned handed = 0;
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    world_set_up(luck(rows[i].seed), 0);
-    world_capacity(rows[i].room, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS(k_ends_far_apart); i++) {
+    world_set_up(luck(k_ends_far_apart[i].seed), 0);
+    world_capacity(k_ends_far_apart[i].room, 0);
     world_keep_idle();
     world_start_nodes();
-    world_machines_up(0, rows[i].room);
-    world_machines_up(1, rows[i].room);
+    world_machines_up(0, k_ends_far_apart[i].room);
+    world_machines_up(1, k_ends_far_apart[i].room);
     /* Whole machines: a part holds six, or three, so that some are handed over. */
     for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++) {
       world_job j = {.id = world_id(k), .kind = "sweep", .tasks = tasks[k], .gpus = 4, .run_s = 8, .in_s = 6};
@@ -272,101 +273,103 @@
       world_submit_job(&j);
     }
     sim_run_until(sim_now() + 10);
-    double end_at = sim_now() + rows[i].at_s, last = 0;
-    if (rows[i].die) {
+    double end_at = sim_now() + k_ends_far_apart[i].at_s, last = 0;
+    if (k_ends_far_apart[i].die) {
       sim_run_until(end_at - 3);
-      world_kill(0, rows[i].die);
+      world_kill(0, k_ends_far_apart[i].die);
     }
-    for (unsigned k = 0; k < rows[i].ends; k++) {
-      unsigned n = (rows[i].seed + k) % WORLD_NODES;
-      sim_run_until(end_at + k * rows[i].gap_s);
-      for (unsigned m = 0; m < 2 * rows[i].room && rows[i].old_reports_s > 0; m++)
-        for (unsigned to = 0; to < WORLD_NODES; to++) world_report_later(m, to, rows[i].old_reports_s);
-      if (rows[i].at_write) {
-        world_crash_at_write(n, rows[i].at_write, 0, rows[i].back_s);
+    for (unsigned k = 0; k < k_ends_far_apart[i].ends; k++) {
+      unsigned n = (k_ends_far_apart[i].seed + k) % WORLD_NODES;
+      sim_run_until(end_at + k * k_ends_far_apart[i].gap_s);
+      for (unsigned m = 0; m < 2 * k_ends_far_apart[i].room && k_ends_far_apart[i].old_reports_s > 0; m++)
+        for (unsigned to = 0; to < WORLD_NODES; to++) world_report_later(m, to, k_ends_far_apart[i].old_reports_s);
+      if (k_ends_far_apart[i].at_write) {
+        world_crash_at_write(n, k_ends_far_apart[i].at_write, 0, k_ends_far_apart[i].back_s);
       } else {
-        world_crash(n, rows[i].back_s);
+        world_crash(n, k_ends_far_apart[i].back_s);
       }
-      if (rows[i].ends < 3) world_users_to((int)(n + 1) % WORLD_NODES);
+      if (k_ends_far_apart[i].ends < 3) world_users_to((int)(n + 1) % WORLD_NODES);
     }
     sim_run_until(end_at + 130);
     world_result r = world_so_far();
     for (unsigned n = 0; n < WORLD_NODES; n++) handed += (unsigned)world_counts(n).handed_over;
     for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++) {
       double told = world_told_done_at(world_id(k));
-      check_row(rows[i].name, told > 0);
+      check_row(k_ends_far_apart[i].name, told > 0);
       last = MAX(last, told - world_ended_at(world_id(k)));
     }
     print_message("%s: %u starts, %u lease kills, told %.1f s after the end at most, %u handed over so far\n",
-                  rows[i].name, r.starts, r.lease_kills, last, handed);
-    rules_hold(rows[i].name);
+                  k_ends_far_apart[i].name, r.starts, r.lease_kills, last, handed);
+    rules_hold(k_ends_far_apart[i].name);
     /* No lease ends: one controller at least can be reached within it. */
-    check_row(rows[i].name, r.lease_kills == 0 && r.done_starts == 0);
-    check_row(rows[i].name, r.finished == G_N_ELEMENTS(tasks));
+    check_row(k_ends_far_apart[i].name, r.lease_kills == 0 && r.done_starts == 0);
+    check_row(k_ends_far_apart[i].name, r.finished == G_N_ELEMENTS(tasks));
     /* A worker may first try one that has ended, and its user asks every 4 to 6 s. */
-    check_row(rows[i].name, last < 20);
+    check_row(k_ends_far_apart[i].name, last < 20);
     for (unsigned k = 0; k < G_N_ELEMENTS(tasks); k++)
-      check_row(rows[i].name, rows[i].die > 0 || world_starts_of(world_id(k)) == tasks[k]);
-    check_row(rows[i].name, r.starts <= 17 + rows[i].die);
+      check_row(k_ends_far_apart[i].name, k_ends_far_apart[i].die > 0 || world_starts_of(world_id(k)) == tasks[k]);
+    check_row(k_ends_far_apart[i].name, r.starts <= 17 + k_ends_far_apart[i].die);
   }
   assert_true(handed > 0);
 }
 
+enum { HUNG, MUTE, DEAF, PAIR_HELD, PAIR_RESET, NEXT_HELD, NEXT_RESET, NODE_HELD };
+static const struct {
+  const char *name;
+  uint32_t seed;
+  int how;
+  unsigned from, to;            /* machines */
+  double for_s, ends_s, back_s; /* the trouble; when the controller ends, from its begin on */
+  bool all;                     /* controllers end, one second apart */
+  bool kept;                    /* somebody can always answer them: no work is lost */
+} k_out_of_reach[] = {
+    {"hung, for less than a lease", 500, HUNG, 0, 4, 10, 2, 4, false, false},
+    {"hung, for longer", 501, HUNG, 0, 4, 25, 2, 4, false, false},
+    {"hung, all controllers end", 502, HUNG, 2, 6, 12, 1, 2, true, false},
+    {"one hung, its owner back at once", 503, HUNG, 1, 2, 13, 5, 0.2, false, false},
+    {"mute, for less than a lease", 504, MUTE, 0, 4, 9, 1, 4, false, false},
+    {"mute, for longer", 505, MUTE, 4, 8, 30, 4, 4, false, false},
+    {"deaf, for less than a lease", 506, DEAF, 0, 4, 9, 1, 4, false, false},
+    {"deaf, for longer", 507, DEAF, 5, 9, 30, 5, 11, false, false},
+    {"deaf, all controllers end", 508, DEAF, 0, 3, 11, 1, 1, true, false},
+    {"cut from its owner, held", 509, PAIR_HELD, 0, 6, 20, 3, 4, false, true},
+    {"cut from its owner, reset", 510, PAIR_RESET, 6, 12, 40, 3, 0.3, false, true},
+    {"cut from the others, held", 511, NEXT_HELD, 0, 5, 12, 1, 40, false, true},
+    {"cut from the others, reset", 512, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
+    {"cut from one of the others, for good", 513, NEXT_RESET, 0, 12, 60, 1, 12, false, true},
+    {"cut from the others, reset, another place", 52912, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
+    {"the one that ended is cut off when it is back", 514, NODE_HELD, 0, 0, 30, 1, 2, false, true},
+};
+
 /* A controller ends while machines with long tasks can't be reached, or don't hear its
  * successor: their tasks are neither started twice nor lost. */
 static void out_of_reach(void **state) {
   (void)state;
-  enum { HUNG, MUTE, DEAF, PAIR_HELD, PAIR_RESET, NEXT_HELD, NEXT_RESET, NODE_HELD };
-  static const struct {
-    const char *name;
-    uint32_t seed;
-    int how;
-    unsigned from, to;            /* machines */
-    double for_s, ends_s, back_s; /* the trouble; when the controller ends, from its begin on */
-    bool all;                     /* controllers end, one second apart */
-    bool kept;                    /* somebody can always answer them: no work is lost */
-  } rows[] = {
-      {"hung, for less than a lease", 500, HUNG, 0, 4, 10, 2, 4, false, false},
-      {"hung, for longer", 501, HUNG, 0, 4, 25, 2, 4, false, false},
-      {"hung, all controllers end", 502, HUNG, 2, 6, 12, 1, 2, true, false},
-      {"one hung, its owner back at once", 503, HUNG, 1, 2, 13, 5, 0.2, false, false},
-      {"mute, for less than a lease", 504, MUTE, 0, 4, 9, 1, 4, false, false},
-      {"mute, for longer", 505, MUTE, 4, 8, 30, 4, 4, false, false},
-      {"deaf, for less than a lease", 506, DEAF, 0, 4, 9, 1, 4, false, false},
-      {"deaf, for longer", 507, DEAF, 5, 9, 30, 5, 11, false, false},
-      {"deaf, all controllers end", 508, DEAF, 0, 3, 11, 1, 1, true, false},
-      {"cut from its owner, held", 509, PAIR_HELD, 0, 6, 20, 3, 4, false, true},
-      {"cut from its owner, reset", 510, PAIR_RESET, 6, 12, 40, 3, 0.3, false, true},
-      {"cut from the others, held", 511, NEXT_HELD, 0, 5, 12, 1, 40, false, true},
-      {"cut from the others, reset", 512, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
-      {"cut from one of the others, for good", 513, NEXT_RESET, 0, 12, 60, 1, 12, false, true},
-      {"cut from the others, reset, another place", 52912, NEXT_RESET, 0, 5, 60, 1, 40, false, true},
-      {"the one that ended is cut off when it is back", 514, NODE_HELD, 0, 0, 30, 1, 2, false, true},
-  };
   const size_t all_nodes = g_getenv("LEADERS_SALT") ? WORLD_NODES : 1;
-  for (size_t i = 0; i < G_N_ELEMENTS(rows) * all_nodes; i++) {
+  for (size_t i = 0; i < G_N_ELEMENTS(k_out_of_reach) * all_nodes; i++) {
     const size_t at = i / all_nodes;
-    unsigned node = (unsigned)(rows[at].seed + i % all_nodes) % WORLD_NODES;
+    unsigned node = (unsigned)(k_out_of_reach[at].seed + i % all_nodes) % WORLD_NODES;
     char name[100];
-    g_snprintf(name, sizeof name, "%s, %u", rows[at].name, node);
-    long_work(rows[at].seed + (uint32_t)i * 100);
+    g_snprintf(name, sizeof name, "%s, %u", k_out_of_reach[at].name, node);
+    long_work(k_out_of_reach[at].seed + (uint32_t)i * 100);
     unsigned done = stream(600, 12, 2);
-    unsigned from = rows[at].from, to = rows[at].to;
-    double for_s = rows[at].for_s,
-           over = sim_now() + MAX(for_s, rows[at].ends_s + rows[at].back_s + (rows[at].all ? 2 : 0));
-    if (rows[at].how == HUNG) world_hang(from, to, for_s);
-    if (rows[at].how == MUTE) world_mute(from, to, for_s);
-    if (rows[at].how == DEAF) world_deaf(from, to, for_s);
-    if (rows[at].how == NODE_HELD) world_cut_node(node, for_s, SIM_HELD);
+    unsigned from = k_out_of_reach[at].from, to = k_out_of_reach[at].to;
+    double for_s = k_out_of_reach[at].for_s,
+           over = sim_now() +
+                  MAX(for_s, k_out_of_reach[at].ends_s + k_out_of_reach[at].back_s + (k_out_of_reach[at].all ? 2 : 0));
+    if (k_out_of_reach[at].how == HUNG) world_hang(from, to, for_s);
+    if (k_out_of_reach[at].how == MUTE) world_mute(from, to, for_s);
+    if (k_out_of_reach[at].how == DEAF) world_deaf(from, to, for_s);
+    if (k_out_of_reach[at].how == NODE_HELD) world_cut_node(node, for_s, SIM_HELD);
     for (unsigned m = from; m < to; m++) {
-      if (rows[at].how == PAIR_HELD) world_cut_pair(node, m, for_s, SIM_HELD);
-      if (rows[at].how == PAIR_RESET) world_cut_pair(node, m, for_s, SIM_RESET);
-      if (rows[at].how == NEXT_HELD) world_cut_pair((node + 1) % WORLD_NODES, m, for_s, SIM_HELD);
-      if (rows[at].how == NEXT_RESET) world_cut_pair((node + 1 + m % 2) % WORLD_NODES, m, for_s, SIM_RESET);
+      if (k_out_of_reach[at].how == PAIR_HELD) world_cut_pair(node, m, for_s, SIM_HELD);
+      if (k_out_of_reach[at].how == PAIR_RESET) world_cut_pair(node, m, for_s, SIM_RESET);
+      if (k_out_of_reach[at].how == NEXT_HELD) world_cut_pair((node + 1) % WORLD_NODES, m, for_s, SIM_HELD);
+      if (k_out_of_reach[at].how == NEXT_RESET) world_cut_pair((node + 1 + m % 2) % WORLD_NODES, m, for_s, SIM_RESET);
     }
-    sim_run_until(sim_now() + rows[at].ends_s);
-    for (unsigned k = 0; k < (rows[at].all ? 3 : 1); k++) {
-      world_crash((node + k) % WORLD_NODES, rows[at].back_s);
+    sim_run_until(sim_now() + k_out_of_reach[at].ends_s);
+    for (unsigned k = 0; k < (k_out_of_reach[at].all ? 3 : 1); k++) {
+      world_crash((node + k) % WORLD_NODES, k_out_of_reach[at].back_s);
       sim_run_until(sim_now() + 1);
     }
     sim_run_until(MAX(over, sim_now()));
@@ -374,7 +377,7 @@
     all_is_well(name, 15, LONG_TASKS, done);
     unsigned gone = world_gone(0, MACHINES);
     print_message("%s: %u started again, %u returned\n", name, started_again(), gone);
-    if (rows[at].kept) check_row(name, world_so_far().lease_kills == 0 && started_again() == 0);
+    if (k_out_of_reach[at].kept) check_row(name, world_so_far().lease_kills == 0 && started_again() == 0);
   }
 }
 
--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -321,73 +321,85 @@
   assert_int_equal(late, 0); /* all rows are played: one that is late hides no broken rule of another */
 }
 
+static const struct {
+  const char *name;
+  double slow_s; /* whatever is sent takes up to so much longer */
+  unsigned crashes, dead;
+} k_more_work[] = {
+    {"slow links", 0.15, 0, 0},
+    {"very slow links", 0.6, 0, 0},
+    {"slow links, a controller is replaced", 0.3, 1, 0},
+    {"slow links, two are replaced and machines die", 0.3, 2, 3},
+};
+
+static const char *const k_rank_names[] = {"prod", "high", "standard", "best_effort"};
+enum { EACH = 12 };
+typedef double sent_at[4][EACH + 1];
+
+/* Three times what there is room for, of all ranks alike; the last is the largest. */
+static void submit_of_all_ranks(sent_at sent) {
+  for (unsigned r = 0; r < 4; r++) {
+    for (unsigned k = 0; k <= EACH; k++) {
+      bool large = k == EACH;
+      double in_s = large ? 10 : 1 + k * 3 + r * 0.2;
+      sent[r][k] = sim_now() + in_s;
+      world_submit_job(&(world_job){.id = world_id(r * 100 + k),
+                                    .kind = r == 1 && (large || k % 3 == 0) ? "gang" : "sweep",
+                                    .rank = k_rank_names[r],
+                                    .team = !large && k % 4 == 0 ? "blue" : "red",
+                                    .tasks = large ? 10 : 3,
+                                    .gpus = large ? 2 : 1 + k % 2,
+                                    .run_s = 8 + k % 3 * 4,
+                                    .in_s = in_s,
+                                    .one_zone = k % 5 == 0,
+                                    .spread = k % 5 == 1});
+    }
+  }
+}
+
+/* The more urgent wait less, and no largest one too long. */
+static void check_waits(const char *name, sent_at sent) {
+  double mean[4] = {0}, largest[4];
+  for (unsigned r = 0; r < 4; r++) {
+    for (unsigned k = 0; k <= EACH; k++) {
+      check_row(name, world_began(world_id(r * 100 + k)) > 0);
+      if (k < EACH) mean[r] += (world_began(world_id(r * 100 + k)) - sent[r][k]) / EACH;
+    }
+    largest[r] = world_began(world_id(r * 100 + EACH)) - sent[r][EACH];
+    print_message(" %s %.1f s (largest %.1f)", k_rank_names[r], mean[r], largest[r]);
+  }
+  print_message("\n");
+  for (unsigned r = 0; r < 4; r++) {
+    check_row(name, largest[r] <= 240);
+    if (r > 0) check_row(name, mean[r - 1] <= mean[r]);
+  }
+}
+
 /* More work than room, of every rank, while links are slow and machines and controllers
  * fail: the urgent goes first, nothing starves, the largest of each kind begin within four
  * minutes, and once the troubles are over nothing waits beside room. */
 static void more_work_than_room(void **state) {
   (void)state;
-  static const char *const ranks[] = {"prod", "high", "standard", "best_effort"};
-  static const struct {
-    const char *name;
-    double slow_s; /* whatever is sent takes up to so much longer */
-    unsigned crashes, dead;
-  } rows[] = {
-      {"slow links", 0.15, 0, 0},
-      {"very slow links", 0.6, 0, 0},
-      {"slow links, a controller is replaced", 0.3, 1, 0},
-      {"slow links, two are replaced and machines die", 0.3, 2, 3},
-  };
-  enum { EACH = 12 };
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+  for (size_t i = 0; i < G_N_ELEMENTS(k_more_work); i++) {
     world_set_up(600 + (uint32_t)i, 0);
     world_capacity(6, 0);
     world_start_nodes();
     world_machines_up(0, 5);
     world_machines_up(1, 5);
     sim_run_until(sim_now() + 5);
-    world_slow_links(70, rows[i].slow_s);
-    double sent[4][EACH + 1];
-    /* Three times what there is room for, of all ranks alike; the last is the largest. */
-    for (unsigned r = 0; r < 4; r++) {
-      for (unsigned k = 0; k <= EACH; k++) {
-        bool large = k == EACH;
-        double in_s = large ? 10 : 1 + k * 3 + r * 0.2;
-        sent[r][k] = sim_now() + in_s;
-        world_submit_job(&(world_job){.id = world_id(r * 100 + k),
-                                      .kind = r == 1 && (large || k % 3 == 0) ? "gang" : "sweep",
-                                      .rank = ranks[r],
-                                      .team = !large && k % 4 == 0 ? "blue" : "red",
-                                      .tasks = large ? 10 : 3,
-                                      .gpus = large ? 2 : 1 + k % 2,
-                                      .run_s = 8 + k % 3 * 4,
-                                      .in_s = in_s,
-                                      .one_zone = k % 5 == 0,
-                                      .spread = k % 5 == 1});
-      }
-    }
+    world_slow_links(70, k_more_work[i].slow_s);
+    sent_at sent;
+    submit_of_all_ranks(sent);
     sim_run_until(sim_now() + 30);
-    world_kill(0, rows[i].dead);
-    for (unsigned n = 0; n < rows[i].crashes; n++) world_crash(n, 4);
+    world_kill(0, k_more_work[i].dead);
+    for (unsigned n = 0; n < k_more_work[i].crashes; n++) world_crash(n, 4);
     world_troubles_end(50);
     run_until_done(4 * (EACH + 1), 260);
     world_result res = world_so_far();
-    if (res.broken) fail_msg("%s: %s", rows[i].name, res.first);
-    print_message("%s: %u of %u done; mean wait", rows[i].name, res.finished, 4 * (EACH + 1));
-    double mean[4] = {0}, largest[4];
-    for (unsigned r = 0; r < 4; r++) {
-      for (unsigned k = 0; k <= EACH; k++) {
-        check_row(rows[i].name, world_began(world_id(r * 100 + k)) > 0);
-        if (k < EACH) mean[r] += (world_began(world_id(r * 100 + k)) - sent[r][k]) / EACH;
-      }
-      largest[r] = world_began(world_id(r * 100 + EACH)) - sent[r][EACH];
-      print_message(" %s %.1f s (largest %.1f)", ranks[r], mean[r], largest[r]);
-    }
-    print_message("\n");
-    for (unsigned r = 0; r < 4; r++) {
-      check_row(rows[i].name, largest[r] <= 240);
-      if (r > 0) check_row(rows[i].name, mean[r - 1] <= mean[r]);
-    }
-    check_row(rows[i].name, res.finished == 4 * (EACH + 1));
+    if (res.broken) fail_msg("%s: %s", k_more_work[i].name, res.first);
+    print_message("%s: %u of %u done; mean wait", k_more_work[i].name, res.finished, 4 * (EACH + 1));
+    check_waits(k_more_work[i].name, sent);
+    check_row(k_more_work[i].name, res.finished == 4 * (EACH + 1));
   }
 }
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -106,36 +106,37 @@
   }
 }
 
+enum { CLOSED, UNSETTLED, NOT_OURS, SILENT, NOTICE, UNRECORDED, UNCLEAR, OVER_LIMIT, SPOT, RUNNING, CANCELLED, NONE };
+static const struct {
+  const char *name;
+  int what;
+} k_never_placed[] = {
+    {"machine to be returned", CLOSED},
+    {"machine not fenced in this term", UNSETTLED},
+    {"another controller's machine", NOT_OURS},
+    {"machine silent for half a lease", SILENT},
+    {"machine about to be taken", NOTICE},
+    {"machine whose address is not recorded", UNRECORDED},
+    {"job that may run somewhere", UNCLEAR},
+    {"team at its share", OVER_LIMIT},
+    {"spot machine not allowed", SPOT},
+    {"task that is on a machine", RUNNING},
+    {"cancelled job", CANCELLED},
+    {"control: it is placed", NONE},
+};
+
 /* Nothing starts where the rules could break: see each row. */
 static void never_placed(void **state) {
   (void)state;
-  enum { CLOSED, UNSETTLED, NOT_OURS, SILENT, NOTICE, UNRECORDED, UNCLEAR, OVER_LIMIT, SPOT, RUNNING, CANCELLED, NONE };
-  static const struct {
-    const char *name;
-    int what;
-  } rows[] = {
-      {"machine to be returned", CLOSED},
-      {"machine not fenced in this term", UNSETTLED},
-      {"another controller's machine", NOT_OURS},
-      {"machine silent for half a lease", SILENT},
-      {"machine about to be taken", NOTICE},
-      {"machine whose address is not recorded", UNRECORDED},
-      {"job that may run somewhere", UNCLEAR},
-      {"team at its share", OVER_LIMIT},
-      {"spot machine not allowed", SPOT},
-      {"task that is on a machine", RUNNING},
-      {"cancelled job", CANCELLED},
-      {"control: it is placed", NONE},
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+  for (size_t i = 0; i < G_N_ELEMENTS(k_never_placed); i++) {
     fc_settings s = world_settings();
     fc_table *t = world_table(&s);
-    fc_machine *m = world_machine(t, "vm-1", "a", rows[i].what == SPOT);
-    fc_job *j =
-        world_job(t, "job-000001", "sweep", "standard", "red", 1, 1, rows[i].what == SPOT ? "\"loaners\":false" : "");
+    fc_machine *m = world_machine(t, "vm-1", "a", k_never_placed[i].what == SPOT);
+    fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", 1, 1,
+                          k_never_placed[i].what == SPOT ? "\"loaners\":false" : "");
     fc_allowance a = unlimited();
     double now = 1;
-    switch (rows[i].what) {
+    switch (k_never_placed[i].what) {
       case CLOSED:
         m->closed = true;
         break;
@@ -170,7 +171,7 @@
         break;
     }
     GArray *plan = fc_place_round(t, &a, now);
-    check_row(rows[i].name, (plan->len == 1) == (rows[i].what == NONE));
+    check_row(k_never_placed[i].name, (plan->len == 1) == (k_never_placed[i].what == NONE));
     g_array_free(plan, TRUE);
     fc_table_free(t);
   }
@@ -521,27 +522,28 @@
   }
 }
 
+static const struct {
+  const char *name;
+  int mate_on; /* member */
+  uint64_t started_in;
+  bool settled;
+  unsigned expect;
+  bool unseen, mate_gang;
+} k_mates[] = {
+    {"on the receiver's machine", 1, 4, true, 1, false, false},
+    {"started there in this term", 1, 5, true, 1, false, false},
+    {"on the receiver's machine, not settled", 1, 4, false, 0, false, false},
+    {"on a third's machine", 2, 4, true, 1, true, false},
+    {"started there in this term, which may be news", 2, 5, true, 0, false, false},
+    {"on a third's machine, not settled", 2, 4, false, 0, false, false},
+    {"a gang is never torn apart", 1, 4, true, 0, false, true},
+};
+
 /* After a change of term a mate may be on a machine of another member. The slice goes
  * to one who knows of it, or will once all is settled, and is clear there only then. */
 static void handing_over_with_a_mate_elsewhere(void **state) {
   (void)state;
-  static const struct {
-    const char *name;
-    int mate_on; /* member */
-    uint64_t started_in;
-    bool settled;
-    unsigned expect;
-    bool unseen, mate_gang;
-  } rows[] = {
-      {"on the receiver's machine", 1, 4, true, 1, false, false},
-      {"started there in this term", 1, 5, true, 1, false, false},
-      {"on the receiver's machine, not settled", 1, 4, false, 0, false, false},
-      {"on a third's machine", 2, 4, true, 1, true, false},
-      {"started there in this term, which may be news", 2, 5, true, 0, false, false},
-      {"on a third's machine, not settled", 2, 4, false, 0, false, false},
-      {"a gang is never torn apart", 1, 4, true, 0, false, true},
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+  for (size_t i = 0; i < G_N_ELEMENTS(k_mates); i++) {
     fc_settings s = world_settings();
     fc_table *t = world_table(&s);
     t->term = (fc_term){
@@ -553,22 +555,22 @@
     o->owner = 2;
     fc_job *full = world_job(t, "job-000001", "service", "prod", "red", 2, 4, "");
     fc_table_place(t, m, full->spec.id, 0, 1, 10)->state = FC_TASK_RUNNING;
-    fc_job *j = world_job(t, "job-000002", rows[i].mate_gang ? "gang" : "service", "standard", "red", 2, 1, "");
+    fc_job *j = world_job(t, "job-000002", k_mates[i].mate_gang ? "gang" : "service", "standard", "red", 2, 1, "");
     j->handed[0] = g_strdup("paddock-0");
     fc_job_deal(t, j);
     j->clear = 1;
-    fc_machine *at = rows[i].mate_on == 1 ? n : o;
-    fc_table_place(t, at, j->spec.id, 0, fc_attempt(rows[i].started_in, 1), 10)->state = FC_TASK_RUNNING;
-    if (rows[i].mate_on == 2) o->remote_closed = true; /* no room but at the other */
-    if (!rows[i].settled) at->settled_term = 4;
+    fc_machine *at = k_mates[i].mate_on == 1 ? n : o;
+    fc_table_place(t, at, j->spec.id, 0, fc_attempt(k_mates[i].started_in, 1), 10)->state = FC_TASK_RUNNING;
+    if (k_mates[i].mate_on == 2) o->remote_closed = true; /* no room but at the other */
+    if (!k_mates[i].settled) at->settled_term = 4;
     fc_machine *spare = world_machine(t, "vm-4", "a", false); /* room at the receiver in any case */
     spare->owner = 1;
     fc_told told = {.fit = {true, true, true}};
     GArray *plan = fc_share_handovers(t, &told, 90);
-    check_row(rows[i].name, plan->len == rows[i].expect);
+    check_row(k_mates[i].name, plan->len == k_mates[i].expect);
     if (plan->len) {
-      check_row(rows[i].name, g_array_index(plan, fc_handover, 0).to == 1);
-      check_row(rows[i].name, g_array_index(plan, fc_handover, 0).unseen == rows[i].unseen);
+      check_row(k_mates[i].name, g_array_index(plan, fc_handover, 0).to == 1);
+      check_row(k_mates[i].name, g_array_index(plan, fc_handover, 0).unseen == k_mates[i].unseen);
     }
     g_array_free(plan, TRUE);
     /* What whoever gets it makes of it, by its record, before and after all is settled. */
@@ -577,15 +579,15 @@
     o->settled_term = 4;
     j->clear = 0;
     fc_job_record r = {.spec = j->spec,
-                       .origin = {.moved = 1, .unseen = rows[i].unseen},
+                       .origin = {.moved = 1, .unseen = k_mates[i].unseen},
                        .phase = FC_PHASE_ACCEPTED,
                        .done = (char *)"",
                        .slices = 1};
     r.handed[0] = (char *)"paddock-1";
     (void)fc_table_put_job(t, "job-000002", &r, 30, true, 91);
-    check_row(rows[i].name, (j->clear & 1) == !rows[i].unseen);
+    check_row(k_mates[i].name, (j->clear & 1) == !k_mates[i].unseen);
     n->settled_term = o->settled_term = 5;
-    check_row(rows[i].name, fc_table_check_settled(t) && (j->clear & 1));
+    check_row(k_mates[i].name, fc_table_check_settled(t) && (j->clear & 1));
     fc_table_free(t);
   }
 }
