--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -141,7 +141,7 @@
    * share of the term before, where that was carried over; INFINITY: not known. */
   double carried_cpus[FC_TEAMS_MAX], carried_gpus[FC_TEAMS_MAX];
   fc_demand_stats demand;
-  bool archive;              /* jobs that are over may have been put away */
+  bool archive;              /* jobs that are over may have been archived */
   uint64_t returned_version; /* of the mark that every removal of machines writes; 0: none yet */
   uint64_t settled_latch;    /* term in which every machine has been settled */
   uint64_t members_latch;    /* term that settled_members tells of */
@@ -173,7 +173,7 @@
 double fc_table_cancelled_from(const fc_table *t, const char *id);
 /* Everything up to the revision has been read. */
 void fc_table_caught_up(fc_table *t, uint64_t revision);
-/* The job has been put away: nobody looks for its placements any more. */
+/* The job has been archived: nobody looks for its placements any more. */
 void fc_table_remove_job(fc_table *t, fc_job *j);
 bool fc_job_task_done(const fc_job *j, uint32_t index);
 /* Removes the machine and every placement on it: it is proved gone. */
--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -1,19 +1,19 @@
-/* Puts jobs away that have long been over: what is needed to answer their users
+/* Archives jobs that have long been over: what is needed to answer their users
  * goes to keys that no controller holds in memory, and none reads when it starts.
  * Otherwise memory, and the time to start, would grow with every job there ever was. */
 #include "controller/controller.h"
 
-fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_over_record *out) {
-  /* The mark was there before the first job was put away. */
+fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_archived_job *out) {
+  /* The mark was there before the first job was archived. */
   if (!c->table->archive) return FC_NOT_THERE;
   if (!fc_budget_take(&c->lookup_budget, 1, 0, fc_now())) return FC_NOT_SURE;
-  char *key = g_strconcat(FC_PREFIX_OVER, id, NULL);
+  char *key = g_strconcat(FC_PREFIX_ARCHIVED, id, NULL);
   json_t *value = NULL;
   fc_state_result r = fc_state_get(c->state, key, deadline, &value);
   g_free(key);
   fc_lookup found = FC_NOT_SURE;
   if (r == FC_STATE_GONE) found = FC_NOT_THERE;
-  if (r == FC_STATE_OK && fc_over_record_decode(value, out)) found = FC_FOUND;
+  if (r == FC_STATE_OK && fc_archived_job_decode(value, out)) found = FC_FOUND;
   json_decref(value);
   return found;
 }
@@ -30,15 +30,15 @@
 }
 
 /* In one transaction the job leaves the one place and is in the other. */
-static void put_away(fc_controller *c, const char *id) {
+static void archive_job(fc_controller *c, const char *id) {
   const fc_job *j = fc_table_job(c->table, id);
   if (!j || j->phase == FC_PHASE_ACCEPTED || !fc_may_act(c)) return;
-  char *from = g_strconcat(FC_PREFIX_JOB, id, NULL), *to = g_strconcat(FC_PREFIX_OVER, id, NULL);
-  fc_over_record o = {.done = j->phase == FC_PHASE_DONE, .tasks_done = j->done_count};
+  char *from = g_strconcat(FC_PREFIX_JOB, id, NULL), *to = g_strconcat(FC_PREFIX_ARCHIVED, id, NULL);
+  fc_archived_job o = {.done = j->phase == FC_PHASE_DONE, .tasks_done = j->done_count};
   fc_write *w = fc_write_new();
   fc_write_if(w, from, j->version);
   fc_write_if(w, to, 0);
-  fc_write_put(w, to, fc_over_record_encode(&o));
+  fc_write_put(w, to, fc_archived_job_encode(&o));
   fc_write_delete(w, from);
   g_free(from);
   g_free(to);
@@ -69,7 +69,7 @@
     if (!fc_may_act(c) || !fc_state_reachable(c) || fc_commit_backlog(c->commit) > 0) continue;
     GPtrArray *ids = long_over(c, most);
     bool may = ids->len > 0 && (c->table->archive || set_mark(c));
-    for (guint i = 0; may && i < ids->len; i++) put_away(c, ids->pdata[i]);
+    for (guint i = 0; may && i < ids->len; i++) archive_job(c, ids->pdata[i]);
     g_ptr_array_free(ids, TRUE);
   }
 }
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -118,8 +118,8 @@
 void fc_cancel_learned(fc_controller *c, const char *job, uint64_t revision, double from);
 
 typedef enum { FC_FOUND, FC_NOT_THERE, FC_NOT_SURE } fc_lookup;
-/* Looks for a job among those put away; the table has just been proved current. */
-fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_over_record *out);
+/* Looks for a job among the archived ones; the table has just been proved current. */
+fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_archived_job *out);
 
 /* Starts listening and all duties. NULL, with the reason, when it can't. */
 fc_controller *fc_controller_start(const fc_settings *settings, const char **why);
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -24,19 +24,19 @@
   fc_job_answer(res->body, j->spec.id, st, j->done_count, running, counts);
 }
 
-/* A job that has been put away: it is over. */
-static void answer_over(fc_http_response *res, const char *id, const fc_over_record *o, bool counts) {
+/* An archived job: it is over. */
+static void answer_archived(fc_http_response *res, const char *id, const fc_archived_job *o, bool counts) {
   res->status = 200;
   fc_job_answer(res->body, id, o->done ? FC_STATUS_DONE : FC_STATUS_CANCELLED, o->tasks_done, 0, counts);
 }
 
 /* The table has just been proved current and does not hold the job. True: it is
- * among those put away, or that can't be said now, and the answer is made. */
+ * archived, or that can't be said now, and the answer is made. */
 static bool answered_from_archive(fc_controller *c, fc_http_response *res, const char *id, bool counts) {
-  fc_over_record o;
+  fc_archived_job o;
   switch (fc_archive_find(c, id, fc_now() + c->settings->report_s * 0.5, &o)) {
     case FC_FOUND:
-      answer_over(res, id, &o, counts);
+      answer_archived(res, id, &o, counts);
       return true;
     case FC_NOT_SURE:
       later(res, 503, "can't be looked up now");
@@ -168,7 +168,7 @@
   fc_write_if(w, key, 0);
   fc_write_put(w, key, record);
   g_free(key);
-  key = g_strconcat(FC_PREFIX_OVER, spec->id, NULL);
+  key = g_strconcat(FC_PREFIX_ARCHIVED, spec->id, NULL);
   fc_write_if(w, key, 0); /* nor was there one that is over */
   g_free(key);
   uint64_t revision = 0;
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -52,7 +52,7 @@
 
 static void apply_job(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
   if (!ch->value) {
-    /* It was over and has been put away; only ever then (archive.c). */
+    /* It was over and has been archived; only ever then (archive.c). */
     fc_job *over = fc_table_job(c->table, id);
     if (over && over->version < ch->version) fc_table_remove_job(c->table, over);
     return;
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -93,11 +93,11 @@
   return fc_reader_ok(&r);
 }
 
-json_t *fc_over_record_encode(const fc_over_record *o) {
+json_t *fc_archived_job_encode(const fc_archived_job *o) {
   return json_pack("{si sb si}", "f", FORMAT, "done", (int)o->done, "tasks", (int)o->tasks_done);
 }
 
-bool fc_over_record_decode(const json_t *v, fc_over_record *out) {
+bool fc_archived_job_decode(const json_t *v, fc_archived_job *out) {
   memset(out, 0, sizeof *out);
   fc_reader r;
   start(&r, v);
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -17,12 +17,12 @@
 #define FC_PREFIX_MACHINE FC_PREFIX "machine/"
 #define FC_PREFIX_MEMBER FC_PREFIX "member/"
 #define FC_PREFIX_HIRE FC_PREFIX "hire/"
-/* There once it may be that jobs have been put away. */
+/* There once jobs may have been archived. */
 #define FC_KEY_ARCHIVE FC_PREFIX "archive"
 /* Written with every removal of machines' records. */
 #define FC_KEY_RETURNED FC_PREFIX "returned"
 /* Jobs that are long over. Outside the prefix that every controller holds. */
-#define FC_PREFIX_OVER "fc1over/"
+#define FC_PREFIX_ARCHIVED "fc1over/"
 
 typedef struct fc_member {
   char name[64];
@@ -76,13 +76,13 @@
 } fc_quota_record;
 
 /* What is kept for good of a job that is over: enough to answer its user. */
-typedef struct fc_over_record {
+typedef struct fc_archived_job {
   bool done; /* else cancelled */
   uint32_t tasks_done;
-} fc_over_record;
+} fc_archived_job;
 
-json_t *fc_over_record_encode(const fc_over_record *o);
-bool fc_over_record_decode(const json_t *v, fc_over_record *out);
+json_t *fc_archived_job_encode(const fc_archived_job *o);
+bool fc_archived_job_decode(const json_t *v, fc_archived_job *out);
 
 json_t *fc_quota_record_encode(const fc_quota_record *q, const fc_settings *s);
 bool fc_quota_record_decode(const json_t *v, const fc_settings *s, fc_quota_record *out);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -487,7 +487,7 @@
   s->memory_mb = 56;
   s->fd_limit = 900;
   fc_operator_defaults(&s->op);
-  s->op.over_keep_s = 20; /* jobs are put away in the middle of the troubles */
+  s->op.over_keep_s = 20; /* jobs are archived in the middle of the troubles */
 }
 
 void world_notice(unsigned at, double in_s) {
--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -304,7 +304,7 @@
 }
 
 /* Transactions without an answer are carried out late, after newer ones of the same
- * controller; jobs of every kind come, end, are called off and put away meanwhile,
+ * controller; jobs of every kind come, end, are called off and archived meanwhile,
  * machines are rented and returned. Afterwards nothing is left of it. */
 static void writes_carried_out_late(void **state) {
   (void)state;
@@ -336,7 +336,7 @@
 
 /* What a writer is told nothing of is carried out when what it was about has come, gone
  * and been forgotten: the record of a machine that was returned stays away, nothing is
- * hired, and a job that is over and put away stays so. */
+ * hired, and a job that is over and archived stays so. */
 static void writes_about_what_is_gone(void **state) {
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS(k_writes_about_gone); i++) {
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -6,7 +6,7 @@
 
 #include "sim/world.h"
 
-#define LOOK_UP_S 0.3 /* jobs put away are looked up at a bounded rate */
+#define LOOK_UP_S 0.3 /* archived jobs are looked up at a bounded rate */
 #define SOON_S 0.01   /* while a later answer is as good */
 #define AT_ONCE_S 0.3 /* nobody is held: a few exchanges, and no waiting */
 
@@ -118,7 +118,7 @@
     check_row(name, r->came && (r->status == 200 || (r->status == 503 && row->slow_s > 0)));
     check_row(name, !says_final || strstr(r->body, says));
   }
-  sim_run_until(sim_now() + 30); /* it has been put away meanwhile */
+  sim_run_until(sim_now() + 30); /* it has been archived meanwhile */
   check_row(name, committed(told));
   all_say(name, told, k_body, row->slow_s <= 0);
   check_row(name, world_tasks_of(JOB_ID) == 0);
@@ -360,7 +360,7 @@
       g_free(body);
     }
   }
-  sim_run_until(sim_now() + 40); /* put away by now */
+  sim_run_until(sim_now() + 40); /* archived by now */
   assert_true(state_has("fc1over/job-000001"));
   check_known("later", false, AT_ONCE_S);
   if (world_so_far().broken) fail_msg("%s", world_so_far().first);
