--- /dev/null
+++ b/tests/sim/load.c
@@ -0,0 +1,104 @@
+/* What simulated processes cost: shares of a processor, and counts of wake-ups, messages
+ * and bytes by address. */
+#include "network.h"
+#include "sim.h"
+
+typedef struct share {
+  double of_processor, late_s;
+} share;
+
+static GHashTable *g_shares; /* ip -> share: outlives the process */
+static GHashTable *g_loads;  /* ip -> sim_load: since the start of the simulation */
+static sim_work_fn g_work;
+static unsigned g_own_work; /* depth of sim_own_work_begin() */
+static const sim_costs k_costs = {.wake_s = 20e-6, .message_s = 30e-6, .byte_s = 0.1e-6};
+
+void sim_load_init(void) {
+  g_shares = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  g_loads = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  g_work = NULL;
+}
+
+void sim_own_work_begin(void) {
+  g_own_work++;
+}
+
+void sim_own_work_end(void) {
+  g_own_work--;
+}
+
+uint32_t sim_allocates(void) {
+  return g_own_work == 0 ? sim_here() : 0;
+}
+
+static sim_load *load_of(uint32_t ip) {
+  sim_load *l = g_hash_table_lookup(g_loads, GUINT_TO_POINTER(ip));
+  if (!l) {
+    g_own_work++;
+    l = g_new0(sim_load, 1);
+    g_hash_table_insert(g_loads, GUINT_TO_POINTER(ip), l);
+    g_own_work--;
+  }
+  return l;
+}
+
+sim_load sim_load_of(uint32_t ip) {
+  return *load_of(ip);
+}
+
+double sim_message_cost(size_t bytes) {
+  return k_costs.message_s + k_costs.byte_s * (double)bytes;
+}
+
+void sim_charge(sim_process *p, double cost_s) {
+  if (!p || p->share <= 0) return;
+  load_of(p->ip)->busy_s += cost_s;
+  p->busy_until = MAX(p->busy_until, sim_now()) + cost_s / p->share;
+}
+
+void sim_charge_wake(sim_process *p) {
+  load_of(p->ip)->wakes++;
+  sim_charge(p, k_costs.wake_s);
+}
+
+void sim_charge_work(sim_process *p) {
+  if (g_work && p->share > 0) sim_charge(p, g_work(p->ip));
+}
+
+double sim_departs_in(const sim_process *p) {
+  return p && p->share > 0 ? MAX(0, p->busy_until - sim_now()) : 0;
+}
+
+static sim_traffic *traffic(uint32_t ip, uint32_t other, bool sent) {
+  sim_load *l = load_of(ip);
+  bool peer = other >> 16 == ip >> 16; /* the other controllers are in its network */
+  bool worker = other >> 16 == (10u << 8 | 1);
+  sim_way *w = peer ? &l->peers : worker ? &l->workers : &l->others;
+  return sent ? &w->sent : &w->got;
+}
+
+void sim_count_message(uint32_t from, uint32_t to, size_t bytes) {
+  sim_traffic *t[] = {traffic(from, to, true), traffic(to, from, false)};
+  for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+    t[i]->messages++;
+    t[i]->bytes += bytes;
+  }
+}
+
+/* From its next start on. */
+void sim_process_share(uint32_t ip, double of_processor, double late_s) {
+  share *s = g_new(share, 1);
+  *s = (share){of_processor, late_s};
+  g_hash_table_insert(g_shares, GUINT_TO_POINTER(ip), s);
+}
+
+void sim_load_apply(sim_process *p) {
+  const share *s = g_hash_table_lookup(g_shares, GUINT_TO_POINTER(p->ip));
+  if (!s) return;
+  p->share = s->of_processor;
+  p->late_s = s->late_s;
+}
+
+void sim_set_work(sim_work_fn fn) {
+  g_work = fn;
+}
