--- a/tests/test_small_costs.c
+++ b/tests/test_small_costs.c
@@ -6,7 +6,7 @@
 #define FLEET 120u /* machines; on three controllers */
 #define WATCHED_S 60.0
 #define REPORT_PIECES 60.0 /* taken, by malloc and the like */
-#define WHOLE_FLEET 432u /* half as many again as the largest of such deployments */
+#define WHOLE_FLEET 432u   /* half as many again as the largest of such deployments */
 #define LIMIT_BYTES (27u * 1024u * 1024u)
 #define MACHINE_BYTES 950.0
 #define JOB_BYTES 2600.0 /* running, its tasks included */
