--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -73,9 +73,9 @@
 }
 
 /* The records of machines just rented, in as many transactions as it takes. Should
- * we end in between, whoever repeats the hire gets the same names and writes those
+ * we end in between, whoever repeats the rental gets the same names and writes those
  * that are missing. */
-static bool record_hired(fc_controller *c, const char *name, const fc_hire_record *h, const GPtrArray *ids) {
+static bool record_rented(fc_controller *c, const char *name, const fc_hire_record *h, const GPtrArray *ids) {
   fc_table *t = c->table;
   char *intent = g_strconcat(FC_PREFIX_HIRE, name, NULL);
   unsigned given[FC_MEMBERS_MAX] = {0};
@@ -117,7 +117,7 @@
   return false;
 }
 
-static bool end_hire(fc_controller *c, const char *name) {
+static bool end_rental(fc_controller *c, const char *name) {
   char *key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
   fc_write *w = fc_write_new();
   fc_write_if(w, FC_KEY_TERM, c->table->term_version);
@@ -130,15 +130,15 @@
   return false;
 }
 
-typedef struct hire {
+typedef struct rental {
   char *name;
   fc_hire_record record;
   GPtrArray *ids;
   bool decided;
-} hire;
+} rental;
 
-static void hire_free(gpointer p) {
-  hire *h = p;
+static void rental_free(gpointer p) {
+  rental *h = p;
   g_free(h->name);
   g_ptr_array_free(h->ids, TRUE);
   g_free(h);
@@ -146,10 +146,10 @@
 
 /* Asks the cloud for what one recorded intent says, ours or one left by a dead
  * controller. */
-static void ask_cloud(fc_controller *c, hire *h, refusals *ref) {
+static void ask_cloud(fc_controller *c, rental *h, refusals *ref) {
   const fc_hire_record *r = &h->record;
   if (!fc_cloud_turn(c) || !fc_may_act(c)) return;
-  fc_cloud_result res = fc_cloud_hire(c->cloud, h->name, r->type, r->zone, r->spot, r->count, fc_now() + 4.0, h->ids);
+  fc_cloud_result res = fc_cloud_rent(c->cloud, h->name, r->type, r->zone, r->spot, r->count, fc_now() + 4.0, h->ids);
   g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", h->name, r->type, r->zone, r->spot, r->count,
          res, h->ids->len);
   if (res == FC_CLOUD_NO_CAPACITY) note_refused(ref, r->type, r->zone, r->spot, fc_now() + c->settings->lease_s);
@@ -161,23 +161,23 @@
 /* Carries out all recorded intents. All machines are asked for before the first is
  * recorded: they boot meanwhile, and their records take their time. */
 static void carry_out_all(fc_controller *c, refusals *ref) {
-  GPtrArray *hires = g_ptr_array_new_with_free_func(hire_free);
+  GPtrArray *rentals = g_ptr_array_new_with_free_func(rental_free);
   GHashTableIter it;
   gpointer key, value;
   g_hash_table_iter_init(&it, c->table->hires);
   while (g_hash_table_iter_next(&it, &key, &value)) {
-    hire *h = g_new0(hire, 1);
+    rental *h = g_new0(rental, 1);
     h->name = g_strdup(key);
     h->record = *(const fc_hire_record *)value;
     h->ids = g_ptr_array_new_with_free_func(g_free);
-    g_ptr_array_add(hires, h);
+    g_ptr_array_add(rentals, h);
   }
-  for (guint i = 0; i < hires->len; i++) ask_cloud(c, hires->pdata[i], ref);
-  for (guint i = 0; i < hires->len; i++) {
-    const hire *h = hires->pdata[i];
-    if (h->decided && fc_may_act(c)) (void)(record_hired(c, h->name, &h->record, h->ids) && end_hire(c, h->name));
+  for (guint i = 0; i < rentals->len; i++) ask_cloud(c, rentals->pdata[i], ref);
+  for (guint i = 0; i < rentals->len; i++) {
+    const rental *h = rentals->pdata[i];
+    if (h->decided && fc_may_act(c)) (void)(record_rented(c, h->name, &h->record, h->ids) && end_rental(c, h->name));
   }
-  g_ptr_array_free(hires, TRUE);
+  g_ptr_array_free(rentals, TRUE);
 }
 
 /* Records the intent; the cloud is asked only after that is durable. */
@@ -209,7 +209,7 @@
   for (guint i = 0; i < wants->len; i++) {
     const fc_want *w = &g_array_index(wants, fc_want, i);
     if (w->owner >= (int)c->table->term.count) break;
-    if (!intend(c, w, MIN(w->count, FC_HIRE_MOST))) break;
+    if (!intend(c, w, MIN(w->count, FC_RENTAL_MOST))) break;
   }
   g_array_free(wants, TRUE);
 }
@@ -409,7 +409,7 @@
 }
 
 /* Should a listed machine be returned that no record knows? Late copies of a
- * hire leave such machines; those that come up report and get a record, the
+ * rental leave such machines; those that come up report and get a record, the
  * others would be paid for until somebody asks. Nothing was ever started on
  * them: that takes a record. */
 static bool is_stray_machine(const fc_controller *c, const fc_listed_machine *l) {
@@ -431,7 +431,7 @@
     GPtrArray *page = g_ptr_array_new_with_free_func(fc_listed_machine_free);
     more = false;
     fc_cloud_result r = fc_cloud_list(c->cloud, after, 500, fc_now() + 3.0, page, &more);
-    /* A hire under way may be what a machine belongs to. */
+    /* A rental under way may be what a machine belongs to. */
     bool sure = r == FC_CLOUD_OK && g_hash_table_size(c->table->hires) == 0;
     for (guint i = 0; i < page->len; i++) {
       const fc_listed_machine *l = page->pdata[i];
--- a/src/protocol/cloud_api.c
+++ b/src/protocol/cloud_api.c
@@ -96,9 +96,9 @@
   return result;
 }
 
-fc_cloud_result fc_cloud_hire(fc_cloud *c, const char *hire, const char *type, const char *zone, bool spot,
+fc_cloud_result fc_cloud_rent(fc_cloud *c, const char *rental, const char *type, const char *zone, bool spot,
                               unsigned count, double deadline, GPtrArray *out) {
-  json_t *body = json_pack("{ss ss ss sb si}", "hire", hire, "build", type, "ground", zone, "loaners", (int)spot,
+  json_t *body = json_pack("{ss ss ss sb si}", "hire", rental, "build", type, "ground", zone, "loaners", (int)spot,
                            "count", (int)count);
   json_t *v = NULL;
   fc_cloud_result result = call(c, "POST", "/hosts", body, deadline, &v);
--- a/src/protocol/cloud_api.h
+++ b/src/protocol/cloud_api.h
@@ -7,7 +7,7 @@
 
 #include "transport/conn.h"
 
-#define FC_HIRE_MOST 50u
+#define FC_RENTAL_MOST 50u
 #define FC_RELEASE_MOST 100u
 
 typedef struct fc_machine_type {
@@ -43,7 +43,7 @@
 fc_cloud_result fc_cloud_types(fc_cloud *c, double deadline, GPtrArray *out);
 void fc_machine_type_free(gpointer type);
 /* out: names (char*) */
-fc_cloud_result fc_cloud_hire(fc_cloud *c, const char *hire, const char *type, const char *zone, bool spot,
+fc_cloud_result fc_cloud_rent(fc_cloud *c, const char *rental, const char *type, const char *zone, bool spot,
                               unsigned count, double deadline, GPtrArray *out);
 fc_cloud_result fc_cloud_release(fc_cloud *c, const char *const *ids, size_t count, double deadline);
 /* One page after `after` (NULL: from the start); out: fc_listed_machine* */
