--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -268,6 +268,63 @@
   }
 }
 
+/* Serves an HTTP connection to the peer address, whose first bytes were read as a frame's head. */
+static void serve_http(fc_controller *c, link_buffer *in, const uint8_t *head) {
+  fc_http_server_options opt = {.idle_s = c->settings->lease_s, .request_s = c->settings->report_s};
+  uint8_t first[FC_FRAME_HEAD + sizeof in->bytes];
+  memcpy(first, head, FC_FRAME_HEAD);
+  size_t more = take_buffered(in, first + FC_FRAME_HEAD, sizeof in->bytes);
+  fc_http_serve_conn(in->conn, (const char *)first, FC_FRAME_HEAD + more, &opt, serve_operator, c);
+}
+
+/* Encodes the acknowledgement of a complete view. */
+static GByteArray *acknowledge(fc_controller *c, const fc_view *v, fc_view_fate fate) {
+  const fc_cancel *untold;
+  size_t untold_count;
+  /* Before we have read everything, an incarnation of ours before this may have confirmed what
+   * we don't know. */
+  bool told_all = fc_cancels_since(c->cancels, v->revision, &untold, &untold_count) && c->loaded;
+  fc_ack ack = {.boot = c->boot,
+                .term = c->table->term.number,
+                .seq = v->seq,
+                .applied = fate == FC_VIEW_TAKEN,
+                .promise_ms = give_promise(c, v),
+                .quiet_ms = (uint32_t)(MIN(fc_now() - c->cancel_at, 1e6) * 1000),
+                .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000),
+                .revision = c->revision,
+                .told_all = told_all,
+                .cancels = fc_cancels_frame(untold, untold_count, fc_now()),
+                .cancel_count = untold_count};
+  fill_kept(c, &ack);
+  fill_asked(c, &ack);
+  g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
+  GByteArray *out = g_byte_array_new();
+  fc_ack_encode(out, &ack);
+  fc_ack_clear(&ack);
+  return out;
+}
+
+/* Takes a view in, and acknowledges it with its last piece. False if the connection is to be
+ * closed. The view is cleared in any case. */
+static bool serve_view(fc_controller *c, fc_conn *conn, fc_view *v) {
+  fc_view_fate fate = fc_view_take(c, v);
+  take_cancels(c, v->cancels, v->cancel_count);
+  if (fate == FC_VIEW_BROKEN)
+    g_warning("view out of order from=%s seq=%" G_GUINT64_FORMAT " piece=%u", v->sender, (guint64)v->seq, v->piece);
+  if (fate == FC_VIEW_BROKEN || !v->last) {
+    fc_view_clear(v);
+    return fate != FC_VIEW_BROKEN;
+  }
+  c->counts.views++;
+  take_backlog(c, v);
+  GByteArray *out = acknowledge(c, v, fate);
+  fc_view_clear(v);
+  bool ok = fc_conn_write(conn, out->data, out->len, fc_now() + c->settings->report_s);
+  g_byte_array_free(out, TRUE);
+  return ok;
+}
+
+/* Serves a connection to the peer address: a peer's views, or an operator's HTTP. */
 static void serve_peer(fc_conn *conn, void *arg) {
   fc_controller *c = arg;
   fc_metrics_duty(&c->metrics, FC_DUTY_VIEWS_TAKEN);
@@ -278,56 +335,14 @@
     uint8_t head[FC_FRAME_HEAD];
     uint8_t *body = read_frame(&in, fc_now() + c->settings->lease_s, head, &type, &len);
     if (!body && fc_frame_is_http(head)) {
-      fc_http_server_options opt = {.idle_s = c->settings->lease_s, .request_s = c->settings->report_s};
-      uint8_t first[sizeof head + sizeof in.bytes];
-      memcpy(first, head, sizeof head);
-      size_t more = take_buffered(&in, first + sizeof head, sizeof in.bytes);
-      fc_http_serve_conn(conn, (const char *)first, sizeof head + more, &opt, serve_operator, c);
+      serve_http(c, &in, head);
       return;
     }
     fc_view v;
     bool ok = body && type == FC_FRAME_VIEW && fc_view_decode(body, len, &v);
     g_free(body);
     if (!ok) return; /* wrong length, version or kind: the connection is closed */
-    fc_view_fate fate = fc_view_take(c, &v);
-    take_cancels(c, v.cancels, v.cancel_count);
-    if (fate == FC_VIEW_BROKEN) {
-      g_warning("view out of order from=%s seq=%" G_GUINT64_FORMAT " piece=%u", v.sender, (guint64)v.seq, v.piece);
-      fc_view_clear(&v);
-      return;
-    }
-    if (!v.last) {
-      fc_view_clear(&v);
-      continue;
-    }
-    c->counts.views++;
-    take_backlog(c, &v);
-    const fc_cancel *untold;
-    size_t untold_count;
-    /* Before we have read everything, a life of ours before this may have confirmed what
-     * we don't know. */
-    bool told_all = fc_cancels_since(c->cancels, v.revision, &untold, &untold_count) && c->loaded;
-    fc_ack ack = {.boot = c->boot,
-                  .term = c->table->term.number,
-                  .seq = v.seq,
-                  .applied = fate == FC_VIEW_TAKEN,
-                  .promise_ms = give_promise(c, &v),
-                  .quiet_ms = (uint32_t)(MIN(fc_now() - c->cancel_at, 1e6) * 1000),
-                  .fresh_ms = (uint32_t)(MIN(fc_now() - c->fresh_sent, 1e6) * 1000),
-                  .revision = c->revision,
-                  .told_all = told_all,
-                  .cancels = fc_cancels_frame(untold, untold_count, fc_now()),
-                  .cancel_count = untold_count};
-    fill_kept(c, &ack);
-    fill_asked(c, &ack);
-    g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
-    fc_view_clear(&v);
-    GByteArray *out = g_byte_array_new();
-    fc_ack_encode(out, &ack);
-    fc_ack_clear(&ack);
-    ok = fc_conn_write(conn, out->data, out->len, fc_now() + c->settings->report_s);
-    g_byte_array_free(out, TRUE);
-    if (!ok) return;
+    if (!serve_view(c, conn, &v)) return;
   }
 }
 
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -169,7 +169,7 @@
 
 /* The order holds over owners and terms: a copy of a report may come minutes
  * late, also to a member that has just taken the machine over. */
-static bool newer(const fc_machine *m, const fc_worker_report *r) {
+static bool is_newer(const fc_machine *m, const fc_worker_report *r) {
   if (r->token < m->seen_token) return false; /* a worker's tokens only rise */
   return r->session > m->session || (r->session == m->session && r->seq > m->seq);
 }
@@ -180,47 +180,66 @@
   return p->since + c->settings->report_s < c->fresh_sent || fc_table_is_cancelled(c->table, p->job_id);
 }
 
-/* The commands owed to a settled machine. Starts are marked as sent. */
+/* Decides whether an exited task is to be forgotten by the worker, and fills in the command. */
+static bool forget_command(fc_controller *c, fc_placement *p, fc_command *cmd) {
+  update_recorded(c, p);
+  /* After a forget command, a late copy of the start would run it again. */
+  if (!p->recorded || p->stray) return false;
+  cmd->op = FC_COMMAND_FORGET;
+  return true;
+}
+
+/* Fills in the stop command of a task that is stopping. One whose start was never sent
+ * needs none: its placement is removed from the table. */
+static bool stop_command(fc_controller *c, fc_placement *p, fc_command *cmd) {
+  if (!p->sent) {
+    fc_table_unplace(c->table, p);
+    return false;
+  }
+  /* Sent but not seen: the worker ignores a stop of what it has not got. */
+  cmd->op = FC_COMMAND_STOP;
+  /* What is being saved when its job is cancelled is ended at once by a second halt. */
+  cmd->grace_s = fc_workers_unwanted(c, p) ? 0 : p->grace_s;
+  return true;
+}
+
+/* Fills in the start command of a task that no report has named yet, and marks it as sent:
+ * directly, or with the answer to report `seq`. */
+static bool start_command(fc_placement *p, bool direct, uint64_t seq, fc_command *cmd) {
+  /* One direct copy is enough to keep track of; the rest goes with reports. */
+  if (direct && p->stray != FC_STRAY_NONE) return false;
+  cmd->op = FC_COMMAND_START;
+  p->sent = true;
+  if (direct) {
+    p->stray = FC_STRAY_FLYING;
+  } else {
+    p->sent_seq = seq;
+  }
+  return true;
+}
+
+/* Fills in the command that a placement is owed; false if there is none. The placement may
+ * be removed from the table meanwhile. */
+static bool command_for(fc_controller *c, fc_placement *p, bool direct, uint64_t seq, fc_command *cmd) {
+  *cmd = (fc_command){.job = p->job_id, .index = p->index, .attempt = p->attempt};
+  /* Judged here, right before it is sent: the round may be a while back, and its job
+   * cancelled since. */
+  if (p->state != FC_TASK_EXITED && !p->reported && !p->stopping && fc_workers_unwanted(c, p)) {
+    p->stopping = true;
+    p->grace_s = 0;
+  }
+  if (p->state == FC_TASK_EXITED) return forget_command(c, p, cmd);
+  if (p->stopping) return stop_command(c, p, cmd);
+  return !p->reported && start_command(p, direct, seq, cmd);
+}
+
+/* Lists the commands owed to a settled machine, for a direct call or for the answer to
+ * report `seq`. Starts are marked as sent. */
 static GArray *commands_for(fc_controller *c, fc_machine *m, bool direct, uint64_t seq) {
   GArray *out = g_array_new(FALSE, TRUE, sizeof(fc_command));
-  fc_table *t = c->table;
   for (guint i = m->placements->len; i-- > 0;) {
-    fc_placement *p = m->placements->pdata[i];
-    fc_command cmd = {.job = p->job_id, .index = p->index, .attempt = p->attempt};
-    /* Judged here, right before it is sent: the round may be a while back, and its job
-     * cancelled since. */
-    if (p->state != FC_TASK_EXITED && !p->reported && !p->stopping && fc_workers_unwanted(c, p)) {
-      p->stopping = true;
-      p->grace_s = 0;
-    }
-    if (p->state == FC_TASK_EXITED) {
-      update_recorded(c, p);
-      /* After a clear, a late copy of the start would run it again. */
-      if (!p->recorded || p->stray) continue;
-      cmd.op = FC_COMMAND_FORGET;
-    } else if (p->stopping) {
-      if (!p->sent) {
-        fc_table_unplace(t, p);
-        continue;
-      }
-      /* Sent but not seen: the worker ignores a stop of what it has not got. */
-      cmd.op = FC_COMMAND_STOP;
-      /* What is being saved when its job is cancelled is ended at once by a second halt. */
-      cmd.grace_s = fc_workers_unwanted(c, p) ? 0 : p->grace_s;
-    } else if (!p->reported) {
-      /* One direct copy is enough to keep track of; the rest goes with reports. */
-      if (direct && p->stray != FC_STRAY_NONE) continue;
-      cmd.op = FC_COMMAND_START;
-      p->sent = true;
-      if (direct) {
-        p->stray = FC_STRAY_FLYING;
-      } else {
-        p->sent_seq = seq;
-      }
-    } else {
-      continue;
-    }
-    g_array_append_val(out, cmd);
+    fc_command cmd;
+    if (command_for(c, m->placements->pdata[i], direct, seq, &cmd)) g_array_append_val(out, cmd);
   }
   return out;
 }
@@ -419,78 +438,111 @@
   return false;
 }
 
-void fc_workers_report(fc_controller *c, const fc_http_request *req, int *status, GString *out) {
-  fc_worker_report r;
-  char error[200];
+/* Finds the machine that a report is from, recording it first if nobody has. NULL if this
+ * member may not answer for it now. */
+static fc_machine *machine_of_report(fc_controller *c, const fc_worker_report *r) {
   fc_table *t = c->table;
-  if (!fc_worker_report_parse(req->body, req->body_len, &r, error, sizeof error)) {
-    *status = 400;
-    fc_error_answer(out, "malformed report");
-    g_info("malformed report: %s", error);
-    return;
-  }
-  c->counts.reports++;
-  if (!fc_may_act(c)) goto refused;
-  fc_machine *m = fc_table_machine(t, r.machine);
-  if ((!m || !m->version) && (!record_machine(c, &r) || !fc_may_act(c))) goto refused;
-  m = fc_table_machine(t, r.machine);
-  /* A token above ours: somebody is entitled that we have not heard of. A 200
+  if (!fc_may_act(c)) return NULL;
+  fc_machine *m = fc_table_machine(t, r->machine);
+  if ((!m || !m->version) && (!record_machine(c, r) || !fc_may_act(c))) return NULL;
+  m = fc_table_machine(t, r->machine);
+  /* A fencing token above ours: somebody is entitled that we have not heard of. A 200
    * would be dropped and hold the worker here while its lease runs out. */
-  if (!m || !m->version || r.token > t->term.number) goto refused;
-  if (m->writing) goto refused; /* it may belong to another already */
-  if (!agrees(m, &r)) goto refused;
-  if (m->owner != t->self) {
-    if (owner_reachable(c, m, &r)) {
-      /* It may show on its way that it has heard us; that it doesn't would show nothing. */
-      if (newer(m, &r) && fc_now() < m->answered_at + FC_WORKER_PATIENCE_S) note_hearing(c, m, req->connection);
-      m->redirected_at = fc_now();
-      *status = 421;
-      fc_worker_redirect(out, t->term.members[m->owner].name);
-    } else if (!newer(m, &r)) {
-      goto refused; /* a copy: no sign of life, and nobody waits for the answer */
-    } else {
-      keep(c, m, &r, req->connection, out);
-      *status = 200;
-    }
-    goto out;
+  if (!m || !m->version || r->token > t->term.number) return NULL;
+  if (m->writing) return NULL; /* it may belong to another already */
+  return agrees(m, r) ? m : NULL;
+}
+
+/* Answers the report of another member's machine: the worker is sent to its owner, or its
+ * lease is kept alive here. False if the report is to be refused. */
+static bool answer_for_owner(fc_controller *c, fc_machine *m, const fc_worker_report *r, uint64_t connection,
+                             int *status, GString *out) {
+  if (owner_reachable(c, m, r)) {
+    /* It may show on its way that it has heard us; that it doesn't would show nothing. */
+    if (is_newer(m, r) && fc_now() < m->answered_at + FC_WORKER_PATIENCE_S) note_hearing(c, m, connection);
+    m->redirected_at = fc_now();
+    *status = 421;
+    fc_worker_redirect(out, c->table->term.members[m->owner].name);
+    return true;
   }
-  bool is_newer = newer(m, &r), commands_too = is_newer || m->reborn;
-  if (m->reborn && m->settled_term == t->term.number) {
-    /* A late report of its earlier life would look newer than its own: only its
+  if (!is_newer(m, r)) return false; /* a copy: no sign of life, and nobody waits for the answer */
+  keep(c, m, r, connection, out);
+  *status = 200;
+  return true;
+}
+
+/* Asks the worker directly what its machine holds. */
+static void probe(fc_controller *c, fc_machine *m) {
+  m->probe = true;
+  fc_workers_push(c, m);
+}
+
+/* Takes in the report of a machine of ours. False if the report is to be refused. */
+static bool take_report(fc_controller *c, fc_machine *m, const fc_worker_report *r, uint64_t connection) {
+  if (m->reborn && m->settled_term == c->table->term.number) {
+    /* A late report of its earlier incarnation would look newer than its own: only its
      * answers to direct commands tell what it holds (fault test, seed 38). */
-    note_hearing(c, m, req->connection);
+    note_hearing(c, m, connection);
     m->answered_at = fc_now();
-    m->probe = true;
-    fc_workers_push(c, m);
-  } else if (is_newer) {
-    note_hearing(c, m, req->connection);
-    adopt(c, m, &r, true);
+    probe(c, m);
+    return true;
+  }
+  if (is_newer(m, r)) {
+    note_hearing(c, m, connection);
+    adopt(c, m, r, true);
     m->answered_at = fc_now();
-  } else {
-    /* A direct command's answer has overtaken it, or it is a late copy, or the
-     * machine was started anew and counts from the beginning: ask it. */
-    m->probe = true;
-    fc_workers_push(c, m);
-    if (r.session != m->session) goto refused; /* from a life that is over */
-    /* Answered without commands: a copy's answer reaches nobody, and a start
-     * would count as sent. The lease runs from when the report was sent, which
-     * is before what we heard last: a copy does not push its end back. */
-    m->answered_at = MAX(m->answered_at, m->heard_at);
+    return true;
   }
+  /* A direct command's answer has overtaken it, or it is a late copy, or the
+   * machine was started anew and counts from the beginning: ask it. */
+  probe(c, m);
+  if (r->session != m->session) return false; /* from an incarnation that is over */
+  /* Answered without commands: a copy's answer reaches nobody, and a start
+   * would count as sent. The lease runs from when the report was sent, which
+   * is before what we heard last: a copy does not push its end back. */
+  m->answered_at = MAX(m->answered_at, m->heard_at);
+  return true;
+}
+
+/* Answers the report of a machine of ours, with the commands it is owed once it is settled.
+ * False if the report is to be refused. */
+static bool answer_as_owner(fc_controller *c, fc_machine *m, const fc_worker_report *r, uint64_t connection,
+                            int *status, GString *out) {
+  const fc_table *t = c->table;
+  bool commands_too = is_newer(m, r) || m->reborn; /* as it was before the report is taken in */
+  if (!take_report(c, m, r, connection)) return false;
   announce(c, m);
-  m->answered_on = req->connection;
+  m->answered_on = connection;
   *status = 200;
-  if (commands_too && m->settled_term == t->term.number) {
-    GArray *commands = commands_for(c, m, false, r.seq);
-    fc_worker_answer(out, t->term.number, (const fc_command *)commands->data, commands->len);
-    g_array_free(commands, TRUE);
-  } else {
+  if (!commands_too || m->settled_term != t->term.number) {
     fc_worker_answer(out, t->term.number, NULL, 0);
+    return true;
   }
-  goto out;
-refused:
-  refuse(status, out);
-out:
+  GArray *commands = commands_for(c, m, false, r->seq);
+  fc_worker_answer(out, t->term.number, (const fc_command *)commands->data, commands->len);
+  g_array_free(commands, TRUE);
+  return true;
+}
+
+/* Answers a well-formed report; false if it is to be refused. */
+static bool answer_report(fc_controller *c, const fc_worker_report *r, uint64_t connection, int *status, GString *out) {
+  fc_machine *m = machine_of_report(c, r);
+  if (!m) return false;
+  if (m->owner != c->table->self) return answer_for_owner(c, m, r, connection, status, out);
+  return answer_as_owner(c, m, r, connection, status, out);
+}
+
+void fc_workers_report(fc_controller *c, const fc_http_request *req, int *status, GString *out) {
+  fc_worker_report r;
+  char error[200];
+  if (!fc_worker_report_parse(req->body, req->body_len, &r, error, sizeof error)) {
+    *status = 400;
+    fc_error_answer(out, "malformed report");
+    g_info("malformed report: %s", error);
+    return;
+  }
+  c->counts.reports++;
+  if (!answer_report(c, &r, req->connection, status, out)) refuse(status, out);
   fc_worker_report_clear(&r);
 }
 
@@ -510,9 +562,9 @@
   }
 }
 
-/* What the machine's earlier life held is gone; only a direct start that may
+/* What the machine's earlier incarnation held is gone; only a direct start that may
  * still arrive, and would be carried out, stays. */
-static void forget_life(fc_machine *m, const fc_worker_report *r) {
+static void forget_incarnation(fc_machine *m, const fc_worker_report *r) {
   for (guint i = 0; i < m->placements->len; i++) {
     fc_placement *p = m->placements->pdata[i];
     if (p->sent) p->reported = p->stray == FC_STRAY_NONE; /* reported, and now not listed: gone */
@@ -524,55 +576,83 @@
   m->session_from = fc_now();
 }
 
+/* What a direct call was made for. */
+typedef struct direct_call {
+  uint64_t term;         /* its fencing token */
+  bool fencing, probing; /* the machine was not settled in the term; it was to be asked */
+  double asked_at;
+} direct_call;
+
+/* Was the call answered by a worker, so that there is a report to read? */
+static bool is_answered(fc_order_result result) {
+  return result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
+}
+
+/* Notes how a direct call to the machine ended. */
+static void note_call_end(fc_machine *m, const direct_call *call, fc_order_result result) {
+  decide_strays(m, result);
+  if (!call->fencing && !call->probing) return;
+  m->asked_at = call->asked_at;
+  m->asked_answered = is_answered(result);
+}
+
+/* Takes in the report with which a worker answered a direct call. True if the machine is to
+ * be fenced with what it has told. */
+static bool take_call_answer(fc_controller *c, fc_machine *m, const direct_call *call, fc_order_result result,
+                             const fc_worker_report *r) {
+  const fc_table *t = c->table;
+  if (t->term.number != call->term || m->owner != t->self || strcmp(r->machine, m->id) != 0) return false;
+  /* Every word of a worker is newer than what we had heard when we asked; if
+   * not, it was started anew and counts from the beginning. */
+  if (!is_newer(m, r) && call->asked_at > m->heard_at) {
+    if (!m->reborn) g_info("started anew machine=%s tasks=%u", m->id, m->placements->len);
+    forget_incarnation(m, r);
+  }
+  if (is_newer(m, r)) {
+    adopt(c, m, r, false);
+    m->proved_at = call->asked_at;
+  }
+  /* A new session, or the first word from this machine: fence with it. */
+  return call->fencing && result == FC_ORDER_REFUSED && r->token <= call->term && m->settled_term != call->term;
+}
+
+/* Calls the machine's worker once: fences it, asks it, or sends the commands it is owed; none
+ * of these to do, no call. True if another call is to fence it with what it has told. */
+static bool call_worker(fc_controller *c, const char *id, uint64_t term) {
+  fc_table *t = c->table;
+  fc_machine *m = fc_table_machine(t, id);
+  fc_endpoint at;
+  if (!m || m->owner != t->self || t->term.number != term || !fc_may_act(c)) return false;
+  if (!fc_endpoint_parse(m->rec.endpoint, &at)) return false;
+  const direct_call call = {
+      .term = term, .fencing = m->settled_term != term, .probing = m->probe, .asked_at = fc_now()};
+  m->probe = false;
+  GArray *commands = call.fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command)) : commands_for(c, m, true, 0);
+  fc_order_result result = FC_ORDER_UNSENT;
+  fc_worker_report r;
+  if (call.fencing || call.probing || commands->len > 0)
+    result = fc_worker_order(&at, term, m->session, (const fc_command *)commands->data, commands->len,
+                             fc_now() + c->settings->report_s * 0.75, &r);
+  g_array_free(commands, TRUE);
+  c->counts.pushes += result != FC_ORDER_UNSENT;
+  m = fc_table_machine(t, id); /* it may be gone by now */
+  if (m) note_call_end(m, &call, result);
+  if (!is_answered(result)) return false;
+  bool again = m && take_call_answer(c, m, &call, result, &r);
+  fc_worker_report_clear(&r);
+  return again;
+}
+
+/* The routine of a direct call: a second one fences with what the first has told. */
 static void push_main(void *arg) {
   push_arg a = *(push_arg *)arg;
   g_free(arg);
   fc_controller *c = a.c;
   fc_metrics_duty(&c->metrics, FC_DUTY_COMMANDS);
-  fc_table *t = c->table;
-  uint64_t term = t->term.number;
-  for (int tries = 0; tries < 2; tries++) {
-    fc_machine *m = fc_table_machine(t, a.id);
-    fc_endpoint at;
-    if (!m || m->owner != t->self || t->term.number != term || !fc_may_act(c)) break;
-    if (!fc_endpoint_parse(m->rec.endpoint, &at)) break;
-    bool fencing = m->settled_term != term, probing = m->probe;
-    double asked = fc_now();
-    m->probe = false;
-    GArray *commands = fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command)) : commands_for(c, m, true, 0);
-    fc_order_result result = FC_ORDER_UNSENT;
-    fc_worker_report r;
-    if (fencing || probing || commands->len > 0)
-      result = fc_worker_order(&at, term, m->session, (const fc_command *)commands->data, commands->len,
-                               fc_now() + c->settings->report_s * 0.75, &r);
-    g_array_free(commands, TRUE);
-    c->counts.pushes += result != FC_ORDER_UNSENT;
-    bool read = result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
-    m = fc_table_machine(t, a.id); /* it may be gone by now */
-    if (m) decide_strays(m, result);
-    if (m && (fencing || probing)) {
-      m->asked_at = asked;
-      m->asked_answered = read;
-    }
-    bool again = false;
-    if (m && read && t->term.number == term && m->owner == t->self && strcmp(r.machine, m->id) == 0) {
-      /* Every word of a worker is newer than what we had heard when we asked; if
-       * not, it was started anew and counts from the beginning. */
-      if (!newer(m, &r) && asked > m->heard_at) {
-        if (!m->reborn) g_info("started anew machine=%s tasks=%u", m->id, m->placements->len);
-        forget_life(m, &r);
-      }
-      if (newer(m, &r)) {
-        adopt(c, m, &r, false);
-        m->proved_at = asked;
-      }
-      /* A new session, or the first word from this machine: fence with it. */
-      again = fencing && result == FC_ORDER_REFUSED && r.token <= term && m->settled_term != term;
-    }
-    if (read) fc_worker_report_clear(&r);
-    if (!again) break;
-  }
-  fc_machine *m = fc_table_machine(t, a.id);
+  uint64_t term = c->table->term.number;
+  for (int calls = 0; calls < 2; calls++)
+    if (!call_worker(c, a.id, term)) break;
+  fc_machine *m = fc_table_machine(c->table, a.id);
   if (m) m->ordering = false;
   c->pushing--;
 }
