--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -154,29 +154,40 @@
   return false;
 }
 
+/* May the write join a transaction that has `ops` writes so far? A first one always may. */
+static bool may_join(const fc_commit *c, const GPtrArray *batch, unsigned ops, const fc_write *w) {
+  if (ops + w->writes->len > c->txn_ops && batch->len > 0) return false;
+  return !clashes(batch, w) && !must_wait(c, w);
+}
+
+/* Moves the writes of a queue that may join into the batch, and gives up those that are past
+ * their deadline. True once the batch is full. */
+static bool gather_from(fc_commit *c, GQueue *queue, double now, GPtrArray *batch, unsigned *ops) {
+  for (GList *l = queue->head; l;) {
+    fc_write *w = l->data;
+    GList *next = l->next;
+    if (now >= w->deadline) {
+      g_queue_delete_link(queue, l);
+      decide(w, FC_STATE_DOWN, 0);
+    } else if (may_join(c, batch, *ops, w)) {
+      g_queue_delete_link(queue, l);
+      *ops += w->writes->len;
+      w->in_flight = true;
+      g_ptr_array_add(batch, w);
+    }
+    l = next;
+    if (*ops >= c->txn_ops) return true;
+  }
+  return false;
+}
+
+/* Takes the writes of the next transaction from the queues, by rank. */
 static GPtrArray *gather(fc_commit *c) {
   GPtrArray *batch = g_ptr_array_new();
   double now = fc_now();
   unsigned ops = 0;
-  for (int rank = 0; rank < FC_RANKS; rank++) {
-    for (GList *l = c->queue[rank].head; l;) {
-      fc_write *w = l->data;
-      GList *next = l->next;
-      if (now >= w->deadline) {
-        g_queue_delete_link(&c->queue[rank], l);
-        decide(w, FC_STATE_DOWN, 0);
-      } else if (ops + w->writes->len <= c->txn_ops || batch->len == 0) {
-        if (!clashes(batch, w) && !must_wait(c, w)) {
-          g_queue_delete_link(&c->queue[rank], l);
-          ops += w->writes->len;
-          w->in_flight = true;
-          g_ptr_array_add(batch, w);
-        }
-      }
-      l = next;
-      if (ops >= c->txn_ops) return batch;
-    }
-  }
+  for (int rank = 0; rank < FC_RANKS; rank++)
+    if (gather_from(c, &c->queue[rank], now, batch, &ops)) break;
   return batch;
 }
 
@@ -237,23 +248,33 @@
   g_queue_push_head(&c->queue[FC_RANK_REPORT], w);
 }
 
-static void settle(fc_commit *c, GPtrArray *batch, fc_state_result result, uint64_t revision, const GPtrArray *failed) {
+static bool touches_any(const GArray *pieces, const GPtrArray *keys) {
+  for (guint k = 0; k < keys->len; k++)
+    if (touches(pieces, keys->pdata[k])) return true;
+  return false;
+}
+
+/* Decides the writes whose own conditions failed; false if there are none. */
+static bool decide_blamed(const GPtrArray *batch, const GPtrArray *failed) {
   bool blamed = false;
-  if (result == FC_STATE_CONFLICT) {
-    for (guint b = 0; b < batch->len; b++) {
-      fc_write *w = batch->pdata[b];
-      for (guint k = 0; k < failed->len; k++) {
-        if (w->in_flight && touches(w->conditions, failed->pdata[k])) {
-          blamed = true;
-          decide(w, FC_STATE_CONFLICT, 0);
-        }
-      }
-    }
+  for (guint b = 0; b < batch->len; b++) {
+    fc_write *w = batch->pdata[b];
+    if (!w->in_flight || !touches_any(w->conditions, failed)) continue;
+    blamed = true;
+    decide(w, FC_STATE_CONFLICT, 0);
   }
+  return blamed;
+}
+
+/* Passes the outcome of a transaction on to its writes. Those that came to nothing for no
+ * fault of theirs are queued again. */
+static void settle(fc_commit *c, GPtrArray *batch, fc_state_result result, uint64_t revision, const GPtrArray *failed) {
+  bool blamed = result == FC_STATE_CONFLICT && decide_blamed(batch, failed);
+  bool again = blamed || result == FC_STATE_BUSY || result == FC_STATE_DOWN;
   for (guint b = batch->len; b-- > 0;) {
     fc_write *w = batch->pdata[b];
     if (w->decided) continue;
-    if ((result == FC_STATE_CONFLICT && blamed) || result == FC_STATE_BUSY || result == FC_STATE_DOWN) {
+    if (again) {
       requeue(c, w);
     } else {
       decide(w, result, revision);
--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -131,39 +131,46 @@
   j->clear |= at_home(t, j);
 }
 
-fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
-                         double now) {
-  fc_job *j = fc_table_job(t, id);
-  if (j && j->version >= version) return j;
-  bool is_new = !j;
-  if (is_new) {
-    fc_job_record copy;
-    json_t *v = fc_job_record_encode(&r->spec, r->phase, NULL, r->slices, NULL, NULL);
-    bool ok = fc_job_record_decode(v, &copy);
-    json_decref(v);
-    if (!ok) return NULL;
-    j = g_new0(fc_job, 1);
-    j->spec = copy.spec;
-    j->slices = copy.slices;
-    g_free(copy.done);
-    j->done = g_new0(uint8_t, (j->spec.tasks + 7) / 8);
-    j->placements = g_ptr_array_new();
-    j->team = fc_settings_team(t->settings, j->spec.team);
-    j->clear = fresh ? ~0u : 0;
-    j->seen_at = now;
-    j->serial = t->next_serial++;
-    g_hash_table_insert(t->jobs, j->spec.id, j);
-  }
-  if (!fc_ranges_decode(r->done, j->done, j->spec.tasks)) g_warning("job %s: bad ranges", id);
+/* Adds a job with what its record says for good; NULL if the record can't be copied. */
+static fc_job *add_job(fc_table *t, const fc_job_record *r, bool fresh, double now) {
+  fc_job_record copy;
+  json_t *v = fc_job_record_encode(&r->spec, r->phase, NULL, r->slices, NULL, NULL);
+  bool ok = fc_job_record_decode(v, &copy);
+  json_decref(v);
+  if (!ok) return NULL;
+  fc_job *j = g_new0(fc_job, 1);
+  j->spec = copy.spec;
+  j->slices = copy.slices;
+  g_free(copy.done);
+  j->done = g_new0(uint8_t, (j->spec.tasks + 7) / 8);
+  j->placements = g_ptr_array_new();
+  j->team = fc_settings_team(t->settings, j->spec.team);
+  j->clear = fresh ? ~0u : 0;
+  j->seen_at = now;
+  j->serial = t->next_serial++;
+  g_hash_table_insert(t->jobs, j->spec.id, j);
+  return j;
+}
+
+/* Takes over which tasks are done. */
+static void put_done(fc_job *j, const char *id, const char *ranges) {
+  if (!fc_ranges_decode(ranges, j->done, j->spec.tasks)) g_warning("job %s: bad ranges", id);
   j->done_count = 0;
   for (uint32_t i = 0; i < j->spec.tasks; i++) j->done_count += fc_job_task_done(j, i);
-  j->phase = r->phase;
+}
+
+/* Takes over the phase of the record of this version. */
+static void put_phase(const fc_table *t, fc_job *j, const char *id, fc_phase phase, uint64_t version, double now) {
+  j->phase = phase;
   /* Known to be cancelled by a later record, which is still to be read. */
   const fc_told_cancel *told = g_hash_table_lookup(t->cancelled, id);
   if (told && told->revision > version) j->phase = FC_PHASE_CANCELLED;
   if (j->phase == FC_PHASE_CANCELLED && !j->cancelled_from) j->cancelled_from = told ? told->from : now;
   if (j->phase != FC_PHASE_ACCEPTED && !j->over_at) j->over_at = now;
-  j->version = version;
+}
+
+/* Takes over to whom slices were handed. */
+static void put_handed(const fc_table *t, fc_job *j, const fc_job_record *r, bool is_new) {
   for (unsigned i = 0; i < j->slices; i++) {
     if (g_strcmp0(j->handed[i], r->handed[i]) == 0) continue;
     bool was_mine = !is_new && fc_job_owner(j, i) == t->self;
@@ -174,12 +181,26 @@
      * that some of it is on others' machines, which settle for us one by one. */
     if (!was_mine && !is_new && !(r->origin.unseen >> i & 1)) j->clear |= 1u << i;
   }
+}
+
+fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
+                         double now) {
+  fc_job *j = fc_table_job(t, id);
+  if (j && j->version >= version) return j;
+  bool is_new = !j;
+  if (is_new) j = add_job(t, r, fresh, now);
+  if (!j) return NULL;
+  put_done(j, id, r->done);
+  put_phase(t, j, id, r->phase, version, now);
+  j->version = version;
+  put_handed(t, j, r, is_new);
   j->origin = r->origin;
   fc_job_deal(t, j);
-  if (is_new) make_clear(t, j);
-  if (is_new) link_placements(t, j);
+  if (!is_new) return j;
+  make_clear(t, j);
+  link_placements(t, j);
   /* What is read back after a start arrived before; only its shape is news. */
-  if (is_new && fresh) fc_demand_arrival(&t->demand, &j->spec, now);
+  if (fresh) fc_demand_arrival(&t->demand, &j->spec, now);
   return j;
 }
 
