A lost start may arrive until the worker has shown a higher token than it carried

A controller that keeps a machine through a change of term needs no new fence; its first direct start there was lost, the worker's next report showed the new token, which was higher than any it had shown, and that was taken for proof that the start could not arrive. The task, started once more with the report's answer, was preempted and cleared; 35 s later the lost copy came, and it ran beside its next attempt.

Each placement now holds the token that its direct start carried.

--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -32,6 +32,7 @@
   bool sent;                                                    /* a start may have reached the machine */
   uint64_t sent_seq;                                            /* the report whose answer carried the start last */
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
+  uint64_t stray_token;                                         /* the token that this start carried */
   bool stopping;                                                /* a stop is to be sent until the task exits */
   double grace_s;
   uint64_t told;        /* our views from this one on show it */
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -75,9 +75,15 @@
 /* What a message from the worker says of the machine itself. */
 static void adopt_state(fc_machine *m, const fc_worker_report *r, double now) {
   bool new_session = m->reported && r->session > m->session;
-  if (r->token > m->seen_token || new_session) {
-    /* Older commands are refused from here on, so none can arrive late. */
-    for (guint i = 0; i < m->placements->len; i++) ((fc_placement *)m->placements->pdata[i])->stray = FC_STRAY_NONE;
+  /* Commands with a token below the worker's, or to an earlier session, are refused: a lost
+   * start can't arrive any more once the worker has shown a higher token than it carried. That
+   * of the machine's last report is not the measure: a controller that keeps a machine through
+   * a change of term sends its first start before the worker has shown the new token, and the
+   * next report, which does, was taken for proof; the copy came after the task had been
+   * cleared, and ran (fault test, seed 1106). */
+  for (guint i = 0; i < m->placements->len; i++) {
+    fc_placement *p = m->placements->pdata[i];
+    if (new_session || r->token > p->stray_token) p->stray = FC_STRAY_NONE;
   }
   if (!m->reported || r->session != m->session || !m->seq) m->session_from = now;
   m->session = r->session;
@@ -204,14 +210,15 @@
 }
 
 /* Fills in the start command of a task that no report has named yet, and marks it as sent:
- * directly, or with the answer to report `seq`. */
-static bool start_command(fc_placement *p, bool direct, uint64_t seq, fc_command *cmd) {
+ * directly under `token`, or with the answer to report `seq`. */
+static bool start_command(fc_placement *p, uint64_t token, bool direct, uint64_t seq, fc_command *cmd) {
   /* One direct copy is enough to keep track of; the rest goes with reports. */
   if (direct && p->stray != FC_STRAY_NONE) return false;
   cmd->op = FC_COMMAND_START;
   p->sent = true;
   if (direct) {
     p->stray = FC_STRAY_FLYING;
+    p->stray_token = token;
   } else {
     p->sent_seq = seq;
   }
@@ -230,7 +237,7 @@
   }
   if (p->state == FC_TASK_EXITED) return forget_command(c, p, cmd);
   if (p->stopping) return stop_command(c, p, cmd);
-  return !p->reported && start_command(p, direct, seq, cmd);
+  return !p->reported && start_command(p, c->table->term.number, direct, seq, cmd);
 }
 
 /* Lists the commands owed to a settled machine, for a direct call or for the answer to
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -176,6 +176,7 @@
   assert_int_equal(m->placements->len, 1);
   p->stopping = true; /* not wanted any more: the next report decides */
   p->stray = FC_STRAY_LOST;
+  p->stray_token = 5;
   report(b, 1, 3, 5, "", out);
   assert_int_equal(m->placements->len, 1); /* a direct copy may still arrive */
   p->stray = FC_STRAY_NONE;
@@ -185,6 +186,43 @@
   bench_free(b);
 }
 
+/* A lost direct start may arrive until the worker has shown a token above the one that it
+ * carried, or is in a later session. */
+static void lost_starts(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned sent_token;          /* that the start carried */
+    unsigned seen_token;          /* that the worker had shown before */
+    unsigned session, seq, token; /* of its next report; the last was (1, 1) */
+    bool may_arrive;
+  } rows[] = {
+      {"the same token again", 5, 5, 1, 2, 5, true},
+      {"the token that it carried, shown for the first time", 5, 4, 1, 2, 5, true},
+      {"a higher token", 4, 4, 1, 2, 5, false},
+      {"a token higher than one shown since", 3, 4, 1, 2, 5, false},
+      {"a later session", 5, 5, 2, 1, 5, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    m->session = m->seq = 1;
+    m->seen_token = rows[i].seen_token;
+    world_job(b->c.table, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    /* It has been seen and has ended without its work: to be cleared, or not yet. */
+    fc_placement *p = fc_table_place(b->c.table, m, "job-000001", 0, 1, 0);
+    p->sent = p->reported = true;
+    p->stray = FC_STRAY_LOST;
+    p->stray_token = rows[i].sent_token;
+    GString *out = g_string_new(NULL);
+    report(b, rows[i].session, rows[i].seq, rows[i].token, EXITED(0, "stopped"), out);
+    check_row(rows[i].name, (p->stray == FC_STRAY_LOST) == rows[i].may_arrive);
+    check_row(rows[i].name, says(out, "clear") == !rows[i].may_arrive);
+    g_string_free(out, TRUE);
+    bench_free(b);
+  }
+}
+
 /* An exited task is cleared only when its end is recorded, and never while a
  * copy of its start may arrive: that would run it again. */
 /* A start is judged when it is sent, not when it was decided: its job may be cancelled
@@ -257,6 +295,7 @@
     fc_placement *p = fc_table_place(t, m, "job-000001", 0, 1, 0);
     p->sent = p->reported = true;
     p->stray = rows[i].stray ? FC_STRAY_LOST : FC_STRAY_NONE;
+    p->stray_token = 5;
     GString *out = g_string_new(NULL);
     m->seen_token = 5;
     m->session = 1;
@@ -632,6 +671,7 @@
       cmocka_unit_test(late_copy_after_the_machine_moved),
       cmocka_unit_test(deaf_machines),
       cmocka_unit_test(machine_started_anew),
+      cmocka_unit_test(lost_starts),
       cmocka_unit_test(lease_over),
       cmocka_unit_test(asked_about_what_others_answered),
       cmocka_unit_test(settled_is_news),
