A start that was never seen is decided by direct answers too

A machine started anew under its old session is believed by its direct answers alone until the next term, but only reports decided what became of a start that was sent and never seen: one stayed, to be stopped, used one GPU of its team's limit of twelve, and a gang of twelve waited behind it, and all arrays of the team behind the gang.

The answer to a question decides once no copy can be carried out any more: no direct one is on its way, and the worker would have dropped the answer that carried the start (it waits four seconds) before the question was sent. Table in test_workers, seen to fail without the mend.

--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -31,6 +31,7 @@
   bool listed;                                                  /* in the list that is being taken over */
   bool sent;                                                    /* a start may have reached the machine */
   uint64_t sent_seq;                                            /* the report whose answer carried the start last */
+  double sent_at;                                               /* when that answer was made */
   enum { FC_STRAY_NONE, FC_STRAY_FLYING, FC_STRAY_LOST } stray; /* a direct start that may still arrive */
   uint64_t stray_token;                                         /* the token that this start carried */
   bool stopping;                                                /* a stop is to be sent until the task exits */
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -167,6 +167,8 @@
 /* Sends what the machine is owed (starts, stops, clears) or, when it is not
  * settled yet, an empty command that fences it. */
 void fc_workers_push(fc_controller *c, fc_machine *m);
+/* Takes in what a machine of ours has answered to a direct call that was sent at `asked_at`. */
+void fc_workers_called(fc_controller *c, fc_machine *m, const fc_worker_report *r, double asked_at);
 /* Is there a socket for it? */
 bool fc_workers_may_push(const fc_controller *c, const fc_machine *m);
 /* Marks the task to be stopped with time to save; it is told by the next push or
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -97,7 +97,7 @@
 
 /* How a worker's list was come by. */
 typedef struct list_origin {
-  bool by_report;   /* as a report, so starts carried by the answer to an earlier one are decided */
+  double asked_at;  /* by a direct call that was sent then; 0: by a report */
   bool settles;     /* it is the first that is fenced in this term */
   bool new_session; /* the worker has given up everything since the last */
 } list_origin;
@@ -107,10 +107,16 @@
   if (from->settles) return true; /* fenced: what it does not list can't start any more */
   if (!p->sent) return false;     /* only planned so far */
   if (from->new_session || p->reported) return true;
-  /* Sent, never seen. The report after the answer decides, unless a direct copy of the
-   * start is still on its way. A start that was not carried out is sent again, or dropped
-   * when it is not wanted any more. */
-  if (!from->by_report || p->stray || r->seq <= p->sent_seq) return false;
+  /* Sent, never seen, and no direct copy of the start is still on its way. The report after
+   * the answer that carried it decides; so does the answer to a question that was sent when
+   * the worker would have dropped that answer. A machine started anew is believed by its
+   * direct answers alone: such a start was never decided there, used its team's limit, and a
+   * gang waited behind it for ever (fault test with meetings, seed 241). A start that was not
+   * carried out is sent again, or dropped when it is not wanted any more. */
+  if (p->stray) return false;
+  if (from->asked_at <= 0 && r->seq <= p->sent_seq) return false;
+  if (from->asked_at > 0 && p->sent_seq && from->asked_at < p->sent_at + FC_WORKER_PATIENCE_S * (1 + 2 * FC_DRIFT))
+    return false;
   if (!p->stopping) p->sent = false;
   return p->stopping;
 }
@@ -150,18 +156,18 @@
   fc_round_soon(c);
 }
 
-/* Takes the worker's list for what is on the machine. `by_report`: it came as a
- * report, so starts carried by the answer to an earlier report are decided. */
-static void adopt(fc_controller *c, fc_machine *m, const fc_worker_report *r, bool by_report) {
+/* Takes the worker's list for what is on the machine. `asked_at`: it answers a direct call
+ * that was sent then; 0: it came as a report. */
+static void adopt(fc_controller *c, fc_machine *m, const fc_worker_report *r, double asked_at) {
   const fc_table *t = c->table;
   double now = fc_now();
   const list_origin from = {
-      .by_report = by_report,
+      .asked_at = asked_at,
       .settles = m->settled_term != t->term.number && r->token == t->term.number,
       .new_session = m->reported && r->session > m->session,
   };
   adopt_state(m, r, now);
-  if (!by_report || from.settles) m->deaf_since = 0;              /* it answers us, or has this term's token */
+  if (asked_at > 0 || from.settles) m->deaf_since = 0;            /* it answers us, or has this term's token */
   if (from.settles) m->reborn = false;                            /* its earlier incarnation never had this token */
   if (m->settled_term != t->term.number && !from.settles) return; /* not fenced: proves nothing yet */
   adopt_tasks(c, m, r, &from, now);
@@ -221,6 +227,7 @@
     p->stray_token = token;
   } else {
     p->sent_seq = seq;
+    p->sent_at = fc_now();
   }
   return true;
 }
@@ -496,7 +503,7 @@
   }
   if (is_newer(m, r)) {
     note_hearing(c, m, connection);
-    adopt(c, m, r, true);
+    adopt(c, m, r, 0);
     m->answered_at = fc_now();
     return true;
   }
@@ -603,22 +610,25 @@
   m->asked_answered = is_answered(result);
 }
 
+void fc_workers_called(fc_controller *c, fc_machine *m, const fc_worker_report *r, double asked_at) {
+  /* Every word of a worker is newer than what we had heard when we asked; if
+   * not, it was started anew and counts from the beginning. */
+  if (!is_newer(m, r) && asked_at > m->heard_at) {
+    if (!m->reborn) g_info("started anew machine=%s tasks=%u", m->id, m->placements->len);
+    forget_incarnation(m, r);
+  }
+  if (!is_newer(m, r)) return;
+  adopt(c, m, r, asked_at);
+  m->proved_at = asked_at;
+}
+
 /* Takes in the report with which a worker answered a direct call. True if the machine is to
  * be fenced with what it has told. */
 static bool take_call_answer(fc_controller *c, fc_machine *m, const direct_call *call, fc_order_result result,
                              const fc_worker_report *r) {
   const fc_table *t = c->table;
   if (t->term.number != call->term || m->owner != t->self || strcmp(r->machine, m->id) != 0) return false;
-  /* Every word of a worker is newer than what we had heard when we asked; if
-   * not, it was started anew and counts from the beginning. */
-  if (!is_newer(m, r) && call->asked_at > m->heard_at) {
-    if (!m->reborn) g_info("started anew machine=%s tasks=%u", m->id, m->placements->len);
-    forget_incarnation(m, r);
-  }
-  if (is_newer(m, r)) {
-    adopt(c, m, r, false);
-    m->proved_at = call->asked_at;
-  }
+  fc_workers_called(c, m, r, call->asked_at);
   /* A new session, or the first word from this machine: fence with it. */
   return call->fencing && result == FC_ORDER_REFUSED && r->token <= call->term && m->settled_term != call->term;
 }
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -223,6 +223,48 @@
   }
 }
 
+/* A start that was sent and never seen, on a machine whose direct answers alone count: the
+ * answer to a question decides that was sent once no copy of the start can be carried out. */
+static void starts_decided_by_direct_answers(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned sent_seq;      /* of the report whose answer carried the start; 0: none did */
+    double sent_s, asked_s; /* ago: that answer, the question */
+    bool stray, stopping;
+    bool left, sent; /* afterwards */
+  } rows[] = {
+      {"only direct copies, all decided, not wanted any more", 0, 0, 1, false, true, false, false},
+      {"only direct copies, all decided, wanted", 0, 0, 1, false, false, true, false},
+      {"a direct copy may arrive", 0, 0, 1, true, true, true, true},
+      {"asked while the worker may take the answer", 20, 5, 1.5, false, true, true, true},
+      {"asked once it would drop it", 20, 9, 1.5, false, true, false, false},
+      {"asked once it would drop it, wanted", 20, 9, 1.5, false, false, true, false},
+      {"asked once it would drop it, a direct copy may arrive", 20, 9, 1.5, true, true, true, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    bench *b = bench_new();
+    fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
+    m->session = 1;
+    m->seq = 3;
+    m->seen_token = 5;
+    world_job(b->c.table, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *p = fc_table_place(b->c.table, m, "job-000001", 0, 1, 0);
+    double now = fc_now();
+    p->sent = true;
+    p->sent_seq = rows[i].sent_seq;
+    p->sent_at = now - rows[i].sent_s;
+    p->stray = rows[i].stray ? FC_STRAY_LOST : FC_STRAY_NONE;
+    p->stray_token = 5;
+    p->stopping = rows[i].stopping;
+    fc_worker_report r = {.machine = "vm-1", .session = 1, .seq = 4, .token = 5, .notice_s = -1};
+    fc_workers_called(&b->c, m, &r, now - rows[i].asked_s);
+    check_row(rows[i].name, m->placements->len == (rows[i].left ? 1 : 0));
+    if (rows[i].left) check_row(rows[i].name, p->sent == rows[i].sent);
+    bench_free(b);
+  }
+}
+
 /* An exited task is cleared only when its end is recorded, and never while a
  * copy of its start may arrive: that would run it again. */
 /* A start is judged when it is sent, not when it was decided: its job may be cancelled
@@ -671,6 +713,7 @@
       cmocka_unit_test(late_copy_after_the_machine_moved),
       cmocka_unit_test(deaf_machines),
       cmocka_unit_test(machine_started_anew),
+      cmocka_unit_test(starts_decided_by_direct_answers),
       cmocka_unit_test(lost_starts),
       cmocka_unit_test(lease_over),
       cmocka_unit_test(asked_about_what_others_answered),
