Rental instead of hire in the records, the table and the kinds of writes

Identifiers only: the stored keys, the JSON fields, the metrics' and the log's names stay. test_leaders and test_small_requests print the same as before.

--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -230,7 +230,7 @@
 static fc_write_kind kind_of(const char *key) {
   if (g_str_has_prefix(key, FC_PREFIX_JOB)) return FC_KIND_JOBS;
   if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) return FC_KIND_MACHINES;
-  if (g_str_has_prefix(key, FC_PREFIX_HIRE)) return FC_KIND_HIRES;
+  if (g_str_has_prefix(key, FC_PREFIX_RENTAL)) return FC_KIND_RENTALS;
   return strcmp(key, FC_KEY_QUOTA) == 0 ? FC_KIND_SHARES : FC_KIND_OTHERS;
 }
 
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -41,7 +41,7 @@
 typedef enum {
   FC_KIND_JOBS,
   FC_KIND_MACHINES,
-  FC_KIND_HIRES,
+  FC_KIND_RENTALS,
   FC_KIND_SHARES,
   FC_KIND_OTHERS,
   FC_WRITE_KINDS
--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -31,7 +31,7 @@
   t->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
   t->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
   t->types = g_ptr_array_new_with_free_func(fc_machine_type_free);
-  t->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  t->rentals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   /* About two boots of a machine: longer, and yesterday's burst is paid for. */
@@ -46,7 +46,7 @@
   g_hash_table_destroy(t->jobs);
   g_hash_table_destroy(t->machines);
   g_ptr_array_free(t->types, TRUE);
-  g_hash_table_destroy(t->hires);
+  g_hash_table_destroy(t->rentals);
   g_hash_table_destroy(t->cancelled);
   g_hash_table_destroy(t->members);
   fc_demand_free(&t->demand);
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -139,7 +139,7 @@
   GHashTable *jobs;      /* id -> fc_job */
   GHashTable *machines;  /* id -> fc_machine */
   GPtrArray *types;      /* fc_machine_type; empty: not known yet */
-  GHashTable *hires;     /* name -> fc_hire_record */
+  GHashTable *rentals;   /* name -> fc_rental_record */
   GHashTable *cancelled; /* id -> fc_told_cancel: known to us, not read yet */
   GHashTable *members;   /* name -> version of the member's key (guint64*) */
   fc_term term;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -86,7 +86,7 @@
   unsigned giving[FC_MEMBERS_MAX]; /* machines whose records, being written, give them to these */
   unsigned pushing;                /* direct calls to workers under way */
   uint64_t attempt_counter;
-  uint64_t hire_counter;
+  uint64_t rental_counter;
   double started_at;
   double looked_at;            /* when places beyond free room were last looked for */
   bool waiting;                /* something of ours found no place when that was last asked */
--- a/src/controller/rent.c
+++ b/src/controller/rent.c
@@ -75,9 +75,9 @@
 /* The records of machines just rented, in as many transactions as it takes. Should
  * we end in between, whoever repeats the rental gets the same names and writes those
  * that are missing. */
-static bool record_rented(fc_controller *c, const char *name, const fc_hire_record *h, const GPtrArray *ids) {
+static bool record_rented(fc_controller *c, const char *name, const fc_rental_record *h, const GPtrArray *ids) {
   fc_table *t = c->table;
-  char *intent = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+  char *intent = g_strconcat(FC_PREFIX_RENTAL, name, NULL);
   unsigned given[FC_MEMBERS_MAX] = {0};
   uint64_t revision = 0, term = t->term_version;
   bool ok = true;
@@ -118,7 +118,7 @@
 }
 
 static bool end_rental(fc_controller *c, const char *name) {
-  char *key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+  char *key = g_strconcat(FC_PREFIX_RENTAL, name, NULL);
   fc_write *w = fc_write_new();
   fc_write_if(w, FC_KEY_TERM, c->table->term_version);
   fc_write_delete(w, key);
@@ -132,7 +132,7 @@
 
 typedef struct rental {
   char *name;
-  fc_hire_record record;
+  fc_rental_record record;
   GPtrArray *ids;
   bool decided;
 } rental;
@@ -147,7 +147,7 @@
 /* Asks the cloud for what one recorded intent says, ours or one left by a dead
  * controller. */
 static void ask_cloud(fc_controller *c, rental *h, refusals *ref) {
-  const fc_hire_record *r = &h->record;
+  const fc_rental_record *r = &h->record;
   if (!fc_cloud_turn(c) || !fc_may_act(c)) return;
   fc_cloud_result res = fc_cloud_rent(c->cloud, h->name, r->type, r->zone, r->spot, r->count, fc_now() + 4.0, h->ids);
   g_info("hire name=%s type=%s zone=%s spot=%d count=%u result=%d got=%u", h->name, r->type, r->zone, r->spot, r->count,
@@ -164,11 +164,11 @@
   GPtrArray *rentals = g_ptr_array_new_with_free_func(rental_free);
   GHashTableIter it;
   gpointer key, value;
-  g_hash_table_iter_init(&it, c->table->hires);
+  g_hash_table_iter_init(&it, c->table->rentals);
   while (g_hash_table_iter_next(&it, &key, &value)) {
     rental *h = g_new0(rental, 1);
     h->name = g_strdup(key);
-    h->record = *(const fc_hire_record *)value;
+    h->record = *(const fc_rental_record *)value;
     h->ids = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(rentals, h);
   }
@@ -184,18 +184,18 @@
 static bool intend(fc_controller *c, const fc_want *want, unsigned count) {
   fc_table *t = c->table;
   const fc_machine_type *mt = t->types->pdata[want->type];
-  fc_hire_record h = {.spot = want->spot, .count = count};
+  fc_rental_record h = {.spot = want->spot, .count = count};
   g_strlcpy(h.type, mt->name, sizeof h.type);
   g_strlcpy(h.zone, want->zone, sizeof h.zone);
   g_strlcpy(h.owner, want->owner >= 0 ? t->term.members[want->owner].name : "*", sizeof h.owner);
   /* The life's number never comes again, so neither does the name. */
   char *name =
-      g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, (guint64)c->boot, (guint64)++c->hire_counter);
-  char *key = g_strconcat(FC_PREFIX_HIRE, name, NULL);
+      g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, (guint64)c->boot, (guint64)++c->rental_counter);
+  char *key = g_strconcat(FC_PREFIX_RENTAL, name, NULL);
   fc_write *w = fc_write_new();
   fc_write_if(w, FC_KEY_TERM, t->term_version);
   fc_write_if(w, key, 0);
-  fc_write_put(w, key, fc_hire_record_encode(&h));
+  fc_write_put(w, key, fc_rental_record_encode(&h));
   uint64_t revision = 0;
   fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_DECISION, fc_now() + c->settings->lease_s * 0.5, &revision);
   g_free(name);
@@ -436,7 +436,7 @@
     more = false;
     fc_cloud_result r = fc_cloud_list(c->cloud, after, 500, fc_now() + 3.0, page, &more);
     /* A rental under way may be what a machine belongs to. */
-    bool sure = r == FC_CLOUD_OK && g_hash_table_size(c->table->hires) == 0;
+    bool sure = r == FC_CLOUD_OK && g_hash_table_size(c->table->rentals) == 0;
     for (guint i = 0; i < page->len; i++) {
       const fc_listed_machine *l = page->pdata[i];
       if (sure && is_stray_machine(c, l)) g_ptr_array_add(stray, g_strdup(l->id));
@@ -457,7 +457,7 @@
 /* What one member does for all. */
 static void rent_round(fc_controller *c, refusals *ref, double *swept_at) {
   carry_out_all(c, ref);
-  if (g_hash_table_size(c->table->hires) == 0 && fc_may_act(c)) rent(c, ref);
+  if (g_hash_table_size(c->table->rentals) == 0 && fc_may_act(c)) rent(c, ref);
   carry_out_all(c, ref);
   if (fc_now() <= *swept_at + MAX(c->settings->lease_s, c->settings->cloud_list_lag_s) * 3) return;
   *swept_at = fc_now();
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -220,7 +220,7 @@
   g_info("writes transactions=%" G_GUINT64_FORMAT " job=%" G_GUINT64_FORMAT " machine=%" G_GUINT64_FORMAT
          " hire=%" G_GUINT64_FORMAT " quota=%" G_GUINT64_FORMAT " other=%" G_GUINT64_FORMAT " waited_s=%.1f",
          (guint64)w.transactions, (guint64)w.writes[FC_KIND_JOBS], (guint64)w.writes[FC_KIND_MACHINES],
-         (guint64)w.writes[FC_KIND_HIRES], (guint64)w.writes[FC_KIND_SHARES], (guint64)w.writes[FC_KIND_OTHERS],
+         (guint64)w.writes[FC_KIND_RENTALS], (guint64)w.writes[FC_KIND_SHARES], (guint64)w.writes[FC_KIND_OTHERS],
          w.waited_s);
   fc_metrics_log_usage(&c->metrics);
 }
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -144,16 +144,16 @@
     } else {
       g_hash_table_remove(t->members, name);
     }
-  } else if (g_str_has_prefix(key, FC_PREFIX_HIRE)) {
-    const char *name = key + strlen(FC_PREFIX_HIRE);
-    fc_hire_record h;
-    if (ch->value && fc_hire_record_decode(ch->value, &h)) {
-      fc_hire_record *copy = g_new(fc_hire_record, 1);
+  } else if (g_str_has_prefix(key, FC_PREFIX_RENTAL)) {
+    const char *name = key + strlen(FC_PREFIX_RENTAL);
+    fc_rental_record h;
+    if (ch->value && fc_rental_record_decode(ch->value, &h)) {
+      fc_rental_record *copy = g_new(fc_rental_record, 1);
       *copy = h;
       copy->version = ch->version;
-      g_hash_table_replace(t->hires, g_strdup(name), copy);
+      g_hash_table_replace(t->rentals, g_strdup(name), copy);
     } else {
-      g_hash_table_remove(t->hires, name);
+      g_hash_table_remove(t->rentals, name);
     }
   }
 }
@@ -188,9 +188,9 @@
     if (!g_hash_table_contains(present, k)) g_hash_table_iter_remove(&it);
     g_free(k);
   }
-  g_hash_table_iter_init(&it, t->hires);
+  g_hash_table_iter_init(&it, t->rentals);
   while (g_hash_table_iter_next(&it, &key, NULL)) {
-    char *k = g_strconcat(FC_PREFIX_HIRE, (const char *)key, NULL);
+    char *k = g_strconcat(FC_PREFIX_RENTAL, (const char *)key, NULL);
     if (!g_hash_table_contains(present, k)) g_hash_table_iter_remove(&it);
     g_free(k);
   }
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -76,12 +76,12 @@
   return fc_reader_ok(&r);
 }
 
-json_t *fc_hire_record_encode(const fc_hire_record *h) {
+json_t *fc_rental_record_encode(const fc_rental_record *h) {
   return json_pack("{si ss ss ss sb si}", "f", FORMAT, "type", h->type, "zone", h->zone, "owner", h->owner, "spot",
                    (int)h->spot, "count", (int)h->count);
 }
 
-bool fc_hire_record_decode(const json_t *v, fc_hire_record *out) {
+bool fc_rental_record_decode(const json_t *v, fc_rental_record *out) {
   memset(out, 0, sizeof *out);
   fc_reader r;
   start(&r, v);
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -16,7 +16,7 @@
 #define FC_PREFIX_JOB FC_PREFIX "job/"
 #define FC_PREFIX_MACHINE FC_PREFIX "machine/"
 #define FC_PREFIX_MEMBER FC_PREFIX "member/"
-#define FC_PREFIX_HIRE FC_PREFIX "hire/"
+#define FC_PREFIX_RENTAL FC_PREFIX "hire/"
 /* There once jobs may have been archived. */
 #define FC_KEY_ARCHIVE FC_PREFIX "archive"
 /* Written with every removal of machines' records. */
@@ -55,15 +55,15 @@
 bool fc_machine_record_decode(const json_t *v, fc_machine_record *out);
 
 /* Written before the cloud is asked, so that a taker-over can repeat it. */
-typedef struct fc_hire_record {
+typedef struct fc_rental_record {
   char type[64], zone[64], owner[64]; /* owner: the part that the machines go to */
   bool spot;
   unsigned count;
   uint64_t version; /* of the record; not part of it */
-} fc_hire_record;
+} fc_rental_record;
 
-json_t *fc_hire_record_encode(const fc_hire_record *h);
-bool fc_hire_record_decode(const json_t *v, fc_hire_record *out);
+json_t *fc_rental_record_encode(const fc_rental_record *h);
+bool fc_rental_record_decode(const json_t *v, fc_rental_record *out);
 
 /* Shares of the teams' limits, valid in one term only. */
 typedef struct fc_quota_record {
--- a/src/scheduler/rent.c
+++ b/src/scheduler/rent.c
@@ -95,9 +95,9 @@
     g_array_append_val(p->bins, b);
   }
   /* Requests under way will bring machines too. */
-  g_hash_table_iter_init(&it, t->hires);
+  g_hash_table_iter_init(&it, t->rentals);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
-    const fc_hire_record *h = value;
+    const fc_rental_record *h = value;
     int type = fc_table_type(t, h->type);
     if (type < 0) continue;
     const fc_machine_type *mt = t->types->pdata[type];
