--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -130,6 +130,7 @@
 world_result world_so_far(void);
 void world_watch_leases(void);                     /* lease_left_s counts from here */
 unsigned world_running(void);                      /* tasks, now */
+unsigned world_fetching(void);                     /* tasks that were told to start and wait for their image */
 void world_ask_job(unsigned node, const char *id); /* its user does, and checks the answer */
 int world_ask(unsigned node, const char *path);    /* the status of the answer */
 
