--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -28,19 +28,20 @@
 }
 
 static bool read_exact(link_buffer *b, uint8_t *out, size_t n, double deadline) {
-  for (size_t had; n > 0; out += had, n -= had) {
-    had = take_buffered(b, out, n);
-    if (had == n) break;
-    if (had > 0) continue;
-    bool large = n >= sizeof b->bytes;
-    ssize_t got = fc_conn_read(b->conn, large ? out : b->bytes, large ? n : sizeof b->bytes, deadline);
+  size_t had = take_buffered(b, out, n);
+  while (had < n) {
+    /* What is left of a large frame goes where it belongs; the rest through the buffer. */
+    bool direct = n - had >= sizeof b->bytes;
+    ssize_t got = direct ? fc_conn_read(b->conn, out + had, n - had, deadline)
+                         : fc_conn_read(b->conn, b->bytes, sizeof b->bytes, deadline);
     if (got <= 0) return false;
-    if (large) {
-      had = (size_t)got;
-    } else {
-      b->from = 0;
-      b->to = (size_t)got;
+    if (direct) {
+      had += (size_t)got;
+      continue;
     }
+    b->from = 0;
+    b->to = (size_t)got;
+    had += take_buffered(b, out + had, n - had);
   }
   return true;
 }
@@ -157,27 +158,24 @@
   fc_controller *c = l->c;
   fc_metrics_duty(&c->metrics, FC_DUTY_VIEWS_SENT);
   uint64_t seq = 0;
-  fc_conn *conn = NULL;
-  link_buffer *in = g_new0(link_buffer, 1);
+  link_buffer *in = g_new0(link_buffer, 1); /* its connection is NULL while there is none */
   while (!fc_routine_cancelled()) {
     double began = fc_now();
     uint64_t events = c->view_events;
     c->counts.exchanges++;
-    if (!conn) {
-      conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5);
-      *in = (link_buffer){.conn = conn};
-    }
-    if (conn && !exchange(c, l->peer, in, ++seq)) {
-      fc_conn_close(conn);
-      conn = NULL;
+    if (!in->conn)
+      *in = (link_buffer){.conn = fc_conn_connect(&l->peer->settings->peer_at, began + c->settings->report_s * 0.5)};
+    if (in->conn && !exchange(c, l->peer, in, ++seq)) {
+      fc_conn_close(in->conn);
+      in->conn = NULL;
     }
     double least = began + fc_view_spacing(c->settings, fc_loop_lag());
-    if (events == c->view_events || !conn)
-      (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (conn ? 0.5 : 0.2));
+    if (events == c->view_events || !in->conn)
+      (void)fc_cond_wait(&c->view_now, began + c->settings->report_s * (in->conn ? 0.5 : 0.2));
     double now = fc_now();
     if (now < least) (void)fc_routine_sleep(least - now);
   }
-  fc_conn_close(conn);
+  fc_conn_close(in->conn);
   g_free(in);
   g_free(l);
 }
@@ -216,42 +214,37 @@
   return (uint32_t)(promise * 1000);
 }
 
-/* Machines of other members whose reports we have answered within two leases. */
-static void fill_kept(const fc_controller *c, fc_ack *ack) {
-  const fc_table *t = c->table;
-  double now = fc_now();
-  ack->kept = g_new0(fc_frame_kept, g_hash_table_size(t->machines));
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init(&it, t->machines);
-  while (g_hash_table_iter_next(&it, NULL, &value)) {
-    const fc_machine *m = value;
-    if (m->owner == t->self || !m->answered_at || now - m->answered_at > 2 * c->settings->lease_s) continue;
-    fc_frame_kept *k = &ack->kept[ack->kept_count++];
-    g_strlcpy(k->machine, m->id, sizeof k->machine);
-    k->age_ms = (uint32_t)((now - m->answered_at) * 1000);
-    k->hears = !m->deaf_since;
-    k->session = m->session;
-    k->seq = m->seq;
-  }
-}
-
-/* Machines of other members that we have asked directly within two leases. */
-static void fill_asked(const fc_controller *c, fc_ack *ack) {
+/* What we know of other members' machines: whose reports we have answered, and which we have
+ * asked directly, within two leases. */
+static void fill_machines(const fc_controller *c, fc_ack *ack) {
   const fc_table *t = c->table;
-  double now = fc_now();
-  ack->asked = g_new0(fc_frame_asked, g_hash_table_size(t->machines));
+  double now = fc_now(), since = now - 2 * c->settings->lease_s;
+  GArray *kept = g_array_new(FALSE, TRUE, sizeof(fc_frame_kept));
+  GArray *asked = g_array_new(FALSE, TRUE, sizeof(fc_frame_asked));
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init(&it, t->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_machine *m = value;
-    if (m->owner == t->self || !m->asked_at || now - m->asked_at > 2 * c->settings->lease_s) continue;
-    fc_frame_asked *a = &ack->asked[ack->asked_count++];
-    g_strlcpy(a->machine, m->id, sizeof a->machine);
-    a->age_ms = (uint32_t)ceil((now - m->asked_at) * 1000);
-    a->answered = m->asked_answered;
+    if (m->owner == t->self) continue;
+    if (m->answered_at && m->answered_at >= since) {
+      fc_frame_kept k = {.age_ms = (uint32_t)((now - m->answered_at) * 1000),
+                         .hears = !m->deaf_since,
+                         .session = m->session,
+                         .seq = m->seq};
+      g_strlcpy(k.machine, m->id, sizeof k.machine);
+      g_array_append_val(kept, k);
+    }
+    if (m->asked_at && m->asked_at >= since) {
+      fc_frame_asked a = {.age_ms = (uint32_t)ceil((now - m->asked_at) * 1000), .answered = m->asked_answered};
+      g_strlcpy(a.machine, m->id, sizeof a.machine);
+      g_array_append_val(asked, a);
+    }
   }
+  ack->kept_count = kept->len;
+  ack->kept = (fc_frame_kept *)g_array_free(kept, FALSE);
+  ack->asked_count = asked->len;
+  ack->asked = (fc_frame_asked *)g_array_free(asked, FALSE);
 }
 
 /* Operators read the metrics at the peer address, which users can't reach. */
@@ -295,8 +288,7 @@
                 .told_all = told_all,
                 .cancels = fc_cancels_frame(untold, untold_count, fc_now()),
                 .cancel_count = untold_count};
-  fill_kept(c, &ack);
-  fill_asked(c, &ack);
+  fill_machines(c, &ack);
   g_strlcpy(ack.sender, c->settings->name, sizeof ack.sender);
   GByteArray *out = g_byte_array_new();
   fc_ack_encode(out, &ack);
--- a/src/controller/reachability.c
+++ b/src/controller/reachability.c
@@ -68,7 +68,7 @@
     fc_worker_report r;
     fc_order_result result =
         fc_worker_order(&at, c->table->term.number, known->session, NULL, 0, asked + c->settings->report_s * 0.75, &r);
-    bool answered = result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
+    bool answered = fc_order_answered(result);
     fc_machine *m = fc_table_machine(c->table, a.id);
     if (m) {
       /* Another may have taken its address since; then that one has answered. */
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -233,7 +233,7 @@
   g_free(after);
   g_hash_table_destroy(present);
   /* What everything took while it was read is several times what the table keeps of it. */
-  (void)malloc_trim(0);
+  if (ok) (void)malloc_trim(0);
   return ok;
 }
 
@@ -275,10 +275,12 @@
   fc_controller *c = arg;
   double backoff = 0;
   while (!fc_routine_cancelled()) {
-    fc_metrics_duty(&c->metrics, FC_DUTY_LOAD);
-    if (!c->loaded && !load(c)) {
-      (void)fc_routine_sleep(g_random_double_range(0.2, 0.5));
-      continue;
+    if (!c->loaded) {
+      fc_metrics_duty(&c->metrics, FC_DUTY_LOAD);
+      if (!load(c)) {
+        (void)fc_routine_sleep(g_random_double_range(0.2, 0.5));
+        continue;
+      }
     }
     fc_metrics_duty(&c->metrics, FC_DUTY_WATCH);
     double began = fc_now();
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -73,8 +73,7 @@
 }
 
 /* What a message from the worker says of the machine itself. */
-static void adopt_state(fc_machine *m, const fc_worker_report *r, double now) {
-  bool new_session = m->reported && r->session > m->session;
+static void adopt_state(fc_machine *m, const fc_worker_report *r, bool new_session, double now) {
   /* Commands with a token below the worker's, or to an earlier session, are refused: a lost
    * start can't arrive any more once the worker has shown a higher token than it carried. That
    * of the machine's last report is not the measure: a controller that keeps a machine through
@@ -166,7 +165,7 @@
       .settles = m->settled_term != t->term.number && r->token == t->term.number,
       .new_session = m->reported && r->session > m->session,
   };
-  adopt_state(m, r, now);
+  adopt_state(m, r, from.new_session, now);
   if (asked_at > 0 || from.settles) m->deaf_since = 0;            /* it answers us, or has this term's token */
   if (from.settles) m->reborn = false;                            /* its earlier incarnation never had this token */
   if (m->settled_term != t->term.number && !from.settles) return; /* not fenced: proves nothing yet */
@@ -351,7 +350,7 @@
   if (!fc_endpoint_parse(r->endpoint, &at)) return false;
   fc_order_result res =
       fc_worker_order(&at, c->table->term.number, r->session, NULL, 0, fc_now() + c->settings->report_s * 0.5, &now);
-  if (res != FC_ORDER_DONE && res != FC_ORDER_REFUSED) return false;
+  if (!fc_order_answered(res)) return false;
   bool same = strcmp(now.machine, r->machine) == 0;
   fc_worker_report_clear(&now);
   return same;
@@ -597,17 +596,12 @@
   double asked_at;
 } direct_call;
 
-/* Was the call answered by a worker, so that there is a report to read? */
-static bool is_answered(fc_order_result result) {
-  return result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
-}
-
 /* Notes how a direct call to the machine ended. */
 static void note_call_end(fc_machine *m, const direct_call *call, fc_order_result result) {
   decide_strays(m, result);
   if (!call->fencing && !call->probing) return;
   m->asked_at = call->asked_at;
-  m->asked_answered = is_answered(result);
+  m->asked_answered = fc_order_answered(result);
 }
 
 void fc_workers_called(fc_controller *c, fc_machine *m, const fc_worker_report *r, double asked_at) {
@@ -654,7 +648,7 @@
   c->counts.pushes += result != FC_ORDER_UNSENT;
   m = fc_table_machine(t, id); /* it may be gone by now */
   if (m) note_call_end(m, &call, result);
-  if (!is_answered(result)) return false;
+  if (!fc_order_answered(result)) return false;
   bool again = m && take_call_answer(c, m, &call, result, &r);
   fc_worker_report_clear(&r);
   return again;
--- a/src/protocol/worker.h
+++ b/src/protocol/worker.h
@@ -78,6 +78,11 @@
   FC_ORDER_UNSENT,  /* no connection: certainly not carried out */
 } fc_order_result;
 
+/* Did a worker answer the call, so that there is a report to read and to clear? */
+static inline bool fc_order_answered(fc_order_result result) {
+  return result == FC_ORDER_DONE || result == FC_ORDER_REFUSED;
+}
+
 /* Sends commands to a worker directly and waits for its report. On DONE and
  * REFUSED the report is the caller's to clear. */
 fc_order_result fc_worker_order(const fc_endpoint *at, uint64_t token, uint64_t session, const fc_command *commands,
