--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -1,5 +1,6 @@
 #include "bookkeeping/commit.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "bookkeeping/budget.h"
@@ -14,6 +15,9 @@
 
 struct fc_write {
   GArray *conditions, *writes; /* piece */
+  size_t bytes;                /* that it adds to the body of a transaction, about */
+  size_t largest_value;        /* bytes */
+  bool alone;                  /* it was refused together with others: it goes by itself */
   double deadline;
   fc_routine *waiter;
   bool decided, in_flight;
@@ -21,6 +25,11 @@
   uint64_t revision;
 };
 
+/* The protocol's bound for the body of a transaction, less what holds it together. */
+#define TXN_BYTES_MOST ((size_t)60 * 1024)
+/* Field names and punctuation around a key and its value or version. */
+#define PIECE_OVERHEAD 40u
+
 /* Transactions without an answer yet, at most; others pass them by meanwhile. */
 #define UNDER_WAY_MOST 4u
 
@@ -30,11 +39,21 @@
   fc_txn *txn;
 } transaction;
 
+/* The write rate after one more refusal, and the time in which it rises to e times as much
+ * when there are none: a service that keeps to a lower rate is asked for more than that
+ * every thirteen seconds. */
+#define RATE_AFTER_REFUSAL 0.8
+#define RATE_RISES_S 60.0
+
 struct fc_commit {
   fc_state *state;
   unsigned txn_ops;
+  size_t value_bytes;
   fc_budget writes, requests;
   double even_writes, even_requests; /* per second, when all ask for as much */
+  double share;                      /* of even_writes: more where others ask for less */
+  double slowed, slowest;            /* of the write rate: as refusals allow, and at least */
+  double slowed_at;                  /* when `slowed` was last adjusted */
   double answer_s;
   GQueue queue[FC_RANKS];
   double gathered;      /* writes of the transaction that waits for the rate */
@@ -66,41 +85,77 @@
 }
 
 void fc_write_if(fc_write *w, const char *key, uint64_t version) {
+  w->bytes += strlen(key) + PIECE_OVERHEAD;
   piece p = {.key = g_strdup(key), .version = version};
   g_array_append_val(w->conditions, p);
 }
 
 void fc_write_put(fc_write *w, const char *key, json_t *value) {
+  size_t size = json_dumpb(value, NULL, 0, JSON_COMPACT);
+  w->bytes += strlen(key) + size + PIECE_OVERHEAD;
+  w->largest_value = MAX(w->largest_value, size);
   piece p = {.key = g_strdup(key), .value = value};
   g_array_append_val(w->writes, p);
 }
 
 void fc_write_delete(fc_write *w, const char *key) {
+  w->bytes += strlen(key) + PIECE_OVERHEAD;
   piece p = {.key = g_strdup(key)};
   g_array_append_val(w->writes, p);
 }
 
-fc_commit *fc_commit_new(fc_state *state, unsigned txn_ops, double writes_per_s, double requests_per_s,
-                         double answer_s) {
+fc_commit *fc_commit_new(fc_state *state, const fc_commit_limits *limits) {
   fc_commit *c = g_new0(fc_commit, 1);
   c->state = state;
   /* A transaction larger than a second's worth would never get through. */
-  unsigned burst = writes_per_s < 1 ? 1 : (unsigned)writes_per_s;
-  c->txn_ops = txn_ops < burst ? txn_ops : burst;
+  unsigned burst = limits->lowest_writes_per_s < 1 ? 1 : (unsigned)limits->lowest_writes_per_s;
+  c->txn_ops = MIN(limits->txn_ops, burst);
+  c->value_bytes = limits->value_bytes;
   double now = fc_now();
-  fc_budget_init(&c->writes, writes_per_s, burst, now);
-  fc_budget_init(&c->requests, requests_per_s, requests_per_s < 1 ? 1 : requests_per_s, now);
-  c->even_writes = writes_per_s;
-  c->even_requests = requests_per_s;
-  c->answer_s = answer_s;
+  fc_budget_init(&c->writes, limits->writes_per_s, MAX(1, floor(limits->writes_per_s)), now);
+  fc_budget_init(&c->requests, limits->requests_per_s, MAX(1, limits->requests_per_s), now);
+  c->even_writes = limits->writes_per_s;
+  c->even_requests = limits->requests_per_s;
+  c->share = c->slowed = 1;
+  c->slowest = MIN(1, limits->lowest_writes_per_s / limits->writes_per_s);
+  c->slowed_at = now;
+  c->answer_s = limits->answer_s;
   c->under_way = g_ptr_array_new();
   for (int r = 0; r < FC_RANKS; r++) g_queue_init(&c->queue[r]);
   return c;
 }
 
+double fc_commit_rate(const fc_commit *c) {
+  return c->even_writes * c->share * c->slowed;
+}
+
+/* The burst is one second's worth of the service's own, present rate. */
+static void set_write_rate(fc_commit *c, double now) {
+  fc_budget_rate(&c->writes, fc_commit_rate(c), now);
+  c->writes.burst = MAX(1, floor(c->even_writes * c->slowed));
+}
+
+/* Without refusals the rate rises, little by little: it may have been chance, or the other
+ * members' share. */
+static void let_rate_rise(fc_commit *c, double now) {
+  if (c->slowed >= 1) return;
+  c->slowed = MIN(1, c->slowed * exp((now - c->slowed_at) / RATE_RISES_S));
+  c->slowed_at = now;
+  set_write_rate(c, now);
+}
+
+/* The service has refused a transaction for its rate. */
+static void slow_down(fc_commit *c, double now) {
+  if (c->slowest >= 1) return; /* no lower rate was announced */
+  c->slowed = MAX(c->slowest, c->slowed * RATE_AFTER_REFUSAL);
+  c->slowed_at = now;
+  set_write_rate(c, now);
+}
+
 void fc_commit_share(fc_commit *c, double share, double even) {
   double now = fc_now();
-  fc_budget_rate(&c->writes, c->even_writes * share / even, now);
+  c->share = share / even;
+  set_write_rate(c, now);
   /* Of requests a member needs some to read and to renew its lease as well. */
   fc_budget_rate(&c->requests, c->even_requests * MAX(1, MIN(share / even, 1.5)), now);
 }
@@ -154,41 +209,53 @@
   return false;
 }
 
-/* May the write join a transaction that has `ops` writes so far? A first one always may. */
-static bool may_join(const fc_commit *c, const GPtrArray *batch, unsigned ops, const fc_write *w) {
-  if (ops + w->writes->len > c->txn_ops && batch->len > 0) return false;
-  return !clashes(batch, w) && !must_wait(c, w);
+/* The writes that go out together. */
+typedef struct gathering {
+  GPtrArray *batch; /* fc_write */
+  unsigned ops;
+  size_t bytes;
+  bool closed; /* nothing may join */
+} gathering;
+
+/* May the write join what has been gathered so far? A first one always may. */
+static bool may_join(const fc_commit *c, const gathering *g, const fc_write *w) {
+  if (must_wait(c, w)) return false;
+  if (g->batch->len == 0) return true;
+  if (w->alone || g->ops + w->writes->len > c->txn_ops || g->bytes + w->bytes > TXN_BYTES_MOST) return false;
+  return !clashes(g->batch, w);
+}
+
+static void join(const fc_commit *c, gathering *g, fc_write *w) {
+  g->ops += w->writes->len;
+  g->bytes += w->bytes;
+  g->closed = w->alone || g->ops >= c->txn_ops;
+  w->in_flight = true;
+  g_ptr_array_add(g->batch, w);
 }
 
 /* Moves the writes of a queue that may join into the batch, and gives up those that are past
- * their deadline. True once the batch is full. */
-static bool gather_from(fc_commit *c, GQueue *queue, double now, GPtrArray *batch, unsigned *ops) {
-  for (GList *l = queue->head; l;) {
+ * their deadline. */
+static void gather_from(fc_commit *c, GQueue *queue, double now, gathering *g) {
+  for (GList *l = queue->head; l && !g->closed;) {
     fc_write *w = l->data;
     GList *next = l->next;
     if (now >= w->deadline) {
       g_queue_delete_link(queue, l);
       decide(w, FC_STATE_DOWN, 0);
-    } else if (may_join(c, batch, *ops, w)) {
+    } else if (may_join(c, g, w)) {
       g_queue_delete_link(queue, l);
-      *ops += w->writes->len;
-      w->in_flight = true;
-      g_ptr_array_add(batch, w);
+      join(c, g, w);
     }
     l = next;
-    if (*ops >= c->txn_ops) return true;
   }
-  return false;
 }
 
 /* Takes the writes of the next transaction from the queues, by rank. */
 static GPtrArray *gather(fc_commit *c) {
-  GPtrArray *batch = g_ptr_array_new();
+  gathering g = {.batch = g_ptr_array_new()};
   double now = fc_now();
-  unsigned ops = 0;
-  for (int rank = 0; rank < FC_RANKS; rank++)
-    if (gather_from(c, &c->queue[rank], now, batch, &ops)) break;
-  return batch;
+  for (int rank = 0; rank < FC_RANKS && !g.closed; rank++) gather_from(c, &c->queue[rank], now, &g);
+  return g.batch;
 }
 
 static fc_txn *build(const GPtrArray *batch) {
@@ -270,11 +337,14 @@
  * fault of theirs are queued again. */
 static void settle(fc_commit *c, GPtrArray *batch, fc_state_result result, uint64_t revision, const GPtrArray *failed) {
   bool blamed = result == FC_STATE_CONFLICT && decide_blamed(batch, failed);
-  bool again = blamed || result == FC_STATE_BUSY || result == FC_STATE_DOWN;
+  /* Refused for one of them, which is not said: each by itself is another transaction. */
+  bool apart = result == FC_STATE_REFUSED && batch->len > 1;
+  bool again = blamed || apart || result == FC_STATE_BUSY || result == FC_STATE_DOWN;
   for (guint b = batch->len; b-- > 0;) {
     fc_write *w = batch->pdata[b];
     if (w->decided) continue;
     if (again) {
+      w->alone |= apart;
       requeue(c, w);
     } else {
       decide(w, result, revision);
@@ -288,6 +358,7 @@
   GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
   uint64_t revision = 0;
   fc_state_result result = fc_state_commit(c->state, t->txn, fc_now() + c->answer_s, &revision, failed);
+  if (result == FC_STATE_BUSY) slow_down(c, fc_now());
   /* Jitter, or all controllers come back at the same moment. */
   if (result == FC_STATE_BUSY || result == FC_STATE_DOWN) c->pause_until = fc_now() + g_random_double_range(0.1, 0.4);
   g_ptr_array_remove_fast(c->under_way, t);
@@ -300,6 +371,7 @@
 }
 
 static void wait_for_rates(fc_commit *c, double writes) {
+  let_rate_rise(c, fc_now());
   for (;;) {
     double now = fc_now();
     double wait = MAX(fc_budget_wait(&c->writes, writes, 0, now), fc_budget_wait(&c->requests, 1, 0, now));
@@ -352,6 +424,11 @@
 }
 
 fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision) {
+  if (w->largest_value > c->value_bytes) {
+    g_warning("value too large key=%s bytes=%zu", g_array_index(w->writes, piece, 0).key, w->largest_value);
+    write_free(w);
+    return FC_STATE_REFUSED;
+  }
   w->deadline = deadline;
   w->waiter = fc_routine_self();
   g_queue_push_tail(&c->queue[rank], w);
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -1,5 +1,7 @@
 /* Group commit: writes of many routines go out together, within the limits of
- * a transaction and of this member's share of the write rate, in ranks. */
+ * a transaction and of this member's share of the write rate, in ranks. The state
+ * service may lower its write rate without notice: while it refuses, this one goes
+ * down to the rate that was announced, and rises again when it no longer does. */
 #ifndef FC_BOOKKEEPING_COMMIT_H
 #define FC_BOOKKEEPING_COMMIT_H
 
@@ -15,11 +17,21 @@
 typedef struct fc_commit fc_commit;
 typedef struct fc_write fc_write;
 
-fc_commit *fc_commit_new(fc_state *state, unsigned txn_ops, double writes_per_s, double requests_per_s,
-                         double answer_s);
+/* This member's even part of the limits. */
+typedef struct fc_commit_limits {
+  unsigned txn_ops;                         /* changes of one transaction */
+  size_t value_bytes;                       /* of one value */
+  double writes_per_s, lowest_writes_per_s; /* now, and as far as the service may lower it */
+  double requests_per_s;
+  double answer_s; /* a transaction is waited for so long */
+} fc_commit_limits;
+
+fc_commit *fc_commit_new(fc_state *state, const fc_commit_limits *limits);
 /* This member's share of both rates: `share` of all, `even` of all at the start.
  * What may be saved up for a burst stays as it was. */
 void fc_commit_share(fc_commit *c, double share, double even);
+/* The writes a second that it sends at most now. */
+double fc_commit_rate(const fc_commit *c);
 /* Writes that wait to be sent. */
 unsigned fc_commit_backlog(const fc_commit *c);
 /* The routine that sends; runs until cancelled. */
@@ -32,7 +44,8 @@
 
 /* Waits until the write is decided. Consumes `w`. CONFLICT: a condition of this
  * write failed. DOWN: certainly not executed (also: not before the deadline).
- * UNKNOWN: read before deciding. */
+ * UNKNOWN: read before deciding. REFUSED: never executed, nor would it be if it were
+ * sent again as it is; a value larger than the service stores is not sent at all. */
 fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision);
 /* Writes that one transaction holds at most. */
 unsigned fc_commit_most(const fc_commit *c);
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -16,8 +16,15 @@
   c->cloud = fc_cloud_new(&s->cloud_at);
   c->recording = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   double nodes = (double)(s->peer_count + 1);
-  c->commit = fc_commit_new(c->state, s->state_txn_ops, s->state_write_rps / nodes, s->state_rps / nodes * 0.35,
-                            s->report_s * 0.75);
+  const fc_commit_limits limits = {
+      .txn_ops = s->state_txn_ops,
+      .value_bytes = (size_t)(s->state_value_kb * 1024),
+      .writes_per_s = s->state_write_rps / nodes,
+      .lowest_writes_per_s = s->state_next_write_rps / nodes,
+      .requests_per_s = s->state_rps / nodes * 0.35,
+      .answer_s = s->report_s * 0.75,
+  };
+  c->commit = fc_commit_new(c->state, &limits);
   fc_budget_init(&c->cloud_budget, s->cloud_rps / nodes, MAX(1.0, s->cloud_rps / nodes), fc_now());
   fc_budget_init(&c->lookup_budget, s->state_rps / nodes * 0.1, MAX(1.0, s->state_rps / nodes * 0.1), fc_now());
   fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s, s->peer_count);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -15,6 +15,8 @@
 #define MEMORY_ROOMY_MB 20
 #define CPU_ROOMY 0.015
 #define FD_ROOMY 256
+/* Returns of machines and archived jobs change two keys at once. */
+#define TXN_OPS_LEAST 2
 #define NAME_MAX_BYTES 64u
 #define AMOUNT_MAX 1e9
 
@@ -143,27 +145,89 @@
   return false;
 }
 
+/* The limits of the state service, as they are or as they will be. */
+typedef struct state_limits {
+  double rps, write_rps, value_kb, txn_ops;
+} state_limits;
+
+typedef struct state_field {
+  const char *name;
+  size_t offset; /* in state_limits */
+  double least, most;
+} state_field;
+
+static const state_field k_state_fields[] = {
+    {"rps", offsetof(state_limits, rps), 0.1, 1e6},
+    {"write_rps", offsetof(state_limits, write_rps), 0.1, 1e6},
+    {"value_kb", offsetof(state_limits, value_kb), 1, 1024},
+    {"txn_ops", offsetof(state_limits, txn_ops), TXN_OPS_LEAST, 1e4},
+};
+
+static double *state_limit(state_limits *limits, const state_field *field) {
+  return (double *)(void *)((char *)limits + field->offset);
+}
+
+static bool read_state_limits(const json_t *state, state_limits *out, char *error, size_t size) {
+  fc_reader r;
+  fc_reader_init(&r, state);
+  for (size_t i = 0; i < G_N_ELEMENTS(k_state_fields); i++) {
+    const state_field *f = &k_state_fields[i];
+    *state_limit(out, f) = fc_read_amount(&r, f->name, f->least, f->most);
+  }
+  if (fc_reader_ok(&r)) return true;
+  copy_error(&r, "settings.state.", error, size);
+  return false;
+}
+
+/* What is missing in `state.next` stays as it is. */
+static bool read_next_limits(const json_t *state, state_limits *next, char *error, size_t size) {
+  const json_t *v = json_object_get(state, "next");
+  if (!v || json_is_null(v)) return true;
+  fc_reader r;
+  fc_reader_init(&r, v);
+  if (!fc_reader_ok(&r)) {
+    g_snprintf(error, size, "settings.state.next: %s", r.error);
+    return false;
+  }
+  for (size_t i = 0; i < G_N_ELEMENTS(k_state_fields); i++) {
+    const state_field *f = &k_state_fields[i];
+    double *limit = state_limit(next, f);
+    *limit = fc_read_amount_or(&r, f->name, f->least, f->most, *limit);
+  }
+  if (fc_reader_ok(&r)) return true;
+  copy_error(&r, "settings.state.next.", error, size);
+  return false;
+}
+
+static bool read_state(const json_t *params, fc_settings *s, char *error, size_t size) {
+  const json_t *state = json_object_get(params, "state");
+  state_limits now;
+  if (!read_state_limits(state, &now, error, size)) return false;
+  state_limits next = now;
+  if (!read_next_limits(state, &next, error, size)) return false;
+  s->state_rps = MIN(now.rps, next.rps);
+  s->state_value_kb = MIN(now.value_kb, next.value_kb);
+  s->state_txn_ops = (unsigned)MIN(now.txn_ops, next.txn_ops);
+  s->state_write_rps = now.write_rps;
+  s->state_next_write_rps = MIN(now.write_rps, next.write_rps);
+  return true;
+}
+
 static bool read_numbers(const json_t *params, fc_settings *s, char *error, size_t size) {
-  double txn_ops = 0, fd_limit = 0;
+  double fd_limit = 0;
   const number workers[] = {{"report_s", &s->report_s, 0.01, 3600},
                             {"lease_s", &s->lease_s, 0.1, 36000},
                             {"gang_wait_s", &s->gang_wait_s, 0.1, 36000},
                             {"gang_peer_s", &s->gang_peer_s, 0.1, 36000},
                             {"cancel_s", &s->cancel_s, 0.1, 36000}};
-  const number state[] = {{"rps", &s->state_rps, 0.1, 1e6},
-                          {"write_rps", &s->state_write_rps, 0.1, 1e6},
-                          {"value_kb", &s->state_value_kb, 1, 1024},
-                          {"txn_ops", &txn_ops, 1, 1e4}};
   const number cloud[] = {{"rps", &s->cloud_rps, 0.01, 1e6}, {"list_lag_s", &s->cloud_list_lag_s, 0, 3600}};
   const number limits[] = {{"cpu", &s->cpu, CPU_LEAST, 1e4},
                            {"memory_mb", &s->memory_mb, MEMORY_LEAST_MB, 1e7},
                            {"fd_limit", &fd_limit, 32, 1e6}};
   if (!read_group(params, "workers", workers, G_N_ELEMENTS(workers), error, size) ||
-      !read_group(params, "state", state, G_N_ELEMENTS(state), error, size) ||
-      !read_group(params, "cloud", cloud, G_N_ELEMENTS(cloud), error, size) ||
+      !read_state(params, s, error, size) || !read_group(params, "cloud", cloud, G_N_ELEMENTS(cloud), error, size) ||
       !read_group(params, "limits", limits, G_N_ELEMENTS(limits), error, size))
     return false;
-  s->state_txn_ops = (unsigned)txn_ops;
   s->fd_limit = (unsigned)fd_limit;
   /* The peers' listener may take eight for each peer, calls an eighth of all. */
   if (s->fd_limit < 16 * (s->peer_count + 1)) {
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -55,8 +55,12 @@
   fc_objective objectives[FC_OBJECTIVES_MAX];
   size_t objective_count;
   double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
-  double state_rps, state_write_rps, state_value_kb;
+  /* Limits of the state service. It may lower them to those of `state.next` at any moment:
+   * sizes and requests keep to the smaller of both from the start, the write rate follows
+   * once it is refused. */
+  double state_rps, state_value_kb;
   unsigned state_txn_ops;
+  double state_write_rps, state_next_write_rps;
   double cloud_rps, cloud_list_lag_s;
   double cpu; /* share of one core */
   double memory_mb;
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -50,6 +50,12 @@
 too little memory|"memory_mb":56.0|"memory_mb":2.0|settings.limits.memory_mb
 too little processor|"cpu":0.08|"cpu":0.0015|settings.limits.cpu
 no processor|"cpu":0.08,||settings.limits.cpu
+one change a transaction|"txn_ops":8|"txn_ops":1|settings.state.txn_ops
+later limits ill-typed|"txn_ops":8|"txn_ops":8,"next":7|settings.state.next
+a list of later limits|"txn_ops":8|"txn_ops":8,"next":[1]|settings.state.next
+a later limit ill-typed|"txn_ops":8|"txn_ops":8,"next":{"value_kb":"2"}|settings.state.next.value_kb
+a later limit out of range|"txn_ops":8|"txn_ops":8,"next":{"write_rps":0}|settings.state.next.write_rps
+too small later transactions|"txn_ops":8|"txn_ops":8,"next":{"txn_ops":1}|settings.state.next.txn_ops
 no zones|"zones":\["z1"\]|"zones":[]|settings.zones
 R
 # Tight limits are told, and no more: the settings are good.
@@ -62,6 +68,18 @@
 tight memory|"memory_mb":56.0|"memory_mb":6|settings.limits.memory_mb
 tight sockets|"fd_limit":900|"fd_limit":48|settings.limits.fd_limit
 R
+# Limits that the state service will have: all of them, some, none, and unknown ones.
+while IFS='|' read -r name to; do
+  sed "s/\"txn_ops\":8/\"txn_ops\":8,\"next\":$to/" "$dir/good.json" > "$dir/next.json"
+  expect "$name" 0 "settings are good" "$bin" --check --config "$dir/next.json"
+done <<'R'
+all later limits|{"rps":100.0,"write_rps":15.0,"value_kb":2.0,"txn_ops":4}
+some later limits|{"value_kb":2.0}
+no later limits|{}
+null for later limits|null
+a later limit that is null|{"value_kb":null,"txn_ops":4}
+unknown later limits|{"new":"x"}
+R
 roomy=$("$bin" --check --config "$dir/good.json" 2>&1)
 [ "$roomy" = "settings are good" ] || { echo "not so: no warning with roomy limits: $roomy"; failed=1; }
 printf '[scheduler]\nround_s = 1.0\n[machines]\nrent = false\n' > "$dir/op.toml"
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -1,9 +1,5 @@
 /* A stand-in for the state service. */
-#include "world.h"
-
-#include <jansson.h>
-#include <stdlib.h>
-#include <string.h>
+#include "parts.h"
 
 typedef struct entry {
   json_t *value;
@@ -37,6 +33,20 @@
 
 static const char *g_late_only;
 
+/* What it takes; a larger value or transaction gets 400, changes beyond the rate 429. */
+typedef struct limits {
+  size_t value_bytes;
+  unsigned txn_ops;
+  double write_rps; /* 0: as many as come */
+  double level, at; /* changes that may come at once, when that was reckoned */
+} limits;
+
+static limits g_limits;
+
+void world_state_limits(double value_kb, unsigned txn_ops, double write_rps) {
+  g_limits = (limits){(size_t)(value_kb * 1024), txn_ops, write_rps, write_rps, sim_now()};
+}
+
 void world_late_only(const char *text) {
   g_late_only = text;
 }
@@ -197,6 +207,37 @@
   g_down = down;
 }
 
+#define CONDITIONS_PER_CHANGE 4u
+#define TXN_BYTES ((size_t)64 * 1024)
+
+/* Why the transaction is refused for its size; NULL: it is not. */
+static const char *too_large(const sim_request *r, const json_t *when, const json_t *then) {
+  static char why[200];
+  if (strlen(r->body) > TXN_BYTES) return "transaction";
+  if (json_array_size(then) > g_limits.txn_ops) return "changes of a transaction";
+  if (json_array_size(when) > (size_t)g_limits.txn_ops * CONDITIONS_PER_CHANGE) return "conditions of a transaction";
+  json_t *item;
+  size_t i;
+  json_array_foreach(then, i, item) {
+    size_t size = json_dumpb(json_object_get(item, "v"), NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY);
+    if (size <= g_limits.value_bytes) continue;
+    g_snprintf(why, sizeof why, "value of %s: %zu bytes", json_string_value(json_object_get(item, "set")), size);
+    return why;
+  }
+  return NULL;
+}
+
+/* Takes the changes from the rate; false: they are beyond it. */
+static bool within_rate(size_t changes) {
+  if (g_limits.write_rps <= 0) return true;
+  double grown = g_limits.level + (sim_now() - g_limits.at) * g_limits.write_rps;
+  g_limits.level = MIN(grown, g_limits.write_rps);
+  g_limits.at = sim_now();
+  if (g_limits.level < (double)changes) return false;
+  g_limits.level -= (double)changes;
+  return true;
+}
+
 /* The keys whose conditions don't hold; the caller's to drop. */
 static json_t *failed_conditions(const json_t *when) {
   json_t *failed = json_array(), *item;
@@ -238,6 +279,19 @@
 static void commit(const sim_request *r) {
   json_t *body = json_loads(r->body, 0, NULL);
   const json_t *then = json_object_get(body, "then");
+  const char *why = too_large(r, json_object_get(body, "when"), then);
+  if (why) {
+    world_broke("too large for the state service", why);
+    sim_answer(r->exchange, 400, "{}");
+    json_decref(body);
+    return;
+  }
+  if (!within_rate(json_array_size(then))) {
+    g_result.over_rate++;
+    sim_answer(r->exchange, 429, "{}");
+    json_decref(body);
+    return;
+  }
   json_t *failed = failed_conditions(json_object_get(body, "when"));
   if (!leases_there(then)) {
     answer(r->exchange, 400, json_pack("{ss}", "error", "no such lease"));
@@ -412,6 +466,7 @@
   g_slow_until = g_blind_until = g_blind_next_s = g_late_writes = 0;
   world_lateness(2, 12);
   world_late_only(NULL);
+  world_state_limits(8, 8, 0);
   sim_serve(WORLD_STATE_IP, serve, NULL);
   tick(NULL);
 }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -258,8 +258,9 @@
   for (int n = 0; n < WORLD_NODES; n++) {
     fc_settings *s = &g_settings[n];
     s->state_rps = 500;
-    s->state_write_rps = machines;
+    s->state_write_rps = s->state_next_write_rps = machines;
     s->state_txn_ops = 24;
+    world_state_limits(s->state_value_kb, s->state_txn_ops, 0);
     s->fd_limit = machines * 2;
     s->cloud_rps = 6;
     s->teams[0].gpus = machines;
@@ -273,7 +274,7 @@
   for (int n = 0; n < WORLD_NODES; n++) {
     fc_settings *s = &g_settings[n];
     s->state_rps = 100;
-    s->state_write_rps = 40;
+    s->state_write_rps = s->state_next_write_rps = 40;
     s->cloud_rps = 2;
     s->memory_mb = 27;
     s->cpu = 0.024;
@@ -284,6 +285,15 @@
   }
 }
 
+void world_state_next(double value_kb, unsigned txn_ops, double write_rps) {
+  for (int n = 0; n < WORLD_NODES; n++) {
+    fc_settings *s = &g_settings[n];
+    s->state_value_kb = MIN(s->state_value_kb, value_kb);
+    s->state_txn_ops = MIN(s->state_txn_ops, txn_ops);
+    s->state_next_write_rps = MIN(s->state_write_rps, write_rps);
+  }
+}
+
 /* A round looks at every machine and every job. */
 static double work(uint32_t ip) {
   const double machine_s = 0.5e-6, job_s = 2e-6;
@@ -542,7 +552,7 @@
   s->gang_wait_s = GANG_WAIT_S;
   s->gang_peer_s = GANG_PEER_S;
   s->state_rps = 120;
-  s->state_write_rps = 40;
+  s->state_write_rps = s->state_next_write_rps = 40;
   s->state_value_kb = 8;
   s->state_txn_ops = 8;
   s->cloud_rps = 4;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -23,6 +23,7 @@
   unsigned done_starts;                      /* of tasks that had completed before */
   unsigned submissions, unanswered, refused; /* sent; without any answer; with 429 or 503 */
   double lease_left_s;                       /* the least that a worker in touch had left of its lease */
+  unsigned over_rate;                        /* transactions that the state service refused for its rate */
   unsigned questions, told, put_off;         /* about jobs; answered with 200; with 503 */
 } world_result;
 
@@ -99,6 +100,11 @@
 void world_state_down(double for_s);
 void world_state_down_in(double in_s, double for_s);
 void world_state_slow(double for_s, double most_s); /* each answer takes up to so long */
+/* The limits of the state service from now on. write_rps 0: as many changes as come. A
+ * transaction that is refused for its size breaks a rule. */
+void world_state_limits(double value_kb, unsigned txn_ops, double write_rps);
+/* The controllers' settings say that it will have those limits; before they start. */
+void world_state_next(double value_kb, unsigned txn_ops, double write_rps);
 /* From the next write of the job on, reads of changes wait; writes are served. */
 void world_state_blind(const char *id, double for_s);
 void world_slow_links(double for_s, double most_s); /* whatever is sent takes up to so much longer */
--- /dev/null
+++ b/tests/test_limits.c
@@ -0,0 +1,69 @@
+/* The state service lowers its limits while controllers serve: sizes keep to the lower ones
+ * from the start, the rate follows the refusals. Whole controllers over the simulated
+ * transport; the stand-in breaks a rule when it is sent something too large. */
+#include "check.h"
+
+#include "sim/world.h"
+
+#define LATER_VALUE_KB 2
+#define LATER_TXN_OPS 4
+
+typedef struct limits_row {
+  const char *name;
+  double later_rps; /* of changes */
+  double lowered_s; /* after the controllers' start */
+  bool crash;       /* one controller ends as the limits are lowered */
+  unsigned refused; /* transactions in the first minute, at most */
+} limits_row;
+
+static const limits_row k_rows[] = {
+    {"before any work", 15, 3, false, 40},
+    {"while jobs come", 15, 30, false, 40},
+    {"while jobs come, one ends", 15, 30, true, 40},
+    {"to a tenth", 4, 30, false, 70},
+    {"not at all", 40, 30, false, 0},
+};
+
+#define JOBS 200u
+
+/* Ten small arrays a second, and a wide one. */
+static void submit_jobs(void) {
+  for (unsigned k = 0; k < JOBS; k++) world_submit(world_id(k), "sweep", "standard", 2, 0.25, 5, 20 + 0.1 * k);
+  world_submit(world_id(JOBS), "sweep", "standard", 150, 0.25, 5, 10);
+}
+
+static void limits_are_lowered(void **state) {
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_rows); i++) {
+    const limits_row *row = &k_rows[i];
+    world_set_up(40 + (uint32_t)i, 0);
+    world_capacity(12, 0);
+    world_keep_idle();
+    world_images_there();
+    world_state_next(LATER_VALUE_KB, LATER_TXN_OPS, row->later_rps);
+    world_start_nodes();
+    world_machines_up(0, 6);
+    world_machines_up(1, 6);
+    submit_jobs();
+    sim_run_until(sim_now() + row->lowered_s);
+    world_state_limits(LATER_VALUE_KB, LATER_TXN_OPS, row->later_rps);
+    if (row->crash) world_crash(0, 4);
+    sim_run_until(sim_now() + 60);
+    unsigned early = world_so_far().over_rate;
+    sim_run_until(sim_now() + 180);
+    world_result r = world_so_far();
+    print_message("%s: %u of %u accepted, %u done; %u transactions over the rate in the first minute, %u later\n",
+                  row->name, r.accepted, r.submitted, r.finished, early, r.over_rate - early);
+    if (r.broken) fail_msg("%s: %s", row->name, r.first);
+    check_row(row->name, r.accepted == JOBS + 1);
+    check_row(row->name, r.finished == JOBS + 1);
+    /* Each of three needs a few refusals to come down to the later rate (95 of them when none
+     * does), and now and then one tries whether more is taken again. */
+    check_row(row->name, early <= row->refused && r.over_rate - early <= 15);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(limits_are_lowered)};
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_views.c
+++ b/tests/test_views.c
@@ -12,6 +12,13 @@
 } side;
 
 /* One of two controllers in term 5; its only peer is the other. */
+static const fc_commit_limits k_limits = {.txn_ops = 8,
+                                          .value_bytes = 8192,
+                                          .writes_per_s = 10,
+                                          .lowest_writes_per_s = 10,
+                                          .requests_per_s = 10,
+                                          .answer_s = 1};
+
 static side *side_new(const char *name, const char *other, uint64_t boot) {
   side *s = g_new0(side, 1);
   s->settings = world_settings();
@@ -23,7 +30,7 @@
   c->peers[0].settings = &s->settings.peers[0];
   c->table = world_table(&s->settings);
   c->cancels = fc_cancels_new();
-  c->commit = fc_commit_new(NULL, 8, 10, 10, 1);
+  c->commit = fc_commit_new(NULL, &k_limits);
   fc_table_set_term(c->table, &k_term, 9, false, 0);
   c->boot = boot;
   return s;
