Jobs await others: readiness, cancellation and priority from committed records

A submission may name jobs in awaits. What of them is done is dropped; where one is cancelled the job is accepted as cancelled; an id that was never accepted, or a service, gets 422. A job that awaits others has record format 2, which production can't read and so never runs, and is taken only while no member of the term is known not to read it. bookkeeping/pipeline.c keeps what follows from the records: readiness, cancellation with another, the highest rank and the earliest latest start of what needs a job. Every path that starts, counts, rents, lends or hands over asks fc_job_runnable(), once more right before a start is sent. Jobs of one rank are placed by when they have to start.

--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "bookkeeping/pipeline.h"
 #include "coordination/deal.h"
 
 #define IMAGES_MOST 64u
@@ -14,9 +15,16 @@
   for (unsigned i = 0; i < FC_SLICES_MAX; i++) g_free(j->handed[i]);
   g_ptr_array_free(j->placements, TRUE);
   if (j->failed_on) g_hash_table_destroy(j->failed_on);
+  if (j->awaits) g_ptr_array_free(j->awaits, TRUE);
   g_free(j);
 }
 
+static void awaited_free(gpointer p) {
+  fc_awaited *a = p;
+  g_ptr_array_free(a->dependents, TRUE);
+  g_free(a);
+}
+
 static void machine_free(gpointer p) {
   fc_machine *m = p;
   for (guint i = 0; i < m->placements->len; i++) g_free(m->placements->pdata[i]);
@@ -34,6 +42,8 @@
   t->rentals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  t->awaited = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, awaited_free);
+  t->unrecorded_cancels = g_hash_table_new(NULL, NULL);
   /* About two boots of a machine: longer, and yesterday's burst is paid for. */
   fc_demand_init(&t->demand, settings->lease_s * 8);
   for (size_t k = 0; k < FC_TEAMS_MAX; k++) t->carried_cpus[k] = t->carried_gpus[k] = INFINITY;
@@ -49,6 +59,8 @@
   g_hash_table_destroy(t->rentals);
   g_hash_table_destroy(t->cancelled);
   g_hash_table_destroy(t->members);
+  g_hash_table_destroy(t->awaited);
+  g_hash_table_destroy(t->unrecorded_cancels);
   fc_demand_free(&t->demand);
   g_free(t);
 }
@@ -146,7 +158,10 @@
   j->placements = g_ptr_array_new();
   j->team = fc_settings_team(t->settings, j->spec.team);
   j->clear = fresh ? ~0u : 0;
-  j->seen_at = now;
+  j->submitted_at = r->origin.submitted_at > 0 ? MIN(now, r->origin.submitted_at - t->epoch) : now;
+  j->queued_at = now;
+  j->rank = j->spec.rank;
+  j->due_at = INFINITY;
   j->serial = t->next_serial++;
   g_hash_table_insert(t->jobs, j->spec.id, j);
   return j;
@@ -161,7 +176,7 @@
 
 /* Takes over the phase of the record of this version. */
 static void put_phase(const fc_table *t, fc_job *j, const char *id, fc_phase phase, uint64_t version, double now) {
-  j->phase = phase;
+  j->phase = j->recorded_phase = phase;
   /* Known to be cancelled by a later record, which is still to be read. */
   const fc_told_cancel *told = g_hash_table_lookup(t->cancelled, id);
   if (told && told->revision > version) j->phase = FC_PHASE_CANCELLED;
@@ -183,6 +198,13 @@
   }
 }
 
+/* A record is written without what the job awaited once all of that is done. */
+static void put_awaits(fc_job *j, const fc_job_record *r) {
+  if (r->spec.awaits) return;
+  g_strfreev(j->spec.awaits);
+  j->spec.awaits = NULL;
+}
+
 fc_job *fc_table_put_job(fc_table *t, const char *id, const fc_job_record *r, uint64_t version, bool fresh,
                          double now) {
   fc_job *j = fc_table_job(t, id);
@@ -190,17 +212,20 @@
   bool is_new = !j;
   if (is_new) j = add_job(t, r, fresh, now);
   if (!j) return NULL;
+  put_awaits(j, r);
   put_done(j, id, r->done);
   put_phase(t, j, id, r->phase, version, now);
   j->version = version;
   put_handed(t, j, r, is_new);
   j->origin = r->origin;
   fc_job_deal(t, j);
-  if (!is_new) return j;
-  make_clear(t, j);
-  link_placements(t, j);
+  if (is_new) {
+    make_clear(t, j);
+    link_placements(t, j);
+  }
+  fc_pipeline_put(t, j, fresh, now);
   /* What is read back after a start arrived before; only its shape is news. */
-  if (fresh) fc_demand_arrival(&t->demand, &j->spec, now);
+  if (is_new && fresh && fc_job_ready(j)) fc_demand_arrival(&t->demand, &j->spec, now);
   return j;
 }
 
@@ -210,10 +235,12 @@
   fc_told_cancel *told = g_new(fc_told_cancel, 1);
   *told = (fc_told_cancel){revision, from};
   g_hash_table_replace(t->cancelled, g_strdup(id), told);
-  if (!j) return;
-  j->phase = FC_PHASE_CANCELLED;
-  j->cancelled_from = from;
-  if (!j->over_at) j->over_at = now;
+  if (j) {
+    j->phase = FC_PHASE_CANCELLED;
+    j->cancelled_from = from;
+    if (!j->over_at) j->over_at = now;
+  }
+  fc_pipeline_learned(t, id, FC_AWAITED_CANCELLED, now);
 }
 
 bool fc_table_is_cancelled(const fc_table *t, const char *id) {
@@ -238,6 +265,7 @@
 
 void fc_table_remove_job(fc_table *t, fc_job *j) {
   for (guint i = 0; i < j->placements->len; i++) ((fc_placement *)j->placements->pdata[i])->job = NULL;
+  fc_pipeline_remove(t, j);
   g_hash_table_remove(t->jobs, j->spec.id);
 }
 
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -16,6 +16,7 @@
 
 typedef struct fc_job fc_job;
 typedef struct fc_machine fc_machine;
+typedef struct fc_awaited fc_awaited; /* pipeline.h */
 
 /* One attempt of one task on one machine, from the decision to start it until
  * the machine is known to be without it. */
@@ -53,9 +54,10 @@
 
 struct fc_job {
   fc_job_spec spec;
-  fc_phase phase;
-  uint64_t version; /* of the record */
-  uint8_t *done;    /* bitmap */
+  fc_phase phase;          /* also by what others' records say, or a peer has told */
+  fc_phase recorded_phase; /* by its own record */
+  uint64_t version;        /* of the record */
+  uint8_t *done;           /* bitmap */
   uint32_t done_count;
   unsigned slices;
   char *handed[FC_SLICES_MAX];
@@ -65,7 +67,12 @@
   int team;                     /* index into the settings; -1: not there any more */
   GPtrArray *placements;
   unsigned clear;        /* a bit a slice: nothing of it can be anywhere that we do not know of */
-  double seen_at;        /* steady time when we first saw it */
+  double submitted_at;   /* steady time, as near as we know it */
+  double queued_at;      /* when it could first run: it was first seen, or all it awaits was done */
+  fc_rank rank;          /* the highest of its own and of those that need it */
+  double due_at;         /* to be done by then for its own deadline and those of jobs that need it */
+  GPtrArray *awaits;     /* fc_awaited; NULL: nothing is awaited */
+  unsigned unmet;        /* of those, the ones that are not done */
   double cancelled_from; /* no user was told that it is cancelled before this; 0: it is not */
   double over_at;        /* when we first saw that it is over; 0: it is not */
   double blocked_until;
@@ -73,7 +80,7 @@
   double handed_at;
   unsigned handed_count; /* by us */
   unsigned failures;     /* tasks that ended by error, lately */
-  uint64_t serial;       /* order of being seen */
+  uint64_t serial;       /* order of being queued */
   GHashTable *failed_on; /* machine ids where a task of it failed; NULL: none */
 };
 
@@ -136,14 +143,23 @@
   double from; /* no user was told before this */
 } fc_told_cancel;
 
+/* A member's own key: there as long as its lease. */
+typedef struct fc_member_key {
+  uint64_t version;
+  unsigned job_format; /* the newest format of job records that it reads */
+} fc_member_key;
+
 typedef struct fc_table {
   const fc_settings *settings;
-  GHashTable *jobs;      /* id -> fc_job */
-  GHashTable *machines;  /* id -> fc_machine */
-  GPtrArray *types;      /* fc_machine_type; empty: not known yet */
-  GHashTable *rentals;   /* name -> fc_rental_record */
-  GHashTable *cancelled; /* id -> fc_told_cancel: known to us, not read yet */
-  GHashTable *members;   /* name -> version of the member's key (guint64*) */
+  double epoch;                   /* time of day less steady time */
+  GHashTable *jobs;               /* id -> fc_job */
+  GHashTable *machines;           /* id -> fc_machine */
+  GPtrArray *types;               /* fc_machine_type; empty: not known yet */
+  GHashTable *rentals;            /* name -> fc_rental_record */
+  GHashTable *cancelled;          /* id -> fc_told_cancel: known to us, not read yet */
+  GHashTable *members;            /* name -> fc_member_key */
+  GHashTable *awaited;            /* id -> fc_awaited: what accepted jobs await */
+  GHashTable *unrecorded_cancels; /* fc_job: cancelled by another's record, not yet by their own */
   fc_term term;
   uint64_t term_version; /* of the stored record; 0: none seen */
   fc_quota_record quota;
--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -1,6 +1,7 @@
 /* Archives jobs that have long been over: what is needed to answer their users
  * goes to keys that no controller holds in memory, and none reads when it starts.
  * Otherwise memory, and the time to start, would grow with every job there ever was. */
+#include "bookkeeping/pipeline.h"
 #include "controller/controller.h"
 
 fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_archived_job *out) {
@@ -55,6 +56,8 @@
   while (g_hash_table_iter_next(&it, NULL, &value) && ids->len < most) {
     const fc_job *j = value;
     if (!j->over_at || j->over_at > before || j->placements->len > 0) continue;
+    /* Those that await it read from its record that it is over. */
+    if (fc_pipeline_awaited(c->table, j->spec.id)) continue;
     if (fc_job_owner(j, 0) == c->table->self) g_ptr_array_add(ids, g_strdup(j->spec.id));
   }
   return ids;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -55,6 +55,7 @@
   fc_commit *commit;
   fc_budget cloud_budget;
   fc_budget lookup_budget; /* for questions about jobs that are not in memory */
+  GHashTable *archived;    /* id -> fc_archived_job: awaited ones that were found lately */
   fc_right right;
   fc_peer peers[FC_MEMBERS_MAX];
 
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "controller/controller.h"
+#include "controller/pipelines.h"
 #include "protocol/routes.h"
 #include "scheduler/share.h"
 #include "transport/http.h"
@@ -70,13 +71,19 @@
   return "a task fits no allowed machine type";
 }
 
+/* Waits until what the table says of the job is current, and known in full: whether it is
+ * cancelled with another. Where that is hopeless, nobody is kept waiting; false. */
+static bool prove_current(fc_controller *c, const char *id, double deadline) {
+  return fc_state_reachable(c) && fc_wait_fresh(c, deadline) && fc_pipelines_resolve(c, id, deadline);
+}
+
 /* A repeat of a known job is answered with its state, whatever else its body
  * says: what was accepted once never gets a 400. */
 static void refuse_malformed(fc_controller *c, const fc_http_request *req, fc_http_response *res, const char *error) {
   char id[64];
   if (!fc_job_id_peek(req->body, req->body_len, id, sizeof id)) {
     say(res, 400, error);
-  } else if (!fc_state_reachable(c) || !fc_wait_fresh(c, fc_now() + c->settings->report_s)) {
+  } else if (!prove_current(c, id, fc_now() + c->settings->report_s)) {
     later(res, 503, "the state service can't be reached");
   } else {
     const fc_job *j = fc_table_job(c->table, id);
@@ -94,7 +101,7 @@
   fc_job *j = c->loaded ? fc_table_job(c->table, id) : NULL;
   if (j && !final(j)) {
     /* Where that is hopeless a repeat is not held until its user gives up either. */
-    if (!fc_state_reachable(c) || !fc_wait_fresh(c, deadline)) {
+    if (!prove_current(c, id, deadline)) {
       later(res, 503, "the state service can't be reached");
       return true;
     }
@@ -107,7 +114,7 @@
 /* What was accepted once is never refused: be sure it is not known. */
 static void refuse_impossible(fc_controller *c, fc_http_response *res, const char *id, const char *why,
                               double deadline) {
-  if (!fc_wait_fresh(c, deadline)) {
+  if (!prove_current(c, id, deadline)) {
     later(res, 503, "the state service can't be reached");
     return;
   }
@@ -119,6 +126,28 @@
   }
 }
 
+/* Are the jobs that it awaits such as may be named, and can it be stored? False: that has
+ * been answered. `phase`: of the record, if it is accepted. */
+static bool awaits_admitted(fc_controller *c, fc_http_response *res, fc_job_spec *spec, double deadline,
+                            fc_phase *phase) {
+  *phase = FC_PHASE_ACCEPTED;
+  switch (fc_pipelines_admit(c, spec, deadline)) {
+    case FC_AWAITS_CANCELLED:
+      *phase = FC_PHASE_CANCELLED;
+      return true;
+    case FC_AWAITS_RESOLVED:
+      if (!spec->awaits || fc_pipelines_supported(c)) return true;
+      later(res, 503, "another controller can't read jobs that await others yet");
+      return false;
+    case FC_AWAITS_REFUSED:
+      refuse_impossible(c, res, spec->id, "awaits: a job that was never accepted, or a service", deadline);
+      return false;
+    default:
+      later(res, 503, "the jobs that it awaits can't be looked up now");
+      return false;
+  }
+}
+
 /* Can the job be accepted now? False: that has been answered. */
 static bool admitted(fc_controller *c, fc_http_response *res, const fc_job_spec *spec, double deadline) {
   if (!fc_state_reachable(c)) {
@@ -144,14 +173,14 @@
 
 /* The record of a new job, with its slices assigned to members; the caller's to drop.
  * NULL: too large to be stored. */
-static json_t *new_record(fc_controller *c, const fc_job_spec *spec) {
+static json_t *new_record(fc_controller *c, const fc_job_spec *spec, fc_phase phase) {
   unsigned slices = fc_job_slices(spec, c->settings->op.split_limit);
   char *handed[FC_SLICES_MAX] = {NULL};
   bool fit[FC_MEMBERS_MAX];
   for (size_t i = 0; i < c->table->term.count; i++) fit[i] = fc_member_fit(c, (int)i);
   fc_share_deal(c->table, fit, spec, slices, handed);
-  const fc_job_origin origin = {.term = c->table->term.number};
-  json_t *record = fc_job_record_encode(spec, FC_PHASE_ACCEPTED, NULL, slices, handed, &origin);
+  const fc_job_origin origin = {.term = c->table->term.number, .submitted_at = fc_time_of_day()};
+  json_t *record = fc_job_record_encode(spec, phase, NULL, slices, handed, &origin);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
   bool too_large = (double)size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
@@ -162,7 +191,7 @@
 }
 
 /* Writes the record, unless there is or was a job of this id, and answers. */
-static void accept_job(fc_controller *c, fc_http_response *res, const fc_job_spec *spec, json_t *record,
+static void accept_job(fc_controller *c, fc_http_response *res, const fc_job_spec *spec, fc_phase phase, json_t *record,
                        double deadline) {
   fc_write *w = fc_write_new();
   char *key = g_strconcat(FC_PREFIX_JOB, spec->id, NULL);
@@ -178,10 +207,11 @@
     res->status = 201;
     g_debug("accepted job=%s class=%s tasks=%u slices=%u", spec->id, spec->class_name, spec->tasks,
             fc_job_slices(spec, c->settings->op.split_limit));
-    fc_job_answer(res->body, spec->id, FC_STATUS_PENDING, 0, 0, false);
+    fc_job_status status = phase == FC_PHASE_CANCELLED ? FC_STATUS_CANCELLED : FC_STATUS_PENDING;
+    fc_job_answer(res->body, spec->id, status, 0, 0, false);
     return;
   }
-  if (r == FC_STATE_CONFLICT && fc_wait_fresh(c, deadline)) {
+  if (r == FC_STATE_CONFLICT && prove_current(c, spec->id, deadline)) {
     fc_job *j = fc_table_job(c->table, spec->id);
     if (j) answer_job(res, 200, j, false);
     if (j || answered_from_archive(c, res, spec->id, false)) return;
@@ -197,10 +227,12 @@
     refuse_malformed(c, req, res, error);
     return;
   }
-  if (!answered_as_known(c, res, spec.id, deadline) && admitted(c, res, &spec, deadline)) {
-    json_t *record = new_record(c, &spec);
+  fc_phase phase;
+  if (!answered_as_known(c, res, spec.id, deadline) && admitted(c, res, &spec, deadline) &&
+      awaits_admitted(c, res, &spec, deadline, &phase)) {
+    json_t *record = new_record(c, &spec, phase);
     if (record) {
-      accept_job(c, res, &spec, record, deadline);
+      accept_job(c, res, &spec, phase, record, deadline);
     } else {
       /* Nor is this said to a repeat of what was accepted with fewer types. */
       refuse_malformed(c, req, res, "body: description too large");
@@ -219,9 +251,8 @@
     say(res, 404, "no such job");
     return;
   }
-  /* Anything that may change has to be proved current (read index); where that is
-   * hopeless, nobody is kept waiting. */
-  if (!fc_state_reachable(c) || !fc_wait_fresh(c, fc_now() + c->settings->report_s * 0.5)) {
+  /* Anything that may change has to be proved current (read index). */
+  if (!prove_current(c, id, fc_now() + c->settings->report_s * 0.5)) {
     later(res, 503, "the state service can't be reached");
     return;
   }
--- a/src/controller/member.c
+++ b/src/controller/member.c
@@ -17,11 +17,11 @@
 /* Draws this life's number: the revision of our member key. */
 static bool draw_boot(fc_controller *c) {
   char *key = g_strconcat(FC_PREFIX_MEMBER, c->settings->name, NULL);
-  const guint64 *known = g_hash_table_lookup(c->table->members, c->settings->name);
+  const fc_member_key *known = g_hash_table_lookup(c->table->members, c->settings->name);
   fc_txn *t = fc_txn_new();
   /* Conditional: a late copy of an earlier attempt must not replace this one. */
-  fc_txn_if(t, key, known ? *known : 0);
-  fc_txn_put_leased(t, key, fc_mark_encode(), c->lease);
+  fc_txn_if(t, key, known ? known->version : 0);
+  fc_txn_put_leased(t, key, fc_member_key_encode(), c->lease);
   uint64_t revision = 0;
   fc_state_result r = fc_state_commit(c->state, t, fc_now() + 1.0, &revision, NULL);
   fc_txn_free(t);
--- a/src/controller/quota.c
+++ b/src/controller/quota.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "bookkeeping/pipeline.h"
 #include "controller/controller.h"
 #include "controller/duties.h"
 #include "coordination/quota.h"
@@ -86,7 +87,7 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->team < 0 || j->phase != FC_PHASE_ACCEPTED || !limited(&t->settings->teams[j->team])) continue;
+    if (j->team < 0 || !fc_job_runnable(j) || !limited(&t->settings->teams[j->team])) continue;
     if (j->spec.kind == FC_KIND_GANG || fc_gang_before(t, turn[j->team], j, now)) continue;
     want_missing_of(j, out);
   }
--- a/src/controller/round.c
+++ b/src/controller/round.c
@@ -1,6 +1,7 @@
 /* The round: every two seconds, and at once when a job or room arrives. */
 #include <string.h>
 
+#include "bookkeeping/pipeline.h"
 #include "controller/controller.h"
 #include "controller/duties.h"
 #include "scheduler/place.h"
@@ -129,7 +130,7 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->phase != FC_PHASE_ACCEPTED) continue;
+    if (!fc_job_runnable(j)) continue;
     if (j->spec.kind == FC_KIND_GANG && j->placements->len == 0) return true;
     if (fc_job_owned(j, t->self) && fc_job_waits(j, t->self)) return true;
   }
@@ -189,7 +190,7 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->phase != FC_PHASE_ACCEPTED || !fc_job_owned(j, t->self)) continue;
+    if (!fc_job_runnable(j) || !fc_job_owned(j, t->self)) continue;
     GArray *missing = fc_job_missing(j, t->self, 1);
     waiting += missing->len;
     unclear += !j->clear;
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -1,6 +1,7 @@
 /* Assembles one controller from its settings. */
 #include "controller/controller.h"
 #include "controller/duties.h"
+#include "controller/pipelines.h"
 
 fc_controller *fc_controller_start(const fc_settings *s, const char **why) {
   fc_controller *c = g_new0(fc_controller, 1);
@@ -10,10 +11,12 @@
   c->fresh_sent = -1e9;
   for (size_t k = 0; k < s->peer_count; k++) c->peers[k].fresh_at = c->peers[k].heard_at = -1e9;
   c->table = fc_table_new(s);
+  c->table->epoch = fc_time_of_day() - fc_now();
   c->cancels = fc_cancels_new();
   fc_metrics_init(&c->metrics);
   c->state = fc_state_new(&s->state_at);
   c->cloud = fc_cloud_new(&s->cloud_at);
+  c->archived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->recording = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   double nodes = (double)(s->peer_count + 1);
   const fc_commit_limits limits = {
@@ -36,8 +39,8 @@
     *why = "peer_listen: can't listen there";
     return NULL;
   }
-  fc_routine_fn duties[] = {fc_watch_main, fc_read_index_main, fc_commit_duty,  fc_member_main, fc_round_main,
-                            fc_quota_main, fc_rent_main,       fc_archive_main, fc_overdue_main};
+  fc_routine_fn duties[] = {fc_watch_main, fc_read_index_main, fc_commit_duty,  fc_member_main,  fc_round_main,
+                            fc_quota_main, fc_rent_main,       fc_archive_main, fc_overdue_main, fc_pipelines_main};
   for (size_t i = 0; i < G_N_ELEMENTS(duties); i++) {
     if (!fc_routine_spawn(duties[i], c)) {
       *why = "out of memory";
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -138,9 +138,9 @@
   } else if (g_str_has_prefix(key, FC_PREFIX_MEMBER)) {
     const char *name = key + strlen(FC_PREFIX_MEMBER);
     if (ch->value) {
-      guint64 *v = g_new(guint64, 1);
-      *v = ch->version;
-      g_hash_table_replace(t->members, g_strdup(name), v);
+      fc_member_key *k = g_new(fc_member_key, 1);
+      *k = (fc_member_key){ch->version, fc_member_key_format(ch->value)};
+      g_hash_table_replace(t->members, g_strdup(name), k);
     } else {
       g_hash_table_remove(t->members, name);
     }
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "bookkeeping/pipeline.h"
 #include "controller/controller.h"
 #include "coordination/deal.h"
 #include "scheduler/place.h"
@@ -187,7 +188,7 @@
 
 bool fc_workers_unwanted(const fc_controller *c, const fc_placement *p) {
   const fc_job *j = p->job;
-  if (j) return j->phase != FC_PHASE_ACCEPTED || fc_job_task_done(j, p->index);
+  if (j) return !fc_job_runnable(j) || fc_job_task_done(j, p->index);
   return p->since + c->settings->report_s < c->fresh_sent || fc_table_is_cancelled(c->table, p->job_id);
 }
 
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -7,7 +7,10 @@
 
 #define NAME_MOST 256u
 #define AMOUNT_MOST 1e9
-#define RECORD_FORMAT 1
+#define TIME_OF_DAY_MOST 1e11
+#define ID_PREFIX "job-"
+/* Of a list of awaited jobs in a record: more than a submission has room for. */
+#define AWAITS_TEXT_MOST ((size_t)64 * 1024)
 
 static const char *const k_kinds[] = {"sweep", "gang", "service"};
 static const char *const k_ranks[] = {"best_effort", "standard", "high", "prod"};
@@ -15,9 +18,10 @@
 static const char *const k_statuses[] = {"pending", "running", "done", "cancelled"};
 
 bool fc_job_id_valid(const char *id) {
-  if (!id || strncmp(id, "job-", 4) != 0) return false;
-  size_t digits = strspn(id + 4, "0123456789");
-  return digits >= 6 && digits <= 18 && id[4 + digits] == '\0';
+  if (!id || !g_str_has_prefix(id, ID_PREFIX)) return false;
+  const char *number = id + strlen(ID_PREFIX);
+  size_t digits = strspn(number, "0123456789");
+  return digits >= 6 && digits <= 18 && number[digits] == '\0';
 }
 
 static int name_index(fc_reader *r, const char *field, const char *const *names, int count) {
@@ -48,6 +52,72 @@
   }
 }
 
+static gint by_text(gconstpointer a, gconstpointer b) {
+  return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Sorts the ids and drops repeats; NULL: there are none. Takes the array. */
+static char **ids_once(GPtrArray *ids) {
+  g_ptr_array_sort(ids, by_text);
+  guint kept = 0;
+  for (guint i = 0; i < ids->len; i++) {
+    if (kept > 0 && strcmp(ids->pdata[kept - 1], ids->pdata[i]) == 0) {
+      g_free(ids->pdata[i]);
+    } else {
+      ids->pdata[kept++] = ids->pdata[i];
+    }
+  }
+  g_ptr_array_set_size(ids, (gint)kept);
+  if (kept > 0) g_ptr_array_add(ids, NULL);
+  return (char **)g_ptr_array_free(ids, kept == 0);
+}
+
+/* The awaited jobs of a submission. */
+static void read_awaits(fc_reader *r, fc_job_spec *s) {
+  const json_t *v = json_object_get(r->object, "awaits");
+  if (!v || json_is_null(v) || !fc_reader_ok(r)) return;
+  if (!json_is_array(v)) {
+    fc_reader_fail(r, "awaits", "not an array of job ids");
+    return;
+  }
+  GPtrArray *ids = g_ptr_array_new();
+  size_t i;
+  json_t *id;
+  json_array_foreach(v, i, id) {
+    if (!fc_job_id_valid(json_string_value(id))) {
+      fc_reader_fail(r, "awaits", "holds something that is not a job id");
+      break;
+    }
+    g_ptr_array_add(ids, g_strdup(json_string_value(id)));
+  }
+  s->awaits = ids_once(ids);
+}
+
+/* "000398,000405": the ids without what all have in common. */
+static json_t *awaits_encode(char *const *awaits) {
+  GString *text = g_string_new(NULL);
+  for (char *const *id = awaits; *id; id++)
+    g_string_append_printf(text, "%s%s", text->len ? "," : "", *id + strlen(ID_PREFIX));
+  json_t *v = json_string(text->str);
+  g_string_free(text, TRUE);
+  return v;
+}
+
+/* The awaited jobs of a record. */
+static void decode_awaits(fc_reader *r, fc_job_spec *s) {
+  const char *text = fc_read_string(r, "awaits", AWAITS_TEXT_MOST);
+  if (!text) return;
+  GPtrArray *ids = g_ptr_array_new();
+  char **numbers = g_strsplit(text, ",", -1);
+  for (char **number = numbers; *number; number++) {
+    char *id = g_strconcat(ID_PREFIX, *number, NULL);
+    if (!fc_job_id_valid(id)) fc_reader_fail(r, "awaits", "holds something that is not a job");
+    g_ptr_array_add(ids, id);
+  }
+  g_strfreev(numbers);
+  s->awaits = ids_once(ids);
+}
+
 static GRefString *intern(const char *text) {
   return text ? g_ref_string_new_intern(text) : NULL;
 }
@@ -96,6 +166,7 @@
   fc_reader_init(&r, v);
   if (!fc_reader_ok(&r)) g_strlcpy(r.error, "body: not an object", sizeof r.error);
   spec_read(&r, out);
+  read_awaits(&r, out);
   json_decref(v);
   if (fc_reader_ok(&r)) return true;
   g_strlcpy(error, r.error, error_size);
@@ -114,6 +185,7 @@
   release(s->image);
   release(s->zone);
   g_strfreev(s->types);
+  g_strfreev(s->awaits);
   memset(s, 0, sizeof *s);
 }
 
@@ -182,8 +254,13 @@
     g_snprintf(slice, sizeof slice, "%u", i);
     json_object_set_new(to, slice, json_string(handed[i]));
   }
-  json_t *v = json_pack("{si so ss ss* si so*}", "f", RECORD_FORMAT, "spec", spec_encode(spec), "phase",
-                        k_phases[phase], "done", done && *done ? done : NULL, "slices", (int)slices, "to", to);
+  bool awaiting = spec->awaits && phase == FC_PHASE_ACCEPTED;
+  int format = awaiting ? FC_JOB_FORMAT_AWAITING : FC_JOB_FORMAT_PLAIN;
+  json_t *v = json_pack("{si so ss ss* si so*}", "f", format, "spec", spec_encode(spec), "phase", k_phases[phase],
+                        "done", done && *done ? done : NULL, "slices", (int)slices, "to", to);
+  if (awaiting) json_object_set_new(v, "awaits", awaits_encode(spec->awaits));
+  if (awaiting && origin && origin->submitted_at > 0)
+    json_object_set_new(v, "submitted", json_real(origin->submitted_at));
   if (origin && origin->term) json_object_set_new(v, "term", json_integer((json_int_t)origin->term));
   if (origin && origin->moved) json_object_set_new(v, "moved", json_integer((json_int_t)origin->moved));
   json_t *moves = origin ? last_moves_encode(origin, slices) : NULL;
@@ -211,7 +288,8 @@
   memset(out, 0, sizeof *out);
   fc_reader r;
   fc_reader_init(&r, v);
-  if (fc_read_count(&r, "f", 1, RECORD_FORMAT) != RECORD_FORMAT) return false;
+  uint64_t format = fc_read_count(&r, "f", FC_JOB_FORMAT_PLAIN, FC_JOB_FORMAT_AWAITING);
+  if (!fc_reader_ok(&r)) return false;
   out->phase = (fc_phase)name_index(&r, "phase", k_phases, G_N_ELEMENTS(k_phases));
   const char *done = fc_read_string_or_null(&r, "done", (size_t)FC_TASKS_MAX * 8);
   out->slices = (unsigned)fc_read_count_or(&r, "slices", 1, FC_SLICES_MAX, 1);
@@ -224,6 +302,10 @@
   fc_reader sr;
   fc_reader_init(&sr, spec);
   if (fc_reader_ok(&r)) spec_read(&sr, &out->spec);
+  if (format == FC_JOB_FORMAT_AWAITING) {
+    out->origin.submitted_at = fc_read_amount_or(&r, "submitted", 0, TIME_OF_DAY_MOST, 0);
+    decode_awaits(&r, &out->spec);
+  }
   if (!fc_reader_ok(&r) || !fc_reader_ok(&sr)) {
     fc_job_record_clear(out);
     return false;
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -30,6 +30,8 @@
   bool one_zone, spread, spot;
   double estimate_s, checkpoint_s, save_s;
   double deadline_s; /* < 0: none */
+  char **awaits;     /* ids of jobs that have to be done before any task starts, each once, in
+                      * order; NULL-terminated; NULL: none */
 } fc_job_spec;
 
 /* "job-000412": the only form of id there is. */
@@ -43,10 +45,17 @@
 
 /* The stored form: format version, description, phase, finished tasks as
  * ranges ("0-3,7"), the number of virtual jobs (slices) an array is split into,
- * and the controllers that slices were handed to, if any. */
+ * and the controllers that slices were handed to, if any. An accepted job that awaits
+ * others has a format of its own, which versions that don't know of awaiting can't read,
+ * and so never run. */
+#define FC_JOB_FORMAT_PLAIN 1
+#define FC_JOB_FORMAT_AWAITING 2
+
+/* Where a record comes from: when it was written first, and its hand-overs since. */
 typedef struct fc_job_origin {
-  uint64_t term;  /* it was accepted in this term or later; 0: not known */
-  unsigned moved; /* a bit a slice: it has been handed over since */
+  double submitted_at; /* time of day, in seconds; 0: not known. Kept while the job awaits others */
+  uint64_t term;       /* it was accepted in this term or later; 0: not known */
+  unsigned moved;      /* a bit a slice: it has been handed over since */
   /* Of a slice that was: the term of the last hand-over, and a bit for each member of
    * that term on whose machines tasks of it were then, or could be started from then on.
    * 0, 0: not known. */
@@ -72,7 +81,7 @@
 /* An array is halved into virtual jobs of at least two tasks, at most `limit`; not one
  * whose tasks must share a zone or be scattered. */
 unsigned fc_job_slices(const fc_job_spec *spec, unsigned limit);
-/* `origin` NULL: not known. */
+/* The awaited jobs are kept as long as the job is accepted. `origin` NULL: not known. */
 json_t *fc_job_record_encode(const fc_job_spec *spec, fc_phase phase, const char *done, unsigned slices,
                              char *const *handed, const fc_job_origin *origin);
 bool fc_job_record_decode(const json_t *v, fc_job_record *out);
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -23,6 +23,16 @@
   return json_pack("{si}", "f", FORMAT);
 }
 
+json_t *fc_member_key_encode(void) {
+  return json_pack("{si si}", "f", FORMAT, "jobFormat", FC_JOB_FORMAT_AWAITING);
+}
+
+unsigned fc_member_key_format(const json_t *v) {
+  fc_reader r;
+  start(&r, v);
+  return (unsigned)fc_read_count_or(&r, "jobFormat", 1, UINT32_MAX, FC_JOB_FORMAT_PLAIN);
+}
+
 json_t *fc_term_encode(const fc_term *t) {
   json_t *members = json_array();
   for (size_t i = 0; i < t->count; i++)
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -41,6 +41,12 @@
 /* The value of a key that says all by being there: the format number alone. */
 json_t *fc_mark_encode(void);
 
+/* A member's own key, there as long as its lease. It names the newest format of job records
+ * that the process reads; versions that don't know of awaiting name none. */
+json_t *fc_member_key_encode(void);
+/* That format; FC_JOB_FORMAT_PLAIN where none is named. */
+unsigned fc_member_key_format(const json_t *v);
+
 json_t *fc_term_encode(const fc_term *t);
 bool fc_term_decode(const json_t *v, fc_term *out);
 int fc_term_find(const fc_term *t, const char *name); /* -1: not a member */
--- a/src/scheduler/place.c
+++ b/src/scheduler/place.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "bookkeeping/pipeline.h"
+
 typedef struct slot {
   fc_machine *machine;
   const fc_machine_type *type;
@@ -36,13 +38,21 @@
 }
 
 bool fc_job_placeable(const fc_table *t, const fc_job *j, double now) {
-  return j->phase == FC_PHASE_ACCEPTED && j->clear && j->team >= 0 && now >= j->blocked_until && t->self >= 0 &&
+  return fc_job_runnable(j) && j->clear && j->team >= 0 && now >= j->blocked_until && t->self >= 0 &&
          fc_job_owned(j, t->self);
 }
 
+/* When the job should start: at the latest that its deadline allows, or at once. */
+static double wanted_start(const fc_job *j) {
+  double latest = fc_job_latest_start(j);
+  return isinf(latest) ? j->queued_at : latest;
+}
+
 gint fc_job_by_importance(gconstpointer a, gconstpointer b) {
   const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
-  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
+  if (x->rank != y->rank) return x->rank > y->rank ? -1 : 1;
+  double x_start = wanted_start(x), y_start = wanted_start(y);
+  if (x_start != y_start) return x_start < y_start ? -1 : 1;
   return x->serial < y->serial ? -1 : x->serial > y->serial;
 }
 
@@ -53,7 +63,7 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
-    if (j->phase == FC_PHASE_ACCEPTED && j->team >= 0 && j->done_count < j->spec.tasks) g_ptr_array_add(out, j);
+    if (fc_job_runnable(j) && j->team >= 0 && j->done_count < j->spec.tasks) g_ptr_array_add(out, j);
   }
   g_ptr_array_sort(out, fc_job_by_importance);
   return out;
@@ -80,13 +90,12 @@
 
 gint fc_job_by_rank_and_id(gconstpointer a, gconstpointer b) {
   const fc_job *x = *(const fc_job *const *)a, *y = *(const fc_job *const *)b;
-  if (x->spec.rank != y->spec.rank) return x->spec.rank > y->spec.rank ? -1 : 1;
+  if (x->rank != y->rank) return x->rank > y->rank ? -1 : 1;
   return strcmp(x->spec.id, y->spec.id);
 }
 
 static bool gang_waits(const fc_job *j) {
-  return j->spec.kind == FC_KIND_GANG && j->phase == FC_PHASE_ACCEPTED && j->placements->len == 0 &&
-         j->done_count < j->spec.tasks;
+  return j->spec.kind == FC_KIND_GANG && fc_job_runnable(j) && j->placements->len == 0 && j->done_count < j->spec.tasks;
 }
 
 /* What of the team's use can't be stopped for a gang of the rank. */
@@ -97,7 +106,7 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
-    if (j->team != team || (j->spec.kind == FC_KIND_ARRAY && j->spec.rank < rank)) continue;
+    if (j->team != team || (j->spec.kind == FC_KIND_ARRAY && j->rank < rank)) continue;
     unsigned n = 0;
     for (guint i = 0; i < j->placements->len; i++) n += fc_placement_live(j->placements->pdata[i]);
     use.cpus += j->spec.cpus * n;
@@ -129,9 +138,9 @@
   for (guint i = 0; i < gangs->len; i++) {
     const fc_job *j = gangs->pdata[i];
     if (turn[j->team]) continue;
-    if (use_team != j->team || use_rank != (int)j->spec.rank) use = fixed_use(t, j->team, j->spec.rank);
+    if (use_team != j->team || use_rank != (int)j->rank) use = fixed_use(t, j->team, j->rank);
     use_team = j->team;
-    use_rank = (int)j->spec.rank;
+    use_rank = (int)j->rank;
     double n = j->spec.tasks;
     if (fc_team_within(&t->settings->teams[j->team], use.cpus + n * j->spec.cpus, use.gpus + n * j->spec.gpus))
       turn[j->team] = j;
@@ -142,8 +151,8 @@
 bool fc_gang_before(const fc_table *t, const fc_job *gang, const fc_job *j, double now) {
   if (!gang || j == gang || j->team != gang->team) return false;
   if (j->spec.kind == FC_KIND_GANG) return true;
-  return j->spec.kind == FC_KIND_ARRAY && j->spec.rank < gang->spec.rank &&
-         now > gang->seen_at + t->settings->op.handover_wait_s;
+  return j->spec.kind == FC_KIND_ARRAY && j->rank < gang->rank &&
+         now > gang->queued_at + t->settings->op.handover_wait_s;
 }
 
 #define SMALL_BITMAP 64u /* tasks / 8 that need no memory of their own */
@@ -380,7 +389,7 @@
   return guaranteed ? share : 1 + rs->used_cpus[team] * 1e-6;
 }
 
-/* The team whose turn it is: the lowest share, then whose job came first; -1: no
+/* The team whose turn it is: the lowest share, then whose job should start first; -1: no
  * job of the rank is left. */
 static int pick(const round_state *rs) {
   int best = -1;
@@ -390,7 +399,8 @@
     if (!c) continue;
     double share = share_of(rs, (int)k);
     const candidate *other = best >= 0 ? g_queue_peek_head(&rs->by_team[best]) : NULL;
-    if (other && share > best_share - 1e-9 && (share > best_share + 1e-9 || c->job->serial > other->job->serial))
+    if (other && share > best_share - 1e-9 &&
+        (share > best_share + 1e-9 || fc_job_by_importance(&c->job, &other->job) > 0))
       continue;
     best = (int)k;
     best_share = share;
@@ -409,7 +419,7 @@
   guint end = from;
   for (; end < rs->jobs->len; end++) {
     candidate *c = rs->jobs->pdata[end];
-    if (c->job->spec.rank != first->job->spec.rank) break;
+    if (c->job->rank != first->job->rank) break;
     g_queue_push_tail(&rs->by_team[c->job->team], c);
   }
   int team;
--- a/src/scheduler/place.h
+++ b/src/scheduler/place.h
@@ -31,7 +31,8 @@
 void fc_spread_add(fc_spread *s, unsigned zone);
 /* May another task of the job start in the zone, by the job's rules about zones? */
 bool fc_spread_open(const fc_spread *s, const fc_job_spec *spec, unsigned zone);
-/* Accepted jobs with tasks left, most important first, then first come. */
+/* Runnable jobs with tasks left, most important first, then by when they should start: at
+ * the latest that their deadlines and those of jobs after them allow, or when they came. */
 GPtrArray *fc_jobs_open(const fc_table *t);
 gint fc_job_by_importance(gconstpointer a, gconstpointer b);
 /* Sorts fc_job pointers in an order that is the same on every member. */
--- a/src/scheduler/preempt.c
+++ b/src/scheduler/preempt.c
@@ -36,9 +36,9 @@
   if (!fc_placement_live(p) || p->stopping || !p->job || p->job->team < 0) return false;
   /* Stopping one task of a gang stops them all: too dear for one place. */
   if (p->job->spec.kind == FC_KIND_GANG) return false;
-  if (p->job->spec.rank < for_job->spec.rank) return true;
-  return p->job->spec.rank == for_job->spec.rank && p->job->spec.kind == FC_KIND_ARRAY &&
-         p->job->team != for_job->team && within_guarantee(t, u, for_job) && over_guarantee(t, u, p->job->team);
+  if (p->job->rank < for_job->rank) return true;
+  return p->job->rank == for_job->rank && p->job->spec.kind == FC_KIND_ARRAY && p->job->team != for_job->team &&
+         within_guarantee(t, u, for_job) && over_guarantee(t, u, p->job->team);
 }
 
 /* Seconds of work that stopping it throws away, saving included. */
@@ -174,7 +174,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const fc_job *j = value;
     if (j->team != gang->team) continue;
-    bool stoppable = j->spec.kind == FC_KIND_ARRAY && j->spec.rank < gang->spec.rank;
+    bool stoppable = j->spec.kind == FC_KIND_ARRAY && j->rank < gang->rank;
     for (guint i = 0; i < j->placements->len; i++) {
       fc_placement *p = j->placements->pdata[i];
       if (!fc_placement_live(p)) continue;
@@ -199,7 +199,7 @@
   for (size_t k = 0; k < t->settings->team_count; k++) {
     const fc_job *gang = turn[k];
     /* What runs may end by itself; a lease is as long as most troubles take. */
-    if (gang && now > gang->seen_at + t->settings->lease_s) stop_for_gang(t, gang, stops);
+    if (gang && now > gang->queued_at + t->settings->lease_s) stop_for_gang(t, gang, stops);
   }
 }
 
@@ -245,13 +245,13 @@
   const fc_table *t = search->table;
   const fc_job *j = d->job;
   const fc_machine *to = d->machine;
-  if (j->spec.rank < FC_RANK_PROD || j->spec.kind == FC_KIND_GANG || to->type < 0) return false;
+  if (j->rank < FC_RANK_PROD || j->spec.kind == FC_KIND_GANG || to->type < 0) return false;
   if (fc_machine_has_image(to, j->spec.image)) return false;
   const fc_machine_type *mt = t->types->pdata[to->type];
   double fetch = mt->fetch_gb_per_s > 0 ? j->spec.image_gb / mt->fetch_gb_per_s : 0;
   /* Waiting has to pay: a stop takes a save and a report or two. */
   double patience = fetch * 0.5;
-  if (patience < t->settings->report_s * 3 || search->now > j->seen_at + patience) return false;
+  if (patience < t->settings->report_s * 3 || search->now > j->queued_at + patience) return false;
   return make_room(t, &search->used, holders(search, j->spec.image), j, search->now, stops);
 }
 
@@ -275,7 +275,7 @@
   for (guint i = 0; i < failed->len; i++) {
     const failure *f = &g_array_index(failed, failure, i);
     const fc_job_spec *x = &f->job->spec;
-    if (x->rank == y->rank && f->job->team == j->team && x->spot == y->spot && x->zone == y->zone && !x->types &&
+    if (f->job->rank == j->rank && f->job->team == j->team && x->spot == y->spot && x->zone == y->zone && !x->types &&
         !f->job->failed_on && (zones & ~f->zones) == 0 && x->cpus <= y->cpus && x->gpus <= y->gpus &&
         x->memory_gb <= y->memory_gb)
       return true;
@@ -294,7 +294,7 @@
     fc_job *j = jobs->pdata[i];
     if (j->spec.kind == FC_KIND_GANG || !fc_job_placeable(t, j, now) || j->handing) continue;
     /* Idle room elsewhere is cheaper: give the hand-over time to find it. */
-    if (now < j->seen_at + t->settings->op.handover_wait_s + t->settings->op.round_s * 0.5) continue;
+    if (now < j->queued_at + t->settings->op.handover_wait_s + t->settings->op.round_s * 0.5) continue;
     if (hopeless(failed, j, open_zones(j))) continue;
     GArray *missing = fc_job_missing(j, t->self, 64);
     for (guint k = 0; k < missing->len; k++) {
--- a/src/scheduler/share.c
+++ b/src/scheduler/share.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "bookkeeping/pipeline.h"
 #include "coordination/deal.h"
 #include "scheduler/place.h"
 
@@ -283,7 +284,7 @@
     const fc_job *j = q->job;
     /* Where all parts are full, a job would go round and round. */
     double pause = t->settings->op.round_s * (1 + MIN(j->handed_count, 7));
-    if (now < j->seen_at + t->settings->op.handover_wait_s || now < j->handed_at + pause) continue;
+    if (now < j->queued_at + t->settings->op.handover_wait_s || now < j->handed_at + pause) continue;
     if (!j->handing && now >= j->blocked_until) hand_over_slices(t, told, room, q, out);
   }
   if (queue) g_array_free(queue, TRUE);
@@ -297,7 +298,7 @@
 }
 
 bool fc_share_clearable(const fc_placement *p, const fc_job *gang) {
-  return p->job && p->job->spec.kind == FC_KIND_ARRAY && p->job->spec.rank < gang->spec.rank;
+  return p->job && p->job->spec.kind == FC_KIND_ARRAY && p->job->rank < gang->rank;
 }
 
 /* The machine's room once arrays of lower rank than the gang have been stopped;
@@ -394,7 +395,7 @@
   unsigned own = 0;
   bool clear = !find_zone(t, room, j, g.owner, false, g.left, &g.zone, &own);
   if (clear) {
-    if (now < j->seen_at + 2 * t->settings->op.round_s) return;
+    if (now < j->queued_at + 2 * t->settings->op.round_s) return;
     if (!find_zone(t, room, j, g.owner, true, g.left, &g.zone, &own)) return;
   } else if (own >= g.left) {
     return; /* its owner places it alone */
@@ -413,9 +414,9 @@
   g_hash_table_iter_init(&it, t->jobs);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     fc_job *j = value;
-    if (j->spec.kind != FC_KIND_GANG || j->phase != FC_PHASE_ACCEPTED || j->team < 0) continue;
+    if (j->spec.kind != FC_KIND_GANG || !fc_job_runnable(j) || j->team < 0) continue;
     if (j->placements->len > 0 || j->done_count == j->spec.tasks) continue;
-    if (now >= j->seen_at + t->settings->op.handover_wait_s) g_ptr_array_add(jobs, j);
+    if (now >= j->queued_at + t->settings->op.handover_wait_s) g_ptr_array_add(jobs, j);
   }
   g_ptr_array_sort(jobs, fc_job_by_rank_and_id);
   return jobs;
--- a/src/transport/routine.c
+++ b/src/transport/routine.c
@@ -70,12 +70,20 @@
 static double g_slice_from;    /* use before this is counted already */
 static double g_lag_s, g_lag_at;
 
-double fc_now(void) {
+static double read_clock(clockid_t clock) {
   struct timespec ts;
-  if (clock_gettime(CLOCK_MONOTONIC, &ts) != 0) abort();
+  if (clock_gettime(clock, &ts) != 0) abort();
   return (double)ts.tv_sec + (double)ts.tv_nsec * 1e-9;
 }
 
+double fc_now(void) {
+  return read_clock(CLOCK_MONOTONIC);
+}
+
+double fc_time_of_day(void) {
+  return read_clock(CLOCK_REALTIME);
+}
+
 struct ev_loop *fc_loop(void) {
   return g_loop;
 }
--- a/src/transport/routine.h
+++ b/src/transport/routine.h
@@ -21,6 +21,9 @@
 
 /* The steady clock, in seconds. Never the time of day. */
 double fc_now(void);
+/* Time of day in seconds, off by as much as the platform says; decides nothing that has to
+ * be safe. */
+double fc_time_of_day(void);
 
 /* Starts a routine at the next turn of the loop. NULL when memory is short. */
 fc_routine *fc_routine_spawn(fc_routine_fn fn, void *arg);
--- a/tests/sim/events.c
+++ b/tests/sim/events.c
@@ -129,6 +129,12 @@
   return NULL;
 }
 void fc_loop_run(void) {}
+#define SIM_TIME_OF_DAY 1.8e9 /* when the simulation starts */
+
+double fc_time_of_day(void) {
+  return SIM_TIME_OF_DAY + sim_now();
+}
+
 double fc_now(void) {
   /* Steady clocks run up to 0.05% fast, each at its own rate. */
   double drift = g_process ? 0.0005 * (g_process->ip % 7) / 6.0 : 0;
