--- a/tests/sim/checks.c
+++ b/tests/sim/checks.c
@@ -93,12 +93,12 @@
 
 /* Since when the job has been left waiting beside room; 0: it isn't. */
 static double left_since(const job *j) {
-  if (!j->told_accepted || j->over || j->cancel_asked) return 0;
+  if (!j->told_accepted || j->over || j->cancel_asked || job_called_off(j) || isinf(job_ready_at(j))) return 0;
   bool gang = strcmp(j->kind, "gang") == 0;
   standing s = stand_of(j);
   if (gang ? s.running > 0 : s.missing == 0) return 0;
   if (!has_room(j, &s, gang ? s.missing : 1)) return 0;
-  double since = j->left_since > 0 ? j->left_since : sim_now();
+  double since = j->left_since > 0 ? j->left_since : sim_now(); /* it is ready then */
   return gang ? since : MAX(since, j->last_start);
 }
 
@@ -147,6 +147,7 @@
 
 /* What is cancelled before it has waited for long asks for nothing. */
 static bool counts(const job *j) {
+  if (j->began_at <= 0 && (job_called_off(j) || isinf(job_ready_at(j)))) return false;
   return j->began_at > 0 || !j->cancel_asked || j->cancel_asked_at > j->accepted_at + LEFT_S;
 }
 
@@ -191,7 +192,8 @@
   check_served("largest of", kind, jobs, largest);
   for (guint i = 0; i < largest; i++) {
     const job *j = jobs->pdata[i];
-    double from = MAX(j->entered_at + j->submit_at, g_quiet_from);
+    if (job_called_off(j) || isinf(job_ready_at(j))) continue;
+    double from = MAX(MAX(j->entered_at + j->submit_at, job_ready_at(j)), g_quiet_from);
     double began = j->began_at > 0 ? j->began_at : sim_now();
     if (!j->cancel_asked && began > from + LARGEST_S) broke_of("one of the largest began late", j, from);
   }
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -3,6 +3,7 @@
 #define FC_TESTS_PARTS_H
 
 #include <jansson.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,6 +35,7 @@
   double submit_at, cancel_at; /* cancel_at 0: never; both count from other moments */
   double entered_at;           /* submit_at counts from it */
   double accepted_at;          /* when its user was first told */
+  double first_submitted_at;   /* 0: not yet */
   bool *done;
   unsigned done_count;
   bool submitting, over;
@@ -46,6 +48,8 @@
   double ended_at;    /* when its last task completed */
   double last_start;  /* of a task of it */
   double left_since;  /* it could run and waits; 0: it doesn't */
+  GPtrArray *awaits;  /* job: have to be done before it starts */
+  double whistle_s;   /* 0: no deadline */
 } job;
 
 typedef enum { T_FETCHING, T_WAITING, T_RUNNING, T_EXITED } tstate;
@@ -130,6 +134,13 @@
 /* Its last task has just completed. */
 void users_job_ends(job *j);
 void job_new(unsigned n, double busy_s, bool meetings);
+/* A pipeline of up to six jobs, numbered from n on, some of which may await jobs of before;
+ * how many there are. */
+unsigned pipeline_new(unsigned n, double busy_s);
+/* Since when everything that it awaits is done; INFINITY: something isn't. */
+double job_ready_at(const job *j);
+/* Was a job that it needs, directly or through others, called off? */
+bool job_called_off(const job *j);
 /* troubles.c: draws meetings up to `end`; all are over by the time it returns. */
 double troubles_start(double end);
 /* Jobs of such days: longer, bound to a zone, larger. */
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -29,11 +29,41 @@
   return q;
 }
 
+double job_ready_at(const job *j) {
+  double at = 0;
+  for (guint i = 0; i < j->awaits->len; i++) {
+    const job *before = j->awaits->pdata[i];
+    at = MAX(at, before->ended_at > 0 ? before->ended_at : INFINITY);
+  }
+  return at;
+}
+
+bool job_called_off(const job *j) {
+  for (guint i = 0; i < j->awaits->len; i++) {
+    const job *before = j->awaits->pdata[i];
+    if ((before->cancel_asked && !before->told_done) || job_called_off(before)) return true;
+  }
+  return false;
+}
+
+/* When a user was first told that a job is cancelled which this one needs; INFINITY: never. */
+static double told_cancelled_before(const job *j) {
+  double at = INFINITY;
+  for (guint i = 0; i < j->awaits->len; i++) {
+    const job *before = j->awaits->pdata[i];
+    if (before->told_cancelled) at = MIN(at, before->cancelled_at);
+    at = MIN(at, told_cancelled_before(before));
+  }
+  return at;
+}
+
 static void check_told(const question *q, const char *status) {
   job *j = q->j;
   bool done = strcmp(status, "done") == 0, cancelled = strcmp(status, "cancelled") == 0;
   if (done && j->done_count < j->tasks) world_broke("not_done", j->id);
-  if (cancelled && !j->cancel_asked) world_broke("went_back", j->id);
+  if (cancelled && !j->cancel_asked && !job_called_off(j)) world_broke("went_back", j->id);
+  double asked_from = MAX(told_cancelled_before(j), j->first_submitted_at);
+  if (!done && !cancelled && sim_now() > asked_from + CANCEL_S) world_broke("orphaned", j->id);
   if (q->told_done && !done) world_broke("went_back", j->id);
   if (q->told_cancelled && !cancelled) world_broke("went_back", j->id);
   if (done && !j->told_done) {
@@ -72,7 +102,7 @@
       j->accepted_at = sim_now();
     }
     j->told_accepted = true;
-    if (status == 200) read_status(q, body);
+    read_status(q, body);
     sim_after(sim_draw(1, 5), user_poll, j);
     if (j->cancel_at > 0) sim_after(j->cancel_at, user_cancel, j);
   } else if (status == 400 || status == 422) {
@@ -83,8 +113,20 @@
   g_free(q);
 }
 
+/* Users submit a job once those that it awaits are accepted. */
+static bool all_accepted(const GPtrArray *awaits) {
+  for (guint i = 0; i < awaits->len; i++)
+    if (!((const job *)awaits->pdata[i])->told_accepted) return false;
+  return true;
+}
+
 static void user_submit(void *arg) {
   job *j = arg;
+  if (!all_accepted(j->awaits)) {
+    sim_after(0.05, user_submit, j);
+    return;
+  }
+  if (j->first_submitted_at <= 0) j->first_submitted_at = sim_now();
   j->submitting = true;
   sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "POST", "/api/jobs", j->body, 5, on_submitted, ask(j));
 }
@@ -262,6 +304,10 @@
   if (status == 200) world_broke("invented", "a job nobody submitted");
 }
 
+static gint by_id(gconstpointer a, gconstpointer b) {
+  return strcmp((*(job *const *)a)->id, (*(job *const *)b)->id);
+}
+
 /* ---- odd requests ---- */
 
 static const struct {
@@ -406,15 +452,36 @@
   return text;
 }
 
+/* As JSON; the caller frees it. */
+static char *list_awaits(const job *j) {
+  GString *list = g_string_new("[");
+  for (guint i = 0; i < j->awaits->len; i++)
+    g_string_append_printf(list, "%s\"%s\"", i ? "," : "", ((const job *)j->awaits->pdata[i])->id);
+  g_string_append_c(list, ']');
+  return g_string_free(list, FALSE);
+}
+
+static const char *number_or_null(double n) {
+  static char text[40];
+  if (n <= 0) return "null";
+  g_snprintf(text, sizeof text, "%f", n);
+  return text;
+}
+
 /* Into the world: known to the workers, and its user on the way. */
 static void job_enter(job *j, unsigned image) {
   j->done = g_new0(bool, j->tasks);
+  if (!j->awaits) j->awaits = g_ptr_array_new();
+  char *awaits = list_awaits(j);
   j->body = g_strdup_printf(
       "{\"id\":\"%s\",\"squad\":\"%s\",\"club\":\"%s\",\"play\":\"%s\",\"rank\":\"%s\",\"runs\":%u,\"cpus\":%f,"
       "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":null,\"ground\":%s,\"samePlace\":%s,"
-      "\"scatter\":%s,\"loaners\":%s,\"expectS\":10,\"markS\":0,\"stowS\":0,\"whistleS\":null}",
+      "\"scatter\":%s,\"loaners\":%s,\"expectS\":10,\"markS\":0,\"stowS\":0,\"whistleS\":%s,"
+      "\"awaits\":%s}",
       j->id, j->kind, j->team, j->kind, j->rank, j->tasks, j->cpus, j->gpus, image, quoted(j->zone),
-      j->one_zone ? "true" : "false", j->spread ? "true" : "false", j->spot ? "true" : "false");
+      j->one_zone ? "true" : "false", j->spread ? "true" : "false", j->spot ? "true" : "false",
+      number_or_null(j->whistle_s), awaits);
+  g_free(awaits);
   g_hash_table_insert(g_jobs, j->id, j);
   g_result.submitted++;
   j->entered_at = sim_now();
@@ -445,6 +512,10 @@
   j->spot = s->spot;
   j->submit_at = s->in_s;
   j->cancel_at = s->cancel_in_s;
+  j->whistle_s = s->whistle_s;
+  j->awaits = g_ptr_array_new();
+  for (size_t i = 0; i < G_N_ELEMENTS(s->awaits) && s->awaits[i]; i++)
+    g_ptr_array_add(j->awaits, g_hash_table_lookup(g_jobs, s->awaits[i]));
   job_enter(j, 1);
 }
 
@@ -494,6 +565,65 @@
   return n;
 }
 
+/* An earlier job that may be named; NULL: none came up. */
+static job *any_earlier(void) {
+  GPtrArray *jobs = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init(&it, g_jobs);
+  while (g_hash_table_iter_next(&it, NULL, &value))
+    if (strcmp(((const job *)value)->kind, "service") != 0) g_ptr_array_add(jobs, value);
+  g_ptr_array_sort(jobs, by_id);
+  job *j = jobs->len > 0 ? jobs->pdata[g_rand_int_range(sim_rand(), 0, (gint32)jobs->len)] : NULL;
+  g_ptr_array_free(jobs, TRUE);
+  return j;
+}
+
+/* One job of a pipeline, after those in `before`. */
+static job *stage_new(unsigned n, double from_s, const GPtrArray *before) {
+  job *j = g_new0(job, 1);
+  g_snprintf(j->id, sizeof j->id, "job-%06u", 910000 + n);
+  bool gang = sim_chance(0.2);
+  j->kind = gang ? "gang" : "sweep";
+  j->rank = sim_chance(0.5) ? "best_effort" : "standard";
+  j->team = sim_chance(0.5) ? "red" : "blue";
+  j->tasks = 1 + (unsigned)sim_draw(0, gang ? 3 : 6);
+  j->gpus = 0.25;
+  j->cpus = sim_draw(1, 4);
+  j->run_s = sim_draw(2, 12);
+  j->one_zone = gang;
+  j->spot = !gang;
+  j->submit_at = from_s;
+  j->awaits = g_ptr_array_new();
+  for (guint i = 0; i < before->len; i++)
+    if (i + 1 == before->len || sim_chance(0.4)) g_ptr_array_add(j->awaits, before->pdata[i]);
+  return j;
+}
+
+unsigned pipeline_new(unsigned n, double busy_s) {
+  GPtrArray *stages = g_ptr_array_new();
+  double from_s = sim_draw(0, busy_s);
+  unsigned count = 2 + (unsigned)sim_draw(0, 5);
+  bool called_off = sim_chance(0.25);
+  unsigned which = (unsigned)sim_draw(0, count);
+  job *earlier = sim_chance(0.3) ? any_earlier() : NULL;
+  if (earlier) g_ptr_array_add(stages, earlier);
+  for (unsigned i = 0; i < count; i++) {
+    /* Some submit the last only when the others may be over. */
+    bool last = i + 1 == count;
+    job *j = stage_new(n + i, last && sim_chance(0.2) ? from_s + 40 : from_s, stages);
+    if (last) {
+      j->rank = "high";
+      j->whistle_s = sim_draw(30, 120);
+    }
+    if (called_off && i == which) j->cancel_at = sim_draw(0, 30);
+    job_enter(j, (n + i) % 4);
+    g_ptr_array_add(stages, j);
+  }
+  g_ptr_array_free(stages, TRUE);
+  return count;
+}
+
 void job_new(unsigned n, double busy_s, bool meetings) {
   job *j = g_new0(job, 1);
   g_snprintf(j->id, sizeof j->id, "job-%06u", n * 7919 % 900000);
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -74,6 +74,7 @@
   if (j->told_cancelled) g_result.late_starts++;
   if (j->zone && strcmp(j->zone, world_zones[w->zone]) != 0) world_broke("wrong_place", j->id);
   if (!j->told_accepted && !j->submitting) world_broke("invented", j->id);
+  if (isinf(job_ready_at(j))) world_broke("too_early", j->id);
 }
 
 typedef struct task_search {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -590,6 +590,7 @@
   j->gpus = j->cpus = gpus;
   j->run_s = run_s;
   j->spot = j->submitting = true;
+  j->awaits = g_ptr_array_new();
   j->done = g_new0(bool, tasks);
   g_hash_table_insert(g_jobs, j->id, j);
 }
@@ -646,11 +647,13 @@
   }
 }
 
-world_result world_play(uint32_t seed, double busy_s, bool meetings) {
+world_result world_play(uint32_t seed, double busy_s, const world_day *day) {
+  bool meetings = day->meetings;
   world_set_up(seed, 0.002);
   world_start_nodes();
   for (int i = 0; i < 3; i++) (void)worker_new(i % 2, false, 0);
   for (unsigned i = 1; i <= (unsigned)(busy_s / 8); i++) job_new(i, busy_s, meetings);
+  for (unsigned n = 0; day->pipelines && n < (unsigned)(busy_s / 4);) n += pipeline_new(n, busy_s);
   ask_unknown(NULL);
   static double end;
   end = sim_now() + busy_s;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -27,9 +27,12 @@
   unsigned questions, told, put_off;         /* about jobs; answered with 200; with 503 */
 } world_result;
 
-/* Plays one day with the faults that the seed draws; with meetings, also troubles that
- * begin within seconds of each other. */
-world_result world_play(uint32_t seed, double busy_s, bool meetings);
+/* Plays one day with the faults that the seed draws. */
+typedef struct world_day {
+  bool meetings;  /* also troubles that begin within seconds of each other */
+  bool pipelines; /* also jobs that await others */
+} world_day;
+world_result world_play(uint32_t seed, double busy_s, const world_day *day);
 
 /* For tests that play their own scene: the stand-ins, then the controllers. */
 void world_set_up(uint32_t seed, double lose);
@@ -69,6 +72,8 @@
   double later_s; /* so much later than the one before it each task ends */
   bool one_zone, spread, spot;
   double cancel_in_s; /* after its user is told that it is accepted; 0: never */
+  double whistle_s;   /* its deadline; 0: none */
+  const char *awaits[4];
 } world_job;
 void world_submit_job(const world_job *spec);
 void world_submit(const char *id, const char *kind, const char *rank, unsigned tasks, double gpus, double run_s,
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -9,16 +9,15 @@
 #define BUSY_S 240
 #define SEEDS 64u
 #define SEEDS_WITH_MEETINGS 30u
+#define SEEDS_WITH_PIPELINES 16u
 
-static void play_days(bool meetings) {
+static void play_days(const world_day *day, uint32_t seeds) {
   const char *only = g_getenv("FAULT_SEED"), *many = g_getenv("FAULT_SEEDS");
-  uint32_t first = only ? (uint32_t)atoi(only) : 1, count = many       ? (uint32_t)atoi(many)
-                                                            : only     ? 1
-                                                            : meetings ? SEEDS_WITH_MEETINGS
-                                                                       : SEEDS;
+  uint32_t first = only ? (uint32_t)atoi(only) : 1;
+  uint32_t count = many ? (uint32_t)atoi(many) : only ? 1 : seeds;
   unsigned unaccepted = 0, unfinished = 0, starts = 0, late_starts = 0, broken = 0, odd = 0;
   for (uint32_t seed = first; seed < first + count; seed++) {
-    world_result r = world_play(seed, BUSY_S, meetings);
+    world_result r = world_play(seed, BUSY_S, day);
     print_message(
         "seed %u: %u faults, %u crashes, %u starts, %u lease kills; %u jobs: %u accepted, %u done, %u "
         "cancelled, %u open; %u late starts, %u%% served at least, %u odd requests\n",
@@ -36,7 +35,7 @@
   print_message("%u days: %u starts, %u of them after a confirmed cancellation\n", count, starts, late_starts);
   assert_int_equal(broken, 0);
   assert_true(starts > 50 * count);
-  assert_true(!meetings || count == 1 || odd > 0);
+  assert_true(!day->meetings || count == 1 || odd > 0);
   assert_int_equal(unaccepted, 0);
   /* In the quiet end every accepted job has to get there. */
   assert_int_equal(unfinished, 0);
@@ -44,16 +43,28 @@
 
 static void days_with_faults(void **state) {
   (void)state;
-  play_days(false);
+  play_days(&(world_day){0}, SEEDS);
 }
 
 static void days_with_meetings(void **state) {
   (void)state;
-  play_days(true);
+  play_days(&(world_day){.meetings = true}, SEEDS_WITH_MEETINGS);
+}
+
+static void days_with_pipelines(void **state) {
+  (void)state;
+  play_days(&(world_day){.pipelines = true}, SEEDS_WITH_PIPELINES);
+}
+
+static void days_with_pipelines_and_meetings(void **state) {
+  (void)state;
+  play_days(&(world_day){.pipelines = true, .meetings = true}, SEEDS_WITH_PIPELINES);
 }
 
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(days_with_faults), cmocka_unit_test(days_with_meetings)};
+  const struct CMUnitTest tests[] = {cmocka_unit_test(days_with_faults), cmocka_unit_test(days_with_meetings),
+                                     cmocka_unit_test(days_with_pipelines),
+                                     cmocka_unit_test(days_with_pipelines_and_meetings)};
   /* One of them: FAULT_TEST=days_with_meetings */
   cmocka_set_test_filter(g_getenv("FAULT_TEST"));
   return cmocka_run_group_tests(tests, NULL, NULL);
