--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -1,6 +1,10 @@
 /* Users: they submit, ask and cancel, and check what they are told. */
 #include "parts.h"
 
+/* Ids of their own for what is submitted besides the days' ordinary jobs. */
+#define FIRST_ODD 910000u
+#define FIRST_OF_PIPELINES 930000u
+
 double g_cancel_at_end;
 static int g_users_node;
 
@@ -377,7 +381,7 @@
 static void submit_odd(void) {
   odd *o = g_new(odd, 1);
   o->row = (guint)g_rand_int_range(sim_rand(), 0, G_N_ELEMENTS(k_odd));
-  g_snprintf(o->id, sizeof o->id, "job-%06u", 910000 + g_result.odd);
+  g_snprintf(o->id, sizeof o->id, "job-%06u", FIRST_ODD + g_result.odd);
   json_t *v =
       json_pack("{ss ss ss ss ss si sf sf sf ss sf sb sb sb sf sf sf}", "id", o->id, "squad", "sweep", "club", "red",
                 "play", "sweep", "rank", "standard", "runs", 1, "cpus", 1.0, "gpus", 1.0, "memGb", 8.0, "kit", "img-1",
@@ -582,7 +586,7 @@
 /* One job of a pipeline, after those in `before`. */
 static job *stage_new(unsigned n, double from_s, const GPtrArray *before) {
   job *j = g_new0(job, 1);
-  g_snprintf(j->id, sizeof j->id, "job-%06u", 910000 + n);
+  g_snprintf(j->id, sizeof j->id, "job-%06u", FIRST_OF_PIPELINES + n);
   bool gang = sim_chance(0.2);
   j->kind = gang ? "gang" : "sweep";
   j->rank = sim_chance(0.5) ? "best_effort" : "standard";
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -1,5 +1,6 @@
 /* Cloud, workers, users and faults; the rules are checked where they could break. */
 #include "parts.h"
+#include "requests.h"
 
 #include <arpa/inet.h>
 
@@ -334,21 +335,8 @@
   while (count-- > 0) (void)worker_new((int)zone, false, 0);
 }
 
-static void on_answer(int status, const char *body, void *arg) {
-  (void)body;
-  *(int *)arg = status;
-}
-
-int world_ask_body(unsigned node, const char *method, const char *path, const char *body) {
-  static int status; /* outlives a call that is given up */
-  status = -1;
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), method, path, body, 2, on_answer, &status);
-  while (status < 0) sim_run_until(sim_now() + 0.01);
-  return status;
-}
-
 int world_ask(unsigned node, const char *path) {
-  return world_ask_body(node, "GET", path, "");
+  return world_request(node, "GET", path, "").status;
 }
 
 static unsigned tasks_in(tstate state) {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -137,7 +137,6 @@
 unsigned world_unanswered(double since);
 /* The machine that a task of the job is on, in order of creation; -1: none. */
 int world_machine_of(const char *id, unsigned index);
-int world_ask_body(unsigned node, const char *method, const char *path, const char *body);
 world_result world_so_far(void);
 void world_watch_leases(void);                     /* lease_left_s counts from here */
 unsigned world_running(void);                      /* tasks, now */
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -4,33 +4,9 @@
 
 #include <stdlib.h>
 
+#include "sim/requests.h"
 #include "sim/world.h"
 
-typedef struct reply {
-  int status;
-  char body[400];
-  double at;
-  bool came;
-} reply;
-
-static void on_reply(int status, const char *body, void *arg) {
-  reply *r = arg;
-  r->status = status;
-  g_strlcpy(r->body, body, sizeof r->body);
-  r->at = sim_now();
-  r->came = true;
-}
-
-static reply call_to(uint32_t ip, const char *method, const char *path, const char *body) {
-  static reply r; /* outlives a call that is given up */
-  memset(&r, 0, sizeof r);
-  double sent = sim_now();
-  sim_call(WORLD_USER_IP, ip, method, path, body, 8, on_reply, &r);
-  while (!r.came) sim_run_until(sim_now() + 0.01);
-  r.at -= sent;
-  return r;
-}
-
 #define JOB(id, team, gpus)                                                  \
   "{\"id\":\"" id "\",\"squad\":\"c\",\"club\":\"" team                      \
   "\",\"play\":\"sweep\",\"rank\":\"standard\",\"runs\":2,"                  \
@@ -69,10 +45,10 @@
       {"submitted again after the end", "POST", "/api/jobs", k_job, 0, 200, "cancelled"},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    reply r = call_to(WORLD_NODE_IP(rows[i].node), rows[i].method, rows[i].path, rows[i].body);
+    world_reply r = world_request(rows[i].node, rows[i].method, rows[i].path, rows[i].body);
     if (r.status != rows[i].status) print_message("row '%s': %d %s\n", rows[i].name, r.status, r.body);
     check_row(rows[i].name, r.status == rows[i].status && strstr(r.body, rows[i].says));
-    check_row(rows[i].name, r.at < 1);
+    check_row(rows[i].name, r.took < 1);
   }
 }
 
@@ -83,11 +59,11 @@
   world_set_up(2, 0);
   world_start_nodes();
   sim_run_until(sim_now() + 5);
-  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", k_job).status, 201);
-  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs/job-000001/withdraw", "").status, 200);
-  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", JOB("job-000002", "red", "1")).status, 201);
-  assert_int_equal(call_to(WORLD_NODE_IP(1), "GET", "/api/jobs/job-000002", "").status, 200);
-  assert_int_equal(call_to(WORLD_NODE_IP(1), "GET", "/api/jobs/job-000001", "").status, 200);
+  assert_int_equal(world_request(0, "POST", "/api/jobs", k_job).status, 201);
+  assert_int_equal(world_request(0, "POST", "/api/jobs/job-000001/withdraw", "").status, 200);
+  assert_int_equal(world_request(0, "POST", "/api/jobs", JOB("job-000002", "red", "1")).status, 201);
+  assert_int_equal(world_request(1, "GET", "/api/jobs/job-000002", "").status, 200);
+  assert_int_equal(world_request(1, "GET", "/api/jobs/job-000001", "").status, 200);
   state_down(true);
   sim_run_until(sim_now() + 6);
   static const struct {
@@ -102,10 +78,10 @@
       {"health: nobody reaches the state service", "GET", "/ready", "", 200},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    reply r = call_to(WORLD_NODE_IP(1), rows[i].method, rows[i].path, rows[i].body);
+    world_reply r = world_request(1, rows[i].method, rows[i].path, rows[i].body);
     if (r.status != rows[i].status) print_message("row '%s': %d %s\n", rows[i].name, r.status, r.body);
     check_row(rows[i].name, r.status == rows[i].status);
-    check_row(rows[i].name, r.at < 0.1); /* what is hopeless is refused at once */
+    check_row(rows[i].name, r.took < 0.1); /* what is hopeless is refused at once */
   }
 }
 
@@ -150,12 +126,12 @@
   world_set_up(5, 0);
   world_start_nodes();
   sim_run_until(sim_now() + 5);
-  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", k_job).status, 201);
-  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs/job-000001/withdraw", "").status, 200);
+  assert_int_equal(world_request(0, "POST", "/api/jobs", k_job).status, 201);
+  assert_int_equal(world_request(0, "POST", "/api/jobs/job-000001/withdraw", "").status, 200);
   sim_run_until(sim_now() + 60);
-  reply held = call_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/job/&page=10", "");
+  world_reply held = world_request_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/job/&page=10", "");
   assert_non_null(strstr(held.body, "\"rows\":[]"));
-  assert_int_equal(call_to(WORLD_STATE_IP, "GET", "/keys/fc1over/job-000001", "").status, 200);
+  assert_int_equal(world_request_to(WORLD_STATE_IP, "GET", "/keys/fc1over/job-000001", "").status, 200);
   for (unsigned n = 0; n < WORLD_NODES; n++) world_crash(n, 1);
   sim_run_until(sim_now() + 12);
   static const struct {
@@ -171,7 +147,7 @@
       {"one that never was", "GET", "/api/jobs/job-000009", "", 404, ""},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    reply r = call_to(WORLD_NODE_IP(i % WORLD_NODES), rows[i].method, rows[i].path, rows[i].body);
+    world_reply r = world_request(i % WORLD_NODES, rows[i].method, rows[i].path, rows[i].body);
     if (r.status != rows[i].status) print_message("row '%s': %d %s\n", rows[i].name, r.status, r.body);
     check_row(rows[i].name, r.status == rows[i].status && strstr(r.body, rows[i].says));
     sim_run_until(sim_now() + 1);
@@ -180,9 +156,9 @@
   for (unsigned i = 0; i < 60; i++) {
     char path[64];
     g_snprintf(path, sizeof path, "/api/jobs/job-%06u", 900000 + i);
-    reply r = call_to(WORLD_NODE_IP(0), "GET", path, "");
+    world_reply r = world_request(0, "GET", path, "");
     assert_true(r.status == 404 || r.status == 503);
-    assert_true(r.at < 0.5);
+    assert_true(r.took < 0.5);
   }
 }
 
@@ -192,18 +168,18 @@
   (void)state;
   world_set_up(3, 0);
   const char *hire = "{\"hire\":\"r-9-1\",\"build\":\"g4\",\"ground\":\"a\",\"loaners\":false,\"count\":2}";
-  assert_int_equal(call_to(WORLD_CLOUD_IP, "POST", "/hosts", hire).status, 200);
+  assert_int_equal(world_request_to(WORLD_CLOUD_IP, "POST", "/hosts", hire).status, 200);
   assert_int_equal(world_machines(), 2);
   const char *intent =
       "{\"when\":[],\"then\":[{\"set\":\"fc1/hire/r-9-1\",\"v\":{\"f\":1,\"type\":\"g4\",\"zone\":\"a\","
       "\"owner\":\"*\",\"spot\":false,\"count\":2}}]}";
-  assert_int_equal(call_to(WORLD_STATE_IP, "POST", "/commit", intent).status, 200);
+  assert_int_equal(world_request_to(WORLD_STATE_IP, "POST", "/commit", intent).status, 200);
   world_start_nodes();
   sim_run_until(sim_now() + 12);
   assert_int_equal(world_machines(), 2);
-  reply left = call_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/hire/&page=10", "");
+  world_reply left = world_request_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/hire/&page=10", "");
   assert_non_null(strstr(left.body, "\"rows\":[]"));
-  reply known = call_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/machine/&page=10", "");
+  world_reply known = world_request_to(WORLD_STATE_IP, "GET", "/keys?prefix=fc1/machine/&page=10", "");
   assert_non_null(strstr(known.body, "fc1/machine/vm-000000"));
   assert_non_null(strstr(known.body, "fc1/machine/vm-000001"));
 }
@@ -221,10 +197,9 @@
       "\"cpus\":4,\"gpus\":4,\"memGb\":1,\"kit\":\"i\",\"pullGb\":1,\"builds\":null,\"ground\":null,"
       "\"samePlace\":false,\"scatter\":false,\"loaners\":true,\"expectS\":60,\"markS\":10,\"stowS\":2,\"whistleS\":"
       "null}";
-  assert_int_equal(call_to(WORLD_NODE_IP(0), "POST", "/api/jobs", gang).status, 201);
+  assert_int_equal(world_request(0, "POST", "/api/jobs", gang).status, 201);
   double patience = sim_now() + 60;
-  while (sim_now() < patience &&
-         !strstr(call_to(WORLD_NODE_IP(1), "GET", "/api/jobs/job-000007", "").body, "\"running\":2"))
+  while (sim_now() < patience && !strstr(world_request(1, "GET", "/api/jobs/job-000007", "").body, "\"running\":2"))
     sim_run_until(sim_now() + 1);
   assert_true(sim_now() < patience);
   assert_true(world_give_notice(20));
--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -4,34 +4,14 @@
 
 #include <stdlib.h>
 
+#include "sim/requests.h"
 #include "sim/world.h"
 
-typedef struct reply {
-  int status;
-  char body[400];
-  bool came;
-} reply;
-
-static void on_reply(int status, const char *body, void *arg) {
-  reply *r = arg;
-  r->status = status;
-  g_strlcpy(r->body, body, sizeof r->body);
-  r->came = true;
-}
-
-static reply ask(unsigned node, const char *id) {
-  static reply r;
-  char path[64];
-  memset(&r, 0, sizeof r);
-  g_snprintf(path, sizeof path, "/api/jobs/%s", id);
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), "GET", path, "", 8, on_reply, &r);
-  while (!r.came) sim_run_until(sim_now() + 0.005);
-  return r;
-}
-
 /* The number of tasks that run, as told; -1: not told now. */
 static int told_running(unsigned node, const char *id) {
-  reply r = ask(node, id);
+  char path[64];
+  g_snprintf(path, sizeof path, "/api/jobs/%s", id);
+  world_reply r = world_request(node, "GET", path, "");
   const char *at = strstr(r.body, "\"running\":");
   if (r.status != 200 || !at) return -1;
   return atoi(at + strlen("\"running\":"));
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -4,41 +4,13 @@
 
 #include <stdlib.h>
 
+#include "sim/requests.h"
 #include "sim/world.h"
 
 #define LOOK_UP_S 0.3 /* archived jobs are looked up at a bounded rate */
 #define SOON_S 0.01   /* while a later answer is as good */
 #define AT_ONCE_S 0.3 /* nobody is held: a few exchanges, and no waiting */
 
-typedef struct reply {
-  int status, retry_after;
-  char body[400];
-  double took; /* since it was asked */
-  bool came;
-} reply;
-
-static void on_reply(int status, const char *body, void *arg) {
-  reply *r = arg;
-  r->status = status;
-  r->retry_after = sim_retry_after();
-  g_strlcpy(r->body, body, sizeof r->body);
-  r->took = sim_now() - r->took;
-  r->came = true;
-}
-
-static void call(reply *r, unsigned node, const char *method, const char *path, const char *body) {
-  memset(r, 0, sizeof *r);
-  r->took = sim_now();
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), method, path, body, 8, on_reply, r);
-}
-
-static reply ask(unsigned node, const char *method, const char *path, const char *body) {
-  static reply r;
-  call(&r, node, method, path, body);
-  while (!r.came) sim_run_until(sim_now() + 0.01);
-  return r;
-}
-
 /* ---- the end of a job ---- */
 
 #define JOB_ID "job-000001"
@@ -72,14 +44,14 @@
 /* All three at the same moment, each in three ways. Where the state service is slow one
  * may have to be asked again; nobody may say anything else. */
 static void all_say(const char *name, const char *status, const char *body, bool now) {
-  reply r[WORLD_NODES * 3];
+  world_reply r[WORLD_NODES * 3];
   char says[40];
   g_snprintf(says, sizeof says, "\"status\":\"%s\"", status);
   for (unsigned n = 0; n < WORLD_NODES; n++) {
-    reply *three = &r[(size_t)n * 3];
-    call(&three[0], n, "GET", "/api/jobs/" JOB_ID, "");
-    call(&three[1], n, "POST", "/api/jobs", body);
-    call(&three[2], n, "POST", "/api/jobs/" JOB_ID "/withdraw", "");
+    world_reply *three = &r[(size_t)n * 3];
+    world_send(&three[0], n, "GET", "/api/jobs/" JOB_ID, "");
+    world_send(&three[1], n, "POST", "/api/jobs", body);
+    world_send(&three[2], n, "POST", "/api/jobs/" JOB_ID "/withdraw", "");
   }
   sim_run_until(sim_now() + 8.1); /* none outlives this */
   for (unsigned i = 0; i < G_N_ELEMENTS(r); i++) {
@@ -99,9 +71,9 @@
   set_scene(row);
   sim_run_until(at);
   world_cancel(JOB_ID, (int)node, 0);
-  reply asked, again;
-  call(&asked, (node + 1) % WORLD_NODES, "GET", "/api/jobs/" JOB_ID, "");
-  call(&again, (node + 2) % WORLD_NODES, "POST", "/api/jobs", k_body);
+  world_reply asked, again;
+  world_send(&asked, (node + 1) % WORLD_NODES, "GET", "/api/jobs/" JOB_ID, "");
+  world_send(&again, (node + 2) % WORLD_NODES, "POST", "/api/jobs", k_body);
   double patience = at + 20;
   while (!world_told(JOB_ID) && sim_now() < patience) sim_run_until(sim_now() + 0.002);
   const char *told = world_told(JOB_ID);
@@ -111,7 +83,7 @@
   check_row(name, committed(told)); /* at the very moment at which the user hears it */
   all_say(name, told, k_body, row->slow_s <= 0);
   for (unsigned k = 0; k < 2; k++) {
-    const reply *r = k ? &again : &asked;
+    const world_reply *r = k ? &again : &asked;
     bool says_final = strstr(r->body, "\"status\":\"done\"") || strstr(r->body, "\"status\":\"cancelled\"");
     char says[40];
     g_snprintf(says, sizeof says, "\"status\":\"%s\"", told);
@@ -208,7 +180,7 @@
   return g_string_free(g_string_append_c(s, '}'), FALSE);
 }
 
-static void check_reply(const char *name, const reply *r, bool fits, double within_s) {
+static void check_reply(const char *name, const world_reply *r, bool fits, double within_s) {
   if (!fits || r->took > within_s) print_message("%s: %d %s after %.3f s\n", name, r->status, r->body, r->took);
   check_row(name, fits);
   check_row(name, r->took <= within_s);
@@ -227,7 +199,7 @@
       if (k < 0 && k_fields[i].may_be_null) continue; /* valid: see accepted_without */
       char *body = body_with(id, k_fields[i].field, value), name[160];
       g_snprintf(name, sizeof name, "%s: %s %s", when, k_fields[i].field, value ? value : "missing");
-      reply r = ask(node, "POST", "/api/jobs", body);
+      world_reply r = world_request(node, "POST", "/api/jobs", body);
       check_reply(name, &r, r.status == 400 || (later && r.status == 503), within_s);
       refused += r.status == 400;
       g_free(body);
@@ -236,7 +208,7 @@
   }
   static const char *const bodies[] = {"", "hello", "[]", "null", "1", "\"job-000412\"", "{", "{}", "{}x", "\xff{}"};
   for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
-    reply r = ask(node, "POST", "/api/jobs", bodies[i]);
+    world_reply r = world_request(node, "POST", "/api/jobs", bodies[i]);
     check_reply(when, &r, r.status == 400 || (later && r.status == 503), within_s);
     refused += r.status == 400;
   }
@@ -278,7 +250,7 @@
   g_string_free(types, TRUE);
   for (guint i = 0; i < bodies->len; i++) {
     g_snprintf(name, sizeof name, "%s: repeat of a job that is %s: %.60s", when, status, (char *)bodies->pdata[i]);
-    reply r = ask(i % WORLD_NODES, "POST", "/api/jobs", bodies->pdata[i]);
+    world_reply r = world_request(i % WORLD_NODES, "POST", "/api/jobs", bodies->pdata[i]);
     check_reply(name, &r, (r.status == 200 && strstr(r.body, says)) || (later && r.status == 503), within_s);
     sim_run_until(sim_now() + (later ? SOON_S : LOOK_UP_S));
   }
@@ -287,7 +259,7 @@
   if (strcmp(status, "done") != 0 && strcmp(status, "cancelled") != 0) return;
   g_snprintf(path, sizeof path, "/api/jobs/%s/withdraw", id);
   for (unsigned n = 0; n < WORLD_NODES; n++) {
-    reply r = ask(n, "POST", path, "");
+    world_reply r = world_request(n, "POST", path, "");
     check_reply(when, &r, (r.status == 200 && strstr(r.body, says)) || (later && r.status == 503), within_s);
   }
 }
@@ -296,7 +268,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS(k_impossible); i++) {
     char *body = body_with("job-700000", k_impossible[i].field, k_impossible[i].value), name[160];
     g_snprintf(name, sizeof name, "%s: %s", when, k_impossible[i].name);
-    reply r = ask(node, "POST", "/api/jobs", body);
+    world_reply r = world_request(node, "POST", "/api/jobs", body);
     check_reply(name, &r, (r.status == 422 && strstr(r.body, k_impossible[i].says)) || (later && r.status == 503),
                 within_s);
     g_free(body);
@@ -311,7 +283,7 @@
     char path[64], key[64];
     g_snprintf(path, sizeof path, "/api/jobs/%s", ids[i]);
     g_snprintf(key, sizeof key, "fc1/job/%s", ids[i]);
-    reply r = ask((unsigned)i, "GET", path, "");
+    world_reply r = world_request((unsigned)i, "GET", path, "");
     check_row(when, r.status == 404);
     check_row(when, !state_has(key));
   }
@@ -355,7 +327,7 @@
       char name[32];
       g_snprintf(name, sizeof name, "job-%06u", id++);
       char *body = body_with(name, k_fields[i].field, k ? "null" : NULL);
-      reply r = ask(k, "POST", "/api/jobs", body);
+      world_reply r = world_request(k, "POST", "/api/jobs", body);
       check_reply(k_fields[i].field, &r, r.status == 201, AT_ONCE_S);
       g_free(body);
     }
@@ -397,7 +369,7 @@
         "\"loaners\":true,\"expectS\":1,\"markS\":0,\"stowS\":0}",
         i, rows[i].kind, rows[i].tasks, rows[i].cpus, rows[i].gpus);
     for (unsigned n = 0; n < WORLD_NODES; n++) {
-      reply r = ask(n, "POST", "/api/jobs", body);
+      world_reply r = world_request(n, "POST", "/api/jobs", body);
       bool known = n > 0 && rows[i].status == 201;
       check_reply(rows[i].name, &r, r.status == (known ? 200 : rows[i].status), AT_ONCE_S);
       check_row(rows[i].name, r.status != 422 || strstr(r.body, "limit"));
@@ -429,7 +401,7 @@
     for (unsigned n = 0; n < rows[i].crashed; n++) world_crash(n, rows[i].back_s);
     sim_run_until(sim_now() + rows[i].wait_s);
     impossible(rows[i].name, 0, true, AT_ONCE_S);
-    reply r = ask(0, "POST", "/api/jobs", "{\"id\":\"job-000002\",\"squad\":1}");
+    world_reply r = world_request(0, "POST", "/api/jobs", "{\"id\":\"job-000002\",\"squad\":1}");
     check_reply(rows[i].name, &r, r.status == 200 || r.status == 503, AT_ONCE_S);
     (void)malformed(rows[i].name, "job-600000", 0, true, AT_ONCE_S);
     check_known(rows[i].name, true, AT_ONCE_S);
@@ -450,12 +422,12 @@
   three_jobs();
   double began = sim_now();
   world_state_down(60);
-  reply first = ask(0, "POST", "/api/jobs", "{\"id\":\"job-000002\"}");
+  world_reply first = world_request(0, "POST", "/api/jobs", "{\"id\":\"job-000002\"}");
   check_reply("not noticed yet", &first, first.status == 503, 2.1);
   sim_run_until(began + 6);
   for (size_t i = 0; i < G_N_ELEMENTS(k_impossible); i++) {
     char *body = body_with("job-700000", k_impossible[i].field, k_impossible[i].value);
-    reply r = ask((unsigned)i % WORLD_NODES, "POST", "/api/jobs", body);
+    world_reply r = world_request((unsigned)i % WORLD_NODES, "POST", "/api/jobs", body);
     check_reply(k_impossible[i].name, &r, r.status == 503, AT_ONCE_S);
     g_free(body);
   }
@@ -470,13 +442,13 @@
       {"not JSON", "hello", 400},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    reply r = ask((unsigned)i % WORLD_NODES, "POST", "/api/jobs", rows[i].body);
+    world_reply r = world_request((unsigned)i % WORLD_NODES, "POST", "/api/jobs", rows[i].body);
     check_reply(rows[i].name, &r, r.status == rows[i].status, AT_ONCE_S);
   }
   unsigned n = malformed("in an outage", "job-600000", 1, true, AT_ONCE_S);
   print_message("in an outage %u were told 400\n", n);
   check_known("in an outage", true, AT_ONCE_S);
-  reply over = ask(2, "POST", "/api/jobs/job-000001/withdraw", "");
+  world_reply over = world_request(2, "POST", "/api/jobs/job-000001/withdraw", "");
   check_reply("a done job is called off", &over, over.status == 200 && strstr(over.body, "done"), AT_ONCE_S);
   sim_run_until(began + 75);
   assert_true(malformed("after it", "job-600000", 1, false, AT_ONCE_S) > 100);
@@ -502,12 +474,12 @@
     g_snprintf(says, sizeof says, "\"id\":\"%s\"", id);
     char *bodies[] = {body_with(id, NULL, NULL), body_with(id, "cpus", "41"), body_with(id, "club", "\"green\""),
                       body_with(id, "runs", NULL)};
-    reply first = ask(i % WORLD_NODES, "POST", "/api/jobs", bodies[0]), r[10];
+    world_reply first = world_request(i % WORLD_NODES, "POST", "/api/jobs", bodies[0]), r[10];
     if (first.status == 201) {
       for (unsigned n = 0; n < 2; n++) {
         unsigned node = (i + 1 + n) % WORLD_NODES;
-        for (unsigned k = 0; k < 4; k++) call(&r[n * 5 + k], node, "POST", "/api/jobs", bodies[k]);
-        call(&r[n * 5 + 4], node, "GET", path, "");
+        for (unsigned k = 0; k < 4; k++) world_send(&r[n * 5 + k], node, "POST", "/api/jobs", bodies[k]);
+        world_send(&r[n * 5 + 4], node, "GET", path, "");
       }
       sim_run_until(sim_now() + 8.1);
       for (unsigned k = 0; k < G_N_ELEMENTS(r); k++) {
@@ -534,7 +506,7 @@
       bool last = i == G_N_ELEMENTS(k_impossible); /* one that can run */
       char *body = last ? body_with("job-700000", NULL, NULL)
                         : body_with("job-700000", k_impossible[i].field, k_impossible[i].value);
-      reply r = ask(n, "POST", "/api/jobs", body);
+      world_reply r = world_request(n, "POST", "/api/jobs", body);
       check_reply(last ? "a good one" : k_impossible[i].name, &r, r.status == 503, AT_ONCE_S);
       g_free(body);
     }
@@ -546,7 +518,7 @@
   sim_run_until(sim_now() + 6);
   impossible("types known", 0, false, AT_ONCE_S);
   char *body = body_with("job-700000", NULL, NULL);
-  reply r = ask(0, "POST", "/api/jobs", body);
+  world_reply r = world_request(0, "POST", "/api/jobs", body);
   check_reply("types known", &r, r.status == 201, AT_ONCE_S);
   g_free(body);
 }
