Tests: former and present versions side by side, upgrades in the fault test

The stand-ins show a controller of the former version what it could not read as unreadable, and drop what it would not say or know. test_upgrade: 16 mixes with troubles, nothing new beside an old one, an old one back, late writes of the old.

--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -27,8 +27,8 @@
   const char *kind, *rank, *team;
   double cpus, gpus, run_s, later_s;
   bool one_zone, spread, spot;
-  const char *zone; /* the only one allowed; NULL: any */
-  char *body;
+  const char *zone;        /* the only one allowed; NULL: any */
+  char *body, *plain_body; /* the latter without what it awaits */
   bool told_accepted, cancel_asked, told_cancelled, told_done;
   double cancelled_at;
   double cancel_asked_at;      /* first */
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -41,7 +41,11 @@
   double level, at; /* changes that may come at once, when that was reckoned */
 } limits;
 
-static limits g_limits;
+static limits g_limits, g_later; /* what it takes, and what those who know of it keep to */
+
+void state_later_limits(double value_kb, unsigned txn_ops) {
+  g_later = (limits){.value_bytes = (size_t)(value_kb * 1024), .txn_ops = txn_ops};
+}
 
 void world_state_limits(double value_kb, unsigned txn_ops, double write_rps) {
   g_limits = (limits){(size_t)(value_kb * 1024), txn_ops, write_rps, write_rps, sim_now()};
@@ -73,7 +77,9 @@
   free(s);
 }
 
-static json_t *events_after(const char *prefix, uint64_t from) {
+static json_t *as_read(json_t *value, bool by_former);
+
+static json_t *events_after(const char *prefix, uint64_t from, bool by_former) {
   json_t *events = json_array();
   /* Newest first: the protocol promises no order. */
   for (guint i = g_history->len; i-- > 0;) {
@@ -81,7 +87,8 @@
     if (c->version <= from) break;
     if (!g_str_has_prefix(c->key, prefix)) continue;
     if (c->value) {
-      json_array_append_new(events, json_pack("{ss sO sI}", "set", c->key, "v", c->value, "edition", c->version));
+      json_array_append_new(
+          events, json_pack("{ss so sI}", "set", c->key, "v", as_read(c->value, by_former), "edition", c->version));
     } else {
       json_array_append_new(events, json_pack("{ss sI}", "remove", c->key, "edition", c->version));
     }
@@ -94,7 +101,7 @@
   for (guint i = g_watches->len; i-- > 0;) {
     watch *w = g_watches->pdata[i];
     if (world_state_refuses(w->x)) continue; /* it waits as in an outage */
-    json_t *events = events_after(w->prefix, w->from);
+    json_t *events = events_after(w->prefix, w->from, world_from_former(w->x));
     if (json_array_size(events) == 0 && sim_now() < w->until) {
       json_decref(events);
       continue;
@@ -210,17 +217,17 @@
 #define CONDITIONS_PER_CHANGE 4u
 #define TXN_BYTES ((size_t)64 * 1024)
 
-/* Why the transaction is refused for its size; NULL: it is not. */
-static const char *too_large(const sim_request *r, const json_t *when, const json_t *then) {
+/* Why the transaction is larger than the limits; NULL: it is not. */
+static const char *too_large(const sim_request *r, const json_t *when, const json_t *then, const limits *l) {
   static char why[200];
   if (strlen(r->body) > TXN_BYTES) return "transaction";
-  if (json_array_size(then) > g_limits.txn_ops) return "changes of a transaction";
-  if (json_array_size(when) > (size_t)g_limits.txn_ops * CONDITIONS_PER_CHANGE) return "conditions of a transaction";
+  if (json_array_size(then) > l->txn_ops) return "changes of a transaction";
+  if (json_array_size(when) > (size_t)l->txn_ops * CONDITIONS_PER_CHANGE) return "conditions of a transaction";
   json_t *item;
   size_t i;
   json_array_foreach(then, i, item) {
     size_t size = json_dumpb(json_object_get(item, "v"), NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY);
-    if (size <= g_limits.value_bytes) continue;
+    if (size <= l->value_bytes) continue;
     g_snprintf(why, sizeof why, "value of %s: %zu bytes", json_string_value(json_object_get(item, "set")), size);
     return why;
   }
@@ -238,6 +245,23 @@
   return true;
 }
 
+/* The former version says nothing of the formats that it reads. */
+static void forget_formats(const json_t *then) {
+  json_t *item;
+  size_t i;
+  json_array_foreach(then, i, item) json_object_del(json_object_get(item, "v"), "jobFormat");
+}
+
+/* As the asker reads it: what the former version can't read is of no format that anybody knows.
+ * The caller's to drop. */
+static json_t *as_read(json_t *value, bool by_former) {
+  const json_int_t plain = 1;
+  if (!by_former || json_integer_value(json_object_get(value, "f")) <= plain) return json_incref(value);
+  json_t *unread = json_copy(value);
+  json_object_set_new(unread, "f", json_integer(99));
+  return unread;
+}
+
 /* The keys whose conditions don't hold; the caller's to drop. */
 static json_t *failed_conditions(const json_t *when) {
   json_t *failed = json_array(), *item;
@@ -279,9 +303,12 @@
 static void commit(const sim_request *r) {
   json_t *body = json_loads(r->body, 0, NULL);
   const json_t *then = json_object_get(body, "then");
-  const char *why = too_large(r, json_object_get(body, "when"), then);
-  if (why) {
-    world_broke("too large for the state service", why);
+  const json_t *when = json_object_get(body, "when");
+  bool former = world_from_former(r->exchange);
+  if (former) forget_formats(then);
+  const char *why = former ? NULL : too_large(r, when, then, &g_later);
+  if (why) world_broke("too large for the state service", why);
+  if (too_large(r, when, then, &g_limits)) {
     sim_answer(r->exchange, 400, "{}");
     json_decref(body);
     return;
@@ -331,7 +358,7 @@
   const char *prefix, *after;
   json_t *rows;
   size_t most;
-  bool more;
+  bool more, by_former;
 } listing;
 
 static gboolean list_one(gpointer key, gpointer value, gpointer data) {
@@ -342,7 +369,8 @@
     l->more = true;
     return TRUE;
   }
-  json_array_append_new(l->rows, json_pack("{ss sO sI}", "key", key, "v", e->value, "edition", e->version));
+  json_array_append_new(
+      l->rows, json_pack("{ss so sI}", "key", key, "v", as_read(e->value, l->by_former), "edition", e->version));
   return FALSE;
 }
 
@@ -400,7 +428,7 @@
 }
 
 static void list_keys(const sim_request *r) {
-  listing l = {.rows = json_array()};
+  listing l = {.rows = json_array(), .by_former = world_from_former(r->exchange)};
   char *prefix = query_value(r->path, "prefix"), *after = query_value(r->path, "from"),
        *page = query_value(r->path, "page");
   l.prefix = prefix;
@@ -467,6 +495,7 @@
   world_lateness(2, 12);
   world_late_only(NULL);
   world_state_limits(8, 8, 0);
+  state_later_limits(8, 8);
   sim_serve(WORLD_STATE_IP, serve, NULL);
   tick(NULL);
 }
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -117,22 +117,30 @@
   g_free(q);
 }
 
-/* Users submit a job once those that it awaits are accepted. */
-static bool all_accepted(const GPtrArray *awaits) {
+/* Users submit a job once those that it awaits are accepted, and name others only when no
+ * controller of the former version is left. */
+static bool may_submit(const GPtrArray *awaits) {
+  if (awaits->len > 0 && world_any_former()) return false;
   for (guint i = 0; i < awaits->len; i++)
     if (!((const job *)awaits->pdata[i])->told_accepted) return false;
   return true;
 }
 
+/* The former version passes over what a submission awaits. */
+static const char *body_for(const job *j, int node) {
+  return world_is_former((unsigned)node) ? j->plain_body : j->body;
+}
+
 static void user_submit(void *arg) {
   job *j = arg;
-  if (!all_accepted(j->awaits)) {
+  if (!may_submit(j->awaits)) {
     sim_after(0.05, user_submit, j);
     return;
   }
   if (j->first_submitted_at <= 0) j->first_submitted_at = sim_now();
   j->submitting = true;
-  sim_call(WORLD_USER_IP, WORLD_NODE_IP(pick_node()), "POST", "/api/jobs", j->body, 5, on_submitted, ask(j));
+  int node = pick_node();
+  sim_call(WORLD_USER_IP, WORLD_NODE_IP(node), "POST", "/api/jobs", body_for(j, node), 5, on_submitted, ask(j));
 }
 
 static void on_repeated(int status, const char *body, void *arg) {
@@ -485,6 +493,8 @@
       j->id, j->kind, j->team, j->kind, j->rank, j->tasks, j->cpus, j->gpus, image, quoted(j->zone),
       j->one_zone ? "true" : "false", j->spread ? "true" : "false", j->spot ? "true" : "false",
       number_or_null(j->whistle_s), awaits);
+  size_t plain = (size_t)(strstr(j->body, ",\"awaits\"") - j->body);
+  j->plain_body = g_strdup_printf("%.*s}", (int)plain, j->body);
   g_free(awaits);
   g_hash_table_insert(g_jobs, j->id, j);
   g_result.submitted++;
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -262,6 +262,7 @@
     s->state_write_rps = s->state_next_write_rps = machines;
     s->state_txn_ops = 24;
     world_state_limits(s->state_value_kb, s->state_txn_ops, 0);
+    state_later_limits(s->state_value_kb, s->state_txn_ops);
     s->fd_limit = machines * 2;
     s->cloud_rps = 6;
     s->teams[0].gpus = machines;
@@ -286,15 +287,70 @@
   }
 }
 
+/* ---- versions ---- */
+
+typedef struct state_sizes {
+  double value_kb;
+  unsigned txn_ops;
+  double write_rps;
+} state_sizes;
+
+static state_sizes g_now, g_next; /* limits of the state service: the first, and later ones */
+static bool g_former[WORLD_NODES];
+
+/* A version that does not know what comes takes the limits for good. */
+static void set_limits(unsigned node) {
+  const state_sizes *known = g_former[node] ? &g_now : &g_next;
+  fc_settings *s = &g_settings[node];
+  s->state_value_kb = known->value_kb;
+  s->state_txn_ops = known->txn_ops;
+  s->state_next_write_rps = known->write_rps;
+}
+
 void world_state_next(double value_kb, unsigned txn_ops, double write_rps) {
-  for (int n = 0; n < WORLD_NODES; n++) {
-    fc_settings *s = &g_settings[n];
-    s->state_value_kb = MIN(s->state_value_kb, value_kb);
-    s->state_txn_ops = MIN(s->state_txn_ops, txn_ops);
-    s->state_next_write_rps = MIN(s->state_write_rps, write_rps);
+  const fc_settings *s = &g_settings[0];
+  g_next = (state_sizes){MIN(s->state_value_kb, value_kb), MIN(s->state_txn_ops, txn_ops),
+                         MIN(s->state_write_rps, write_rps)};
+  state_later_limits(g_next.value_kb, g_next.txn_ops);
+  for (unsigned n = 0; n < WORLD_NODES; n++) set_limits(n);
+}
+
+void world_former_version(void) {
+  for (unsigned n = 0; n < WORLD_NODES; n++) {
+    g_former[n] = true;
+    set_limits(n);
   }
 }
 
+static void replace(unsigned node, bool former, double back_in_s) {
+  world_crash(node, back_in_s);
+  g_former[node] = former;
+  set_limits(node);
+}
+
+void world_upgrade(unsigned node, double back_in_s) {
+  replace(node, false, back_in_s);
+}
+
+void world_downgrade(unsigned node, double back_in_s) {
+  replace(node, true, back_in_s);
+}
+
+bool world_is_former(unsigned node) {
+  return g_former[node];
+}
+
+bool world_any_former(void) {
+  for (unsigned n = 0; n < WORLD_NODES; n++)
+    if (g_former[n]) return true;
+  return false;
+}
+
+bool world_from_former(const struct sim_exchange *x) {
+  int n = node_of(*(const uint32_t *)x); /* first field: the sender */
+  return n >= 0 && g_former[n];
+}
+
 /* A round looks at every machine and every job. */
 static double work(uint32_t ip) {
   const double machine_s = 0.5e-6, job_s = 2e-6;
@@ -612,7 +668,10 @@
   sim_set_links(link_now, lose, lose);
   state_init();
   cloud_init();
+  memset(g_former, 0, sizeof g_former);
   for (int n = 0; n < WORLD_NODES; n++) settings_of(n);
+  const fc_settings *s = &g_settings[0];
+  g_now = g_next = (state_sizes){s->state_value_kb, s->state_txn_ops, s->state_write_rps};
 }
 
 void world_start_nodes(void) {
@@ -635,9 +694,48 @@
   }
 }
 
+/* ---- a day's upgrade ---- */
+
+#define LATER_VALUE_KB 2
+#define LATER_TXN_OPS 4
+#define LATER_WRITE_RPS 15
+
+static void lower_limits(void *arg) {
+  (void)arg;
+  world_state_limits(LATER_VALUE_KB, LATER_TXN_OPS, LATER_WRITE_RPS);
+}
+
+static void late_writes_end(void *arg) {
+  (void)arg;
+  world_late_writes(0);
+}
+
+/* One controller after the other; now and then the next before the last is back. Some of
+ * their transactions are carried out when the last of them has long ended. */
+static void upgrade_next(void *arg) {
+  unsigned node = GPOINTER_TO_UINT(arg);
+  if (node == 0) world_late_writes(0.1);
+  world_upgrade(node, sim_chance(0.3) ? sim_draw(0.05, 0.5) : sim_draw(3.5, 4.5));
+  if (g_verbose) g_printerr("%.2f upgrade of %u\n", sim_now(), node);
+  if (node + 1 < WORLD_NODES) {
+    sim_after(sim_draw(2, 15), upgrade_next, GUINT_TO_POINTER(node + 1));
+    return;
+  }
+  sim_after(0.1, late_writes_end, NULL);
+  sim_after(sim_draw(1, 60), lower_limits, NULL);
+}
+
+static void begin_with_former_version(void) {
+  world_state_next(LATER_VALUE_KB, LATER_TXN_OPS, LATER_WRITE_RPS);
+  world_former_version();
+  world_lateness(2, 90);
+  sim_after(sim_draw(15, 60), upgrade_next, GUINT_TO_POINTER(0));
+}
+
 world_result world_play(uint32_t seed, double busy_s, const world_day *day) {
   bool meetings = day->meetings;
   world_set_up(seed, 0.002);
+  if (day->upgrade) begin_with_former_version();
   world_start_nodes();
   for (int i = 0; i < 3; i++) (void)worker_new(i % 2, false, 0);
   for (unsigned i = 1; i <= (unsigned)(busy_s / 8); i++) job_new(i, busy_s, meetings);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -31,6 +31,7 @@
 typedef struct world_day {
   bool meetings;  /* also troubles that begin within seconds of each other */
   bool pipelines; /* also jobs that await others */
+  bool upgrade;   /* controllers begin with the former version and are replaced one by one */
 } world_day;
 world_result world_play(uint32_t seed, double busy_s, const world_day *day);
 
@@ -108,8 +109,19 @@
 /* The limits of the state service from now on. write_rps 0: as many changes as come. A
  * transaction that is refused for its size breaks a rule. */
 void world_state_limits(double value_kb, unsigned txn_ops, double write_rps);
-/* The controllers' settings say that it will have those limits; before they start. */
+/* The controllers' settings say that it will have those limits; before they start. Larger
+ * values and transactions of theirs break a rule from the start. */
 void world_state_next(double value_kb, unsigned txn_ops, double write_rps);
+/* The controllers are of the version before pipelines, until each is upgraded: they can't read
+ * records of jobs that await others, ignore what a submission awaits and what limits the state
+ * service will have, and say nothing of what they read. After world_state_next, before they
+ * start. */
+void world_former_version(void);
+/* The controller ends, and comes back with the present version, or again with the former. */
+void world_upgrade(unsigned node, double back_in_s);
+void world_downgrade(unsigned node, double back_in_s);
+bool world_is_former(unsigned node);
+bool world_any_former(void);
 /* From the next write of the job on, reads of changes wait; writes are served. */
 void world_state_blind(const char *id, double for_s);
 void world_slow_links(double for_s, double most_s); /* whatever is sent takes up to so much longer */
@@ -146,6 +158,9 @@
 
 /* Within the stand-ins. */
 void state_init(void);
+/* What those who know of them have to keep to from now on. */
+void state_later_limits(double value_kb, unsigned txn_ops);
+bool world_from_former(const struct sim_exchange *x); /* a request of a controller of that version */
 void state_down(bool down);
 void state_blind(const char *id, double for_s);
 void state_slow(double until, double most_s);
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -10,6 +10,7 @@
 #define SEEDS 64u
 #define SEEDS_WITH_MEETINGS 30u
 #define SEEDS_WITH_PIPELINES 16u
+#define SEEDS_WITH_UPGRADES 16u
 
 static void play_days(const world_day *day, uint32_t seeds) {
   const char *only = g_getenv("FAULT_SEED"), *many = g_getenv("FAULT_SEEDS");
@@ -61,10 +62,22 @@
   play_days(&(world_day){.pipelines = true, .meetings = true}, SEEDS_WITH_PIPELINES);
 }
 
+/* From the version before pipelines to this one, with its late writes and lower limits. */
+static void days_with_upgrades(void **state) {
+  (void)state;
+  play_days(&(world_day){.pipelines = true, .upgrade = true}, SEEDS_WITH_UPGRADES);
+}
+
+static void days_with_upgrades_and_meetings(void **state) {
+  (void)state;
+  play_days(&(world_day){.pipelines = true, .upgrade = true, .meetings = true}, SEEDS_WITH_UPGRADES);
+}
+
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(days_with_faults), cmocka_unit_test(days_with_meetings),
-                                     cmocka_unit_test(days_with_pipelines),
-                                     cmocka_unit_test(days_with_pipelines_and_meetings)};
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(days_with_faults),    cmocka_unit_test(days_with_meetings),
+      cmocka_unit_test(days_with_pipelines), cmocka_unit_test(days_with_pipelines_and_meetings),
+      cmocka_unit_test(days_with_upgrades),  cmocka_unit_test(days_with_upgrades_and_meetings)};
   /* One of them: FAULT_TEST=days_with_meetings */
   cmocka_set_test_filter(g_getenv("FAULT_TEST"));
   return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_upgrade.c
@@ -0,0 +1,205 @@
+/* The version before pipelines and this one side by side, and on each other's data: whole
+ * controllers over the simulated transport, where those of the former version are shown
+ * records, and shown by their own, as that version reads and writes them (sim/state.c). */
+#include "check.h"
+
+#include "sim/requests.h"
+#include "sim/world.h"
+
+#define AT_ONCE_S 0.3
+
+static void a_mixed_fleet(uint32_t seed, const bool *is_new) {
+  world_set_up(seed, 0);
+  world_capacity(5, 0);
+  world_keep_idle();
+  world_images_there();
+  world_state_next(2, 4, 15);
+  world_former_version();
+  world_start_nodes();
+  world_machines_up(0, 5);
+  world_machines_up(1, 5);
+  sim_run_until(sim_now() + 10);
+  for (unsigned n = 0; n < WORLD_NODES; n++)
+    if (is_new[n]) world_upgrade(n, 0.3);
+  sim_run_until(sim_now() + 15);
+  for (unsigned n = 0; n < WORLD_NODES; n++) assert_int_equal(world_is_former(n), !is_new[n]);
+}
+
+typedef struct mix_row {
+  const char *name;
+  bool is_new[WORLD_NODES];
+  enum { CALM, STATE_DOWN, FIRST_ENDS, SECOND_ENDS, REFUSED, ALONE, CANCELLED, LATE_WRITES } trouble;
+} mix_row;
+
+static const mix_row k_mixes[] = {
+    {"one new", {false, false, true}, CALM},
+    {"two new", {true, false, true}, CALM},
+    {"the first is new", {true, false, false}, CALM},
+    {"one new, an outage", {false, true, false}, STATE_DOWN},
+    {"two new, an outage", {true, true, false}, STATE_DOWN},
+    {"one new, an old one ends", {false, true, false}, FIRST_ENDS},
+    {"one new, it ends", {true, false, false}, FIRST_ENDS},
+    {"two new, the old one ends", {true, false, true}, SECOND_ENDS},
+    {"two new, one of them ends", {true, true, false}, SECOND_ENDS},
+    {"an old one is refused", {false, true, true}, REFUSED},
+    {"a new one is refused", {true, false, false}, REFUSED},
+    {"an old one is alone with its workers", {false, true, true}, ALONE},
+    {"a new one is alone with its workers", {true, false, false}, ALONE},
+    {"jobs are cancelled, an old one is refused", {false, true, true}, CANCELLED},
+    {"jobs are cancelled, a new one is refused", {true, false, false}, CANCELLED},
+    {"writes come late", {true, false, true}, LATE_WRITES},
+};
+
+enum { SERVICES = 3 }; /* so few that some zone has two machines left for the gang */
+
+/* Services, an array in several parts, a gang that no part holds, and a team at its limit. */
+static void work(void) {
+  for (unsigned k = 1; k <= SERVICES; k++) world_submit(world_id(k), "service", "prod", 2, 1, 1e6, 0);
+  world_submit(world_id(10), "sweep", "standard", 12, 0.5, 10, 1);
+  world_submit(world_id(11), "gang", "high", 2, 4, 8, 2);
+  for (unsigned k = 12; k <= 14; k++)
+    world_submit_job(
+        &(world_job){.id = world_id(k), .kind = "sweep", .team = "blue", .tasks = 8, .gpus = 1, .run_s = 8});
+}
+
+static void mix_trouble(const mix_row *row) {
+  if (row->trouble == STATE_DOWN) world_state_down(22);
+  if (row->trouble == FIRST_ENDS) world_crash(0, 4);
+  if (row->trouble == SECOND_ENDS) world_crash(1, 4);
+  if (row->trouble == REFUSED || row->trouble == CANCELLED) world_refuse(0, 20);
+  if (row->trouble == ALONE) world_alone(0, 12);
+  if (row->trouble == LATE_WRITES) world_late_writes(0.3);
+  if (row->trouble != CANCELLED) return;
+  sim_run_until(sim_now() + 0.5);
+  for (unsigned k = 1; k <= 2; k++) world_cancel(world_id(k), 1, 0);
+}
+
+/* Every mix of versions serves: what is handed over, lent, limited and cancelled crosses them,
+ * and an outage or a lost controller costs no more than among equals. */
+static void versions_mixed(void **state) {
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_mixes); i++) {
+    const mix_row *row = &k_mixes[i];
+    a_mixed_fleet(10 + (uint32_t)i, row->is_new);
+    work();
+    sim_run_until(sim_now() + 6);
+    mix_trouble(row);
+    sim_run_until(sim_now() + 8);
+    if (row->trouble == CANCELLED)
+      for (unsigned k = 1; k <= 2; k++) check_row(row->name, world_tasks_of(world_id(k)) == 0);
+    sim_run_until(sim_now() + 82);
+    world_result r = world_so_far();
+    unsigned moved = 0;
+    for (unsigned n = 0; n < WORLD_NODES; n++) moved += (unsigned)(world_counts(n).handed_over + world_counts(n).lent);
+    print_message("%s: %u done, %u cancelled, %u handed over or lent, %u tasks ended by a lease\n", row->name,
+                  r.finished, r.cancelled, moved, r.lease_kills);
+    if (r.broken) fail_msg("%s: %s", row->name, r.first);
+    check_row(row->name, r.finished == 5 && r.lease_kills == 0);
+    check_row(row->name, r.cancelled == (row->trouble == CANCELLED ? 2 : 0));
+    check_row(row->name, world_running() == (SERVICES - r.cancelled) * 2);
+  }
+}
+
+static char *awaiting(const char *id, const char *awaits) {
+  return g_strdup_printf(
+      "{\"id\":\"%s\",\"squad\":\"c\",\"club\":\"red\",\"play\":\"sweep\",\"rank\":\"high\",\"runs\":1,\"cpus\":1,"
+      "\"gpus\":0,\"memGb\":1,\"kit\":\"i\",\"pullGb\":1,\"samePlace\":false,\"scatter\":false,\"loaners\":true,"
+      "\"expectS\":10,\"markS\":0,\"stowS\":0,\"awaits\":[\"%s\"]}",
+      id, awaits);
+}
+
+/* What an old controller could not read is not taken while one is there; what awaits nobody any
+ * more is an ordinary job. */
+static void nothing_new_beside_an_old_one(void **state) {
+  (void)state;
+  static const bool mix[WORLD_NODES] = {true, true, false};
+  a_mixed_fleet(40, mix);
+  world_submit(world_id(1), "sweep", "standard", 1, 1, 1e6, 0);
+  world_submit(world_id(2), "sweep", "standard", 1, 1, 1, 0);
+  sim_run_until(sim_now() + 6);
+  char *waits = awaiting("job-000003", world_id(1)), *ready = awaiting("job-000004", world_id(2));
+  world_reply r = world_request(0, "POST", "/api/jobs", waits);
+  assert_true(r.status == 503 && r.retry_after > 0 && r.took < AT_ONCE_S);
+  assert_int_equal(world_request(1, "POST", "/api/jobs", ready).status, 201);
+  world_upgrade(2, 0.3);
+  sim_run_until(sim_now() + 4);
+  assert_int_equal(world_request(0, "POST", "/api/jobs", waits).status, 201);
+  for (unsigned n = 0; n < WORLD_NODES; n++) assert_int_equal(world_ask(n, "/api/jobs/job-000003"), 200);
+  g_free(waits);
+  g_free(ready);
+  if (world_so_far().broken) fail_msg("%s", world_so_far().first);
+}
+
+/* An old one that comes back when jobs await others already starts none of them; they go on
+ * when it has been replaced again. */
+static void an_old_one_comes_back(void **state) {
+  (void)state;
+  static const bool all_new[WORLD_NODES] = {true, true, true};
+  for (unsigned back = 0; back < WORLD_NODES; back++) {
+    a_mixed_fleet(50 + back, all_new);
+    world_submit(world_id(1), "sweep", "standard", 2, 1, 20, 0);
+    for (unsigned k = 2; k <= 9; k++)
+      world_submit_job(&(world_job){.id = world_id(k),
+                                    .kind = "sweep",
+                                    .tasks = 2,
+                                    .gpus = 0.5,
+                                    .run_s = 5,
+                                    .in_s = 1,
+                                    .awaits = {world_id(k < 6 ? 1 : k - 4)}});
+    sim_run_until(sim_now() + 6);
+    world_users_to((int)((back + 1) % WORLD_NODES)); /* the old one would not know the jobs */
+    world_downgrade(back, 0.5);
+    sim_run_until(sim_now() + 30);
+    if (world_so_far().broken) fail_msg("%u back: %s", back, world_so_far().first);
+    world_upgrade(back, 0.5);
+    sim_run_until(sim_now() + 60);
+    for (unsigned k = 1; k <= 9; k++)
+      assert_true(world_told(world_id(k)) && strcmp(world_told(world_id(k)), "done") == 0);
+    if (world_so_far().broken) fail_msg("%u back: %s", back, world_so_far().first);
+  }
+}
+
+/* Transactions of an old process are carried out minutes after the last of them has ended. */
+static void writes_of_the_old_come_late(void **state) {
+  (void)state;
+  static const bool none_new[WORLD_NODES] = {false, false, false};
+  for (uint32_t seed = 0; seed < 6; seed++) {
+    a_mixed_fleet(70 + seed, none_new);
+    world_lateness(30, 200);
+    world_late_writes(0.25);
+    for (unsigned k = 1; k <= 30; k++) world_submit(world_id(k), "sweep", "standard", 4, 0.5, 4, 0.4 * k);
+    sim_run_until(sim_now() + 10);
+    for (unsigned n = 0; n < WORLD_NODES; n++) {
+      world_upgrade(n, 1);
+      sim_run_until(sim_now() + 4);
+    }
+    world_late_writes(0);
+    world_state_limits(2, 4, 15);
+    /* Chains over what is still open, and over what the late writes are about. */
+    for (unsigned k = 31; k <= 50; k++)
+      world_submit_job(&(world_job){.id = world_id(k),
+                                    .kind = "sweep",
+                                    .tasks = 2,
+                                    .gpus = 0.5,
+                                    .run_s = 4,
+                                    .in_s = 5,
+                                    .cancel_in_s = k % 5 == 0 ? 1 : 0,
+                                    .awaits = {world_id(k - 20), world_id(k - 30)}});
+    sim_run_until(sim_now() + 260);
+    world_result r = world_so_far();
+    print_message("seed %u: %u done, %u cancelled of %u\n", seed, r.finished, r.cancelled, r.submitted);
+    if (r.broken) fail_msg("seed %u: %s", seed, r.first);
+    assert_int_equal(r.finished + r.cancelled, 50);
+    world_check_returned();
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(versions_mixed),
+      cmocka_unit_test(nothing_new_beside_an_old_one),
+      cmocka_unit_test(an_old_one_comes_back),
+      cmocka_unit_test(writes_of_the_old_come_late),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
