--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -311,12 +311,133 @@
   }
 }
 
+/* ---- cancellations ---- */
+
+typedef struct cancel_row {
+  const char *name;
+  enum { NONE, WRITER_ENDS, STATE_OUT, OTHERS_END, WRITER_REFUSED, ZONE_CUT, ALL_END } trouble;
+  bool at_once; /* everybody is told at once, whom it asks */
+} cancel_row;
+
+static const cancel_row k_cancels[] = {
+    {"nothing happens", NONE, true},
+    {"the writer ends right after its answer", WRITER_ENDS, true},
+    {"the state service goes out", STATE_OUT, false},
+    {"the others end", OTHERS_END, false},
+    {"the writer is refused from then on", WRITER_REFUSED, false},
+    {"a zone is cut off", ZONE_CUT, false},
+    {"all end", ALL_END, false},
+};
+
+static void cancel_trouble(const cancel_row *row) {
+  if (row->trouble == WRITER_ENDS) world_crash(0, 4);
+  if (row->trouble == STATE_OUT) world_state_down(50);
+  if (row->trouble == WRITER_REFUSED) world_refuse(0, 40);
+  if (row->trouble == ZONE_CUT) world_cut_zone(1, 20);
+  for (unsigned n = 0; n < WORLD_NODES; n++)
+    if (row->trouble == ALL_END || (row->trouble == OTHERS_END && n > 0)) world_crash(n, 4);
+}
+
+enum { FIRST = 1, FAN = 20, DEPENDENTS = 2 * FAN };
+
+/* One that runs; twenty that await it; and twenty more, each of which awaits one of those. */
+static void submit_fan(void) {
+  world_submit(world_id(FIRST), "sweep", "standard", 2, 1, 1e6, 0);
+  for (unsigned k = 1; k <= DEPENDENTS; k++)
+    world_submit_job(&(world_job){.id = world_id(FIRST + k),
+                                  .kind = k % 3 == 0              ? "gang"
+                                          : k > FAN && k % 7 == 0 ? "service"
+                                                                  : "sweep",
+                                  .team = k % 2 ? "red" : "blue",
+                                  .tasks = 1 + k % 4,
+                                  .gpus = 0.5,
+                                  .run_s = 5,
+                                  .in_s = 1,
+                                  .awaits = {world_id(k <= FAN ? FIRST : FIRST + k - FAN)}});
+}
+
+static void all_cancelled(const cancel_row *row, bool where_reachable) {
+  for (unsigned k = 1; k <= DEPENDENTS; k++) {
+    char path[64];
+    g_snprintf(path, sizeof path, "/api/jobs/%s", world_id(FIRST + k));
+    for (unsigned n = 0; n < WORLD_NODES; n++) {
+      world_reply r = world_request(n, "GET", path, "");
+      check_row(row->name, (where_reachable && r.status != 200) || strstr(r.body, "\"cancelled\""));
+    }
+  }
+}
+
+/* A cancellation reaches what needs the job, directly and through others, over all owners:
+ * nobody is told anything else from then on, none of it is ever started, and it stays so when
+ * all of it has been archived and everybody starts anew. */
+static void a_cancellation_reaches_all(void **state) {
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_cancels); i++) {
+    const cancel_row *row = &k_cancels[i];
+    a_fleet(100 + (uint32_t)i, 6);
+    submit_fan();
+    sim_run_until(sim_now() + 9);
+    assert_true(world_so_far().accepted == DEPENDENTS + 1);
+    world_cancel(world_id(FIRST), 0, 0);
+    while (!world_cancelled_at(world_id(FIRST))) sim_run_until(sim_now() + 0.001);
+    cancel_trouble(row);
+    if (row->at_once) sim_run_until(sim_now() + 0.1);
+    all_cancelled(row, true);
+    sim_run_until(sim_now() + 120);
+    for (unsigned k = 1; k <= DEPENDENTS; k++) {
+      check_row(row->name, world_starts_of(world_id(FIRST + k)) == 0);
+      check_row(row->name,
+                world_told(world_id(FIRST + k)) && strcmp(world_told(world_id(FIRST + k)), "cancelled") == 0);
+    }
+    check_row(row->name, state_has("fc1over/job-000001") && !state_has("fc1/job/job-000001"));
+    for (unsigned n = 0; n < WORLD_NODES; n++) world_crash(n, 0.5);
+    sim_run_until(sim_now() + 15);
+    if (world_so_far().broken) fail_msg("%s: %s", row->name, world_so_far().first);
+    unsigned known = 0;
+    for (unsigned k = 1; k <= DEPENDENTS; k += 8) {
+      char path[64];
+      g_snprintf(path, sizeof path, "/api/jobs/%s", world_id(FIRST + k));
+      known += strstr(world_request(k % WORLD_NODES, "GET", path, "").body, "\"cancelled\"") != NULL;
+      sim_run_until(sim_now() + 1);
+    }
+    check_row(row->name, known == DEPENDENTS / 8);
+  }
+}
+
+/* The job ends as its user calls it off: either answer is kept to by all that needs it. */
+static void called_off_at_the_end(void **state) {
+  (void)state;
+  unsigned done = 0, cancelled = 0;
+  for (uint32_t seed = 0; seed < 12; seed++) {
+    a_fleet(200 + seed, 4);
+    world_submit(world_id(1), "sweep", "standard", 1, 1, 5, 0);
+    world_submit_job(&(world_job){
+        .id = world_id(2), .kind = "sweep", .tasks = 2, .gpus = 1, .run_s = 3, .in_s = 1, .awaits = {world_id(1)}});
+    world_submit_job(&(world_job){
+        .id = world_id(3), .kind = "sweep", .tasks = 1, .gpus = 1, .run_s = 3, .in_s = 1, .awaits = {world_id(2)}});
+    while (!world_began(world_id(1))) sim_run_until(sim_now() + 0.05);
+    sim_run_until(world_began(world_id(1)) + 4.9 + 0.1 * seed);
+    world_cancel(world_id(1), (int)(seed % WORLD_NODES), 0);
+    sim_run_until(sim_now() + 40);
+    const char *told = world_told(world_id(1));
+    assert_non_null(told);
+    done += strcmp(told, "done") == 0;
+    cancelled += strcmp(told, "cancelled") == 0;
+    for (unsigned k = 2; k <= 3; k++) assert_string_equal(world_told(world_id(k)), told);
+    assert_int_equal(world_starts_of(world_id(3)), strcmp(told, "done") == 0);
+    if (world_so_far().broken) fail_msg("seed %u: %s", seed, world_so_far().first);
+  }
+  print_message("called off at the end: %u done, %u cancelled\n", done, cancelled);
+  assert_true(done > 0 && cancelled > 0);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(users_are_answered),       cmocka_unit_test(not_sure_now),
       cmocka_unit_test(within_a_millisecond),     cmocka_unit_test(a_body_full_of_ids),
       cmocka_unit_test(chains_go_through),        cmocka_unit_test(waiting_holds_no_limit),
-      cmocka_unit_test(the_deadline_of_the_last),
+      cmocka_unit_test(the_deadline_of_the_last), cmocka_unit_test(a_cancellation_reaches_all),
+      cmocka_unit_test(called_off_at_the_end),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
