--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -143,17 +143,11 @@
   j->clear |= at_home(t, j);
 }
 
-/* Adds a job with what its record says for good; NULL if the record can't be copied. */
+/* Adds a job with what its record says for good. */
 static fc_job *add_job(fc_table *t, const fc_job_record *r, bool fresh, double now) {
-  fc_job_record copy;
-  json_t *v = fc_job_record_encode(&r->spec, r->phase, NULL, r->slices, NULL, NULL);
-  bool ok = fc_job_record_decode(v, &copy);
-  json_decref(v);
-  if (!ok) return NULL;
   fc_job *j = g_new0(fc_job, 1);
-  j->spec = copy.spec;
-  j->slices = copy.slices;
-  g_free(copy.done);
+  j->spec = fc_job_spec_copy(&r->spec);
+  j->slices = r->slices;
   j->done = g_new0(uint8_t, (j->spec.tasks + 7) / 8);
   j->placements = g_ptr_array_new();
   j->team = fc_settings_team(t->settings, j->spec.team);
@@ -211,7 +205,6 @@
   if (j && j->version >= version) return j;
   bool is_new = !j;
   if (is_new) j = add_job(t, r, fresh, now);
-  if (!j) return NULL;
   put_awaits(j, r);
   put_done(j, id, r->done);
   put_phase(t, j, id, r->phase, version, now);
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -9,7 +9,7 @@
 
 #include "bookkeeping/demand.h"
 #include "protocol/cloud_api.h"
-#include "protocol/job.h"
+#include "protocol/job_record.h"
 #include "protocol/records.h"
 #include "protocol/settings.h"
 #include "protocol/worker.h"
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -174,13 +174,14 @@
 /* The record of a new job, with its slices assigned to members; the caller's to drop.
  * NULL: too large to be stored. */
 static json_t *new_record(fc_controller *c, const fc_job_spec *spec, fc_phase phase) {
-  unsigned slices = fc_job_slices(spec, c->settings->op.split_limit);
-  char *handed[FC_SLICES_MAX] = {NULL};
+  fc_job_record r = {.spec = *spec,
+                     .origin = {.term = c->table->term.number, .submitted_at = fc_time_of_day()},
+                     .phase = phase,
+                     .slices = fc_job_slices(spec, c->settings->op.split_limit)};
   bool fit[FC_MEMBERS_MAX];
   for (size_t i = 0; i < c->table->term.count; i++) fit[i] = fc_member_fit(c, (int)i);
-  fc_share_deal(c->table, fit, spec, slices, handed);
-  const fc_job_origin origin = {.term = c->table->term.number, .submitted_at = fc_time_of_day()};
-  json_t *record = fc_job_record_encode(spec, phase, NULL, slices, handed, &origin);
+  fc_share_deal(c->table, fit, spec, r.slices, r.handed);
+  json_t *record = fc_job_record_encode(&r);
   GString *size = g_string_new(NULL);
   fc_json_append(size, json_incref(record));
   bool too_large = (double)size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
--- /dev/null
+++ b/src/protocol/job_record.c
@@ -0,0 +1,176 @@
+#include "protocol/job_record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TIME_OF_DAY_MOST 1e11
+
+static const char *const k_phases[] = {"accepted", "cancelled", "done"};
+
+/* {"3":[term,members]}; NULL: there is nothing to say. */
+static json_t *last_moves_encode(const fc_job_origin *origin, unsigned slices) {
+  json_t *v = NULL;
+  for (unsigned i = 0; i < slices; i++) {
+    if (!(origin->moved >> i & 1) || !origin->last_move[i].term) continue;
+    if (!v) v = json_object();
+    char slice[16];
+    g_snprintf(slice, sizeof slice, "%u", i);
+    json_object_set_new(
+        v, slice, json_pack("[II]", (json_int_t)origin->last_move[i].term, (json_int_t)origin->last_move[i].members));
+  }
+  return v;
+}
+
+static void read_last_moves(fc_reader *r, fc_job_record *out) {
+  const json_t *moves = json_object_get(r->object, "lastMove");
+  const char *slice;
+  json_t *pair;
+  json_object_foreach((json_t *)moves, slice, pair) {
+    unsigned long i = strtoul(slice, NULL, 10);
+    json_int_t term = json_integer_value(json_array_get(pair, 0));
+    json_int_t members = json_integer_value(json_array_get(pair, 1));
+    if (i >= out->slices || term <= 0 || members <= 0 || members > UINT32_MAX) {
+      fc_reader_fail(r, "lastMove", "not a hand-over of a slice of the job");
+      return;
+    }
+    out->origin.last_move[i].term = (uint64_t)term;
+    out->origin.last_move[i].members = (unsigned)members;
+  }
+}
+
+/* {"2":"paddock-2"}; NULL: no slice was handed over. */
+static json_t *handed_encode(const fc_job_record *r) {
+  json_t *to = NULL;
+  for (unsigned i = 0; i < r->slices; i++) {
+    if (!r->handed[i]) continue;
+    if (!to) to = json_object();
+    char slice[16];
+    g_snprintf(slice, sizeof slice, "%u", i);
+    json_object_set_new(to, slice, json_string(r->handed[i]));
+  }
+  return to;
+}
+
+static void encode_origin(json_t *v, const fc_job_record *r) {
+  const fc_job_origin *o = &r->origin;
+  if (o->term) json_object_set_new(v, "term", json_integer((json_int_t)o->term));
+  if (o->moved) json_object_set_new(v, "moved", json_integer((json_int_t)o->moved));
+  json_t *moves = last_moves_encode(o, r->slices);
+  if (moves) json_object_set_new(v, "lastMove", moves);
+  if (o->unseen) json_object_set_new(v, "unseen", json_integer((json_int_t)o->unseen));
+}
+
+static void encode_awaits(json_t *v, const fc_job_record *r) {
+  char *awaits = fc_job_awaits_text(r->spec.awaits);
+  json_object_set_new(v, "awaits", json_string(awaits));
+  g_free(awaits);
+  if (r->origin.submitted_at > 0) json_object_set_new(v, "submitted", json_real(r->origin.submitted_at));
+}
+
+json_t *fc_job_record_encode(const fc_job_record *r) {
+  bool awaiting = r->spec.awaits && r->phase == FC_PHASE_ACCEPTED;
+  json_t *v = json_pack("{si so ss ss* si so*}", "f", awaiting ? FC_JOB_FORMAT_AWAITING : FC_JOB_FORMAT_PLAIN, "spec",
+                        fc_job_spec_encode(&r->spec), "phase", k_phases[r->phase], "done",
+                        r->done && *r->done ? r->done : NULL, "slices", (int)r->slices, "to", handed_encode(r));
+  if (awaiting) encode_awaits(v, r);
+  encode_origin(v, r);
+  return v;
+}
+
+static void read_handed(fc_reader *r, fc_job_record *out) {
+  const json_t *to = json_object_get(r->object, "to");
+  const char *slice;
+  json_t *name;
+  json_object_foreach((json_t *)to, slice, name) {
+    unsigned long i = strtoul(slice, NULL, 10);
+    if (i >= out->slices || !json_is_string(name)) {
+      fc_reader_fail(r, "to", "not a slice of the job");
+      return;
+    }
+    g_free(out->handed[i]);
+    out->handed[i] = g_strdup(json_string_value(name));
+  }
+}
+
+bool fc_job_record_decode(const json_t *v, fc_job_record *out) {
+  memset(out, 0, sizeof *out);
+  fc_reader r;
+  fc_reader_init(&r, v);
+  uint64_t format = fc_read_count(&r, "f", FC_JOB_FORMAT_PLAIN, FC_JOB_FORMAT_AWAITING);
+  if (!fc_reader_ok(&r)) return false;
+  out->phase = (fc_phase)fc_read_choice(&r, "phase", k_phases, G_N_ELEMENTS(k_phases));
+  const char *done = fc_read_string_or_null(&r, "done", (size_t)FC_TASKS_MAX * 8);
+  out->slices = (unsigned)fc_read_count_or(&r, "slices", 1, FC_SLICES_MAX, 1);
+  out->origin.term = fc_read_count_or(&r, "term", 0, (uint64_t)INT64_MAX, 0);
+  out->origin.moved = (unsigned)fc_read_count_or(&r, "moved", 0, UINT32_MAX, 0);
+  out->origin.unseen = (unsigned)fc_read_count_or(&r, "unseen", 0, UINT32_MAX, 0);
+  if (fc_reader_ok(&r)) read_handed(&r, out);
+  if (fc_reader_ok(&r)) read_last_moves(&r, out);
+  const json_t *spec = fc_read_object(&r, "spec");
+  fc_reader sr;
+  fc_reader_init(&sr, spec);
+  if (fc_reader_ok(&r)) fc_job_spec_read(&sr, &out->spec);
+  if (format == FC_JOB_FORMAT_AWAITING) {
+    out->origin.submitted_at = fc_read_amount_or(&r, "submitted", 0, TIME_OF_DAY_MOST, 0);
+    fc_job_awaits_read(&r, "awaits", &out->spec);
+  }
+  if (!fc_reader_ok(&r) || !fc_reader_ok(&sr)) {
+    fc_job_record_clear(out);
+    return false;
+  }
+  out->done = g_strdup(done ? done : "");
+  return true;
+}
+
+void fc_job_record_clear(fc_job_record *r) {
+  fc_job_spec_clear(&r->spec);
+  g_free(r->done);
+  for (unsigned i = 0; i < FC_SLICES_MAX; i++) g_free(r->handed[i]);
+  memset(r, 0, sizeof *r);
+}
+
+char *fc_ranges_encode(const uint8_t *bits, uint32_t tasks) {
+  GString *out = g_string_new(NULL);
+  for (uint32_t i = 0; i < tasks; i++) {
+    if (!(bits[i / 8] & (1u << (i % 8)))) continue;
+    uint32_t last = i;
+    while (last + 1 < tasks && (bits[(last + 1) / 8] & (1u << ((last + 1) % 8)))) last++;
+    if (out->len) g_string_append_c(out, ',');
+    g_string_append_printf(out, "%u", i);
+    if (last > i) g_string_append_printf(out, "-%u", last);
+    i = last;
+  }
+  return g_string_free(out, FALSE);
+}
+
+static bool read_number(const char **p, uint32_t *out) {
+  if (!g_ascii_isdigit(**p)) return false;
+  char *end = NULL;
+  unsigned long v = strtoul(*p, &end, 10);
+  if (v > FC_TASKS_MAX) return false;
+  *p = end;
+  *out = (uint32_t)v;
+  return true;
+}
+
+bool fc_ranges_decode(const char *text, uint8_t *bits, uint32_t tasks) {
+  const char *p = text;
+  while (*p) {
+    uint32_t first = 0, last = 0;
+    if (!read_number(&p, &first)) return false;
+    last = first;
+    if (*p == '-') {
+      p++;
+      if (!read_number(&p, &last)) return false;
+    }
+    if (last < first || last >= tasks) return false;
+    for (uint32_t i = first; i <= last; i++) bits[i / 8] |= (uint8_t)(1u << (i % 8));
+    if (*p == ',') {
+      p++;
+      if (!*p) return false;
+    } else if (*p) {
+      return false;
+    }
+  }
+  return true;
+}
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "protocol/job.h"
+#include "protocol/job_record.h"
 #include "protocol/json.h"
 
 #define FORMAT 1
--- a/tests/test_compat.c
+++ b/tests/test_compat.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 
 #include "protocol/frame.h"
-#include "protocol/job.h"
+#include "protocol/job_record.h"
 #include "protocol/json.h"
 #include "protocol/records.h"
 
@@ -66,7 +66,7 @@
     check_row(rows[i].name, r.phase == rows[i].phase && strcmp(r.spec.id, rows[i].id) == 0);
     check_row(rows[i].name, strcmp(r.done, rows[i].done) == 0 && r.slices == rows[i].slices);
     check_row(rows[i].name, r.origin.term == rows[i].term);
-    writes_as(rows[i].name, fc_job_record_encode(&r.spec, r.phase, r.done, r.slices, r.handed, &r.origin));
+    writes_as(rows[i].name, fc_job_record_encode(&r));
     fc_job_record_clear(&r);
     json_decref(v);
   }
--- a/tests/test_pipeline.c
+++ b/tests/test_pipeline.c
@@ -83,7 +83,8 @@
     char error[200];
     assert_true(fc_job_spec_parse(text, strlen(text), &s, error, sizeof error));
     const fc_job_origin origin = {.term = 3, .submitted_at = 1.8e9 + 0.5};
-    json_t *v = fc_job_record_encode(&s, rows[i].phase, NULL, 1, NULL, &origin);
+    json_t *v =
+        fc_job_record_encode(&(fc_job_record){.spec = s, .origin = origin, .phase = rows[i].phase, .slices = 1});
     check_row(rows[i].name, json_integer_value(json_object_get(v, "f")) == rows[i].format);
     bool awaiting = rows[i].format == FC_JOB_FORMAT_AWAITING;
     fc_job_record r;
@@ -109,7 +110,7 @@
   char error[200];
   assert_true(fc_job_spec_parse(text, strlen(text), &s, error, sizeof error));
   for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
-    json_t *v = fc_job_record_encode(&s, FC_PHASE_ACCEPTED, NULL, 1, NULL, NULL);
+    json_t *v = fc_job_record_encode(&(fc_job_record){.spec = s, .phase = FC_PHASE_ACCEPTED, .slices = 1});
     json_object_set_new(v, "awaits", fc_json_parse(bad[i], strlen(bad[i])));
     fc_job_record r;
     check_row(bad[i], !fc_job_record_decode(v, &r));
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -4,7 +4,7 @@
 #include <math.h>
 
 #include "protocol/frame.h"
-#include "protocol/job.h"
+#include "protocol/job_record.h"
 #include "protocol/json.h"
 #include "protocol/records.h"
 #include "protocol/routes.h"
@@ -94,9 +94,13 @@
   fc_job_spec s;
   char error[200];
   assert_true(fc_job_spec_parse(k_good, strlen(k_good), &s, error, sizeof error));
-  char *handed[4] = {NULL, NULL, (char *)"paddock-2", NULL};
-  const fc_job_origin origin = {.term = 6, .moved = 5, .last_move = {[2] = {9, 6}}};
-  json_t *v = fc_job_record_encode(&s, FC_PHASE_CANCELLED, "0-3,7", 4, handed, &origin);
+  const fc_job_record written = {.spec = s,
+                                 .origin = {.term = 6, .moved = 5, .last_move = {[2] = {9, 6}}},
+                                 .phase = FC_PHASE_CANCELLED,
+                                 .done = (char *)"0-3,7",
+                                 .slices = 4,
+                                 .handed = {[2] = (char *)"paddock-2"}};
+  json_t *v = fc_job_record_encode(&written);
   fc_job_record r;
   assert_true(fc_job_record_decode(v, &r));
   assert_int_equal(r.phase, FC_PHASE_CANCELLED);
