Descriptions too long for one value are stored in parts; archiving keeps pace with the write rate

A submission that names more jobs than a value of the lower limits holds gets keys of its own for its description, content-addressed, so that a repeat goes on where one was put off; the record is conditional on the first part, and parts that no record needs are removed, the first of them first. It was answered 400 before. Seen in the scene: with four changes a transaction two jobs were archived every five seconds, fewer than come; now by the rate.

--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -78,7 +78,7 @@
   return w;
 }
 
-static void write_free(fc_write *w) {
+void fc_write_free(fc_write *w) {
   g_array_free(w->conditions, TRUE);
   g_array_free(w->writes, TRUE);
   g_free(w);
@@ -426,7 +426,7 @@
 fc_state_result fc_commit_write(fc_commit *c, fc_write *w, fc_write_rank rank, double deadline, uint64_t *revision) {
   if (w->largest_value > c->value_bytes) {
     g_warning("value too large key=%s bytes=%zu", g_array_index(w->writes, piece, 0).key, w->largest_value);
-    write_free(w);
+    fc_write_free(w);
     return FC_STATE_REFUSED;
   }
   w->deadline = deadline;
@@ -447,7 +447,7 @@
   }
   fc_state_result result = w->result;
   if (revision) *revision = w->revision;
-  write_free(w);
+  fc_write_free(w);
   return result;
 }
 
--- a/src/bookkeeping/commit.h
+++ b/src/bookkeeping/commit.h
@@ -38,6 +38,7 @@
 void fc_commit_main(void *commit);
 
 fc_write *fc_write_new(void);
+void fc_write_free(fc_write *w); /* one that is not to be written after all */
 void fc_write_if(fc_write *w, const char *key, uint64_t version);
 void fc_write_put(fc_write *w, const char *key, json_t *value); /* takes the reference */
 void fc_write_delete(fc_write *w, const char *key);
--- a/src/bookkeeping/table.c
+++ b/src/bookkeeping/table.c
@@ -19,6 +19,12 @@
   g_free(j);
 }
 
+static void unread_free(gpointer p) {
+  fc_unread_job *u = p;
+  json_decref(u->value);
+  g_free(u);
+}
+
 static void awaited_free(gpointer p) {
   fc_awaited *a = p;
   g_ptr_array_free(a->dependents, TRUE);
@@ -42,6 +48,8 @@
   t->rentals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   t->members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  t->parts = fc_parts_new();
+  t->unread = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unread_free);
   t->awaited = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, awaited_free);
   t->unrecorded_cancels = g_hash_table_new(NULL, NULL);
   /* About two boots of a machine: longer, and yesterday's burst is paid for. */
@@ -59,6 +67,8 @@
   g_hash_table_destroy(t->rentals);
   g_hash_table_destroy(t->cancelled);
   g_hash_table_destroy(t->members);
+  fc_parts_free(t->parts);
+  g_hash_table_destroy(t->unread);
   g_hash_table_destroy(t->awaited);
   g_hash_table_destroy(t->unrecorded_cancels);
   fc_demand_free(&t->demand);
@@ -147,6 +157,7 @@
 static fc_job *add_job(fc_table *t, const fc_job_record *r, bool fresh, double now) {
   fc_job *j = g_new0(fc_job, 1);
   j->spec = fc_job_spec_copy(&r->spec);
+  j->parts = r->parts;
   j->slices = r->slices;
   j->done = g_new0(uint8_t, (j->spec.tasks + 7) / 8);
   j->placements = g_ptr_array_new();
@@ -194,7 +205,7 @@
 
 /* A record is written without what the job awaited once all of that is done. */
 static void put_awaits(fc_job *j, const fc_job_record *r) {
-  if (r->spec.awaits) return;
+  if (r->awaiting) return;
   g_strfreev(j->spec.awaits);
   j->spec.awaits = NULL;
 }
--- a/src/bookkeeping/table.h
+++ b/src/bookkeeping/table.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "bookkeeping/demand.h"
+#include "bookkeeping/parts.h"
 #include "protocol/cloud_api.h"
 #include "protocol/job_record.h"
 #include "protocol/records.h"
@@ -62,6 +63,7 @@
   unsigned slices;
   char *handed[FC_SLICES_MAX];
   fc_job_origin origin;
+  fc_job_parts parts;           /* where its description is stored, if not in its record */
   int8_t owners[FC_SLICES_MAX]; /* members of the present term; -1: nobody */
   unsigned owned_by;            /* a bit a member that owns any of its slices */
   int team;                     /* index into the settings; -1: not there any more */
@@ -149,6 +151,13 @@
   unsigned job_format; /* the newest format of job records that it reads */
 } fc_member_key;
 
+/* A record that can't be read before more parts of the job's description are. */
+typedef struct fc_unread_job {
+  json_t *value;
+  uint64_t version;
+  bool ordered; /* it was read as a change */
+} fc_unread_job;
+
 typedef struct fc_table {
   const fc_settings *settings;
   double epoch;                   /* time of day less steady time */
@@ -158,6 +167,8 @@
   GHashTable *rentals;            /* name -> fc_rental_record */
   GHashTable *cancelled;          /* id -> fc_told_cancel: known to us, not read yet */
   GHashTable *members;            /* name -> fc_member_key */
+  fc_parts *parts;                /* of descriptions */
+  GHashTable *unread;             /* id -> fc_unread_job */
   GHashTable *awaited;            /* id -> fc_awaited: what accepted jobs await */
   GHashTable *unrecorded_cancels; /* fc_job: cancelled by another's record, not yet by their own */
   fc_term term;
--- a/src/bookkeeping/writes.c
+++ b/src/bookkeeping/writes.c
@@ -10,8 +10,8 @@
   char *ranges = fc_ranges_encode(done, j->spec.tasks);
   fc_job_record r = {.spec = j->spec, .origin = *origin, .phase = phase, .done = ranges, .slices = j->slices};
   memcpy(r.handed, handed, sizeof r.handed);
-  /* Done jobs stay so: what awaits them no longer is an ordinary job. */
-  if (fc_job_ready(j)) r.spec.awaits = NULL;
+  r.parts = j->parts;
+  r.awaiting = !fc_job_ready(j); /* done jobs stay so */
   fc_write *w = fc_write_new();
   fc_write_if(w, key, version);
   fc_write_put(w, key, fc_job_record_encode(&r));
--- a/src/controller/archive.c
+++ b/src/controller/archive.c
@@ -4,6 +4,9 @@
 #include "bookkeeping/pipeline.h"
 #include "controller/controller.h"
 
+#define WRITES_SHARE 0.5 /* of the write rate, at most */
+#define JOB_WRITES 2     /* a job leaves one key and comes to another */
+
 fc_lookup fc_archive_find(fc_controller *c, const char *id, double deadline, fc_archived_job *out) {
   /* The mark was there before the first job was archived. */
   if (!c->table->archive) return FC_NOT_THERE;
@@ -66,14 +69,16 @@
 void fc_archive_main(void *arg) {
   fc_controller *c = arg;
   fc_metrics_duty(&c->metrics, FC_DUTY_COMMITS);
-  /* A small part of our share of the writes, and none while others wait. */
-  guint most = MAX(1, fc_commit_most(c->commit) / 2);
+  double pause = c->settings->op.round_s * 2.5;
   while (!fc_routine_cancelled()) {
-    if (fc_routine_sleep(c->settings->op.round_s * 2.5) == FC_WAKE_CANCELLED) break;
-    if (!fc_may_act(c) || !fc_state_reachable(c) || fc_commit_backlog(c->commit) > 0) continue;
-    GPtrArray *ids = long_over(c, most);
+    if (fc_routine_sleep(pause) == FC_WAKE_CANCELLED) break;
+    if (!fc_may_act(c) || !fc_state_reachable(c)) continue;
+    /* By the rate and not by what a transaction holds: with few changes in each, jobs came
+     * faster than they were archived. */
+    GPtrArray *ids = long_over(c, (guint)MAX(1, fc_commit_rate(c->commit) * pause * WRITES_SHARE / JOB_WRITES));
     bool may = ids->len > 0 && (c->table->archive || set_mark(c));
-    for (guint i = 0; may && i < ids->len; i++) archive_job(c, ids->pdata[i]);
+    /* None while others wait. */
+    for (guint i = 0; may && i < ids->len && fc_commit_backlog(c->commit) == 0; i++) archive_job(c, ids->pdata[i]);
     g_ptr_array_free(ids, TRUE);
   }
 }
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "controller/controller.h"
+#include "controller/descriptions.h"
 #include "controller/pipelines.h"
 #include "protocol/routes.h"
 #include "scheduler/share.h"
@@ -34,6 +35,11 @@
 /* The table has just been proved current and does not hold the job. True: it is
  * archived, or that can't be said now, and the answer is made. */
 static bool answered_from_archive(fc_controller *c, fc_http_response *res, const char *id, bool counts) {
+  /* It is there, and can't be read before more of its description is. */
+  if (g_hash_table_contains(c->table->unread, id)) {
+    later(res, 503, "can't be read now");
+    return true;
+  }
   fc_archived_job o;
   switch (fc_archive_find(c, id, fc_now() + c->settings->report_s * 0.5, &o)) {
     case FC_FOUND:
@@ -126,21 +132,30 @@
   }
 }
 
+/* A submission on its way into the state service. */
+typedef struct submission {
+  const fc_job_spec *spec;
+  char **open;    /* what it awaits and is not done yet; NULL: nothing */
+  fc_phase phase; /* in which it is accepted */
+  json_t *record; /* the value of its record */
+  fc_job_parts parts;
+  uint64_t first_part; /* the version of the first of them, where there are any */
+  double deadline;
+} submission;
+
 /* Are the jobs that it awaits such as may be named, and can it be stored? False: that has
- * been answered. `phase`: of the record, if it is accepted. */
-static bool awaits_admitted(fc_controller *c, fc_http_response *res, fc_job_spec *spec, double deadline,
-                            fc_phase *phase) {
-  *phase = FC_PHASE_ACCEPTED;
-  switch (fc_pipelines_admit(c, spec, deadline)) {
+ * been answered. */
+static bool awaits_admitted(fc_controller *c, fc_http_response *res, submission *s) {
+  switch (fc_pipelines_admit(c, s->spec->awaits, s->deadline, &s->open)) {
     case FC_AWAITS_CANCELLED:
-      *phase = FC_PHASE_CANCELLED;
+      s->phase = FC_PHASE_CANCELLED;
       return true;
     case FC_AWAITS_RESOLVED:
-      if (!spec->awaits || fc_pipelines_supported(c)) return true;
+      if (!s->open || fc_pipelines_supported(c)) return true;
       later(res, 503, "another controller can't read jobs that await others yet");
       return false;
     case FC_AWAITS_REFUSED:
-      refuse_impossible(c, res, spec->id, "awaits: a job that was never accepted, or a service", deadline);
+      refuse_impossible(c, res, s->spec->id, "awaits: a job that was never accepted, or a service", s->deadline);
       return false;
     default:
       later(res, 503, "the jobs that it awaits can't be looked up now");
@@ -171,48 +186,78 @@
   return true;
 }
 
-/* The record of a new job, with its slices assigned to members; the caller's to drop.
- * NULL: too large to be stored. */
-static json_t *new_record(fc_controller *c, const fc_job_spec *spec, fc_phase phase) {
-  fc_job_record r = {.spec = *spec,
-                     .origin = {.term = c->table->term.number, .submitted_at = fc_time_of_day()},
-                     .phase = phase,
-                     .slices = fc_job_slices(spec, c->settings->op.split_limit)};
+/* The record of a new job without its description, with its slices assigned to members. */
+static fc_job_record new_record(fc_controller *c, const submission *s) {
+  fc_job_record r = {.origin = {.term = c->table->term.number, .submitted_at = fc_time_of_day()},
+                     .phase = s->phase,
+                     .awaiting = s->open != NULL,
+                     .slices = fc_job_slices(s->spec, c->settings->op.split_limit)};
   bool fit[FC_MEMBERS_MAX];
   for (size_t i = 0; i < c->table->term.count; i++) fit[i] = fc_member_fit(c, (int)i);
-  fc_share_deal(c->table, fit, spec, r.slices, r.handed);
-  json_t *record = fc_job_record_encode(&r);
-  GString *size = g_string_new(NULL);
-  fc_json_append(size, json_incref(record));
-  bool too_large = (double)size->len > c->settings->state_value_kb * 1024 * 0.75; /* room for finished tasks */
-  g_string_free(size, TRUE);
-  if (!too_large) return record;
-  json_decref(record);
-  return NULL;
+  fc_share_deal(c->table, fit, s->spec, r.slices, r.handed);
+  return r;
 }
 
-/* Writes the record, unless there is or was a job of this id, and answers. */
-static void accept_job(fc_controller *c, fc_http_response *res, const fc_job_spec *spec, fc_phase phase, json_t *record,
-                       double deadline) {
+/* What is left of a value is for finished tasks and hand-overs. */
+static bool fits_a_value(const fc_controller *c, const json_t *record) {
+  return (double)json_dumpb(record, NULL, 0, JSON_COMPACT) <= c->settings->state_value_kb * 1024 * 0.75;
+}
+
+/* Makes the value of the record, and writes the description first where it is too long to be
+ * part of it. False: that has been answered. */
+static bool make_record(fc_controller *c, fc_http_response *res, submission *s) {
+  fc_job_record r = new_record(c, s);
+  r.spec = *s->spec;
+  r.spec.awaits = s->open;
+  s->record = fc_job_record_encode(&r);
+  if (fits_a_value(c, s->record)) return true;
+  json_decref(s->record);
+  s->record = NULL;
+  if (!fc_pipelines_supported(c)) {
+    later(res, 503, "another controller can't read so long a description yet");
+    return false;
+  }
+  /* All that it names, also what is done: a repeat goes on with the same text. */
+  if (fc_description_store(c, s->spec, s->deadline, &s->parts, &s->first_part) != FC_STATE_OK || !s->first_part) {
+    later(res, 503, "not written yet; ask again");
+    return false;
+  }
+  r.parts = s->parts;
+  s->record = fc_job_record_encode(&r);
+  return true;
+}
+
+static fc_write *submission_write(submission *s) {
   fc_write *w = fc_write_new();
-  char *key = g_strconcat(FC_PREFIX_JOB, spec->id, NULL);
+  char *key = g_strconcat(FC_PREFIX_JOB, s->spec->id, NULL);
   fc_write_if(w, key, 0);
-  fc_write_put(w, key, record);
+  fc_write_put(w, key, s->record);
+  s->record = NULL;
   g_free(key);
-  key = g_strconcat(FC_PREFIX_ARCHIVED, spec->id, NULL);
+  key = g_strconcat(FC_PREFIX_ARCHIVED, s->spec->id, NULL);
   fc_write_if(w, key, 0); /* nor was there one that is over */
   g_free(key);
+  if (s->parts.count == 0) return w;
+  key = fc_job_part_key(s->spec->id, s->parts.digest, 0);
+  fc_write_if(w, key, s->first_part);
+  g_free(key);
+  return w;
+}
+
+/* Writes the record, unless there is or was a job of this id, and answers. */
+static void accept_job(fc_controller *c, fc_http_response *res, submission *s) {
+  const fc_job_spec *spec = s->spec;
   uint64_t revision = 0;
-  fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_SUBMISSION, deadline, &revision);
+  fc_state_result r = fc_commit_write(c->commit, submission_write(s), FC_RANK_SUBMISSION, s->deadline, &revision);
   if (r == FC_STATE_OK) {
     res->status = 201;
     g_debug("accepted job=%s class=%s tasks=%u slices=%u", spec->id, spec->class_name, spec->tasks,
             fc_job_slices(spec, c->settings->op.split_limit));
-    fc_job_status status = phase == FC_PHASE_CANCELLED ? FC_STATUS_CANCELLED : FC_STATUS_PENDING;
+    fc_job_status status = s->phase == FC_PHASE_CANCELLED ? FC_STATUS_CANCELLED : FC_STATUS_PENDING;
     fc_job_answer(res->body, spec->id, status, 0, 0, false);
     return;
   }
-  if (r == FC_STATE_CONFLICT && prove_current(c, spec->id, deadline)) {
+  if (r == FC_STATE_CONFLICT && prove_current(c, spec->id, s->deadline)) {
     fc_job *j = fc_table_job(c->table, spec->id);
     if (j) answer_job(res, 200, j, false);
     if (j || answered_from_archive(c, res, spec->id, false)) return;
@@ -223,22 +268,15 @@
 static void submit(fc_controller *c, const fc_http_request *req, fc_http_response *res) {
   fc_job_spec spec;
   char error[200];
-  double deadline = fc_now() + c->settings->report_s;
   if (!fc_job_spec_parse(req->body, req->body_len, &spec, error, sizeof error)) {
     refuse_malformed(c, req, res, error);
     return;
   }
-  fc_phase phase;
-  if (!answered_as_known(c, res, spec.id, deadline) && admitted(c, res, &spec, deadline) &&
-      awaits_admitted(c, res, &spec, deadline, &phase)) {
-    json_t *record = new_record(c, &spec, phase);
-    if (record) {
-      accept_job(c, res, &spec, phase, record, deadline);
-    } else {
-      /* Nor is this said to a repeat of what was accepted with fewer types. */
-      refuse_malformed(c, req, res, "body: description too large");
-    }
-  }
+  submission s = {.spec = &spec, .phase = FC_PHASE_ACCEPTED, .deadline = fc_now() + c->settings->report_s};
+  if (!answered_as_known(c, res, spec.id, s.deadline) && admitted(c, res, &spec, s.deadline) &&
+      awaits_admitted(c, res, &s) && make_record(c, res, &s))
+    accept_job(c, res, &s);
+  g_strfreev(s.open);
   fc_job_spec_clear(&spec);
 }
 
--- a/src/controller/pipelines.c
+++ b/src/controller/pipelines.c
@@ -83,17 +83,16 @@
   return verdict;
 }
 
-fc_awaits_verdict fc_pipelines_admit(fc_controller *c, fc_job_spec *spec, double deadline) {
-  if (!spec->awaits) return FC_AWAITS_RESOLVED;
-  GPtrArray *open = g_ptr_array_new_with_free_func(g_free);
-  fc_awaits_verdict verdict = look_at_all(c, spec->awaits, deadline, open);
-  g_strfreev(spec->awaits);
-  spec->awaits = NULL;
-  if (verdict == FC_AWAITS_RESOLVED && open->len > 0) {
-    g_ptr_array_add(open, NULL);
-    spec->awaits = (char **)g_ptr_array_steal(open, NULL);
+fc_awaits_verdict fc_pipelines_admit(fc_controller *c, char *const *awaits, double deadline, char ***open) {
+  *open = NULL;
+  if (!awaits) return FC_AWAITS_RESOLVED;
+  GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+  fc_awaits_verdict verdict = look_at_all(c, awaits, deadline, ids);
+  if (verdict == FC_AWAITS_RESOLVED && ids->len > 0) {
+    g_ptr_array_add(ids, NULL);
+    *open = (char **)g_ptr_array_steal(ids, NULL);
   }
-  g_ptr_array_free(open, TRUE);
+  g_ptr_array_free(ids, TRUE);
   return verdict;
 }
 
--- a/src/controller/pipelines.h
+++ b/src/controller/pipelines.h
@@ -6,15 +6,16 @@
 #include "controller/controller.h"
 
 typedef enum {
-  FC_AWAITS_RESOLVED,  /* what is left of the list is not done yet */
+  FC_AWAITS_RESOLVED,  /* the job may be accepted */
   FC_AWAITS_CANCELLED, /* one of them is: the job is cancelled from the start */
   FC_AWAITS_REFUSED,   /* one was never accepted, or is a service */
   FC_AWAITS_NOT_SURE,  /* can't be said now */
 } fc_awaits_verdict;
 
-/* Looks at the jobs that a submission awaits, and drops those that are done. Waits for reads
- * of the state service up to the deadline. */
-fc_awaits_verdict fc_pipelines_admit(fc_controller *c, fc_job_spec *spec, double deadline);
+/* Looks at the jobs that a submission awaits. Waits for reads of the state service up to the
+ * deadline. *open: those that are not done yet, the caller's to free; NULL: none, or the job
+ * is not to wait for them. */
+fc_awaits_verdict fc_pipelines_admit(fc_controller *c, char *const *awaits, double deadline, char ***open);
 
 /* Do all members that are there read the records of jobs that await others? The others would
  * answer 404 for them. */
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -1,5 +1,6 @@
 /* Assembles one controller from its settings. */
 #include "controller/controller.h"
+#include "controller/descriptions.h"
 #include "controller/duties.h"
 #include "controller/pipelines.h"
 
@@ -39,8 +40,9 @@
     *why = "peer_listen: can't listen there";
     return NULL;
   }
-  fc_routine_fn duties[] = {fc_watch_main, fc_read_index_main, fc_commit_duty,  fc_member_main,  fc_round_main,
-                            fc_quota_main, fc_rent_main,       fc_archive_main, fc_overdue_main, fc_pipelines_main};
+  fc_routine_fn duties[] = {fc_watch_main,   fc_read_index_main, fc_commit_duty,      fc_member_main,
+                            fc_round_main,   fc_quota_main,      fc_rent_main,        fc_archive_main,
+                            fc_overdue_main, fc_pipelines_main,  fc_descriptions_main};
   for (size_t i = 0; i < G_N_ELEMENTS(duties); i++) {
     if (!fc_routine_spawn(duties[i], c)) {
       *why = "out of memory";
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -56,11 +56,42 @@
   fc_views_soon(c);
 }
 
+/* Fills in the description of a record that has it in parts. False: not all of them are there. */
+static bool join_description(fc_controller *c, const char *id, fc_job_record *r) {
+  /* What is known of the job stays: parts never change. */
+  if (fc_table_job(c->table, id)) return true;
+  char *text = fc_parts_join(c->table->parts, id, &r->parts);
+  bool ok = text && fc_job_description_read(text, &r->spec);
+  if (text && !ok) g_critical("description unreadable job=%s", id);
+  g_free(text);
+  if (ok) fc_parts_drop_texts(c->table->parts, id, r->parts.digest);
+  return ok;
+}
+
+static void apply_job(fc_controller *c, const char *id, const fc_change *ch, bool ordered);
+
+static void apply_part(fc_controller *c, const char *key, const fc_change *ch) {
+  char job[32], digest[FC_JOB_DIGEST_SIZE];
+  unsigned number;
+  const char *text = ch->value ? fc_job_part_decode(ch->value) : NULL;
+  if (!fc_job_part_key_parse(key, job, digest, &number) || (ch->value && !text)) {
+    g_critical("part unreadable key=%s", ch->key);
+    return;
+  }
+  fc_parts_put(c->table->parts, job, digest, number, text, ch->version, fc_now());
+  const fc_unread_job *u = g_hash_table_lookup(c->table->unread, job);
+  if (!u || !text) return;
+  const fc_change again = {.key = ch->key, .value = json_incref(u->value), .version = u->version};
+  apply_job(c, job, &again, u->ordered);
+  json_decref(again.value);
+}
+
 static void apply_job(fc_controller *c, const char *id, const fc_change *ch, bool ordered) {
   if (!ch->value) {
     /* It was over and has been archived; only ever then (archive.c). */
     fc_job *over = fc_table_job(c->table, id);
     if (over && over->version < ch->version) fc_table_remove_job(c->table, over);
+    g_hash_table_remove(c->table->unread, id);
     return;
   }
   fc_job_record r;
@@ -68,6 +99,14 @@
     g_critical("job record unreadable key=%s", ch->key);
     return;
   }
+  if (r.parts.count > 0 && !join_description(c, id, &r)) {
+    fc_unread_job *u = g_new(fc_unread_job, 1);
+    *u = (fc_unread_job){json_incref(ch->value), ch->version, ordered};
+    g_hash_table_replace(c->table->unread, g_strdup(id), u);
+    fc_job_record_clear(&r);
+    return;
+  }
+  g_hash_table_remove(c->table->unread, id);
   /* Whoever confirmed it did so after the last read that did not show it. */
   if (r.phase == FC_PHASE_CANCELLED) fc_cancel_learned(c, id, ch->version, ordered ? c->fresh_sent : fc_now());
   bool fresh = ordered && c->table->term_version && ch->version > c->table->term_version;
@@ -131,6 +170,8 @@
     t->archive = ch->value != NULL;
   } else if (strcmp(key, FC_KEY_RETURNED) == 0) {
     t->returned_version = MAX(t->returned_version, ch->version);
+  } else if (g_str_has_prefix(key, FC_PREFIX_PART)) {
+    apply_part(c, key + strlen(FC_PREFIX_PART), ch);
   } else if (g_str_has_prefix(key, FC_PREFIX_JOB)) {
     apply_job(c, key + strlen(FC_PREFIX_JOB), ch, ordered);
   } else if (g_str_has_prefix(key, FC_PREFIX_MACHINE)) {
@@ -181,6 +222,14 @@
     g_free(k);
   }
   for (guint i = 0; i < gone->len; i++) fc_table_remove_job(t, gone->pdata[i]);
+  fc_parts_keep(t->parts, present, revision);
+  g_hash_table_iter_init(&it, t->unread);
+  while (g_hash_table_iter_next(&it, &key, &value)) {
+    char *k = g_strconcat(FC_PREFIX_JOB, (const char *)key, NULL);
+    if (((const fc_unread_job *)value)->version <= revision && !g_hash_table_contains(present, k))
+      g_hash_table_iter_remove(&it);
+    g_free(k);
+  }
   g_ptr_array_free(gone, TRUE);
   g_hash_table_iter_init(&it, t->members);
   while (g_hash_table_iter_next(&it, &key, NULL)) {
--- a/src/protocol/job_record.c
+++ b/src/protocol/job_record.c
@@ -53,6 +53,8 @@
 
 static void encode_origin(json_t *v, const fc_job_record *r) {
   const fc_job_origin *o = &r->origin;
+  if (o->submitted_at > 0 && r->awaiting && r->phase == FC_PHASE_ACCEPTED)
+    json_object_set_new(v, "submitted", json_real(o->submitted_at));
   if (o->term) json_object_set_new(v, "term", json_integer((json_int_t)o->term));
   if (o->moved) json_object_set_new(v, "moved", json_integer((json_int_t)o->moved));
   json_t *moves = last_moves_encode(o, r->slices);
@@ -64,15 +66,26 @@
   char *awaits = fc_job_awaits_text(r->spec.awaits);
   json_object_set_new(v, "awaits", json_string(awaits));
   g_free(awaits);
-  if (r->origin.submitted_at > 0) json_object_set_new(v, "submitted", json_real(r->origin.submitted_at));
 }
 
-json_t *fc_job_record_encode(const fc_job_record *r) {
-  bool awaiting = r->spec.awaits && r->phase == FC_PHASE_ACCEPTED;
-  json_t *v = json_pack("{si so ss ss* si so*}", "f", awaiting ? FC_JOB_FORMAT_AWAITING : FC_JOB_FORMAT_PLAIN, "spec",
-                        fc_job_spec_encode(&r->spec), "phase", k_phases[r->phase], "done",
-                        r->done && *r->done ? r->done : NULL, "slices", (int)r->slices, "to", handed_encode(r));
+/* What the record says of the job itself: its description, or where that is. */
+static json_t *encode_description(const fc_job_record *r) {
+  bool awaiting = r->awaiting && r->phase == FC_PHASE_ACCEPTED;
+  if (r->parts.count > 0)
+    return json_pack("{si s[si] sb}", "f", FC_JOB_FORMAT_AWAITING, "parts", r->parts.digest, (int)r->parts.count,
+                     "awaiting", (int)awaiting);
+  json_t *v = json_pack("{si so}", "f", awaiting ? FC_JOB_FORMAT_AWAITING : FC_JOB_FORMAT_PLAIN, "spec",
+                        fc_job_spec_encode(&r->spec));
   if (awaiting) encode_awaits(v, r);
+  return v;
+}
+
+json_t *fc_job_record_encode(const fc_job_record *r) {
+  json_t *v = encode_description(r);
+  json_t *state = json_pack("{ss ss* si so*}", "phase", k_phases[r->phase], "done",
+                            r->done && *r->done ? r->done : NULL, "slices", (int)r->slices, "to", handed_encode(r));
+  json_object_update(v, state);
+  json_decref(state);
   encode_origin(v, r);
   return v;
 }
@@ -92,6 +105,33 @@
   }
 }
 
+static void read_parts(fc_reader *r, fc_job_record *out) {
+  const json_t *parts = fc_read_array(r, "parts");
+  const char *digest = json_string_value(json_array_get(parts, 0));
+  json_int_t count = json_integer_value(json_array_get(parts, 1));
+  if (!digest || strlen(digest) != FC_JOB_DIGEST_SIZE - 1 || count <= 0 || count > FC_JOB_PARTS_MOST) {
+    fc_reader_fail(r, "parts", "not a digest and a number of parts");
+    return;
+  }
+  g_strlcpy(out->parts.digest, digest, sizeof out->parts.digest);
+  out->parts.count = (unsigned)count;
+  out->awaiting = fc_read_bool(r, "awaiting");
+}
+
+static void read_description(fc_reader *r, uint64_t format, fc_job_record *out) {
+  if (format == FC_JOB_FORMAT_AWAITING && json_object_get(r->object, "parts")) {
+    read_parts(r, out);
+    return;
+  }
+  fc_reader spec;
+  fc_reader_init(&spec, fc_read_object(r, "spec"));
+  if (fc_reader_ok(r)) fc_job_spec_read(&spec, &out->spec);
+  if (!fc_reader_ok(&spec)) fc_reader_fail(r, "spec", "not a description");
+  if (format != FC_JOB_FORMAT_AWAITING) return;
+  fc_job_awaits_read(r, "awaits", &out->spec);
+  out->awaiting = out->spec.awaits != NULL;
+}
+
 bool fc_job_record_decode(const json_t *v, fc_job_record *out) {
   memset(out, 0, sizeof *out);
   fc_reader r;
@@ -106,15 +146,9 @@
   out->origin.unseen = (unsigned)fc_read_count_or(&r, "unseen", 0, UINT32_MAX, 0);
   if (fc_reader_ok(&r)) read_handed(&r, out);
   if (fc_reader_ok(&r)) read_last_moves(&r, out);
-  const json_t *spec = fc_read_object(&r, "spec");
-  fc_reader sr;
-  fc_reader_init(&sr, spec);
-  if (fc_reader_ok(&r)) fc_job_spec_read(&sr, &out->spec);
-  if (format == FC_JOB_FORMAT_AWAITING) {
-    out->origin.submitted_at = fc_read_amount_or(&r, "submitted", 0, TIME_OF_DAY_MOST, 0);
-    fc_job_awaits_read(&r, "awaits", &out->spec);
-  }
-  if (!fc_reader_ok(&r) || !fc_reader_ok(&sr)) {
+  out->origin.submitted_at = fc_read_amount_or(&r, "submitted", 0, TIME_OF_DAY_MOST, 0);
+  read_description(&r, format, out);
+  if (!fc_reader_ok(&r)) {
     fc_job_record_clear(out);
     return false;
   }
--- a/src/protocol/job_record.h
+++ b/src/protocol/job_record.h
@@ -3,6 +3,7 @@
 #define FC_PROTOCOL_JOB_RECORD_H
 
 #include "protocol/job.h"
+#include "protocol/job_parts.h"
 
 /* The stored form: format version, description, phase, finished tasks as
  * ranges ("0-3,7"), the number of virtual jobs (slices) an array is split into,
@@ -37,11 +38,15 @@
   char *done; /* ranges */
   unsigned slices;
   char *handed[FC_SLICES_MAX]; /* NULL: as dealt */
+  fc_job_parts parts;          /* where the description is, if it isn't in the record */
+  bool awaiting;               /* it still awaits what its description says */
 } fc_job_record;
 
-/* The record's value. An accepted job that awaits others has the format for that; once it is
- * over what it awaited is left out. Strings of the record are read only. */
+/* The record's value. An accepted job that still awaits others, or whose description is
+ * elsewhere, has the format that older versions can't read. Strings of the record are read
+ * only. */
 json_t *fc_job_record_encode(const fc_job_record *r);
+/* Where the description is in parts, the record's is left empty. */
 bool fc_job_record_decode(const json_t *v, fc_job_record *out);
 void fc_job_record_clear(fc_job_record *r);
 
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -17,6 +17,8 @@
 #define FC_PREFIX_MACHINE FC_PREFIX "machine/"
 #define FC_PREFIX_MEMBER FC_PREFIX "member/"
 #define FC_PREFIX_RENTAL FC_PREFIX "hire/"
+/* Parts of descriptions that are too long for one value (job_parts.h). */
+#define FC_PREFIX_PART FC_PREFIX "part/"
 /* There once jobs may have been archived. */
 #define FC_KEY_ARCHIVE FC_PREFIX "archive"
 /* Written with every removal of machines' records. */
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -242,6 +242,10 @@
   for (int n = 0; n < WORLD_NODES; n++) g_settings[n].op.idle_keep_share = 1e6;
 }
 
+void world_keep_over(double for_s) {
+  for (int n = 0; n < WORLD_NODES; n++) g_settings[n].op.over_keep_s = for_s;
+}
+
 void world_limit(double cpus, double gpus) {
   for (int n = 0; n < WORLD_NODES; n++) {
     g_settings[n].teams[1].cpus_max = cpus;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -58,8 +58,9 @@
  * hold then. */
 void world_checks_from(double in_s);
 void world_checks_end(void);
-void world_return_idle(void); /* idle machines are returned at once */
-void world_keep_idle(void);   /* idle machines are not returned */
+void world_return_idle(void);       /* idle machines are returned at once */
+void world_keep_idle(void);         /* idle machines are not returned */
+void world_keep_over(double for_s); /* jobs that are over are archived after so long */
 /* What a controller has counted since its last start. */
 fc_counts world_counts(unsigned node);
 void world_machines_up(unsigned zone, unsigned count); /* ordinary ones, there from the start */
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -173,6 +173,102 @@
   assert_true(r.status == 422 && r.took < AT_ONCE_S);
 }
 
+enum { MANY = 300 };
+
+/* Of eighteen digits, so that a list of them takes several values. */
+static const char *long_id(unsigned k) {
+  static char id[32];
+  g_snprintf(id, sizeof id, "job-9000000000000%05u", k);
+  return id;
+}
+
+/* Played on until it has been accepted, as a user does who repeats the submission. */
+static double accepted_within(const char *body, double patience_s) {
+  double began = sim_now();
+  for (unsigned k = 0; sim_now() < began + patience_s; k++) {
+    world_reply r = world_request(k % WORLD_NODES, "POST", "/api/jobs", body);
+    if (r.status == 201 || r.status == 200) return sim_now() - began;
+    assert_true(r.status == 503 && r.retry_after > 0);
+    sim_run_until(sim_now() + 1);
+  }
+  fail_msg("not accepted within %.0f s", patience_s);
+  return 0;
+}
+
+static unsigned g_parts_left;
+
+static void count_part(const char *id) {
+  (void)id;
+  g_parts_left++;
+}
+
+static unsigned parts_stored(void) {
+  g_parts_left = 0;
+  state_each("fc1/part/", count_part);
+  return g_parts_left;
+}
+
+/* A job that names more others than one value holds, with values of 2 KiB: it is accepted,
+ * waits for every one of them, also at controllers that start anew, and what was stored for
+ * it goes with it. What is given up half-way is cleared away. */
+static void more_than_a_value_holds(void **state) {
+  (void)state;
+  world_set_up(4, 0);
+  world_capacity(3, 0);
+  world_keep_idle();
+  world_images_there();
+  world_state_next(2, 4, 40);
+  world_state_limits(2, 4, 40);
+  world_keep_over(120);
+  world_start_nodes();
+  world_machines_up(0, 3);
+  world_machines_up(1, 3);
+  sim_run_until(sim_now() + 8);
+  /* All of them wait for one that takes its time. */
+  world_submit(world_id(9), "sweep", "standard", 1, 1, 130, 0);
+  GString *awaits = g_string_new("[");
+  for (unsigned k = 0; k < MANY; k++) {
+    g_string_append_printf(awaits, "%s\"%s\"", k ? "," : "", long_id(k));
+    world_submit_job(&(world_job){.id = long_id(k),
+                                  .kind = "sweep",
+                                  .tasks = 1,
+                                  .gpus = 0.25,
+                                  .run_s = 1,
+                                  .in_s = 1 + 0.1 * k,
+                                  .awaits = {world_id(9)}});
+  }
+  g_string_append_c(awaits, ']');
+  sim_run_until(sim_now() + 80);
+  assert_int_equal(world_so_far().accepted, MANY + 1);
+  char *body = submission("job-000001", "sweep", awaits->str);
+  world_add_job("job-000001", "sweep", 1, 0, 3);
+  double took = accepted_within(body, 60);
+  print_message("%d ids: accepted after %.2f s, in %u parts\n", MANY, took, parts_stored());
+  assert_true(parts_stored() >= 4);
+  /* That of another job is given up: its controller ends before there is a record. */
+  char *other = submission("job-000002", "sweep", awaits->str);
+  for (unsigned n = 0; n < WORLD_NODES; n++) world_crash(n, 0.3);
+  sim_run_until(sim_now() + 6);
+  for (unsigned n = 0; n < WORLD_NODES; n++) assert_true(says("job-000001", n, "pending"));
+  world_reply given_up;
+  world_crash_at_write(0, "fc1/part/job-000002", 0.0001, 0.3);
+  world_send(&given_up, 0, "POST", "/api/jobs", other);
+  sim_run_until(sim_now() + 10);
+  assert_int_equal(given_up.status, 0);
+  assert_true(parts_stored() >= 8 && !state_has("fc1/job/job-000002"));
+  double patience = sim_now() + 150;
+  while (!says("job-000001", 1, "done") && sim_now() < patience) sim_run_until(sim_now() + 1);
+  for (unsigned k = 0; k < MANY; k++) assert_true(world_ended_at("job-000001") > world_ended_at(long_id(k)) + 3);
+  assert_true(says("job-000001", 1, "done"));
+  sim_run_until(sim_now() + 200);
+  assert_false(state_has("fc1/job/job-000001"));
+  assert_int_equal(parts_stored(), 0);
+  if (world_so_far().broken) fail_msg("%s", world_so_far().first);
+  g_string_free(awaits, TRUE);
+  g_free(body);
+  g_free(other);
+}
+
 /* ---- what is started when ---- */
 
 typedef struct chain_row {
@@ -433,11 +529,11 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(users_are_answered),       cmocka_unit_test(not_sure_now),
-      cmocka_unit_test(within_a_millisecond),     cmocka_unit_test(a_body_full_of_ids),
-      cmocka_unit_test(chains_go_through),        cmocka_unit_test(waiting_holds_no_limit),
-      cmocka_unit_test(the_deadline_of_the_last), cmocka_unit_test(a_cancellation_reaches_all),
-      cmocka_unit_test(called_off_at_the_end),
+      cmocka_unit_test(users_are_answered),         cmocka_unit_test(not_sure_now),
+      cmocka_unit_test(within_a_millisecond),       cmocka_unit_test(a_body_full_of_ids),
+      cmocka_unit_test(more_than_a_value_holds),    cmocka_unit_test(chains_go_through),
+      cmocka_unit_test(waiting_holds_no_limit),     cmocka_unit_test(the_deadline_of_the_last),
+      cmocka_unit_test(a_cancellation_reaches_all), cmocka_unit_test(called_off_at_the_end),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_pipeline.c
+++ b/tests/test_pipeline.c
@@ -4,6 +4,7 @@
 
 #include <math.h>
 
+#include "bookkeeping/parts.h"
 #include "bookkeeping/pipeline.h"
 #include "protocol/json.h"
 #include "scheduler/place.h"
@@ -83,8 +84,8 @@
     char error[200];
     assert_true(fc_job_spec_parse(text, strlen(text), &s, error, sizeof error));
     const fc_job_origin origin = {.term = 3, .submitted_at = 1.8e9 + 0.5};
-    json_t *v =
-        fc_job_record_encode(&(fc_job_record){.spec = s, .origin = origin, .phase = rows[i].phase, .slices = 1});
+    json_t *v = fc_job_record_encode(&(fc_job_record){
+        .spec = s, .origin = origin, .phase = rows[i].phase, .slices = 1, .awaiting = s.awaits != NULL});
     check_row(rows[i].name, json_integer_value(json_object_get(v, "f")) == rows[i].format);
     bool awaiting = rows[i].format == FC_JOB_FORMAT_AWAITING;
     fc_job_record r;
@@ -110,7 +111,8 @@
   char error[200];
   assert_true(fc_job_spec_parse(text, strlen(text), &s, error, sizeof error));
   for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
-    json_t *v = fc_job_record_encode(&(fc_job_record){.spec = s, .phase = FC_PHASE_ACCEPTED, .slices = 1});
+    json_t *v =
+        fc_job_record_encode(&(fc_job_record){.spec = s, .phase = FC_PHASE_ACCEPTED, .slices = 1, .awaiting = true});
     json_object_set_new(v, "awaits", fc_json_parse(bad[i], strlen(bad[i])));
     fc_job_record r;
     check_row(bad[i], !fc_job_record_decode(v, &r));
@@ -140,6 +142,144 @@
   json_decref(ours);
 }
 
+/* ---- descriptions too long for one value ---- */
+
+static char *long_list(unsigned ids) {
+  GString *s = g_string_new("[");
+  for (unsigned k = 0; k < ids; k++) g_string_append_printf(s, "%s\"job-%06u\"", k ? "," : "", 100000 + k);
+  g_string_append_c(s, ']');
+  return g_string_free(s, FALSE);
+}
+
+/* Cut at any size, no value is larger than it may be, and the whole is what it was. */
+static void descriptions_in_parts(void **state) {
+  (void)state;
+  static const unsigned ids[] = {0, 1, 70, 4900};
+  static const size_t sizes[] = {64, 1024, 2048, 8192, 1 << 20};
+  for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+    char *list = long_list(ids[i]), *text = submission(list), error[200];
+    fc_job_spec s, again;
+    assert_true(fc_job_spec_parse(text, strlen(text), &s, error, sizeof error));
+    char *description = fc_job_description_text(&s);
+    for (size_t k = 0; k < G_N_ELEMENTS(sizes); k++) {
+      fc_job_parts parts;
+      GPtrArray *pieces = fc_job_description_cut(description, sizes[k], &parts);
+      GString *whole = g_string_new(NULL);
+      assert_int_equal(parts.count, pieces->len);
+      for (guint n = 0; n < pieces->len; n++) {
+        json_t *v = fc_job_part_encode(pieces->pdata[n]);
+        assert_true(json_dumpb(v, NULL, 0, JSON_COMPACT) <= sizes[k]);
+        g_string_append(whole, fc_job_part_decode(v));
+        json_decref(v);
+      }
+      assert_string_equal(whole->str, description);
+      g_string_free(whole, TRUE);
+      g_ptr_array_free(pieces, TRUE);
+    }
+    assert_true(fc_job_description_read(description, &again));
+    assert_int_equal(again.awaits ? g_strv_length(again.awaits) : 0, ids[i]);
+    assert_true(again.tasks == s.tasks && again.deadline_s == s.deadline_s);
+    fc_job_spec_clear(&again);
+    description[strlen(description) / 2] = '\0'; /* a part is missing */
+    assert_false(fc_job_description_read(description, &again));
+    fc_job_spec_clear(&s);
+    g_free(description);
+    g_free(text);
+    g_free(list);
+  }
+}
+
+static void keys_of_parts(void **state) {
+  (void)state;
+#define DIGEST "0123456789abcdef0123456789abcdef"
+  static const struct {
+    const char *key;
+    bool good;
+  } rows[] = {
+      {"job-000001/" DIGEST "/0", true},
+      {"job-000001/" DIGEST "/1023", true},
+      {"job-000001/" DIGEST "/1024", false},
+      {"job-000001/" DIGEST "/", false},
+      {"job-000001/" DIGEST "/-1", false},
+      {"job-000001/" DIGEST "/1x", false},
+      {"job-1/" DIGEST "/0", false},
+      {"job-000001/" DIGEST "0/0", false},
+      {"job-000001/0", false},
+      {"job-000001/" DIGEST "/0/0", false},
+      {"", false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    char job[32], digest[FC_JOB_DIGEST_SIZE];
+    unsigned number = 0;
+    check_row(rows[i].key, fc_job_part_key_parse(rows[i].key, job, digest, &number) == rows[i].good);
+  }
+  char *key = fc_job_part_key("job-000001", DIGEST, 7);
+  assert_string_equal(key, "fc1/part/job-000001/" DIGEST "/7");
+  g_free(key);
+}
+
+/* Parts come in any order, some go, some are of another text of the same job. */
+static void parts_that_are_there(void **state) {
+  (void)state;
+  fc_parts *p = fc_parts_new();
+  const fc_job_parts of = {.digest = DIGEST, .count = 3};
+  fc_parts_put(p, "job-000001", DIGEST, 2, "c", 12, 5);
+  fc_parts_put(p, "job-000001", DIGEST, 0, "a", 10, 6);
+  fc_parts_put(p, "job-000001", "another", 1, "x", 11, 6);
+  assert_null(fc_parts_join(p, "job-000001", &of));
+  fc_parts_put(p, "job-000001", DIGEST, 1, "b", 11, 7);
+  fc_parts_put(p, "job-000001", DIGEST, 1, "old", 9, 7); /* read late */
+  char *whole = fc_parts_join(p, "job-000001", &of);
+  assert_string_equal(whole, "abc");
+  g_free(whole);
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 2), 12);
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 3), 0);
+  fc_parts_drop_texts(p, "job-000001", DIGEST);
+  assert_null(fc_parts_join(p, "job-000001", &of));
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 0), 10);
+  fc_parts_put(p, "job-000001", DIGEST, 0, NULL, 20, 8);
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 0), 0);
+  /* Everything is read anew: what is not there any more is gone, what is newer stays. */
+  GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+  g_hash_table_add(present, "fc1/part/job-000001/" DIGEST "/1");
+  fc_parts_put(p, "job-000001", DIGEST, 5, "f", 31, 8);
+  fc_parts_keep(p, present, 30);
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 1), 11);
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 2), 0);
+  assert_int_equal(fc_parts_version(p, "job-000001", DIGEST, 5), 31);
+  assert_int_equal(fc_parts_version(p, "job-000001", "another", 1), 0);
+  g_hash_table_destroy(present);
+  fc_parts_free(p);
+}
+
+/* A record whose description is elsewhere, and ones that say so in a wrong way. */
+static void records_with_parts(void **state) {
+  (void)state;
+  fc_job_record r = {.phase = FC_PHASE_ACCEPTED, .slices = 4, .awaiting = true, .done = (char *)"0-1"};
+  r.parts = (fc_job_parts){.digest = DIGEST, .count = 3};
+  r.origin = (fc_job_origin){.term = 6, .submitted_at = 1.8e9};
+  json_t *v = fc_job_record_encode(&r);
+  assert_int_equal(json_integer_value(json_object_get(v, "f")), FC_JOB_FORMAT_AWAITING);
+  fc_job_record again;
+  assert_true(fc_job_record_decode(v, &again));
+  assert_true(again.parts.count == 3 && strcmp(again.parts.digest, DIGEST) == 0 && again.awaiting);
+  assert_true(again.slices == 4 && again.origin.term == 6 && again.origin.submitted_at == 1.8e9 && !again.spec.id);
+  fc_job_record_clear(&again);
+  static const char *const bad[] = {"7",
+                                    "[]",
+                                    "[\"" DIGEST "\"]",
+                                    "[\"" DIGEST "\",0]",
+                                    "[\"" DIGEST "\",-1]",
+                                    "[\"" DIGEST "\",1025]",
+                                    "[\"0123\",1]",
+                                    "[3,\"" DIGEST "\"]"};
+  for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+    json_object_set_new(v, "parts", fc_json_parse(bad[i], strlen(bad[i])));
+    check_row(bad[i], !fc_job_record_decode(v, &again));
+  }
+  json_decref(v);
+}
+
 /* ---- a table with jobs that await each other ---- */
 
 typedef struct scene {
@@ -181,6 +321,7 @@
   char *awaits[5] = {NULL};
   for (unsigned i = 0; i < 4 && st->awaits[i]; i++) awaits[i] = g_strdup(id_of(st->awaits[i]));
   fc_job_record r = {.phase = phase, .done = "", .slices = 1};
+  r.awaiting = st->awaits[0] && phase == FC_PHASE_ACCEPTED;
   r.spec = (fc_job_spec){.id = (char *)id_of(st->job),
                          .class_name = g_ref_string_new_intern("c"),
                          .team = g_ref_string_new_intern("red"),
@@ -190,7 +331,7 @@
                          .cpus = 1,
                          .estimate_s = st->estimate_s,
                          .deadline_s = st->deadline_s > 0 ? st->deadline_s : -1,
-                         .awaits = st->awaits[0] && phase == FC_PHASE_ACCEPTED ? awaits : NULL};
+                         .awaits = r.awaiting ? awaits : NULL};
   fc_job *j = fc_table_put_job(s->table, r.spec.id, &r, ++s->version, fresh, now);
   g_ref_string_release(r.spec.class_name);
   g_ref_string_release(r.spec.team);
@@ -514,13 +655,24 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(awaited_ids),          cmocka_unit_test(records),
-      cmocka_unit_test(damaged_records),      cmocka_unit_test(members_say_what_they_read),
-      cmocka_unit_test(any_order_of_records), cmocka_unit_test(ready_or_cancelled),
-      cmocka_unit_test(learned_elsewhere),    cmocka_unit_test(cancelled_with_another),
-      cmocka_unit_test(inherited_and_lost),   cmocka_unit_test(waits_begin_when_ready),
-      cmocka_unit_test(written_when_ready),   cmocka_unit_test(not_placed_before),
-      cmocka_unit_test(order_of_jobs),        cmocka_unit_test(a_long_chain),
+      cmocka_unit_test(awaited_ids),
+      cmocka_unit_test(records),
+      cmocka_unit_test(damaged_records),
+      cmocka_unit_test(members_say_what_they_read),
+      cmocka_unit_test(descriptions_in_parts),
+      cmocka_unit_test(keys_of_parts),
+      cmocka_unit_test(parts_that_are_there),
+      cmocka_unit_test(records_with_parts),
+      cmocka_unit_test(any_order_of_records),
+      cmocka_unit_test(ready_or_cancelled),
+      cmocka_unit_test(learned_elsewhere),
+      cmocka_unit_test(cancelled_with_another),
+      cmocka_unit_test(inherited_and_lost),
+      cmocka_unit_test(waits_begin_when_ready),
+      cmocka_unit_test(written_when_ready),
+      cmocka_unit_test(not_placed_before),
+      cmocka_unit_test(order_of_jobs),
+      cmocka_unit_test(a_long_chain),
       cmocka_unit_test(a_wide_fan),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
