--- a/src/bookkeeping/commit.c
+++ b/src/bookkeeping/commit.c
@@ -147,7 +147,8 @@
 /* The service has refused a transaction for its rate. */
 static void slow_down(fc_commit *c, double now) {
   if (c->slowest >= 1) return; /* no lower rate was announced */
-  c->slowed = MAX(c->slowest, c->slowed * RATE_AFTER_REFUSAL);
+  /* One step below: what the members take together may be more than their parts for a while. */
+  c->slowed = MAX(c->slowest * RATE_AFTER_REFUSAL, c->slowed * RATE_AFTER_REFUSAL);
   c->slowed_at = now;
   set_write_rate(c, now);
 }
--- a/src/controller/descriptions.c
+++ b/src/controller/descriptions.c
@@ -32,7 +32,7 @@
 fc_state_result fc_description_store(fc_controller *c, const fc_job_spec *spec, double deadline, fc_job_parts *parts,
                                      uint64_t *first) {
   char *text = fc_job_description_text(spec);
-  GPtrArray *texts = fc_job_description_cut(text, (size_t)(c->settings->state_value_kb * 1024), parts);
+  GPtrArray *texts = fc_job_description_cut(text, fc_settings_value_bytes(c->settings), parts);
   fc_state_result r = FC_STATE_OK;
   fc_write *w;
   while (r == FC_STATE_OK && (w = next_parts(c, spec->id, texts, parts))) {
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -200,7 +200,7 @@
 
 /* What is left of a value is for finished tasks and hand-overs. */
 static bool fits_a_value(const fc_controller *c, const json_t *record) {
-  return (double)json_dumpb(record, NULL, 0, JSON_COMPACT) <= c->settings->state_value_kb * 1024 * 0.75;
+  return json_dumpb(record, NULL, 0, JSON_COMPACT) <= fc_settings_value_bytes(c->settings) / 4 * 3;
 }
 
 /* Makes the value of the record, and writes the description first where it is too long to be
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -22,7 +22,7 @@
   double nodes = (double)(s->peer_count + 1);
   const fc_commit_limits limits = {
       .txn_ops = s->state_txn_ops,
-      .value_bytes = (size_t)(s->state_value_kb * 1024),
+      .value_bytes = fc_settings_value_bytes(s),
       .writes_per_s = s->state_write_rps / nodes,
       .lowest_writes_per_s = s->state_next_write_rps / nodes,
       .requests_per_s = s->state_rps / nodes * 0.35,
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -324,6 +324,10 @@
   };
 }
 
+size_t fc_settings_value_bytes(const fc_settings *s) {
+  return (size_t)(s->state_value_kb * 1024);
+}
+
 int fc_settings_team(const fc_settings *s, const char *name) {
   for (size_t i = 0; i < s->team_count; i++)
     if (strcmp(s->teams[i].name, name) == 0) return (int)i;
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -75,6 +75,8 @@
  * larger fleet: one line that names the fields; NULL when there are none. */
 const char *fc_settings_tight(const fc_settings *s);
 void fc_operator_defaults(fc_operator_settings *out);
+/* Bytes that a value may have in the state service, now and later. */
+size_t fc_settings_value_bytes(const fc_settings *s);
 int fc_settings_team(const fc_settings *s, const char *name);      /* -1: unknown */
 unsigned fc_settings_zone(const fc_settings *s, const char *name); /* FC_ZONES_MAX: none of them */
 
