No write of a job is larger than a value may be: ends that fit, records of jobs that are over

What was stored when values could be larger is read; while its job runs only as many ended tasks are recorded as fit, and the record of a job that is over leaves out the machine types it allowed. Seen to fail: cancelling such a job without leaving them out.

--- a/src/controller/completions.c
+++ b/src/controller/completions.c
@@ -52,6 +52,24 @@
   }
 }
 
+/* The write of what has ended; NULL: nothing has, or nothing of it has room in the record
+ * before more has ended. Tasks that are not recorded stay on their machines. */
+static fc_write *ends_write(const fc_controller *c, const fc_job *j, uint32_t *count) {
+  size_t bytes = (j->spec.tasks + 7) / 8;
+  uint8_t *ended = g_malloc0(bytes), *done = g_malloc0(bytes);
+  fc_write *w = NULL;
+  if (unrecorded(j, ended)) {
+    for (uint32_t i = 0; i < j->spec.tasks; i++) *count += ended[i / 8] >> (i % 8) & 1;
+    fc_phase phase = *count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED;
+    w = fc_write_job(c->table, j, j->version, phase, ended, j->handed, &j->origin);
+    if (!w && phase == FC_PHASE_ACCEPTED && fc_write_job_fit(c->table, j, ended, done))
+      w = fc_write_job(c->table, j, j->version, phase, done, j->handed, &j->origin);
+  }
+  g_free(ended);
+  g_free(done);
+  return w;
+}
+
 static void record_main(void *arg) {
   record_arg a = *(record_arg *)arg;
   g_free(arg);
@@ -61,16 +79,9 @@
     gather_ends(c, a.id);
     fc_job *j = fc_table_job(c->table, a.id);
     if (!j || j->phase != FC_PHASE_ACCEPTED || fc_routine_cancelled()) break;
-    uint8_t *bits = g_malloc0((j->spec.tasks + 7) / 8);
-    if (!unrecorded(j, bits)) {
-      g_free(bits);
-      break;
-    }
     uint32_t count = 0;
-    for (uint32_t i = 0; i < j->spec.tasks; i++) count += bits[i / 8] >> (i % 8) & 1;
-    fc_phase phase = count == j->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED;
-    fc_write *w = fc_write_job(j, j->version, phase, bits, j->handed, &j->origin);
-    g_free(bits);
+    fc_write *w = ends_write(c, j, &count);
+    if (!w) break;
     uint64_t revision = 0;
     fc_state_result res = fc_commit_write(c->commit, w, FC_RANK_REPORT, fc_now() + 10.0, &revision);
     if (res == FC_STATE_OK) {
--- a/src/controller/front.c
+++ b/src/controller/front.c
@@ -325,7 +325,8 @@
       if (!answered_from_archive(c, res, id, false)) say(res, 404, "no such job");
       return;
     }
-    fc_write *w = fc_write_job(j, j->version, FC_PHASE_CANCELLED, j->done, j->handed, &j->origin);
+    fc_write *w = fc_write_job(c->table, j, j->version, FC_PHASE_CANCELLED, j->done, j->handed, &j->origin);
+    if (!w) break;
     uint64_t revision = 0;
     fc_state_result r = fc_commit_write(c->commit, w, FC_RANK_REPORT, deadline, &revision);
     if (r == FC_STATE_OK) {
--- a/src/controller/pipelines.c
+++ b/src/controller/pipelines.c
@@ -130,7 +130,8 @@
 static void record_cancel(fc_controller *c, const char *id) {
   const fc_job *j = fc_table_job(c->table, id);
   if (!j || j->recorded_phase != FC_PHASE_ACCEPTED || j->phase != FC_PHASE_CANCELLED || !fc_may_act(c)) return;
-  fc_write *w = fc_write_job(j, j->version, FC_PHASE_CANCELLED, j->done, j->handed, &j->origin);
+  fc_write *w = fc_write_job(c->table, j, j->version, FC_PHASE_CANCELLED, j->done, j->handed, &j->origin);
+  if (!w) return;
   uint64_t revision = 0;
   double now = fc_now();
   if (fc_commit_write(c->commit, w, FC_RANK_UPKEEP, now + c->settings->lease_s, &revision) == FC_STATE_OK)
--- a/src/controller/share.c
+++ b/src/controller/share.c
@@ -58,8 +58,8 @@
     origin.last_move[i].term = a->term_number;
     origin.last_move[i].members = a->homes[i];
   }
-  fc_write *w = fc_write_job(j, a->version, j->phase, j->done, handed, &origin);
-  fc_write_if(w, FC_KEY_TERM, a->term);
+  fc_write *w = fc_write_job(c->table, j, a->version, j->phase, j->done, handed, &origin);
+  if (w) fc_write_if(w, FC_KEY_TERM, a->term);
   return w;
 }
 
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1,5 +1,6 @@
 /* What the table and the list of cancellations know, by tables; no network. */
 #include "bookkeeping/cancels.h"
+#include "bookkeeping/writes.h"
 #include "world.h"
 
 typedef struct listed {
@@ -114,9 +115,49 @@
   }
 }
 
+/* Ends that are scattered over a large array take more than a value holds: as many are
+ * recorded as fit, none that has not ended, and the rest once gaps have closed. */
+static void ends_that_fit(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned tasks, every; /* each so-manieth has ended */
+    bool all;              /* of the ended ones are recorded */
+  } rows[] = {
+      {"few", 100, 2, true},
+      {"all of many", 100000, 1, true},
+      {"every other of many", 100000, 2, false},
+      {"every tenth", 100000, 10, false},
+      {"few of many", 100000, 5000, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings s = world_settings();
+    s.state_value_kb = 2;
+    fc_table *t = world_table(&s);
+    const fc_job *j = world_job(t, "job-000001", "sweep", "standard", "red", rows[i].tasks, 1, "");
+    size_t bytes = (rows[i].tasks + 7) / 8;
+    uint8_t *ended = g_malloc0(bytes), *done = g_malloc0(bytes);
+    for (unsigned k = 0; k < rows[i].tasks; k += rows[i].every) ended[k / 8] |= (uint8_t)(1u << (k % 8));
+    check_row(rows[i].name, fc_write_job_fit(t, j, ended, done));
+    char *ranges = fc_ranges_encode(done, rows[i].tasks);
+    check_row(rows[i].name, strlen(ranges) > 0 && strlen(ranges) < 2048);
+    /* Nearly all of the value is used where it is too small. */
+    check_row(rows[i].name, rows[i].all || strlen(ranges) > 1200);
+    check_row(rows[i].name, (memcmp(ended, done, bytes) == 0) == rows[i].all);
+    for (size_t b = 0; b < bytes; b++) check_row(rows[i].name, (done[b] & ~ended[b]) == 0);
+    fc_write *w = fc_write_job(t, j, 5, FC_PHASE_ACCEPTED, done, j->handed, &j->origin);
+    check_row(rows[i].name, w != NULL);
+    fc_write_free(w);
+    g_free(ranges);
+    g_free(ended);
+    g_free(done);
+    fc_table_free(t);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(the_list_of_cancellations),
-                                     cmocka_unit_test(the_list_at_its_bound),
-                                     cmocka_unit_test(a_cancellation_is_final)};
+                                     cmocka_unit_test(the_list_at_its_bound), cmocka_unit_test(a_cancellation_is_final),
+                                     cmocka_unit_test(ends_that_fit)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -194,12 +194,64 @@
   }
 }
 
+static char *with_many_types(const char *id, unsigned tasks) {
+  GString *types = g_string_new("\"g4\"");
+  for (unsigned k = 0; k < 60; k++) g_string_append_printf(types, ",\"a-type-with-a-long-name-%036u\"", k);
+  char *body = g_strdup_printf(
+      "{\"id\":\"%s\",\"squad\":\"c\",\"club\":\"red\",\"play\":\"sweep\",\"rank\":\"high\",\"runs\":%u,\"cpus\":1,"
+      "\"gpus\":1,\"memGb\":1,\"kit\":\"i\",\"pullGb\":1,\"builds\":[%s],\"samePlace\":false,\"scatter\":false,"
+      "\"loaners\":true,\"expectS\":10,\"markS\":0,\"stowS\":0}",
+      id, tasks, types->str);
+  g_string_free(types, TRUE);
+  return body;
+}
+
+static bool job_is(const char *id, const char *status) {
+  char path[64], says[40];
+  g_snprintf(path, sizeof path, "/api/jobs/%s", id);
+  g_snprintf(says, sizeof says, "\"status\":\"%s\"", status);
+  for (unsigned n = 0; n < WORLD_NODES; n++)
+    if (!strstr(world_request(n, "GET", path, "").body, says)) return false;
+  return true;
+}
+
+/* What was stored when values could be larger is read, and its jobs end: no write of theirs is
+ * as large as it was, which the stand-in would refuse. */
+static void stored_larger_than_now(void **state) {
+  (void)state;
+  static const bool none_new[WORLD_NODES] = {false, false, false};
+  static const char *const ids[] = {"job-000001", "job-000002", "job-000003"};
+  static const double run_s[] = {40, 1e6, 12};
+  a_mixed_fleet(90, none_new);
+  for (unsigned k = 0; k < 3; k++) {
+    world_add_job(ids[k], "sweep", 4, 1, run_s[k]);
+    char *body = with_many_types(ids[k], 4);
+    assert_int_equal(world_request(k, "POST", "/api/jobs", body).status, 201);
+    g_free(body);
+  }
+  sim_run_until(sim_now() + 5);
+  for (unsigned n = 0; n < WORLD_NODES; n++) world_upgrade(n, 0.5);
+  sim_run_until(sim_now() + 5);
+  world_state_limits(2, 4, 15);
+  assert_int_equal(world_request(0, "POST", "/api/jobs/job-000002/withdraw", "").status, 200);
+  sim_run_until(sim_now() + 70);
+  assert_true(job_is(ids[0], "done") && job_is(ids[1], "cancelled") && job_is(ids[2], "done"));
+  assert_int_equal(world_tasks_of(ids[1]), 0);
+  /* A new one as long is taken, too: its description is stored in parts. */
+  world_add_job("job-000004", "sweep", 4, 1, 5);
+  char *body = with_many_types("job-000004", 4);
+  assert_int_equal(world_request(1, "POST", "/api/jobs", body).status, 201);
+  g_free(body);
+  sim_run_until(sim_now() + 25);
+  assert_true(job_is("job-000004", "done"));
+  if (world_so_far().broken) fail_msg("%s", world_so_far().first);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(versions_mixed),
-      cmocka_unit_test(nothing_new_beside_an_old_one),
-      cmocka_unit_test(an_old_one_comes_back),
-      cmocka_unit_test(writes_of_the_old_come_late),
+      cmocka_unit_test(versions_mixed),         cmocka_unit_test(nothing_new_beside_an_old_one),
+      cmocka_unit_test(an_old_one_comes_back),  cmocka_unit_test(writes_of_the_old_come_late),
+      cmocka_unit_test(stored_larger_than_now),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -19,6 +19,7 @@
   s.gang_peer_s = 5;
   s.gang_wait_s = 40;
   s.cpu = 0.08;
+  s.state_value_kb = 8;
   return s;
 }
 
