--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -1,4 +1,4 @@
-/* One controller: its knowledge, its right to act, and its duties. Each duty
+/* One controller: its knowledge, its authority, and its duties. Each duty
  * is a routine; they share this struct and give way only inside waits. */
 #ifndef FC_CONTROLLER_CONTROLLER_H
 #define FC_CONTROLLER_CONTROLLER_H
@@ -13,7 +13,7 @@
 #include "bookkeeping/table.h"
 #include "bookkeeping/writes.h"
 #include "controller/metrics.h"
-#include "coordination/right.h"
+#include "coordination/authority.h"
 #include "protocol/cloud_api.h"
 #include "protocol/frame.h"
 #include "protocol/json.h"
@@ -56,7 +56,7 @@
   fc_budget cloud_budget;
   fc_budget lookup_budget; /* for questions about jobs that are not in memory */
   GHashTable *archived;    /* id -> fc_archived_job: awaited ones that were found lately */
-  fc_right right;
+  fc_authority authority;
   fc_peer peers[FC_MEMBERS_MAX];
 
   uint64_t boot;  /* this life's number; 0: none drawn yet */
--- a/src/controller/member.c
+++ b/src/controller/member.c
@@ -9,8 +9,8 @@
 
 static bool open_lease(fc_controller *c) {
   double sent = fc_now();
-  if (fc_state_lease_open(c->state, c->right.lease_s, sent + 1.0, &c->lease) != FC_STATE_OK) return false;
-  fc_right_renewed(&c->right, sent);
+  if (fc_state_lease_open(c->state, c->authority.lease_s, sent + 1.0, &c->lease) != FC_STATE_OK) return false;
+  fc_authority_renewed(&c->authority, sent);
   return true;
 }
 
@@ -100,7 +100,7 @@
 static void exclude(fc_controller *c, GHashTable *gone_since) {
   const fc_term *term = &c->table->term;
   double now = fc_now();
-  if (now < c->entered_at + fc_right_entry_wait(&c->right)) return;
+  if (now < c->entered_at + fc_authority_entry_wait(&c->authority)) return;
   unsigned rank = 0; /* live members before us: they go first */
   for (int i = 0; i < c->table->self; i++) rank += !lease_ended(c, term->members[i].name);
   for (size_t i = 0; i < term->count; i++) {
@@ -117,7 +117,7 @@
       g_hash_table_insert(gone_since, g_strdup(name), since);
     }
     /* A short absence must not shuffle the parts. */
-    if (now < *since + c->right.lease_s * 0.15 * (1 + rank)) continue;
+    if (now < *since + c->authority.lease_s * 0.15 * (1 + rank)) continue;
     double promised = 0;
     for (size_t k = 0; k < c->settings->peer_count; k++)
       if (strcmp(c->settings->peers[k].name, name) == 0) promised = c->peers[k].promised_until;
@@ -139,16 +139,16 @@
   GHashTable *gone_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   double renewed = fc_now();
   while (!fc_routine_cancelled()) {
-    if (fc_routine_sleep(c->right.lease_s * 0.04) == FC_WAKE_CANCELLED) break;
+    if (fc_routine_sleep(c->authority.lease_s * 0.04) == FC_WAKE_CANCELLED) break;
     if (!in_term(c)) {
       g_warning("we are no longer in the term");
       break;
     }
     double now = fc_now();
-    if (now >= renewed + c->right.lease_s * 0.25) {
+    if (now >= renewed + c->authority.lease_s * 0.25) {
       fc_state_result r = fc_state_lease_renew(c->state, c->lease, now + 1.0);
       if (r == FC_STATE_OK) {
-        fc_right_renewed(&c->right, now);
+        fc_authority_renewed(&c->authority, now);
         renewed = now;
       } else if (r == FC_STATE_GONE) {
         g_warning("our lease has ended");
@@ -166,7 +166,7 @@
   fc_controller *c = arg;
   fc_metrics_duty(&c->metrics, FC_DUTY_MEMBERSHIP);
   while (!fc_routine_cancelled()) {
-    fc_right_lost(&c->right);
+    fc_authority_lost(&c->authority);
     c->boot = 0;
     c->lease = 0;
     if (!fc_wait_fresh(c, fc_now() + 1.0)) continue;
@@ -174,11 +174,11 @@
       (void)fc_routine_sleep(jitter(0.3));
       continue;
     }
-    while (!c->boot && fc_now() < c->right.lease_until && !fc_routine_cancelled()) {
+    while (!c->boot && fc_now() < c->authority.lease_until && !fc_routine_cancelled()) {
       if (!draw_boot(c)) (void)fc_routine_sleep(jitter(0.1));
     }
     if (!c->boot) continue;
-    while (!in_term(c) && fc_now() < c->right.lease_until && !fc_routine_cancelled()) {
+    while (!in_term(c) && fc_now() < c->authority.lease_until && !fc_routine_cancelled()) {
       if (!enter(c)) (void)fc_routine_sleep(jitter(0.1));
     }
     if (in_term(c)) stay(c);
--- a/src/controller/peers.c
+++ b/src/controller/peers.c
@@ -129,10 +129,10 @@
     note_revision(c, peer, ack.revision);
     /* One that has told us all it knows has, for us, learned of nothing since our own
      * last read: we know it too, and halt what is cancelled. */
-    fc_right_quiet(&c->right, k, sent, ack.told_all ? -INFINITY : now - ack.quiet_ms / 1000.0);
+    fc_authority_quiet(&c->authority, k, sent, ack.told_all ? -INFINITY : now - ack.quiet_ms / 1000.0);
     /* Whatever life or term it is in: it answers for what it promises us. */
     if (ack.promise_ms > 0 && now_term->number == term && c->boot == boot)
-      fc_right_promised(&c->right, now_term, c->peer_of, c->table->self, k, now, sent, ack.promise_ms / 1000.0);
+      fc_authority_promised(&c->authority, now_term, c->peer_of, c->table->self, k, now, sent, ack.promise_ms / 1000.0);
   }
   /* It counts only within the term, and between the lives, it was asked for. */
   if (at >= 0 && now_term->number == term && c->boot == boot && ack.term == term &&
@@ -201,10 +201,10 @@
   const fc_table *t = c->table;
   /* A term transaction of unknown outcome may exclude it at any time. */
   if (c->term_unknown) return 0;
-  double promise = c->right.lease_s;
+  double promise = c->authority.lease_s;
   bool entered = c->boot && t->self >= 0 && t->term.members[t->self].boot == c->boot;
   /* Before we have entered we can exclude nobody; our entry keeps everybody, and
-   * then we wait longer than this promise (fc_right_entry_wait). */
+   * then we wait longer than this promise (fc_authority_entry_wait). */
   if (!entered) return (uint32_t)(promise * 1000);
   int sender = fc_term_find(&t->term, v->sender);
   if (sender < 0 || v->boot != t->term.members[sender].boot) return 0;
--- a/src/controller/start.c
+++ b/src/controller/start.c
@@ -31,7 +31,8 @@
   c->commit = fc_commit_new(c->state, &limits);
   fc_budget_init(&c->cloud_budget, s->cloud_rps / nodes, MAX(1.0, s->cloud_rps / nodes), fc_now());
   fc_budget_init(&c->lookup_budget, s->state_rps / nodes * 0.1, MAX(1.0, s->state_rps / nodes * 0.1), fc_now());
-  fc_right_init(&c->right, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s, s->peer_count);
+  fc_authority_init(&c->authority, s->lease_s * s->op.member_lease_share, s->lease_s, s->cancel_s, s->report_s,
+                    s->peer_count);
   if (!fc_front_start(c)) {
     *why = "client_listen: can't listen there";
     return NULL;
--- a/src/controller/watch.c
+++ b/src/controller/watch.c
@@ -46,7 +46,7 @@
   /* Another life under our name is nobody's part any more. */
   if (now_at >= 0 && term.members[now_at].boot != c->boot) c->table->self = -1;
   c->term_unknown = false; /* it was conditional on the version that is now past */
-  fc_right_new_term(&c->right);
+  fc_authority_new_term(&c->authority);
   for (int i = 0; i < (int)term.count; i++) {
     const fc_peer *p = fc_peer_of(c, i);
     c->peer_of[i] = p ? (int)(p - c->peers) : -1;
@@ -305,7 +305,7 @@
     c->revision = MAX(c->revision, revision);
     fc_table_caught_up(c->table, c->revision);
     if (sent > c->fresh_sent) c->fresh_sent = sent;
-    fc_right_fresh(&c->right, sent);
+    fc_authority_fresh(&c->authority, sent);
     fc_cond_broadcast(&c->changed);
   } else if (r == FC_STATE_GONE) {
     c->loaded = false;
@@ -397,7 +397,7 @@
 bool fc_may_act(const fc_controller *c) {
   const fc_table *t = c->table;
   if (!c->loaded || t->self < 0 || !c->boot || t->term.members[t->self].boot != c->boot) return false;
-  return fc_now() < fc_right_until(&c->right, &t->term, c->peer_of, t->self);
+  return fc_now() < fc_authority_until(&c->authority, &t->term, c->peer_of, t->self);
 }
 
 void fc_commit_duty(void *arg) {
--- a/src/controller/workers.c
+++ b/src/controller/workers.c
@@ -424,7 +424,7 @@
   return now > m->redirected_at + c->settings->lease_s * 0.6;
 }
 
-/* Any member in its right may keep a worker's lease alive and stop what must not
+/* Any member with authority may keep a worker's lease alive and stop what must not
  * run; starting and clearing are the owner's alone. */
 static void keep(fc_controller *c, fc_machine *m, const fc_worker_report *r, uint64_t connection, GString *out) {
   note_hearing(c, m, connection);
--- a/tests/test_coordination.c
+++ b/tests/test_coordination.c
@@ -1,9 +1,9 @@
-/* The deal, the right to act and the shares of limits, by tables. */
+/* The deal, authority and the shares of limits, by tables. */
 #include "check.h"
 
+#include "coordination/authority.h"
 #include "coordination/deal.h"
 #include "coordination/quota.h"
-#include "coordination/right.h"
 
 static fc_term term_of(size_t count) {
   fc_term t = {.number = 1, .seed = 42, .count = count};
@@ -60,52 +60,52 @@
   fc_term t = term_of(3);
   const int peer_of[] = {-1, 0, 1};
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    fc_right r;
-    fc_right_init(&r, 7, 14, 34, 2, 2);
-    if (rows[i].lease_sent >= 0) fc_right_renewed(&r, rows[i].lease_sent);
-    fc_right_fresh(&r, rows[i].fresh_sent);
+    fc_authority r;
+    fc_authority_init(&r, 7, 14, 34, 2, 2);
+    if (rows[i].lease_sent >= 0) fc_authority_renewed(&r, rows[i].lease_sent);
+    fc_authority_fresh(&r, rows[i].fresh_sent);
     for (size_t k = 0; k < 2; k++) {
       if (rows[i].promise[k] < 0) continue;
-      fc_right_quiet(&r, k, rows[i].promise[k], rows[i].quiet_from[k]);
-      fc_right_promised(&r, &t, peer_of, 0, k, rows[i].lease_sent + 1, rows[i].promise[k], 7);
+      fc_authority_quiet(&r, k, rows[i].promise[k], rows[i].quiet_from[k]);
+      fc_authority_promised(&r, &t, peer_of, 0, k, rows[i].lease_sent + 1, rows[i].promise[k], 7);
     }
-    double until = fc_right_until(&r, &t, peer_of, 0);
+    double until = fc_authority_until(&r, &t, peer_of, 0);
     check_row(rows[i].name, until > rows[i].until - 1e-6 && until < rows[i].until + 1e-6);
-    check_row(rows[i].name, fc_right_until(&r, &t, peer_of, -1) < 0);
-    fc_right_new_term(&r); /* promises of the old term count no more */
-    check_row(rows[i].name, fc_right_until(&r, &t, peer_of, 0) <= r.lease_until || r.lease_until < 0);
+    check_row(rows[i].name, fc_authority_until(&r, &t, peer_of, -1) < 0);
+    fc_authority_new_term(&r); /* promises of the old term count no more */
+    check_row(rows[i].name, fc_authority_until(&r, &t, peer_of, 0) <= r.lease_until || r.lease_until < 0);
   }
 }
 
 /* In a gap a term without us may have been sent, to be applied late: promises
- * that come after it don't bring the right back, only the lease does. */
+ * that come after it don't bring the authority back, only the lease does. */
 static void a_lapsed_right_is_not_mended_by_promises(void **state) {
   (void)state;
   fc_term t = term_of(2);
   const int peer_of[] = {-1, 0};
-  fc_right r;
-  fc_right_init(&r, 7, 14, 34, 2, 1);
-  fc_right_renewed(&r, 100);
-  fc_right_fresh(&r, 105);
-  fc_right_promised(&r, &t, peer_of, 0, 0, 106, 106, 7);
-  assert_true(fc_right_until(&r, &t, peer_of, 0) > 112);
-  fc_right_promised(&r, &t, peer_of, 0, 0, 114, 113.9, 7); /* too late */
-  assert_true(fc_right_until(&r, &t, peer_of, 0) < 114);
-  fc_right_renewed(&r, 114);
-  assert_true(fc_right_until(&r, &t, peer_of, 0) > 120);
+  fc_authority r;
+  fc_authority_init(&r, 7, 14, 34, 2, 1);
+  fc_authority_renewed(&r, 100);
+  fc_authority_fresh(&r, 105);
+  fc_authority_promised(&r, &t, peer_of, 0, 0, 106, 106, 7);
+  assert_true(fc_authority_until(&r, &t, peer_of, 0) > 112);
+  fc_authority_promised(&r, &t, peer_of, 0, 0, 114, 113.9, 7); /* too late */
+  assert_true(fc_authority_until(&r, &t, peer_of, 0) < 114);
+  fc_authority_renewed(&r, 114);
+  assert_true(fc_authority_until(&r, &t, peer_of, 0) > 120);
 }
 
 /* Whoever missed an entry has stopped before the enterer may exclude it. */
 static void an_enterer_waits_out_whoever_missed_it(void **state) {
   (void)state;
-  fc_right r;
-  fc_right_init(&r, 7, 14, 34, 2, 1);
+  fc_authority r;
+  fc_authority_init(&r, 7, 14, 34, 2, 1);
   fc_term t = term_of(1); /* the enterer is no member of the term we know */
   const int peer_of[] = {-1};
-  fc_right_fresh(&r, 100); /* read just before it entered at 100 */
-  double stops = fc_right_until(&r, &t, peer_of, 0);
+  fc_authority_fresh(&r, 100); /* read just before it entered at 100 */
+  double stops = fc_authority_until(&r, &t, peer_of, 0);
   /* its clock may be slow, the enterer's fast */
-  assert_true(100 + (stops - 100) * (1 + FC_DRIFT / 2) < 100 + fc_right_entry_wait(&r) * (1 - FC_DRIFT / 2));
+  assert_true(100 + (stops - 100) * (1 + FC_DRIFT / 2) < 100 + fc_authority_entry_wait(&r) * (1 - FC_DRIFT / 2));
 }
 
 static void shares_never_pass_the_limit(void **state) {
--- a/tests/test_scenes.c
+++ b/tests/test_scenes.c
@@ -128,7 +128,7 @@
   }
 }
 
-/* A controller that loses all but its workers: its right ends in time, its workers
+/* A controller that loses all but its workers: its authority ends in time, its workers
  * find the others and keep their tasks, and it comes back by itself. */
 static void with_its_workers_alone(void **state) {
   (void)state;
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -12,7 +12,7 @@
   uint64_t connection; /* that reports come on */
 } bench;
 
-/* A controller in its right, in term 5, as paddock-0 beside paddock-1. */
+/* A controller with authority, in term 5, as paddock-0 beside paddock-1. */
 static bench *bench_new(void) {
   bench *b = g_new0(bench, 1);
   b->settings = world_settings();
@@ -30,9 +30,9 @@
   double now = fc_now();
   c->peers[0].heard_at = now;
   c->peer_of[0] = -1;
-  fc_right_init(&c->right, 7, 14, 34, 2, 1);
-  fc_right_renewed(&c->right, now);
-  fc_right_fresh(&c->right, now);
+  fc_authority_init(&c->authority, 7, 14, 34, 2, 1);
+  fc_authority_renewed(&c->authority, now);
+  fc_authority_fresh(&c->authority, now);
   return b;
 }
 
@@ -83,7 +83,7 @@
     fc_machine *m = world_machine(b->c.table, "vm-1", "a", false);
     m->owner = rows[i].owner;
     m->reported = false;
-    if (!rows[i].lease) fc_right_lost(&b->c.right);
+    if (!rows[i].lease) fc_authority_lost(&b->c.authority);
     if (!rows[i].owner_heard) b->c.peers[0].heard_at = -1e9;
     GString *out = g_string_new(NULL);
     check_row(rows[i].name, report(b, 1, 1, rows[i].token, "", out) == rows[i].status);
