Ends that nobody waits for use at most a quarter of the write rate

Ruled out: renting (few writes in that time), refusals by the state service. Now the time for which ends are gathered follows how many jobs have some; last ends are written at once as before.

--- a/src/controller/completions.c
+++ b/src/controller/completions.c
@@ -39,11 +39,22 @@
   return fc_job_waits(j, c->table->self);
 }
 
-/* Ends are written batched, once a round; an array of 150 would be written 150 times. The
- * last ones are written at once: somebody waits to be told, and jobs that await this one to
- * be started. */
+#define ENDS_SHARE 0.25   /* of our write rate, for ends that nobody waits for */
+#define GATHER_LEASES 2.0 /* they are gathered for no longer than so many worker leases */
+
+/* How long ends are gathered before they are written: for a round, or as long as it takes to
+ * keep to their part of the write rate. With fifty arrays that ran they took all of it, and
+ * users' submissions were refused for minutes. */
+static double gather_time(const fc_controller *c) {
+  double jobs = g_hash_table_size(c->recording);
+  double spacing = jobs / (fc_commit_rate(c->commit) * ENDS_SHARE);
+  return CLAMP(spacing, c->settings->op.round_s, c->settings->lease_s * GATHER_LEASES);
+}
+
+/* Waits for more ends of the job: an array of 150 would be written 150 times. The last ones
+ * are written at once: somebody waits to be told, and jobs that await this one to be started. */
 static void gather_ends(fc_controller *c, const char *id) {
-  double until = fc_now() + c->settings->op.round_s * g_random_double_range(0.75, 1.25);
+  double until = fc_now() + gather_time(c) * g_random_double_range(0.75, 1.25);
   for (;;) {
     const fc_job *j = fc_table_job(c->table, id);
     if (!j || j->phase != FC_PHASE_ACCEPTED || !more_to_come(c, j)) return;
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -64,7 +64,47 @@
   }
 }
 
+/* Many arrays whose tasks end one by one: their ends, which nobody waits for before the last
+ * one, leave the write rate to what is submitted meanwhile. */
+static void ends_leave_room_for_submissions(void **state) {
+  (void)state;
+  enum { ARRAYS = 45, SUBMITTED = 60 };
+  world_set_up(60, 0);
+  world_capacity(40, 0);
+  world_keep_idle();
+  world_images_there();
+  world_state_next(LATER_VALUE_KB, LATER_TXN_OPS, 15);
+  world_state_limits(LATER_VALUE_KB, LATER_TXN_OPS, 15);
+  world_start_nodes();
+  world_machines_up(0, 40);
+  world_machines_up(1, 40);
+  for (unsigned k = 0; k < ARRAYS; k++)
+    world_submit_job(&(world_job){.id = world_id(k),
+                                  .kind = "sweep",
+                                  .tasks = 24,
+                                  .gpus = 0.25,
+                                  .run_s = 40,
+                                  .later_s = 2.5,
+                                  .in_s = 8 + 0.5 * k});
+  double from = sim_now() + 75;
+  for (unsigned k = 0; k < SUBMITTED; k++)
+    world_submit(world_id(100 + k), "sweep", "standard", 1, 0.25, 3, 75 + 0.5 * k);
+  sim_run_until(from + 120);
+  unsigned at_once = 0;
+  for (unsigned k = 0; k < SUBMITTED; k++) {
+    double accepted = world_accepted_at(world_id(100 + k));
+    at_once += accepted > 0 && accepted < from + 0.5 * k + 1;
+  }
+  world_result r = world_so_far();
+  print_message("%u of %u accepted within a second, %u of %u done\n", at_once, (unsigned)SUBMITTED, r.finished,
+                r.submitted);
+  if (r.broken) fail_msg("%s", r.first);
+  assert_int_equal(r.finished, ARRAYS + SUBMITTED);
+  assert_true(at_once >= SUBMITTED * 95 / 100);
+}
+
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(limits_are_lowered)};
+  const struct CMUnitTest tests[] = {cmocka_unit_test(limits_are_lowered),
+                                     cmocka_unit_test(ends_leave_room_for_submissions)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
