--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -22,6 +22,8 @@
 
 void world_broke(const char *rule, const char *detail) {
   if (g_verbose) g_printerr("%.2f broke %s: %s\n", sim_now(), rule, detail);
+  g_result.ran_twice += strcmp(rule, "ran_twice") == 0;
+  g_result.over_limit += strcmp(rule, "quota") == 0;
   if (g_result.broken++ == 0) g_snprintf(g_result.first, sizeof g_result.first, "%.2f %s: %s", sim_now(), rule, detail);
 }
 
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -21,8 +21,9 @@
 /* ---- results ---- */
 
 typedef struct world_result {
-  unsigned broken; /* rules */
-  char first[200]; /* the first broken rule */
+  unsigned broken;                /* rules */
+  char first[200];                /* the first broken rule */
+  unsigned ran_twice, over_limit; /* how often these two were broken */
   unsigned submitted, accepted, finished, unfinished, cancelled, starts;
   unsigned lease_kills; /* tasks that ended with their worker's lease */
   unsigned crashes, faults;
