--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -105,7 +105,7 @@
       fc_machine_registration_new(cluster, leadership, controller->commit, controller->watch, wakeups);
   controller->worker_calls = fc_worker_calls_new(cluster, leadership, commands, reconciler, metrics);
   controller->probes = fc_machine_probes_new(cluster, leadership, controller->worker_calls);
-  controller->worker_leases = fc_worker_leases_new(cluster, leadership, controller->peers, wakeups);
+  controller->worker_leases = fc_worker_leases_new(cluster, leadership, controller->peers, wakeups, metrics);
   controller->heartbeats = fc_heartbeats_new(cluster, leadership, controller->peers, registration, reconciler, commands,
                                              controller->worker_calls, metrics);
 }
--- a/src/controller/metrics_page.c
+++ b/src/controller/metrics_page.c
@@ -32,6 +32,8 @@
       {"peer_exchanges_total", (double)counters->exchanges},
       {"machines_told_total", (double)counters->machines_sent},
       {"direct_orders_total", (double)counters->worker_calls},
+      {"worker_leases_expired_total", (double)counters->expired_leases},
+      {"unknown_starts_total", (double)counters->unknown_starts},
       {"placed_total", (double)counters->placed},
       {"preempted_total", (double)counters->preempted},
       {"handed_over_total", (double)counters->handed_over},
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -62,21 +62,33 @@
 
 /* ---- answers ---- */
 
-/* Notes what became of the starts that a call carried. */
-static void note_starts(fc_machine *machine, fc_worker_call_result result) {
-  bool unknown = result == FC_WORKER_CALL_UNKNOWN; /* a start may still arrive, minutes late */
+/* Notes what became of a start that a call carried. */
+static void note_start(fc_placement *placement, fc_worker_call_result result) {
+  fc_placement_start *start = &placement->start;
+  if (result == FC_WORKER_CALL_UNKNOWN) { /* it may still arrive, minutes late */
+    start->direct = FC_DIRECT_START_UNACKNOWLEDGED;
+    g_debug("start unacknowledged task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s token=%" G_GUINT64_FORMAT,
+            placement->job_id, placement->index, (guint64)placement->attempt, placement->machine->id,
+            (guint64)start->direct_token);
+    return;
+  }
+  start->direct = FC_DIRECT_START_NONE;
+  bool carried_out = result == FC_WORKER_CALL_DONE;
+  if (!carried_out && !placement->status.reported) start->sent = start->heartbeat_sequence != 0;
+}
+
+static void note_starts(fc_worker_calls *calls, fc_machine *machine, fc_worker_call_result result) {
   for (guint i = 0; i < machine->placements->len; i++) {
     fc_placement *placement = machine->placements->pdata[i];
     if (placement->start.direct != FC_DIRECT_START_IN_FLIGHT) continue;
-    placement->start.direct = unknown ? FC_DIRECT_START_UNACKNOWLEDGED : FC_DIRECT_START_NONE;
-    bool carried_out = result == FC_WORKER_CALL_DONE;
-    if (!carried_out && !unknown && !placement->status.reported)
-      placement->start.sent = placement->start.heartbeat_sequence != 0;
+    note_start(placement, result);
+    calls->metrics->counters.unknown_starts += result == FC_WORKER_CALL_UNKNOWN;
   }
 }
 
-static void note_call_end(fc_machine *machine, const direct_call *call, fc_worker_call_result result) {
-  note_starts(machine, result);
+static void note_call_end(fc_worker_calls *calls, fc_machine *machine, const direct_call *call,
+                          fc_worker_call_result result) {
+  note_starts(calls, machine, result);
   if (!call->fencing && !call->probing) return;
   machine->probe.sent_at = call->asked_at;
   machine->probe.answered = fc_worker_call_answered(result);
@@ -161,7 +173,7 @@
   fc_heartbeat heartbeat;
   fc_worker_call_result result = send_call(calls, machine, &endpoint, &call, &heartbeat);
   machine = fc_cluster_find_machine(calls->cluster, id); /* it may be gone by now */
-  if (machine) note_call_end(machine, &call, result);
+  if (machine) note_call_end(calls, machine, &call, result);
   if (!fc_worker_call_answered(result)) return false;
   bool again = machine && accept_answer(calls, machine, &call, result, &heartbeat);
   fc_heartbeat_clear(&heartbeat);
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -82,6 +82,18 @@
   return true;
 }
 
+/* Under which token and epoch a start or stop goes, and by what. */
+static void log_command(const fc_cluster *cluster, const fc_placement *placement, const delivery *way,
+                        const fc_command *command) {
+  if (command->op == FC_COMMAND_FORGET) return;
+  const fc_machine *machine = placement->machine;
+  g_debug("send command=%s task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s term=%" G_GUINT64_FORMAT
+          " epoch=%" G_GUINT64_FORMAT " by=%s sequence=%" G_GUINT64_FORMAT,
+          command->op == FC_COMMAND_START ? "start_task" : "stop_task", placement->job_id, placement->index,
+          (guint64)placement->attempt, machine->id, (guint64)cluster->membership.term.number,
+          (guint64)machine->agent.epoch, way->direct ? "direct_call" : "answer", (guint64)way->sequence);
+}
+
 /* Fills in the next command for a placement; false: there is none, and the placement may have been
  * removed. */
 static bool next_command(fc_worker_commands *commands, fc_placement *placement, const delivery *way,
@@ -104,7 +116,10 @@
   /* From the last to the first, as placements may be removed meanwhile. */
   for (guint i = machine->placements->len; i-- > 0;) {
     fc_command command;
-    if (next_command(commands, machine->placements->pdata[i], way, &command)) g_array_append_val(list, command);
+    fc_placement *placement = machine->placements->pdata[i];
+    if (!next_command(commands, placement, way, &command)) continue;
+    log_command(commands->cluster, placement, way, &command);
+    g_array_append_val(list, command);
   }
   return list;
 }
--- a/src/controller/worker_leases.c
+++ b/src/controller/worker_leases.c
@@ -12,12 +12,20 @@
   const fc_leadership *leadership;
   fc_peers *peers;
   fc_wakeups *wakeups;
+  fc_metrics *metrics;
 };
 
+/* When a worker's lease was last renewed, as far as we know. */
+typedef struct lease_renewal {
+  double at;
+  const char *by; /* for the log */
+} lease_renewal;
+
 fc_worker_leases *fc_worker_leases_new(fc_cluster *cluster, const fc_leadership *leadership, fc_peers *peers,
-                                       fc_wakeups *wakeups) {
+                                       fc_wakeups *wakeups, fc_metrics *metrics) {
   fc_worker_leases *leases = g_new(fc_worker_leases, 1);
-  *leases = (fc_worker_leases){.cluster = cluster, .leadership = leadership, .peers = peers, .wakeups = wakeups};
+  *leases = (fc_worker_leases){
+      .cluster = cluster, .leadership = leadership, .peers = peers, .wakeups = wakeups, .metrics = metrics};
   return leases;
 }
 
@@ -25,18 +33,30 @@
   g_free(leases);
 }
 
-/* When the worker has certainly stopped its tasks, if nobody whom we have not heard of has
- * answered it. Any member may answer its heartbeats, so each has to have informed us until when it
- * did not; what incarnations that have ended answered, they did before we learned of the term. */
-static double expires_at(const fc_worker_leases *leases, const fc_machine *machine) {
+/* The last renewal, if nobody whom we have not heard of has answered the worker. Any member may
+ * answer its heartbeats, so each has to have informed us until when it did not; what incarnations
+ * that have ended answered, they did before we learned of the term. */
+static lease_renewal last_renewal(const fc_worker_leases *leases, const fc_machine *machine) {
+  const lease_renewal candidates[] = {
+      {machine->lease.answered_at, "self"},
+      {machine->lease.peer_renewed_at, "peer"},
+      {machine->owned_since, "former owner"},
+      {fc_leadership_term_since(leases->leadership), "former term"},
+      /* A new epoch has the full lease from its own beginning, though nobody has answered it yet:
+       * what was started in it by direct commands alone was once taken for gone, and started
+       * elsewhere (fault test, seed 43). */
+      {machine->agent.epoch_began_at, "epoch"},
+  };
+  lease_renewal last = candidates[0];
+  for (size_t i = 1; i < G_N_ELEMENTS(candidates); i++)
+    if (candidates[i].at > last.at) last = candidates[i];
+  return last;
+}
+
+/* When the worker has certainly stopped its tasks. */
+static double expires_at(const fc_worker_leases *leases, const lease_renewal *renewal) {
   const fc_settings *settings = leases->cluster->settings;
-  double renewed_at = MAX(MAX(machine->lease.answered_at, machine->lease.peer_renewed_at),
-                          MAX(machine->owned_since, fc_leadership_term_since(leases->leadership)));
-  /* A new epoch has the full lease from its own beginning, though nobody has answered it yet: what
-   * was started in it by direct commands alone was once taken for gone, and started elsewhere
-   * (fault test, seed 43). */
-  renewed_at = MAX(renewed_at, machine->agent.epoch_began_at);
-  return renewed_at + settings->lease_s * (1 + 2 * FC_CLOCK_DRIFT) + settings->heartbeat_s * EXPIRY_MARGIN_HEARTBEATS;
+  return renewal->at + settings->lease_s * (1 + 2 * FC_CLOCK_DRIFT) + settings->heartbeat_s * EXPIRY_MARGIN_HEARTBEATS;
 }
 
 /* Has everybody who might have answered the worker informed us of all answers until then? */
@@ -60,9 +80,24 @@
   machine->agent.sequence = 0;
 }
 
-static void expire(fc_worker_leases *leases, fc_machine *machine) {
+static unsigned direct_starts(const fc_machine *machine) {
+  unsigned count = 0;
+  for (guint i = 0; i < machine->placements->len; i++)
+    count += ((const fc_placement *)machine->placements->pdata[i])->start.direct != FC_DIRECT_START_NONE;
+  return count;
+}
+
+static void log_expiry(const fc_cluster *cluster, const fc_machine *machine, const lease_renewal *renewal) {
+  g_info("worker lease expired machine=%s tasks=%u starts_given_up=%u term=%" G_GUINT64_FORMAT
+         " epoch=%" G_GUINT64_FORMAT " renewed_s=%.1f by=%s",
+         machine->id, machine->placements->len, direct_starts(machine), (guint64)cluster->membership.term.number,
+         (guint64)machine->agent.epoch, fc_now() - renewal->at, renewal->by);
+}
+
+static void expire(fc_worker_leases *leases, fc_machine *machine, const lease_renewal *renewal) {
   fc_cluster *cluster = leases->cluster;
-  if (machine->announced) g_info("worker lease expired machine=%s tasks=%u", machine->id, machine->placements->len);
+  if (machine->announced) log_expiry(cluster, machine, renewal);
+  leases->metrics->counters.expired_leases++;
   fc_machine_remove_placements(machine);
   end_epoch(machine);
   machine->reconciled_term = cluster->membership.term.number;
@@ -75,8 +110,9 @@
   fc_machine_iter machine_iter = fc_cluster_machines(cluster);
   for (fc_machine *machine; (machine = fc_machine_iter_next(&machine_iter));) {
     if (!fc_machine_owned_by_self(cluster, machine) || !machine->record_version) continue;
-    double expiry = expires_at(leases, machine);
+    lease_renewal renewal = last_renewal(leases, machine);
+    double expiry = expires_at(leases, &renewal);
     if (now < expiry || !renewals_known_until(leases, expiry)) continue;
-    if (machine->placements->len > 0 || !fc_machine_reconciled(cluster, machine)) expire(leases, machine);
+    if (machine->placements->len > 0 || !fc_machine_reconciled(cluster, machine)) expire(leases, machine, &renewal);
   }
 }
--- a/src/controller/worker_leases.h
+++ b/src/controller/worker_leases.h
@@ -6,6 +6,7 @@
 
 #include "bookkeeping/cluster.h"
 #include "controller/leadership.h"
+#include "controller/metrics.h"
 #include "controller/peers.h"
 #include "controller/wakeups.h"
 
@@ -13,7 +14,7 @@
 
 /* The arguments have to outlive it. The caller frees it with fc_worker_leases_free(). */
 fc_worker_leases *fc_worker_leases_new(fc_cluster *cluster, const fc_leadership *leadership, fc_peers *peers,
-                                       fc_wakeups *wakeups);
+                                       fc_wakeups *wakeups, fc_metrics *metrics);
 void fc_worker_leases_free(fc_worker_leases *leases);
 
 /* Removes the placements of every machine of ours whose worker's lease has certainly expired, and
--- a/tests/worker_bench.h
+++ b/tests/worker_bench.h
@@ -37,7 +37,7 @@
       fc_worker_calls_new(bench->cluster, bench->leadership, bench->commands, bench->reconciler, bench->metrics);
   bench->probes = fc_machine_probes_new(bench->cluster, bench->leadership, bench->calls);
   bench->registration = fc_machine_registration_new(bench->cluster, bench->leadership, NULL, NULL, bench->wakeups);
-  bench->leases = fc_worker_leases_new(bench->cluster, bench->leadership, bench->peers, bench->wakeups);
+  bench->leases = fc_worker_leases_new(bench->cluster, bench->leadership, bench->peers, bench->wakeups, bench->metrics);
   bench->heartbeats = fc_heartbeats_new(bench->cluster, bench->leadership, bench->peers, bench->registration,
                                         bench->reconciler, bench->commands, bench->calls, bench->metrics);
 }
