No start under an epoch that the worker has not shown; an expiry ends one epoch, once

Cause: an expired lease was applied again at each round to starts sent after it, under an epoch counted on by guess. They were dropped while they could still be carried out, so tasks were started elsewhere and counted against no team. Change: a machine's state says whether its worker has shown its epoch. After an expiry it is the lowest that the worker may be in; the machine takes nothing and is asked for it, if it was heard of lately, and an expiry proves nothing more until it has answered. A direct start keeps the epoch that it named and is given up only with that epoch, also where a restarted worker counts anew. An answer to a question from before the expiry no longer brings the ended epoch back as a restart.

--- a/src/bookkeeping/cluster_machines.c
+++ b/src/bookkeeping/cluster_machines.c
@@ -89,10 +89,21 @@
   return machine->reachability.unidirectional_since || fc_machine_unreachable_since(machine, now - silent_s);
 }
 
-bool fc_machine_reachable(const fc_cluster *cluster, const fc_machine *machine, double now) {
+static bool heard_lately(const fc_cluster *cluster, const fc_machine *machine, double now) {
   double lease_s = cluster->settings->lease_s;
   if (!machine->agent.reported || now > machine->agent.heard_at + lease_s * REACHABLE_SILENT_LEASES) return false;
   /* The next heartbeat, or the answer to a probe, shows whether our answers arrive. */
   double unidirectional_since = machine->reachability.unidirectional_since;
   return !unidirectional_since || now < unidirectional_since + lease_s * REACHABLE_UNIDIRECTIONAL_LEASES;
 }
+
+/* A start names an epoch, and an expired lease rules out only starts that name the one that has
+ * ended. Sent under an epoch that the worker had not shown, starts were dropped by that proof and
+ * carried out later: tasks ran twice, a team was over its limit (scene test_expired_leases). */
+bool fc_machine_reachable(const fc_cluster *cluster, const fc_machine *machine, double now) {
+  return machine->agent.epoch_shown && heard_lately(cluster, machine, now);
+}
+
+bool fc_machine_awaits_epoch(const fc_cluster *cluster, const fc_machine *machine, double now) {
+  return !machine->agent.epoch_shown && heard_lately(cluster, machine, now);
+}
--- a/src/bookkeeping/cluster_machines.h
+++ b/src/bookkeeping/cluster_machines.h
@@ -44,7 +44,9 @@
  * any machine is returned, or the first would be gone before it showed that most of them became
  * silent together. */
 bool fc_machine_suspect(const fc_cluster *cluster, const fc_machine *machine, double now);
-/* Heard of lately, with a sign that answers arrive too: may take new tasks. */
+/* Heard of lately, with a sign that answers arrive too, and in a known epoch: may take new tasks. */
 bool fc_machine_reachable(const fc_cluster *cluster, const fc_machine *machine, double now);
+/* The same but for its epoch: the worker's lease has expired, and no message has come since. */
+bool fc_machine_awaits_epoch(const fc_cluster *cluster, const fc_machine *machine, double now);
 
 #endif
--- a/src/bookkeeping/machine_state.h
+++ b/src/bookkeeping/machine_state.h
@@ -12,9 +12,12 @@
 #include "protocol/settings.h"
 
 /* The worker process as its newest heartbeat or direct answer showed it, whoever owned the
- * machine then. Heartbeats are ordered by epoch and sequence: copies may come late. */
+ * machine then. Heartbeats are ordered by epoch and sequence: copies may come late. When its lease
+ * has expired the worker is in a later epoch; which one, only its next message shows. */
 typedef struct fc_machine_agent {
   uint64_t epoch, sequence;
+  bool epoch_shown;       /* the worker has shown `epoch`; false: it is the lowest that it may be in */
+  double expired_at;      /* when its lease was last found to have expired; 0: never */
   uint64_t fencing_token; /* the highest that the worker has shown */
   double epoch_began_at;  /* when we first heard of the epoch: its lease began no later */
   double heard_at;        /* when the last heartbeat or direct answer came */
--- a/src/bookkeeping/placement.c
+++ b/src/bookkeeping/placement.c
@@ -12,6 +12,10 @@
          placement->start.direct == FC_DIRECT_START_UNACKNOWLEDGED;
 }
 
+bool fc_placement_start_ruled_out(const fc_placement *placement, uint64_t lowest_epoch) {
+  return placement->start.direct == FC_DIRECT_START_NONE || placement->start.direct_epoch < lowest_epoch;
+}
+
 void fc_placement_remove(fc_placement *placement) {
   if (placement->job) g_ptr_array_remove_fast(placement->job->placements, placement);
   g_ptr_array_remove_fast(placement->machine->placements, placement);
--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -33,6 +33,7 @@
   double sent_at;              /* when that answer was made */
   fc_direct_start direct;
   uint64_t direct_token; /* the fencing token that the direct copy carried */
+  uint64_t direct_epoch; /* the worker's epoch that it named: no worker in another one carries it out */
 } fc_placement_start;
 
 /* Whether the task is being stopped. */
@@ -72,6 +73,9 @@
 bool fc_placement_active(const fc_placement *placement);
 /* Has the start command been given up, while its direct copy may still arrive? */
 bool fc_placement_abandoned_start(const fc_placement *placement);
+/* Can no direct copy of its start be carried out any more, once the worker has left all epochs
+ * below that one for good? */
+bool fc_placement_start_ruled_out(const fc_placement *placement, uint64_t lowest_epoch);
 /* Removes it from its machine and its job, and frees it. */
 void fc_placement_remove(fc_placement *placement);
 
--- a/src/controller/machine_probes.c
+++ b/src/controller/machine_probes.c
@@ -51,6 +51,8 @@
   if (reach->peer_bidirectional_at > now - settings->heartbeat_s * PEER_RENEWAL_HEARTBEATS &&
       fc_machine_suspect(cluster, machine, now))
     machine->probe.wanted = true;
+  /* It takes tasks again as soon as it shows its epoch. */
+  if (fc_machine_awaits_epoch(cluster, machine, now)) machine->probe.wanted = true;
   /* A member whose incarnation has ended may have renewed its lease: is the machine still there? */
   if (fc_reachability_may_be_renewed(probes->leadership, settings, now) && fc_machine_suspect(cluster, machine, now))
     machine->probe.wanted = true;
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -34,22 +34,24 @@
 /* ---- the machine ---- */
 
 /* A direct start of which we don't know whether it arrived can't be carried out any more once the
- * worker has shown a higher fencing token than the start carried, or a later epoch: it refuses
- * commands from before. The token of the machine's last heartbeat is not the measure: a controller
+ * worker has shown a higher fencing token than the start carried, or a later epoch than it named: it
+ * refuses commands from before. The token of the machine's last heartbeat is not the measure: a controller
  * that owns a machine across a change of term sends its first start before the worker has shown
  * the new token, and the next heartbeat, which does, was taken for proof; the copy came after the
  * task had been forgotten, and ran (fault test, seed 1106). */
-static void drop_outdated_starts(fc_machine *machine, const fc_heartbeat *heartbeat, bool new_epoch) {
+static void drop_outdated_starts(fc_machine *machine, const fc_heartbeat *heartbeat) {
   for (guint i = 0; i < machine->placements->len; i++) {
     fc_placement *placement = machine->placements->pdata[i];
-    if (new_epoch || heartbeat->fencing_token > placement->start.direct_token)
+    if (fc_placement_start_ruled_out(placement, heartbeat->epoch) ||
+        heartbeat->fencing_token > placement->start.direct_token)
       placement->start.direct = FC_DIRECT_START_NONE;
   }
 }
 
 static void update_agent(fc_machine_agent *agent, const fc_heartbeat *heartbeat, double now) {
-  if (!agent->reported || heartbeat->epoch != agent->epoch || !agent->sequence) agent->epoch_began_at = now;
+  if (!agent->reported || heartbeat->epoch != agent->epoch || !agent->epoch_shown) agent->epoch_began_at = now;
   agent->epoch = heartbeat->epoch;
+  agent->epoch_shown = true;
   agent->sequence = heartbeat->sequence;
   agent->fencing_token = heartbeat->fencing_token;
   agent->reported = true;
@@ -57,7 +59,7 @@
 }
 
 static void update_machine(fc_machine *machine, const fc_heartbeat *heartbeat, const list_origin *origin, double now) {
-  drop_outdated_starts(machine, heartbeat, origin->new_epoch);
+  drop_outdated_starts(machine, heartbeat);
   update_agent(&machine->agent, heartbeat, now);
   if (heartbeat->spot_notice_s >= 0 && !machine->drain.spot_notice_until)
     machine->drain.spot_notice_until = now + heartbeat->spot_notice_s;
@@ -108,7 +110,9 @@
   const fc_placement_start *start = &placement->start;
   if (origin->reconciles) return true; /* fenced: what it does not list can't start any more */
   if (!start->sent) return false;      /* only planned so far */
-  if (origin->new_epoch || placement->status.reported) return true;
+  /* A restarted worker counts its epochs anew, and may come to the one that a start named. */
+  if (origin->new_epoch) return start->direct == FC_DIRECT_START_NONE;
+  if (placement->status.reported) return true;
   /* Sent, never listed. While a direct copy of the start may arrive nothing is known. Then the
    * heartbeat after the one whose answer carried the start decides; so does the answer to a direct
    * call that was sent when the worker would have dropped that other answer. A restarted machine is
@@ -176,6 +180,9 @@
       .reconciles = !was_reconciled && heartbeat->fencing_token == cluster->membership.term.number,
       .new_epoch = machine->agent.reported && heartbeat->epoch > machine->agent.epoch,
   };
+  /* Its lease had expired: from here on it takes tasks again. */
+  bool usable_again = machine->agent.reported && !machine->agent.epoch_shown;
+  if (usable_again) fc_wakeups_raise(reconciler->wakeups, FC_WAKEUP_SCHEDULE);
   update_machine(machine, heartbeat, &origin, now);
   if (!was_reconciled && !origin.reconciles) return; /* not fenced yet: its list proves nothing */
   update_tasks(reconciler, machine, heartbeat, &origin, now);
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -103,6 +103,7 @@
     if (placement->start.sent) placement->status.reported = placement->start.direct == FC_DIRECT_START_NONE;
   }
   machine->agent.epoch = heartbeat->epoch;
+  machine->agent.epoch_shown = true;
   machine->agent.sequence = heartbeat->sequence - 1;
   machine->agent.fencing_token = heartbeat->fencing_token;
   machine->agent.restarted = true;
@@ -112,8 +113,10 @@
 void fc_worker_calls_apply_answer(fc_worker_calls *calls, fc_machine *machine, const fc_heartbeat *heartbeat,
                                   double asked_at) {
   /* An answer is newer than everything that had come when we asked; if it does not look so, the
-   * worker was restarted and counts from the beginning. */
-  if (!fc_heartbeat_order_is_newer(machine, heartbeat) && asked_at > machine->agent.heard_at) {
+   * worker was restarted and counts from the beginning. A question from before its lease expired
+   * may have been answered in the epoch that ended with it. */
+  bool asked_since = asked_at > MAX(machine->agent.heard_at, machine->agent.expired_at);
+  if (!fc_heartbeat_order_is_newer(machine, heartbeat) && asked_since) {
     if (!machine->agent.restarted)
       g_info("worker restarted machine=%s tasks=%u", machine->id, machine->placements->len);
     forget_incarnation(machine, heartbeat);
@@ -147,7 +150,9 @@
  * routine. */
 static fc_worker_call_result send_call(fc_worker_calls *calls, fc_machine *machine, const fc_endpoint *endpoint,
                                        const direct_call *call, fc_heartbeat *heartbeat) {
-  GArray *commands = call->fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command))
+  /* No command goes under an epoch that the worker has not shown: no proof would cover it. */
+  bool question_only = call->fencing || !machine->agent.epoch_shown;
+  GArray *commands = question_only ? g_array_new(FALSE, TRUE, sizeof(fc_command))
                                    : fc_worker_commands_for_call(calls->commands, machine);
   fc_worker_call_result result = FC_WORKER_CALL_UNSENT;
   double timeout_s = calls->cluster->settings->heartbeat_s * CALL_TIMEOUT_HEARTBEATS;
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -75,6 +75,7 @@
   if (way->direct) {
     placement->start.direct = FC_DIRECT_START_IN_FLIGHT;
     placement->start.direct_token = commands->cluster->membership.term.number;
+    placement->start.direct_epoch = placement->machine->agent.epoch;
   } else {
     placement->start.heartbeat_sequence = way->sequence;
     placement->start.sent_at = fc_now();
--- a/src/controller/worker_leases.c
+++ b/src/controller/worker_leases.c
@@ -70,14 +70,32 @@
   return all_are_members || cluster->sync.read_at >= until;
 }
 
+/* The epoch that the worker is in at least, as its lease has expired. An expiry ends the epoch that
+ * the worker has shown, and proves nothing of those after it: counted on at each round, the epoch ran
+ * ahead of the worker's own. */
+static uint64_t lowest_epoch_after(const fc_machine_agent *agent) {
+  return agent->epoch_shown ? agent->epoch + 1 : agent->epoch;
+}
+
 /* The worker has stopped its tasks and is in a later epoch, or will be when it goes on. A
  * heartbeat of the epoch before may still come, newer than any that we have received: tasks that
  * had been started elsewhere were once said to run here as well (scene
  * heartbeats_after_lease_expiry). */
-static void end_epoch(fc_machine *machine) {
-  if (!machine->agent.reported) return; /* its epoch is not known */
-  machine->agent.epoch++;
-  machine->agent.sequence = 0;
+static void end_epoch(fc_machine_agent *agent) {
+  if (!agent->epoch_shown) return;
+  agent->epoch = lowest_epoch_after(agent);
+  agent->epoch_shown = false;
+  agent->sequence = 0;
+  agent->expired_at = fc_now();
+}
+
+/* Removes what has ended with the epoch; a direct start that may still be carried out stays. */
+static void remove_ended_placements(fc_machine *machine) {
+  uint64_t lowest_epoch = lowest_epoch_after(&machine->agent);
+  for (guint i = machine->placements->len; i-- > 0;) {
+    fc_placement *placement = machine->placements->pdata[i];
+    if (fc_placement_start_ruled_out(placement, lowest_epoch)) fc_placement_remove(placement);
+  }
 }
 
 static unsigned direct_starts(const fc_machine *machine) {
@@ -89,21 +107,28 @@
 
 static void log_expiry(const fc_cluster *cluster, const fc_machine *machine, const lease_renewal *renewal) {
   g_info("worker lease expired machine=%s tasks=%u starts_given_up=%u term=%" G_GUINT64_FORMAT
-         " epoch=%" G_GUINT64_FORMAT " renewed_s=%.1f by=%s",
+         " epoch=%" G_GUINT64_FORMAT " epoch_shown=%d renewed_s=%.1f by=%s",
          machine->id, machine->placements->len, direct_starts(machine), (guint64)cluster->membership.term.number,
-         (guint64)machine->agent.epoch, fc_now() - renewal->at, renewal->by);
+         (guint64)machine->agent.epoch, machine->agent.epoch_shown, fc_now() - renewal->at, renewal->by);
 }
 
 static void expire(fc_worker_leases *leases, fc_machine *machine, const lease_renewal *renewal) {
   fc_cluster *cluster = leases->cluster;
-  if (machine->announced) log_expiry(cluster, machine, renewal);
-  leases->metrics->counters.expired_leases++;
-  fc_machine_remove_placements(machine);
-  end_epoch(machine);
+  /* In a new term the machine may only have to be marked as reconciled. */
+  bool ends_anything = machine->agent.epoch_shown || machine->placements->len > 0;
+  if (ends_anything && machine->announced) log_expiry(cluster, machine, renewal);
+  leases->metrics->counters.expired_leases += ends_anything;
+  remove_ended_placements(machine);
+  end_epoch(&machine->agent);
   machine->reconciled_term = cluster->membership.term.number;
   if (fc_cluster_update_reconciled(cluster)) fc_wakeups_raise(leases->wakeups, FC_WAKEUP_SCHEDULE);
 }
 
+/* Has the expiry anything to end? What it left there when it was found it never ends. */
+static bool ends_placements(const fc_machine *machine) {
+  return machine->placements->len > 0 && machine->agent.epoch_shown;
+}
+
 void fc_worker_leases_expire(fc_worker_leases *leases) {
   const fc_cluster *cluster = leases->cluster;
   double now = fc_now();
@@ -113,6 +138,6 @@
     lease_renewal renewal = last_renewal(leases, machine);
     double expiry = expires_at(leases, &renewal);
     if (now < expiry || !renewals_known_until(leases, expiry)) continue;
-    if (machine->placements->len > 0 || !fc_machine_reconciled(cluster, machine)) expire(leases, machine, &renewal);
+    if (ends_placements(machine) || !fc_machine_reconciled(cluster, machine)) expire(leases, machine, &renewal);
   }
 }
--- a/tests/sim/incidents.c
+++ b/tests/sim/incidents.c
@@ -35,6 +35,38 @@
   world_cut_outbound(from, to, random_length());
 }
 
+/* Machines that hang later, by number. */
+typedef struct planned_hang {
+  GArray *machines; /* unsigned */
+  double for_s;
+} planned_hang;
+
+static void begin_hang(void *arg) {
+  planned_hang *hang = arg;
+  for (guint i = 0; i < hang->machines->len; i++) {
+    unsigned machine = g_array_index(hang->machines, unsigned, i);
+    world_hang(machine, machine + 1, hang->for_s);
+  }
+  g_array_free(hang->machines, TRUE);
+  g_free(hang);
+}
+
+/* Most machines reach no controller, while short jobs are started there by direct calls; about when
+ * their leases expire they hang, with such calls under way, and go on in a later epoch. */
+static void lose_outbound_then_hang(void) {
+  planned_hang *hang = g_new(planned_hang, 1);
+  hang->machines = g_array_new(FALSE, FALSE, sizeof(unsigned));
+  hang->for_s = sim_draw(4, LEASE_S);
+  double cut_s = sim_draw(LEASE_S * 1.5, LEASE_S * 3);
+  for (unsigned machine = 0; machine < g_worker_list->len; machine++) {
+    if (sim_chance(0.3)) continue;
+    world_cut_outbound(machine, machine + 1, cut_s);
+    g_array_append_val(hang->machines, machine);
+  }
+  users_submit_burst(LEASE_S * 1.5);
+  sim_after(sim_draw(LEASE_S * 0.8, LEASE_S), begin_hang, hang);
+}
+
 static void lose_inbound(void) {
   unsigned from, to;
   draw_machines(&from, &to);
@@ -177,6 +209,7 @@
   void (*begin_incident)(void);
 } k_incidents[] = {
     {"outbound lost", lose_outbound},
+    {"outbound lost, then a hang", lose_outbound_then_hang},
     {"inbound lost", lose_inbound},
     {"late writes", delay_commits},
     {"slow key-value store", slow_kv},
--- a/tests/sim/random_jobs.c
+++ b/tests/sim/random_jobs.c
@@ -5,7 +5,9 @@
 #define JOB_NUMBER_STEP 7919 /* spreads the ids over the controllers' shards */
 #define JOB_NUMBERS 900000
 #define WIDE_GANG_GPUS 4
-#define LATE_STAGE_S 40 /* the stages before it may be done by then */
+#define BURST_JOB_SIZE 0.25   /* CPUs and GPUs */
+#define BURST_JOB_EVERY_S 0.5 /* on the average */
+#define LATE_STAGE_S 40       /* the stages before it may be done by then */
 
 /* ---- pipelines ---- */
 
@@ -119,3 +121,29 @@
   if (incidents) incidents_vary_job(job);
   job_add(job, number % IMAGES);
 }
+
+/* ---- bursts ---- */
+
+static unsigned g_burst_jobs; /* so far, of the day */
+
+void random_jobs_init(void) {
+  g_burst_jobs = 0;
+}
+
+void users_submit_burst(double for_s) {
+  double in_s = 0;
+  while (in_s < for_s) {
+    sim_job *job = g_new0(sim_job, 1);
+    g_snprintf(job->id, sizeof job->id, "job-%06u", FIRST_BURST_JOB + g_burst_jobs++);
+    job->kind = "sweep";
+    job->priority = "high";
+    job->team = "red";
+    job->tasks = 1;
+    job->gpus = job->cpus = BURST_JOB_SIZE;
+    job->run_s = sim_draw(0.5, 2);
+    job->spot = true;
+    job->submit_delay_s = in_s;
+    job_add(job, g_burst_jobs % IMAGES);
+    in_s += sim_draw(0, 2 * BURST_JOB_EVERY_S);
+  }
+}
--- a/tests/sim/stand_ins.h
+++ b/tests/sim/stand_ins.h
@@ -177,6 +177,8 @@
 /* The job's last task has just completed. */
 void users_job_completed(sim_job *job);
 void users_add_random_job(unsigned number, double busy_s, bool incidents);
+/* For so long users submit one-task jobs that run for a moment. */
+void users_submit_burst(double for_s);
 /* A pipeline of up to six jobs, numbered from `number` on, some of which may need jobs from
  * before it; returns how many it has. */
 unsigned users_add_random_pipeline(unsigned number, double busy_s);
--- a/tests/sim/users.c
+++ b/tests/sim/users.c
@@ -177,6 +177,7 @@
 
 void users_init(void) {
   invalid_requests_init();
+  random_jobs_init();
   g_jobs = g_hash_table_new(g_str_hash, g_str_equal);
   g_users_node = -1;
 }
--- a/tests/sim/users.h
+++ b/tests/sim/users.h
@@ -7,6 +7,7 @@
 /* Ids of their own for what is submitted besides the days' ordinary jobs. */
 #define FIRST_INVALID_JOB 910000u
 #define FIRST_PIPELINE_JOB 930000u
+#define FIRST_BURST_JOB 960000u
 
 #define STATUS_TIMEOUT_S 2
 #define SUBMIT_TIMEOUT_S 5
@@ -41,6 +42,10 @@
 
 void invalid_requests_init(void);
 
+/* ---- random_jobs.c ---- */
+
+void random_jobs_init(void);
+
 /* ---- jobs.c ---- */
 
 /* The job becomes known to the workers, and its user begins. image: the number of its
--- a/tests/test_machine_probes.c
+++ b/tests/test_machine_probes.c
@@ -55,7 +55,7 @@
     worker_bench *bench = worker_bench_new();
     fc_machine *machine = fixture_machine(bench->cluster, "vm-1", "a", false);
     machine->owner = rows[i].owner;
-    machine->agent.reported = true;
+    machine->agent.reported = machine->agent.epoch_shown = true;
     machine->agent.epoch = 2;
     machine->agent.sequence = 9;
     double now = fc_now();
--- a/tests/test_reconciler.c
+++ b/tests/test_reconciler.c
@@ -57,21 +57,23 @@
 }
 
 /* A direct start without an answer may arrive until the worker has shown a fencing token above the
- * one that it carried, or is in a later epoch. */
+ * one that it carried, or is in a later epoch than it named. */
 static void unacknowledged_direct_starts(void **state) {
   (void)state;
   static const struct {
     const char *name;
-    unsigned sent_token;             /* that the start carried */
+    unsigned sent_token, sent_epoch; /* that the start carried */
     unsigned seen_token;             /* that the worker had shown before */
     unsigned epoch, sequence, token; /* of its next heartbeat; the last was (1, 1) */
     bool may_arrive;
   } rows[] = {
-      {"the same token again", 5, 5, 1, 2, 5, true},
-      {"the token that it carried, shown for the first time", 5, 4, 1, 2, 5, true},
-      {"a higher token", 4, 4, 1, 2, 5, false},
-      {"a token higher than one shown since", 3, 4, 1, 2, 5, false},
-      {"a later epoch", 5, 5, 2, 1, 5, false},
+      {"the same token again", 5, 1, 5, 1, 2, 5, true},
+      {"the token that it carried, shown for the first time", 5, 1, 4, 1, 2, 5, true},
+      {"a higher token", 4, 1, 4, 1, 2, 5, false},
+      {"a token higher than one shown since", 3, 1, 4, 1, 2, 5, false},
+      {"a later epoch", 5, 1, 5, 2, 1, 5, false},
+      {"a later epoch of a restarted worker, before the one that it named", 5, 3, 5, 2, 1, 5, true},
+      {"a later epoch of a restarted worker, the one that it named", 5, 2, 5, 2, 1, 5, true},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     worker_bench *bench = worker_bench_new();
@@ -84,6 +86,7 @@
     placement->start.sent = placement->status.reported = true;
     placement->start.direct = FC_DIRECT_START_UNACKNOWLEDGED;
     placement->start.direct_token = rows[i].sent_token;
+    placement->start.direct_epoch = rows[i].sent_epoch;
     GString *out = g_string_new(NULL);
     send_heartbeat(bench, rows[i].epoch, rows[i].sequence, rows[i].token, EXITED(0, "stopped"), out);
     check_row(rows[i].name, (placement->start.direct == FC_DIRECT_START_UNACKNOWLEDGED) == rows[i].may_arrive);
@@ -126,6 +129,7 @@
     placement->start.sent_at = now - rows[i].sent_s;
     placement->start.direct = rows[i].unacknowledged ? FC_DIRECT_START_UNACKNOWLEDGED : FC_DIRECT_START_NONE;
     placement->start.direct_token = 5;
+    placement->start.direct_epoch = 1;
     placement->stop.requested = rows[i].stopping;
     fc_heartbeat heartbeat = {.machine = "vm-1", .epoch = 1, .sequence = 4, .fencing_token = 5, .spot_notice_s = -1};
     fc_worker_calls_apply_answer(bench->calls, machine, &heartbeat, now - rows[i].asked_s);
--- a/tests/test_worker_commands.c
+++ b/tests/test_worker_commands.c
@@ -19,6 +19,7 @@
   placement->stop.requested = true; /* not wanted any more: the next heartbeat decides */
   placement->start.direct = FC_DIRECT_START_UNACKNOWLEDGED;
   placement->start.direct_token = 5;
+  placement->start.direct_epoch = 1;
   send_heartbeat(bench, 1, 3, 5, "", out);
   assert_int_equal(machine->placements->len, 1); /* a direct copy may still arrive */
   placement->start.direct = FC_DIRECT_START_NONE;
@@ -103,6 +104,7 @@
     placement->start.sent = placement->status.reported = true;
     placement->start.direct = rows[i].unacknowledged ? FC_DIRECT_START_UNACKNOWLEDGED : FC_DIRECT_START_NONE;
     placement->start.direct_token = 5;
+    placement->start.direct_epoch = 1;
     GString *out = g_string_new(NULL);
     machine->agent.fencing_token = 5;
     machine->agent.epoch = 1;
--- a/tests/test_worker_leases.c
+++ b/tests/test_worker_leases.c
@@ -37,7 +37,7 @@
     fc_leadership_term_applied(bench->leadership, now - 100, false);
     machine->lease.answered_at = now - rows[i].answered_s;
     machine->agent.epoch_began_at = now - rows[i].epoch_s;
-    machine->agent.reported = true;
+    machine->agent.reported = machine->agent.epoch_shown = true;
     machine->agent.epoch = 1;
     machine->agent.sequence = 9;
     bench->cluster->sync.read_at = now - rows[i].read_s;
@@ -51,9 +51,129 @@
   }
 }
 
+/* A machine of ours in epoch 1, whose lease nobody has renewed for longer than it lasts and that has
+ * answered a direct call heard_s ago; a task runs on it. */
+static fc_machine *overdue_machine(const worker_bench *bench, double heard_s) {
+  fc_machine *machine = fixture_machine(bench->cluster, "vm-1", "a", false);
+  fixture_job(bench->cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+  fc_placement *placement = fc_cluster_add_placement(bench->cluster, machine, "job-000001", 0, 1, 0);
+  placement->start.sent = placement->status.reported = true;
+  double now = fc_now();
+  fc_peers_at(bench->peers, 0)->acknowledged.renewals_known_until = now + 100;
+  fc_leadership_term_applied(bench->leadership, now - 100, false);
+  machine->owned_since = now - 100;
+  machine->lease.answered_at = now - 20;
+  machine->agent.epoch_began_at = now - 100;
+  machine->agent.epoch = 1;
+  machine->agent.sequence = 9;
+  machine->agent.fencing_token = 5;
+  machine->agent.heard_at = now - heard_s;
+  return machine;
+}
+
+static fc_placement *add_direct_start(const worker_bench *bench, fc_machine *machine, uint64_t epoch) {
+  fc_placement *placement = fc_cluster_add_placement(bench->cluster, machine, "job-000001", 1, 2, 0);
+  placement->start.sent = true;
+  placement->start.direct = FC_DIRECT_START_IN_FLIGHT;
+  placement->start.direct_token = 5;
+  placement->start.direct_epoch = epoch;
+  return placement;
+}
+
+/* An expiry ends the epoch that the worker has shown, once: neither a later round nor a new term
+ * takes it for proof of anything that came after, and the epoch does not run ahead. */
+static void expiry_ends_one_epoch(void **state) {
+  (void)state;
+  worker_bench *bench = worker_bench_new();
+  fc_machine *machine = overdue_machine(bench, 3);
+  fc_worker_leases_expire(bench->leases);
+  assert_int_equal(machine->placements->len, 0);
+  assert_int_equal(machine->agent.epoch, 2);
+  assert_false(machine->agent.epoch_shown);
+  (void)add_direct_start(bench, machine, 2);
+  fc_worker_leases_expire(bench->leases);
+  assert_int_equal(machine->placements->len, 1);
+  assert_int_equal(machine->agent.epoch, 2);
+  assert_int_equal(bench->metrics->counters.expired_leases, 1);
+  machine->reconciled_term = 4; /* as at a new term */
+  fc_worker_leases_expire(bench->leases);
+  assert_int_equal(machine->reconciled_term, 5);
+  assert_int_equal(machine->placements->len, 1);
+  assert_int_equal(machine->agent.epoch, 2);
+  worker_bench_free(bench);
+}
+
+/* A direct start is given up with the epoch that it named, and not with an earlier one: a restarted
+ * worker counts anew and may still come to it. */
+static void expiry_gives_up_starts_of_its_epoch(void **state) {
+  (void)state;
+  for (uint64_t epoch = 1; epoch <= 3; epoch++) {
+    worker_bench *bench = worker_bench_new();
+    fc_machine *machine = overdue_machine(bench, 3);
+    (void)add_direct_start(bench, machine, epoch);
+    fc_worker_leases_expire(bench->leases);
+    assert_int_equal(machine->placements->len, epoch == 1 ? 0 : 1);
+    worker_bench_free(bench);
+  }
+}
+
+/* After an expiry a machine takes nothing until it has shown its epoch. One that was heard of lately
+ * is asked for it; a question from before the expiry tells nothing of what came after. */
+static void epoch_is_shown_after_an_expiry(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    double asked_s;           /* ago; the lease is found to have expired now */
+    unsigned epoch, sequence; /* of the answer; 0: none */
+    bool reachable;           /* afterwards */
+    unsigned epoch_after;
+    bool restarted;
+  } rows[] = {
+      {"no answer", 0, 0, 0, false, 2, false},
+      {"asked before, answered in the epoch that has ended", 1, 1, 12, false, 2, false},
+      {"asked before, answered in the next epoch", 1, 2, 12, true, 2, false},
+      {"asked after, in the next epoch", -1, 2, 12, true, 2, false},
+      {"asked after, in a later epoch: it was idle", -1, 4, 12, true, 4, false},
+      {"asked after, restarted", -1, 1, 2, true, 1, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_bench *bench = worker_bench_new();
+    fc_machine *machine = overdue_machine(bench, 3);
+    double now = fc_now();
+    fc_worker_leases_expire(bench->leases);
+    check_row(rows[i].name, !fc_machine_reachable(bench->cluster, machine, now));
+    check_row(rows[i].name, fc_machine_probes_check(bench->probes, machine));
+    fc_heartbeat answer = {.machine = "vm-1",
+                           .epoch = rows[i].epoch,
+                           .sequence = rows[i].sequence,
+                           .fencing_token = 5,
+                           .spot_notice_s = -1};
+    if (rows[i].epoch) fc_worker_calls_apply_answer(bench->calls, machine, &answer, now - rows[i].asked_s);
+    check_row(rows[i].name, fc_machine_reachable(bench->cluster, machine, now) == rows[i].reachable);
+    check_row(rows[i].name, machine->agent.epoch == rows[i].epoch_after);
+    check_row(rows[i].name, machine->agent.restarted == rows[i].restarted);
+    worker_bench_free(bench);
+  }
+}
+
+/* Nobody asks a machine that was silent for so long that it took no tasks before the expiry. */
+static void silent_machine_is_not_asked(void **state) {
+  (void)state;
+  worker_bench *bench = worker_bench_new();
+  fc_machine *machine = overdue_machine(bench, 12);
+  fc_worker_leases_expire(bench->leases);
+  assert_false(machine->agent.epoch_shown);
+  assert_false(fc_machine_probes_check(bench->probes, machine));
+  worker_bench_free(bench);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(lease_expiry),
+      cmocka_unit_test(expiry_ends_one_epoch),
+      cmocka_unit_test(expiry_gives_up_starts_of_its_epoch),
+      cmocka_unit_test(epoch_is_shown_after_an_expiry),
+      cmocka_unit_test(silent_machine_is_not_asked),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
