--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -150,9 +150,7 @@
  * routine. */
 static fc_worker_call_result send_call(fc_worker_calls *calls, fc_machine *machine, const fc_endpoint *endpoint,
                                        const direct_call *call, fc_heartbeat *heartbeat) {
-  /* No command goes under an epoch that the worker has not shown: no proof would cover it. */
-  bool question_only = call->fencing || !machine->agent.epoch_shown;
-  GArray *commands = question_only ? g_array_new(FALSE, TRUE, sizeof(fc_command))
+  GArray *commands = call->fencing ? g_array_new(FALSE, TRUE, sizeof(fc_command))
                                    : fc_worker_commands_for_call(calls->commands, machine);
   fc_worker_call_result result = FC_WORKER_CALL_UNSENT;
   double timeout_s = calls->cluster->settings->heartbeat_s * CALL_TIMEOUT_HEARTBEATS;
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -126,6 +126,8 @@
 }
 
 GArray *fc_worker_commands_for_call(fc_worker_commands *commands, fc_machine *machine) {
+  /* A call names an epoch: no proof would cover a start under one that the worker has not shown. */
+  if (!machine->agent.epoch_shown) return g_array_new(FALSE, TRUE, sizeof(fc_command));
   return list_commands(commands, machine, &(delivery){.direct = true});
 }
 
--- a/tests/test_reconciler.c
+++ b/tests/test_reconciler.c
@@ -96,6 +96,27 @@
   }
 }
 
+/* A new epoch ends what was started in the one before; a start that named a later one, before the
+ * worker was restarted, may still be carried out. */
+static void unlisted_starts_in_a_new_epoch(void **state) {
+  (void)state;
+  for (unsigned named = 1; named <= 3; named++) {
+    worker_bench *bench = worker_bench_new();
+    fc_machine *machine = fixture_machine(bench->cluster, "vm-1", "a", false);
+    machine->agent.epoch = machine->agent.sequence = 1;
+    machine->agent.fencing_token = 5;
+    fixture_job(bench->cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *placement = fc_cluster_add_placement(bench->cluster, machine, "job-000001", 0, 1, 0);
+    placement->start = (fc_placement_start){
+        .sent = true, .direct = FC_DIRECT_START_UNACKNOWLEDGED, .direct_token = 5, .direct_epoch = named};
+    GString *out = g_string_new(NULL);
+    send_heartbeat(bench, 2, 1, 5, "", out);
+    assert_int_equal(machine->placements->len, named == 1 ? 0 : 1);
+    g_string_free(out, TRUE);
+    worker_bench_free(bench);
+  }
+}
+
 /* A start that was sent and never listed, on a machine whose direct answers alone count: the answer
  * to a probe decides that was sent once no copy of the start can be carried out. */
 static void starts_decided_by_direct_answers(void **state) {
@@ -159,11 +180,9 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(fenced_before_commanded),
-      cmocka_unit_test(heartbeats_in_order),
-      cmocka_unit_test(unacknowledged_direct_starts),
-      cmocka_unit_test(starts_decided_by_direct_answers),
-      cmocka_unit_test(reconciled_machine_is_in_no_earlier_view),
+      cmocka_unit_test(fenced_before_commanded),          cmocka_unit_test(heartbeats_in_order),
+      cmocka_unit_test(unacknowledged_direct_starts),     cmocka_unit_test(unlisted_starts_in_a_new_epoch),
+      cmocka_unit_test(starts_decided_by_direct_answers), cmocka_unit_test(reconciled_machine_is_in_no_earlier_view),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_worker_commands.c
+++ b/tests/test_worker_commands.c
@@ -115,11 +115,32 @@
   }
 }
 
+/* A direct call carries nothing while the worker's epoch is not known, and starts keep the epoch that
+ * they name. */
+static void calls_name_a_shown_epoch(void **state) {
+  (void)state;
+  for (int shown = 0; shown <= 1; shown++) {
+    worker_bench *bench = worker_bench_new();
+    fc_machine *machine = fixture_machine(bench->cluster, "vm-1", "a", false);
+    machine->agent.epoch = 7;
+    machine->agent.epoch_shown = shown;
+    fixture_job(bench->cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *placement = fc_cluster_add_placement(bench->cluster, machine, "job-000001", 0, 1, 0);
+    GArray *commands = fc_worker_commands_for_call(bench->commands, machine);
+    assert_int_equal(commands->len, shown);
+    assert_int_equal(placement->start.sent, shown);
+    assert_int_equal(placement->start.direct_epoch, shown ? 7 : 0);
+    g_array_free(commands, TRUE);
+    worker_bench_free(bench);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(start_is_repeated_until_listed),
       cmocka_unit_test(starts_of_cancelled_jobs),
       cmocka_unit_test(exited_tasks_are_forgotten),
+      cmocka_unit_test(calls_name_a_shown_epoch),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_worker_leases.c
+++ b/tests/test_worker_leases.c
@@ -148,10 +148,17 @@
                            .sequence = rows[i].sequence,
                            .fencing_token = 5,
                            .spot_notice_s = -1};
+    uint64_t wakeups = fc_wakeups_count(bench->wakeups, FC_WAKEUP_SCHEDULE);
     if (rows[i].epoch) fc_worker_calls_apply_answer(bench->calls, machine, &answer, now - rows[i].asked_s);
     check_row(rows[i].name, fc_machine_reachable(bench->cluster, machine, now) == rows[i].reachable);
+    bool woken = fc_wakeups_count(bench->wakeups, FC_WAKEUP_SCHEDULE) > wakeups;
+    check_row(rows[i].name, woken == (rows[i].reachable && !rows[i].restarted));
     check_row(rows[i].name, machine->agent.epoch == rows[i].epoch_after);
     check_row(rows[i].name, machine->agent.restarted == rows[i].restarted);
+    /* The epoch that it has shown has a lease of its own. */
+    (void)add_direct_start(bench, machine, machine->agent.epoch);
+    fc_worker_leases_expire(bench->leases);
+    check_row(rows[i].name, machine->placements->len == 1);
     worker_bench_free(bench);
   }
 }
@@ -167,6 +174,30 @@
   worker_bench_free(bench);
 }
 
+/* A new owner has renewed the worker's lease for the one before it, and hears nothing itself: a late
+ * heartbeat of the epoch that has ended is refused, and shows no task. */
+static void expiry_at_a_new_owner(void **state) {
+  (void)state;
+  worker_bench *bench = worker_bench_new();
+  fc_machine *machine = overdue_machine(bench, 30);
+  GString *out = g_string_new(NULL);
+  machine->owner = 1;
+  machine->agent.epoch_shown = false;
+  fc_peers_at(bench->peers, 0)->heard_at = -1e9; /* so that the worker is not sent there */
+  assert_int_equal(send_heartbeat(bench, 3, 20, 5, RUNNING(0), out), 200);
+  machine->owner = 0;
+  fc_machine_forget_owner(machine, fc_now() - 100);
+  machine->reconciled_term = 4;
+  machine->lease.answered_at = fc_now() - 20;
+  fc_worker_leases_expire(bench->leases);
+  assert_int_equal(machine->reconciled_term, 5);
+  assert_int_equal(machine->agent.epoch, 4);
+  assert_int_equal(send_heartbeat(bench, 3, 21, 5, RUNNING(0), out), 503);
+  assert_int_equal(machine->placements->len, 0);
+  g_string_free(out, TRUE);
+  worker_bench_free(bench);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(lease_expiry),
@@ -174,6 +205,7 @@
       cmocka_unit_test(expiry_gives_up_starts_of_its_epoch),
       cmocka_unit_test(epoch_is_shown_after_an_expiry),
       cmocka_unit_test(silent_machine_is_not_asked),
+      cmocka_unit_test(expiry_at_a_new_owner),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
