A handover resolves the slice for its receiver alone

Cause: a handover's record says that everything of the slice is known; that is so for the receiver, which has acknowledged it. Every member that read the record took the slice for resolved, and kept that: when it received the slice in a later, partly known handover it started again what ran at the member that had given it away first. Change: the mark is set for the receiver of a fully known handover, and taken back from all others; what this term's task lists show counts as before.

--- a/src/bookkeeping/job_records.c
+++ b/src/bookkeeping/job_records.c
@@ -65,19 +65,34 @@
   if (job->phase != FC_PHASE_ACCEPTED && !job->lifecycle.ended_at) job->lifecycle.ended_at = now;
 }
 
-/* Takes over to whom slices were handed over. */
-static void apply_handovers(const fc_cluster *cluster, fc_job *job, const fc_job_record *record, bool is_new) {
+/* Takes over to whom slices were handed over. Returns those that were, a bit a slice. */
+static unsigned apply_receivers(fc_job *job, const fc_job_record *record) {
+  unsigned moved = 0;
   for (unsigned i = 0; i < job->slices.count; i++) {
     if (g_strcmp0(job->record.handed_to[i], record->handed_to[i]) == 0) continue;
-    bool was_ours = !is_new && fc_job_slice_owner(job, i) == cluster->membership.self;
+    moved |= 1u << i;
     g_free(job->record.handed_to[i]);
     job->record.handed_to[i] = g_strdup(record->handed_to[i]);
-    /* Whoever hands a slice over knows all of it, and does so only after we have acknowledged a
-     * view that shows whatever of it is on a machine; or the record says that some of it is on
-     * other members' machines, which are reconciled for us one by one. */
-    bool fully_known = !(record->origin.partly_known >> i & 1);
-    if (!was_ours && !is_new && fully_known) job->slices.resolved |= 1u << i;
   }
+  return moved;
+}
+
+/* Whoever hands a slice over knows all of it, and does so only after the receiver has acknowledged a
+ * view that shows whatever of it is on a machine; or the record says that some of it is on other
+ * members' machines, which are reconciled for the receiver one by one. That is no knowledge of
+ * those who only read of it: one of them took the slice for known, received it in a later handover,
+ * and started again what ran at the member that had given it away (fault test with meetings, seed
+ * 20588). */
+static void resolve_received_slices(const fc_cluster *cluster, fc_job *job, unsigned moved) {
+  for (unsigned i = 0; i < job->slices.count; i++) {
+    if (!(moved >> i & 1)) continue;
+    bool received = fc_job_slice_owner(job, i) == cluster->membership.self;
+    bool fully_known = !(job->record.origin.partly_known >> i & 1);
+    job->slices.resolved &= ~(1u << i);
+    if (received && fully_known) job->slices.resolved |= 1u << i;
+  }
+  /* What this term's task lists show counts all the same. */
+  fc_cluster_resolve_slices(cluster, job);
 }
 
 fc_job *fc_cluster_apply_job(fc_cluster *cluster, const char *id, const fc_job_record *record, uint64_t version,
@@ -90,12 +105,14 @@
   apply_completion(job, id, record->done);
   apply_phase(cluster, job, id, record->phase, version, now);
   job->record.version = version;
-  apply_handovers(cluster, job, record, is_new);
+  unsigned moved = apply_receivers(job, record);
   job->record.origin = record->origin;
   fc_cluster_assign_slices(cluster, job);
   if (is_new) {
     fc_cluster_resolve_slices(cluster, job);
     link_placements(cluster, job);
+  } else if (moved) {
+    resolve_received_slices(cluster, job, moved);
   }
   fc_dependencies_apply(cluster, job, fresh, now);
   /* A job that is read back after a start arrived before that: it is no arrival. */
--- a/tests/test_reconciliation_progress.c
+++ b/tests/test_reconciliation_progress.c
@@ -138,11 +138,67 @@
   }
 }
 
+/* The job's record as it is, with its slice handed over to that member. */
+static void apply_handover(fc_cluster *cluster, const fc_job *job, const char *to, unsigned machine_owners,
+                           bool partly_known) {
+  fc_job_record record = {.phase = FC_PHASE_ACCEPTED,
+                          .done = (char *)"",
+                          .slices = 1,
+                          .handed_to = {(char *)to},
+                          .origin = {.term = 5,
+                                     .transferred = 1,
+                                     .partly_known = partly_known,
+                                     .last_transfer = {{cluster->membership.term.number, machine_owners}}}};
+  record.spec = fc_job_spec_copy(&job->spec);
+  (void)fc_cluster_apply_job(cluster, job->spec.id, &record, job->record.version + 1, true, 6);
+  fc_job_spec_clear(&record.spec);
+}
+
+/* What the giver of a slice knows of it is knowledge of the receiver alone: a third member that reads
+ * of the handover has acknowledged nothing. */
+static void handovers_resolve_for_their_receiver(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    const char *first, *then; /* whom it is handed over to; NULL: no more */
+    bool partly_known;        /* the last of these */
+    bool reconciled;          /* all machines are, before */
+    bool resolved;
+  } rows[] = {
+      {"to us, fully known", "paddock-0", NULL, false, false, true},
+      {"to us, partly known", "paddock-0", NULL, true, false, false},
+      {"to us, partly known, all machines reconciled", "paddock-0", NULL, true, true, true},
+      {"between others", "paddock-1", NULL, false, false, false},
+      {"between others, then to us, fully known", "paddock-1", "paddock-0", false, false, true},
+      {"between others, then to us, partly known", "paddock-1", "paddock-0", true, false, false},
+      {"to us, and then to another", "paddock-0", "paddock-1", false, false, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings settings = fixture_settings();
+    fc_cluster *cluster = fixture_cluster(&settings);
+    fc_machine *theirs = fixture_machine(cluster, "vm-2", "a", false);
+    g_strlcpy(theirs->record.owner, "paddock-2", sizeof theirs->record.owner);
+    fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    job->record.handed_to[0] = g_strdup("paddock-2");
+    fc_term term = {
+        .number = 10, .names_since = 5, .members = {{"paddock-0", 3}, {"paddock-1", 4}, {"paddock-2", 5}}, .count = 3};
+    fc_cluster_apply_term(cluster, &term, 20, false, 5);
+    if (rows[i].reconciled) theirs->reconciled_term = 10;
+    (void)fc_cluster_update_reconciled(cluster);
+    const unsigned machine_owners = 1u << 0 | 1u << 2; /* ours, and the first owner's */
+    apply_handover(cluster, job, rows[i].first, machine_owners, rows[i].partly_known && !rows[i].then);
+    if (rows[i].then) apply_handover(cluster, job, rows[i].then, machine_owners, rows[i].partly_known);
+    check_row(rows[i].name, (job->slices.resolved & 1) == rows[i].resolved);
+    fc_cluster_free(cluster);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(what_a_new_term_keeps_reconciled),
       cmocka_unit_test(reconciliation_completes),
       cmocka_unit_test(slices_resolved_before_all_is_reconciled),
+      cmocka_unit_test(handovers_resolve_for_their_receiver),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
