--- a/src/controller/worker_leases.c
+++ b/src/controller/worker_leases.c
@@ -98,17 +98,22 @@
   }
 }
 
-static unsigned direct_starts(const fc_machine *machine) {
+/* How many direct starts, of which a copy may be under way, the expiry rules out. */
+static unsigned starts_given_up(const fc_machine *machine) {
+  uint64_t lowest_epoch = lowest_epoch_after(&machine->agent);
   unsigned count = 0;
-  for (guint i = 0; i < machine->placements->len; i++)
-    count += ((const fc_placement *)machine->placements->pdata[i])->start.direct != FC_DIRECT_START_NONE;
+  for (guint i = 0; i < machine->placements->len; i++) {
+    const fc_placement *placement = machine->placements->pdata[i];
+    bool direct = placement->start.direct != FC_DIRECT_START_NONE;
+    count += direct && fc_placement_start_ruled_out(placement, lowest_epoch);
+  }
   return count;
 }
 
 static void log_expiry(const fc_cluster *cluster, const fc_machine *machine, const lease_renewal *renewal) {
   g_info("worker lease expired machine=%s tasks=%u starts_given_up=%u term=%" G_GUINT64_FORMAT
          " epoch=%" G_GUINT64_FORMAT " epoch_shown=%d renewed_s=%.1f by=%s",
-         machine->id, machine->placements->len, direct_starts(machine), (guint64)cluster->membership.term.number,
+         machine->id, machine->placements->len, starts_given_up(machine), (guint64)cluster->membership.term.number,
          (guint64)machine->agent.epoch, machine->agent.epoch_shown, fc_now() - renewal->at, renewal->by);
 }
 
