One setter for a worker's shown epoch; one pass over what an expiry ends

Change: fc_machine_agent_show_epoch() serves the three; removing what an expiry ends counts the starts that it gives up. No change in behaviour.

--- a/src/bookkeeping/machine_state.h
+++ b/src/bookkeeping/machine_state.h
@@ -131,6 +131,13 @@
 static inline void fc_machine_cordon(fc_machine *machine) {
   if (machine->drain.state == FC_DRAIN_NONE) machine->drain.state = FC_DRAIN_CORDONED;
 }
+/* The worker has shown its epoch and sequence; the three of them are set nowhere else but where the
+ * epoch ends. */
+static inline void fc_machine_agent_show_epoch(fc_machine_agent *agent, uint64_t epoch, uint64_t sequence) {
+  agent->epoch = epoch;
+  agent->epoch_shown = true;
+  agent->sequence = sequence;
+}
 /* The machine has a new owner: forgets what the one before said of it. */
 void fc_machine_forget_owner(fc_machine *machine, double now);
 
--- a/src/controller/heartbeats.c
+++ b/src/controller/heartbeats.c
@@ -150,9 +150,7 @@
                             const response *out) {
   const fc_heartbeat *heartbeat = &from->heartbeat;
   note_answer_received(heartbeats, machine, from->connection);
-  machine->agent.epoch = heartbeat->epoch;
-  machine->agent.epoch_shown = true;
-  machine->agent.sequence = heartbeat->sequence;
+  fc_machine_agent_show_epoch(&machine->agent, heartbeat->epoch, heartbeat->sequence);
   GArray *commands = cancelled_tasks(heartbeats->cluster, heartbeat);
   machine->lease.answered_at = fc_now();
   machine->lease.connection = from->connection;
--- a/src/controller/quota_shares.c
+++ b/src/controller/quota_shares.c
@@ -146,7 +146,7 @@
 /* ---- the routine ---- */
 
 /* Our shares as written, and the version of the record that they were planned by. */
-static void log_write(const fc_quota_shares *shares, uint64_t read_version, fc_kv_result result, uint64_t revision) {
+static void log_write(const fc_quota_shares *shares, fc_kv_result result, uint64_t revision) {
   const fc_settings *settings = shares->cluster->settings;
   int own = fc_quota_record_find(shares->next, settings->name);
   for (size_t team = 0; own >= 0 && team < settings->team_count; team++) {
@@ -154,7 +154,7 @@
     g_debug("quota share team=%s cpus=%.1f gpus=%.1f term=%" G_GUINT64_FORMAT " read_version=%" G_GUINT64_FORMAT
             " result=%d revision=%" G_GUINT64_FORMAT,
             settings->teams[team].name, shares->next->cpus[own][team], shares->next->gpus[own][team],
-            (guint64)shares->next->term, (guint64)read_version, (int)result, (guint64)revision);
+            (guint64)shares->next->term, (guint64)shares->caps.version, (int)result, (guint64)revision);
   }
 }
 
@@ -169,7 +169,7 @@
   uint64_t revision = 0;
   fc_kv_result result =
       fc_group_commit_write(shares->commit, write, FC_WRITE_PRIORITY_DECISION, fc_now() + WRITE_TIMEOUT_S, &revision);
-  log_write(shares, shares->caps.version, result, revision);
+  log_write(shares, result, revision);
   fc_kv_watch_wait_outcome(shares->watch, result, revision, fc_now() + READ_TIMEOUT_S);
   if (result != FC_KV_OK && result != FC_KV_UNKNOWN) lift_caps(&shares->caps);
   fc_wakeups_raise(shares->wakeups, FC_WAKEUP_SCHEDULE);
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -50,9 +50,7 @@
 
 static void update_agent(fc_machine_agent *agent, const fc_heartbeat *heartbeat, double now) {
   if (!agent->reported || heartbeat->epoch != agent->epoch || !agent->epoch_shown) agent->epoch_began_at = now;
-  agent->epoch = heartbeat->epoch;
-  agent->epoch_shown = true;
-  agent->sequence = heartbeat->sequence;
+  fc_machine_agent_show_epoch(agent, heartbeat->epoch, heartbeat->sequence);
   agent->fencing_token = heartbeat->fencing_token;
   agent->reported = true;
   agent->heard_at = now;
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -102,9 +102,7 @@
     /* What counts as reported, and is not listed now, is gone. */
     if (placement->start.sent) placement->status.reported = placement->start.direct == FC_DIRECT_START_NONE;
   }
-  machine->agent.epoch = heartbeat->epoch;
-  machine->agent.epoch_shown = true;
-  machine->agent.sequence = heartbeat->sequence - 1;
+  fc_machine_agent_show_epoch(&machine->agent, heartbeat->epoch, heartbeat->sequence - 1);
   machine->agent.fencing_token = heartbeat->fencing_token;
   machine->agent.restarted = true;
   machine->agent.epoch_began_at = fc_now();
--- a/src/controller/worker_commands.h
+++ b/src/controller/worker_commands.h
@@ -15,9 +15,9 @@
 void fc_worker_commands_free(fc_worker_commands *commands);
 
 /* Lists the commands (fc_command) for a reconciled machine, to be sent by a direct call: none while
- * its worker's epoch is not known. Starts
- * count as sent from here on; the placement of a task that is to be stopped and was never sent is
- * removed. The caller frees the array; its strings belong to the placements. */
+ * its worker's epoch is not known. Starts count as sent from here on; the placement of a task that is
+ * to be stopped and was never sent is removed. The caller frees the array; its strings belong to the
+ * placements. */
 GArray *fc_worker_commands_for_call(fc_worker_commands *commands, fc_machine *machine);
 /* The same for the answer to the heartbeat with that sequence number. */
 GArray *fc_worker_commands_for_answer(fc_worker_commands *commands, fc_machine *machine, uint64_t sequence);
--- a/src/controller/worker_leases.c
+++ b/src/controller/worker_leases.c
@@ -89,41 +89,37 @@
   agent->expired_at = fc_now();
 }
 
-/* Removes what has ended with the epoch; a direct start that may still be carried out stays. */
-static void remove_ended_placements(fc_machine *machine) {
+/* Removes what has ended with the epoch; a direct start that may still be carried out stays. Returns
+ * how many direct starts it has given up. */
+static unsigned remove_ended_placements(fc_machine *machine) {
   uint64_t lowest_epoch = lowest_epoch_after(&machine->agent);
+  unsigned given_up = 0;
   for (guint i = machine->placements->len; i-- > 0;) {
     fc_placement *placement = machine->placements->pdata[i];
-    if (fc_placement_start_ruled_out(placement, lowest_epoch)) fc_placement_remove(placement);
+    if (!fc_placement_start_ruled_out(placement, lowest_epoch)) continue;
+    given_up += placement->start.direct != FC_DIRECT_START_NONE;
+    fc_placement_remove(placement);
   }
+  return given_up;
 }
 
-/* How many direct starts, of which a copy may be under way, the expiry rules out. */
-static unsigned starts_given_up(const fc_machine *machine) {
-  uint64_t lowest_epoch = lowest_epoch_after(&machine->agent);
-  unsigned count = 0;
-  for (guint i = 0; i < machine->placements->len; i++) {
-    const fc_placement *placement = machine->placements->pdata[i];
-    bool direct = placement->start.direct != FC_DIRECT_START_NONE;
-    count += direct && fc_placement_start_ruled_out(placement, lowest_epoch);
-  }
-  return count;
-}
-
-static void log_expiry(const fc_cluster *cluster, const fc_machine *machine, const lease_renewal *renewal) {
+/* Before the epoch ends; `tasks` were on the machine, of which `given_up` were direct starts. */
+static void log_expiry(const fc_cluster *cluster, const fc_machine *machine, const lease_renewal *renewal,
+                       unsigned tasks, unsigned given_up) {
   g_info("worker lease expired machine=%s tasks=%u starts_given_up=%u term=%" G_GUINT64_FORMAT
          " epoch=%" G_GUINT64_FORMAT " epoch_shown=%d renewed_s=%.1f by=%s",
-         machine->id, machine->placements->len, starts_given_up(machine), (guint64)cluster->membership.term.number,
-         (guint64)machine->agent.epoch, machine->agent.epoch_shown, fc_now() - renewal->at, renewal->by);
+         machine->id, tasks, given_up, (guint64)cluster->membership.term.number, (guint64)machine->agent.epoch,
+         machine->agent.epoch_shown, fc_now() - renewal->at, renewal->by);
 }
 
 static void expire(fc_worker_leases *leases, fc_machine *machine, const lease_renewal *renewal) {
   fc_cluster *cluster = leases->cluster;
+  unsigned tasks = machine->placements->len;
+  unsigned given_up = remove_ended_placements(machine);
   /* In a new term the machine may only have to be marked as reconciled. */
-  bool ends_anything = machine->agent.epoch_shown || machine->placements->len > 0;
-  if (ends_anything && machine->announced) log_expiry(cluster, machine, renewal);
+  bool ends_anything = machine->agent.epoch_shown || tasks > 0;
+  if (ends_anything && machine->announced) log_expiry(cluster, machine, renewal, tasks, given_up);
   leases->metrics->counters.expired_leases += ends_anything;
-  remove_ended_placements(machine);
   end_epoch(&machine->agent);
   machine->reconciled_term = cluster->membership.term.number;
   if (fc_cluster_update_reconciled(cluster)) fc_wakeups_raise(leases->wakeups, FC_WAKEUP_SCHEDULE);
