--- a/tests/sim/machines.c
+++ b/tests/sim/machines.c
@@ -24,6 +24,11 @@
   for (unsigned i = from; i < to; i++) machine_at(i)->terminated = true;
 }
 
+void world_restart_machines(unsigned from, unsigned to) {
+  for (unsigned i = from; i < to; i++)
+    if (!machine_at(i)->terminated) worker_restart_empty(machine_at(i));
+}
+
 void world_notice(unsigned machine, double in_s) {
   sim_worker *worker = machine_at(machine);
   worker->preemption_notice_at = sim_now();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -181,6 +181,9 @@
 
 void world_hang(unsigned from, unsigned to, double for_s);
 void world_kill(unsigned from, unsigned to);
+/* They begin anew at once, with no tasks, epoch or fencing token, under the same names; what holds up
+ * messages to them goes on. */
+void world_restart_machines(unsigned from, unsigned to);
 void world_cut_inbound(unsigned from, unsigned to, double for_s); /* nothing that is sent to them arrives */
 /* They reach no controller; direct commands reach them. */
 void world_cut_outbound(unsigned from, unsigned to, double for_s);
