A start of unknown outcome stays with its machine; a restarted worker may carry it out

Cause: an unacknowledged direct start was ruled out by an expired lease, a later epoch, a higher token or the first list of a term. Each holds for one life of the worker; a restarted one counts epochs anew, knows no token, and carried the start out. Change: such a task stays with its machine and is started there again by the same attempt; only the machine's return frees it. One rule, fc_placement_outlives_worker, in place of four proofs; not for machines that have changed their owner since, which is open. No call is made to a worker that has not shown its epoch: it carried nothing. 'worker lease expired' says starts_kept= for starts_given_up=.

--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -34,6 +34,8 @@
   fc_direct_start direct;
   uint64_t direct_token; /* the fencing token that the direct copy carried */
   uint64_t direct_epoch; /* the worker's epoch that it named: no worker in another one carries it out */
+  bool outdated_copy;    /* an unacknowledged direct copy is refused by the worker as it has shown itself since;
+                            restarted, it counts epochs anew, knows no token, and would carry the copy out */
 } fc_placement_start;
 
 /* Whether the task is being stopped. */
@@ -71,11 +73,20 @@
 
 /* Does it use resources of its machine? Everything does that has not exited. */
 bool fc_placement_active(const fc_placement *placement);
-/* Has the start command been given up, while its direct copy may still arrive? */
+/* May a direct copy of its start still be carried out, by the worker as it is or once it has been
+ * restarted? Only the machine's return to the cloud rules that out. */
+bool fc_placement_copy_outstanding(const fc_placement *placement);
+/* Has the start command been given up, while a direct copy of it may still be carried out? */
 bool fc_placement_abandoned_start(const fc_placement *placement);
-/* Can no direct copy of its start be carried out any more, once the worker has left all epochs
- * below that one for good? */
-bool fc_placement_start_ruled_out(const fc_placement *placement, uint64_t lowest_epoch);
+/* Does a worker that has left all epochs below that one refuse every direct copy of its start? */
+bool fc_placement_start_outdated(const fc_placement *placement, uint64_t lowest_epoch);
+/* Does the placement stay when the worker has lost the task, as a copy of its start is outstanding? Only
+ * if we have owned the machine ever since: another owner may have decided otherwise. */
+bool fc_placement_outlives_worker(const fc_placement *placement);
+/* The worker would refuse its unacknowledged direct copy now, and may be sent another one. */
+void fc_placement_outdate_copy(fc_placement *placement);
+/* The worker is without the task: the same attempt is to be started there again. */
+void fc_placement_start_again(fc_placement *placement);
 /* Removes it from its machine and its job, and frees it. */
 void fc_placement_remove(fc_placement *placement);
 
--- a/src/controller/cancellation_deadline.c
+++ b/src/controller/cancellation_deadline.c
@@ -31,7 +31,7 @@
 
 /* May the task run there, or begin yet? */
 static bool may_run(const fc_placement *placement) {
-  if (placement->start.direct != FC_DIRECT_START_NONE) return true;
+  if (fc_placement_copy_outstanding(placement)) return true;
   return placement->start.sent && placement->status.state != FC_TASK_EXITED;
 }
 
--- a/src/controller/machine_disposal.c
+++ b/src/controller/machine_disposal.c
@@ -120,9 +120,10 @@
 static bool holds_lost_start(const fc_machine *machine, double since) {
   for (guint i = 0; i < machine->placements->len; i++) {
     const fc_placement *placement = machine->placements->pdata[i];
-    if (placement->start.direct != FC_DIRECT_START_UNACKNOWLEDGED || placement->created_at > since) continue;
-    if (placement->stop.requested && !placement->status.reported) return true;
-    if (placement->status.state != FC_TASK_EXITED) continue;
+    if (placement->created_at > since) continue;
+    if (fc_placement_abandoned_start(placement)) return true;
+    if (placement->start.direct != FC_DIRECT_START_UNACKNOWLEDGED || placement->status.state != FC_TASK_EXITED)
+      continue;
     if (placement->job && placement->job->spec.kind == FC_JOB_GANG && placement->job->phase == FC_PHASE_ACCEPTED)
       return true;
     /* Such an ended task is never resolved, so the machine is never empty enough to be transferred,
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -33,18 +33,17 @@
 
 /* ---- the machine ---- */
 
-/* A direct start of which we don't know whether it arrived can't be carried out any more once the
- * worker has shown a higher fencing token than the start carried, or a later epoch than it named: it
- * refuses commands from before. The token of the machine's last heartbeat is not the measure: a controller
- * that owns a machine across a change of term sends its first start before the worker has shown
- * the new token, and the next heartbeat, which does, was taken for proof; the copy came after the
+/* A direct start of which we don't know whether it arrived is refused once the worker has shown a
+ * higher fencing token than the start carried, or a later epoch than it named. The token of the machine's last
+ * heartbeat is not the measure: a controller that owns a machine across a change of term sends its first start before
+ * the worker has shown the new token, and the next heartbeat, which does, was taken for proof; the copy came after the
  * task had been forgotten, and ran (fault test, seed 1106). */
-static void drop_outdated_starts(fc_machine *machine, const fc_heartbeat *heartbeat) {
+static void outdate_copies(fc_machine *machine, const fc_heartbeat *heartbeat) {
   for (guint i = 0; i < machine->placements->len; i++) {
     fc_placement *placement = machine->placements->pdata[i];
-    if (fc_placement_start_ruled_out(placement, heartbeat->epoch) ||
+    if (fc_placement_start_outdated(placement, heartbeat->epoch) ||
         heartbeat->fencing_token > placement->start.direct_token)
-      placement->start.direct = FC_DIRECT_START_NONE;
+      fc_placement_outdate_copy(placement);
   }
 }
 
@@ -57,7 +56,7 @@
 }
 
 static void update_machine(fc_machine *machine, const fc_heartbeat *heartbeat, const list_origin *origin, double now) {
-  drop_outdated_starts(machine, heartbeat);
+  outdate_copies(machine, heartbeat);
   update_agent(&machine->agent, heartbeat, now);
   if (heartbeat->spot_notice_s >= 0 && !machine->drain.spot_notice_until)
     machine->drain.spot_notice_until = now + heartbeat->spot_notice_s;
@@ -125,12 +124,23 @@
   return placement->stop.requested;
 }
 
-static void remove_unlisted(fc_reconciler *reconciler, fc_machine *machine, const fc_heartbeat *heartbeat,
-                            const list_origin *origin) {
+/* The worker is without the task. As long as a copy of its start is outstanding it may begin there, if
+ * only after a restart of the worker: started elsewhere, it ran twice (scene test_restarted_workers).
+ * The same attempt is started there again, beside which a copy has no effect. */
+static void end_unlisted(fc_placement *placement) {
+  if (fc_placement_outlives_worker(placement)) {
+    fc_placement_start_again(placement);
+  } else {
+    fc_placement_remove(placement);
+  }
+}
+
+static void end_all_unlisted(fc_reconciler *reconciler, fc_machine *machine, const fc_heartbeat *heartbeat,
+                             const list_origin *origin) {
   for (guint i = machine->placements->len; i-- > 0;) {
     fc_placement *placement = machine->placements->pdata[i];
     if (placement->status.listed || !is_gone(placement, heartbeat, origin)) continue;
-    fc_placement_remove(placement);
+    end_unlisted(placement);
     fc_wakeups_raise(reconciler->wakeups, FC_WAKEUP_SCHEDULE);
     fc_wakeups_raise(reconciler->wakeups, FC_WAKEUP_REPLICATE);
   }
@@ -149,7 +159,7 @@
     update_placement(reconciler, placement, task, now);
     placement->status.listed = true;
   }
-  remove_unlisted(reconciler, machine, heartbeat, origin);
+  end_all_unlisted(reconciler, machine, heartbeat, origin);
 }
 
 /* From here on nothing can start on the machine but what we send in this term. */
--- a/src/controller/task_stops.c
+++ b/src/controller/task_stops.c
@@ -87,6 +87,7 @@
 }
 
 bool fc_task_stops_call_due(const fc_task_stops *stops, const fc_machine *machine, double now) {
+  if (!machine->agent.epoch_shown) return false; /* a call would carry nothing */
   bool late = now > machine->agent.heard_at + stops->cluster->settings->heartbeat_s * LATE_HEARTBEATS;
   for (guint i = 0; i < machine->placements->len; i++) {
     const fc_placement *placement = machine->placements->pdata[i];
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -51,10 +51,10 @@
 }
 
 /* Fills in the command to stop a task. One whose start was never sent needs none: its placement is
- * removed. */
+ * removed, unless an earlier copy of the start may still be carried out. */
 static bool stop_command(const fc_worker_commands *commands, fc_placement *placement, fc_command *command) {
   if (!placement->start.sent) {
-    fc_placement_remove(placement);
+    if (!fc_placement_copy_outstanding(placement)) fc_placement_remove(placement);
     return false;
   }
   /* Sent but never listed: the worker ignores a stop of what it has not got. */
--- a/src/controller/worker_leases.c
+++ b/src/controller/worker_leases.c
@@ -89,36 +89,42 @@
   agent->expired_at = fc_now();
 }
 
-/* Removes what has ended with the epoch; a direct start that may still be carried out stays. Returns
- * how many direct starts it has given up. */
-static unsigned remove_ended_placements(fc_machine *machine) {
-  uint64_t lowest_epoch = lowest_epoch_after(&machine->agent);
-  unsigned given_up = 0;
-  for (guint i = machine->placements->len; i-- > 0;) {
-    fc_placement *placement = machine->placements->pdata[i];
-    if (!fc_placement_start_ruled_out(placement, lowest_epoch)) continue;
-    given_up += placement->start.direct != FC_DIRECT_START_NONE;
+/* The placement's epoch has ended. An expired lease proves that the worker has stopped the task, and
+ * that it refuses copies of the start that name the epoch; but a worker that is restarted counts its
+ * epochs anew and would carry them out (scene test_restarted_workers). With such a copy on its way the
+ * task stays with the machine, and is started there again by the same attempt. */
+static void end_placement(fc_placement *placement, uint64_t lowest_epoch) {
+  if (!fc_placement_start_outdated(placement, lowest_epoch)) return;
+  if (!fc_placement_outlives_worker(placement)) {
     fc_placement_remove(placement);
+    return;
   }
-  return given_up;
+  fc_placement_outdate_copy(placement);
+  fc_placement_start_again(placement);
+}
+
+static void end_placements(fc_machine *machine) {
+  uint64_t lowest_epoch = lowest_epoch_after(&machine->agent);
+  for (guint i = machine->placements->len; i-- > 0;) end_placement(machine->placements->pdata[i], lowest_epoch);
 }
 
-/* Before the epoch ends; `tasks` were on the machine, of which `given_up` were direct starts. */
+/* Before the epoch ends; `tasks` were on the machine, of which it keeps those whose starts may still
+ * be carried out. */
 static void log_expiry(const fc_cluster *cluster, const fc_machine *machine, const lease_renewal *renewal,
-                       unsigned tasks, unsigned given_up) {
-  g_info("worker lease expired machine=%s tasks=%u starts_given_up=%u term=%" G_GUINT64_FORMAT
-         " epoch=%" G_GUINT64_FORMAT " epoch_shown=%d renewed_s=%.1f by=%s",
-         machine->id, tasks, given_up, (guint64)cluster->membership.term.number, (guint64)machine->agent.epoch,
-         machine->agent.epoch_shown, fc_now() - renewal->at, renewal->by);
+                       unsigned tasks) {
+  g_info("worker lease expired machine=%s tasks=%u starts_kept=%u term=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT
+         " epoch_shown=%d renewed_s=%.1f by=%s",
+         machine->id, tasks, machine->placements->len, (guint64)cluster->membership.term.number,
+         (guint64)machine->agent.epoch, machine->agent.epoch_shown, fc_now() - renewal->at, renewal->by);
 }
 
 static void expire(fc_worker_leases *leases, fc_machine *machine, const lease_renewal *renewal) {
   fc_cluster *cluster = leases->cluster;
   unsigned tasks = machine->placements->len;
-  unsigned given_up = remove_ended_placements(machine);
+  end_placements(machine);
   /* In a new term the machine may only have to be marked as reconciled. */
   bool ends_anything = machine->agent.epoch_shown || tasks > 0;
-  if (ends_anything && machine->announced) log_expiry(cluster, machine, renewal, tasks, given_up);
+  if (ends_anything && machine->announced) log_expiry(cluster, machine, renewal, tasks);
   leases->metrics->counters.expired_leases += ends_anything;
   end_epoch(&machine->agent);
   machine->reconciled_term = cluster->membership.term.number;
--- a/tests/test_reconciler.c
+++ b/tests/test_reconciler.c
@@ -117,6 +117,55 @@
   }
 }
 
+/* The worker is without a task of which a direct copy of the start is outstanding: it refuses the copy
+ * now, but would carry it out once it is restarted. The same attempt is started there again; nowhere
+ * else (test_restarted_workers). */
+static void unlisted_start_stays_with_its_machine(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned epoch, token; /* of the heartbeat; the start named epoch 1 and carried token 4 */
+    bool fenced;           /* the machine was reconciled in this term before */
+    bool reported;         /* the task was listed before */
+    bool stopping;
+    bool started_again; /* by the answer */
+  } rows[] = {
+      {"a later epoch", 2, 5, true, false, false, true},
+      {"a later epoch, it ran before", 2, 5, true, true, false, true},
+      {"a higher token", 1, 5, true, false, false, true},
+      {"the first list of a term", 1, 5, false, false, false, true},
+      {"a later epoch, not wanted any more", 2, 5, true, false, true, false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_bench *bench = worker_bench_new();
+    fc_machine *machine = fixture_machine(bench->cluster, "vm-1", "a", false);
+    machine->agent.epoch = machine->agent.sequence = 1;
+    machine->agent.fencing_token = 4;
+    machine->owned_since = fc_now() - 50;
+    if (!rows[i].fenced) machine->reconciled_term = 4;
+    fixture_job(bench->cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *placement = fc_cluster_add_placement(bench->cluster, machine, "job-000001", 0, 1, fc_now() - 10);
+    placement->start = (fc_placement_start){
+        .sent = true, .direct = FC_DIRECT_START_UNACKNOWLEDGED, .direct_token = 4, .direct_epoch = 1};
+    placement->status.reported = rows[i].reported;
+    placement->stop.requested = rows[i].stopping;
+    GString *out = g_string_new(NULL);
+    check_row(rows[i].name, send_heartbeat(bench, rows[i].epoch, 2, rows[i].token, "", out) == 200);
+    check_row(rows[i].name, machine->placements->len == 1 && fc_placement_copy_outstanding(placement));
+    check_row(rows[i].name, says(out, "\"call\":\"start\"") == rows[i].started_again);
+    check_row(rows[i].name, fc_machine_vacant(machine) == rows[i].stopping);
+    /* What runs there again is listed, and its end frees the machine. */
+    if (rows[i].started_again) {
+      (void)send_heartbeat(bench, rows[i].epoch, 3, rows[i].token, EXITED(0, "stopped"), out);
+      check_row(rows[i].name, says(out, "clear"));
+      (void)send_heartbeat(bench, rows[i].epoch, 4, rows[i].token, "", out);
+      check_row(rows[i].name, machine->placements->len == 0);
+    }
+    g_string_free(out, TRUE);
+    worker_bench_free(bench);
+  }
+}
+
 /* A start that was sent and never listed, on a machine whose direct answers alone count: the answer
  * to a probe decides that was sent once no copy of the start can be carried out. */
 static void starts_decided_by_direct_answers(void **state) {
@@ -180,9 +229,13 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(fenced_before_commanded),          cmocka_unit_test(heartbeats_in_order),
-      cmocka_unit_test(unacknowledged_direct_starts),     cmocka_unit_test(unlisted_starts_in_a_new_epoch),
-      cmocka_unit_test(starts_decided_by_direct_answers), cmocka_unit_test(reconciled_machine_is_in_no_earlier_view),
+      cmocka_unit_test(fenced_before_commanded),
+      cmocka_unit_test(heartbeats_in_order),
+      cmocka_unit_test(unacknowledged_direct_starts),
+      cmocka_unit_test(unlisted_starts_in_a_new_epoch),
+      cmocka_unit_test(unlisted_start_stays_with_its_machine),
+      cmocka_unit_test(starts_decided_by_direct_answers),
+      cmocka_unit_test(reconciled_machine_is_in_no_earlier_view),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_worker_leases.c
+++ b/tests/test_worker_leases.c
@@ -117,6 +117,44 @@
   }
 }
 
+/* A start that was sent since we own the machine, and whose outcome is not known, stays with it: the
+ * worker that goes on refuses it, but a restarted one would carry it out (test_restarted_workers). */
+static void expiry_keeps_starts_of_unknown_outcome(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    fc_direct_start direct;
+    bool owned_since_then; /* we own the machine since before it was placed */
+    bool stopping, exited;
+    bool kept, abandoned; /* afterwards */
+  } rows[] = {
+      {"answered", FC_DIRECT_START_NONE, true, false, false, false, false},
+      {"under way", FC_DIRECT_START_IN_FLIGHT, true, false, false, true, false},
+      {"unacknowledged", FC_DIRECT_START_UNACKNOWLEDGED, true, false, false, true, false},
+      {"unacknowledged, not wanted any more", FC_DIRECT_START_UNACKNOWLEDGED, true, true, false, true, true},
+      {"unacknowledged, the task has exited", FC_DIRECT_START_UNACKNOWLEDGED, true, false, true, false, false},
+      {"unacknowledged, placed before the machine was ours", FC_DIRECT_START_UNACKNOWLEDGED, false, false, false, false,
+       false},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_bench *bench = worker_bench_new();
+    fc_machine *machine = overdue_machine(bench, 3);
+    fc_placement *placement = add_direct_start(bench, machine, 1);
+    placement->created_at = machine->owned_since + (rows[i].owned_since_then ? 50 : -50);
+    placement->start.direct = rows[i].direct;
+    placement->stop.requested = rows[i].stopping;
+    if (rows[i].exited) placement->status = (fc_placement_status){.state = FC_TASK_EXITED, .reported = true};
+    fc_worker_leases_expire(bench->leases);
+    check_row(rows[i].name, machine->placements->len == (rows[i].kept ? 1 : 0));
+    if (rows[i].kept) {
+      check_row(rows[i].name, fc_placement_copy_outstanding(placement));
+      check_row(rows[i].name, !placement->start.sent && !placement->status.reported);
+      check_row(rows[i].name, fc_machine_vacant(machine) == rows[i].abandoned);
+    }
+    worker_bench_free(bench);
+  }
+}
+
 /* After an expiry a machine takes nothing until it has shown its epoch. One that was heard of lately
  * is asked for it; a question from before the expiry tells nothing of what came after. */
 static void epoch_is_shown_after_an_expiry(void **state) {
@@ -203,6 +241,7 @@
       cmocka_unit_test(lease_expiry),
       cmocka_unit_test(expiry_ends_one_epoch),
       cmocka_unit_test(expiry_gives_up_starts_of_its_epoch),
+      cmocka_unit_test(expiry_keeps_starts_of_unknown_outcome),
       cmocka_unit_test(epoch_is_shown_after_an_expiry),
       cmocka_unit_test(silent_machine_is_not_asked),
       cmocka_unit_test(expiry_at_a_new_owner),
