Shares of a limit go where there is room; pending work without room weighs less

Symptom: jobs starve beside room and below their team's limit (test_faults_limit_share). Cause: a share was kept for all that a member's pending tasks ask for, also where its machines are full or of a zone that they may not use. Change: where a share is unused and another member lacks some, what finds no room, by preemption either, can be spared for the others and is taken only while nobody lacks any (quota_room.c, shard_room.c; the latter is the handover's own count of room, moved). A rest of rounding no longer moves half of a spare share: shares passed halves to and fro, a write each. 'quota demand' says what shares are judged by. Not mended: a gang that waits for machines holds back its team's arrays; preemption for them.

--- a/src/controller/quota_plan.c
+++ b/src/controller/quota_plan.c
@@ -62,6 +62,7 @@
   double limit; /* 0: none */
   fc_quota_others others;
   const fc_quota_demand *known; /* ours, by what is known to run */
+  double unplaceable;           /* of what we want */
   double max_used;              /* what may run on our shard's machines at most */
   bool bounded;                 /* max_used has a better bound than whole machines */
 } limit_state;
@@ -73,9 +74,9 @@
 static double target_share(const limit_state *state, double share) {
   fc_quota_demand feared = *state->known;
   feared.used = state->max_used;
-  double target = fc_quota_adjust(state->limit, &state->others, share, &feared);
+  double target = fc_quota_adjust_by_room(state->limit, &state->others, share, &feared, state->unplaceable);
   if (target <= share || state->bounded) return target;
-  return MAX(share, fc_quota_adjust(state->limit, &state->others, share, state->known));
+  return MAX(share, fc_quota_adjust_by_room(state->limit, &state->others, share, state->known, state->unplaceable));
 }
 
 /* Returns whether the share changed. */
@@ -88,10 +89,11 @@
 }
 
 /* A member with machines that are not reconciled may be using all of its share. */
-static void add_other(fc_quota_others *others, double share, const fc_quota_demand *demand, bool unreconciled) {
+static void add_other(fc_quota_others *others, double share, const fc_quota_demand *demand, double unplaceable,
+                      bool unreconciled) {
   double used = unreconciled ? MAX(demand->used, share) : demand->used;
   others->assigned += share;
-  others->lacking += MAX(0, used + demand->wanted - share);
+  others->lacking += MAX(0, used + demand->wanted - unplaceable - share);
   others->count++;
 }
 
@@ -111,8 +113,10 @@
   for (size_t i = 0; i < quota->member_count; i++) {
     int member = fc_term_find(&cluster->membership.term, quota->members[i]);
     if ((int)i == own || member < 0) continue;
-    add_other(cpus, quota->cpus[i][team], &tally->cpus[member][team], unreconciled[member]);
-    add_other(gpus, quota->gpus[i][team], &tally->gpus[member][team], unreconciled[member]);
+    add_other(cpus, quota->cpus[i][team], &tally->cpus[member][team], tally->unplaceable_cpus[member][team],
+              unreconciled[member]);
+    add_other(gpus, quota->gpus[i][team], &tally->gpus[member][team], tally->unplaceable_gpus[member][team],
+              unreconciled[member]);
   }
 }
 
@@ -128,10 +132,12 @@
     bool bounded = isfinite(cluster->quota.carried_gpus[team]);
     limit_state cpus = {.limit = settings->teams[team].cpus_max,
                         .known = &tally->cpus[cluster->membership.self][team],
+                        .unplaceable = tally->unplaceable_cpus[cluster->membership.self][team],
                         .max_used = max_cpus[team],
                         .bounded = bounded};
     limit_state gpus = {.limit = settings->teams[team].gpus_max,
                         .known = &tally->gpus[cluster->membership.self][team],
+                        .unplaceable = tally->unplaceable_gpus[cluster->membership.self][team],
                         .max_used = max_gpus[team],
                         .bounded = bounded};
     sum_others(cluster, tally, quota, own, team, unreconciled, &cpus.others, &gpus.others);
--- a/src/controller/quota_shares.c
+++ b/src/controller/quota_shares.c
@@ -6,6 +6,7 @@
 #include "bookkeeping/quota_usage.h"
 #include "bookkeeping/reconciliation_progress.h"
 #include "controller/quota_plan.h"
+#include "controller/quota_room.h"
 #include "controller/quota_tally.h"
 #include "scheduler/team_quota.h"
 #include "transport/routine.h"
@@ -39,6 +40,7 @@
   fc_metrics *metrics;
   share_caps caps;
   double adjusted_at;
+  double logged_at; /* when our demand was last logged */
   /* Large, and allocated only where a team has a limit. */
   fc_quota_record *next; /* the record that is being planned */
   fc_quota_tally *tally; /* what it is planned by */
@@ -122,10 +124,33 @@
   return fc_quota_plan_divide(cluster, shares->tally, shares->next) || reconciled;
 }
 
+/* What our shares are judged by, once in a worker lease. */
+static void log_demand(fc_quota_shares *shares) {
+  const fc_settings *settings = shares->cluster->settings;
+  const fc_quota_tally *tally = shares->tally;
+  int member = shares->cluster->membership.self;
+  int own = fc_quota_record_find(&shares->cluster->quota.record, settings->name);
+  if (own < 0 || fc_now() <= shares->logged_at + settings->lease_s) return;
+  shares->logged_at = fc_now();
+  for (size_t team = 0; team < settings->team_count; team++) {
+    if (!fc_team_limited(&settings->teams[team])) continue;
+    const fc_quota_demand *cpus = &tally->cpus[member][team];
+    const fc_quota_demand *gpus = &tally->gpus[member][team];
+    g_debug(
+        "quota demand team=%s cpus_share=%.1f cpus_used=%.1f cpus_wanted=%.1f cpus_unplaceable=%.1f"
+        " gpus_share=%.1f gpus_used=%.1f gpus_wanted=%.1f gpus_unplaceable=%.1f",
+        settings->teams[team].name, shares->cluster->quota.record.cpus[own][team], cpus->used, cpus->wanted,
+        tally->unplaceable_cpus[member][team], shares->cluster->quota.record.gpus[own][team], gpus->used, gpus->wanted,
+        tally->unplaceable_gpus[member][team]);
+  }
+}
+
 /* Plans a change of our share; false: nothing is to be written. */
 static bool plan_change(fc_quota_shares *shares) {
   *shares->next = shares->cluster->quota.record;
   fc_quota_tally_take(shares->cluster, false, shares->tally);
+  fc_quota_room_find(shares->cluster, shares->next, shares->tally, fc_now());
+  log_demand(shares);
   /* Where nothing is to change, the record is written as it is while there are caps, or a write of
    * unknown outcome would leave them in force for good (fault test, seed 510: a gang was pending
    * forever beside its share). */
--- a/src/controller/quota_tally.c
+++ b/src/controller/quota_tally.c
@@ -71,16 +71,14 @@
 
 void fc_quota_tally_take(const fc_cluster *cluster, bool pessimistic, fc_quota_tally *tally) {
   memset(tally, 0, sizeof *tally);
-  const fc_job *preceding[FC_TEAMS_MAX];
-  fc_gang_precedence(cluster, preceding);
+  fc_gang_order order;
+  fc_gang_order_take(cluster, &order, fc_now());
   for (size_t team = 0; team < cluster->settings->team_count; team++)
-    if (preceding[team]) add_gang(preceding[team], tally);
-  double now = fc_now();
+    if (order.preceding[team]) add_gang(order.preceding[team], tally);
   count_machines(cluster, pessimistic, tally);
   fc_job_iter job_iter = fc_cluster_jobs(cluster);
   for (const fc_job *job; (job = fc_job_iter_next(&job_iter));) {
     if (job->team < 0 || !fc_job_runnable(job) || !fc_team_limited(&cluster->settings->teams[job->team])) continue;
-    if (job->spec.kind == FC_JOB_GANG || fc_gang_precedes(cluster, preceding[job->team], job, now)) continue;
-    add_pending_tasks(job, tally);
+    if (job->spec.kind != FC_JOB_GANG && !fc_gang_order_holds_back(&order, job)) add_pending_tasks(job, tally);
   }
 }
--- a/src/controller/quota_tally.h
+++ b/src/controller/quota_tally.h
@@ -10,6 +10,9 @@
 /* By member of the present term and team. */
 typedef struct fc_quota_tally {
   fc_quota_demand cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX], gpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
+  /* Of what is wanted, the part that finds no room on the member's machines now; 0 where nobody has
+   * asked (quota_room.h). */
+  double unplaceable_cpus[FC_MEMBERS_MAX][FC_TEAMS_MAX], unplaceable_gpus[FC_MEMBERS_MAX][FC_TEAMS_MAX];
 } fc_quota_tally;
 
 /* Sets *tally to the sums over the cluster state. `pessimistic`: a machine that is not reconciled
--- a/src/coordination/quota_division.c
+++ b/src/coordination/quota_division.c
@@ -19,28 +19,63 @@
   return true;
 }
 
-static double grown_share(double unassigned, const fc_quota_others *others, double own_share,
-                          const fc_quota_demand *own) {
-  double missing = own->used + own->wanted - own_share;
-  double even_part = unassigned / (double)(others->count + 1);
-  double growth = missing > even_part ? missing : even_part;
-  if (growth > unassigned) growth = unassigned;
-  if (growth < 0) growth = 0;
+static double larger(double left, double right) {
+  return left > right ? left : right;
+}
+
+static double smaller(double left, double right) {
+  return left < right ? left : right;
+}
+
+/* What one shard's share is adjusted by. */
+typedef struct share_state {
+  double unassigned;
+  const fc_quota_others *others;
+  double share;
+  const fc_quota_demand *demand;
+  double need;        /* what it uses, and what it could use besides now */
+  double unplaceable; /* what its pending tasks want beyond that */
+} share_state;
+
+static double grown_share(const share_state *state) {
+  const fc_quota_demand *demand = state->demand;
+  double missing = state->need + state->unplaceable - state->share;
+  double even_part = state->unassigned / (double)(state->others->count + 1);
+  double growth = smaller(larger(missing, even_part), state->unassigned);
+  if (state->unplaceable > 0)
+    growth = smaller(growth, larger(state->need - state->share, state->unassigned - state->others->lacking));
+  growth = larger(growth, 0);
   /* A fraction that is too small to start any task is released while others lack something:
    * when every shard held one, a team stayed below its limit for as long as the tasks of the
    * largest shard ran. */
-  if (own_share + growth < own->used + own->least - ROUNDING_ERROR && others->lacking > 0)
-    return own->used < own_share ? own->used : own_share;
-  return own_share + growth;
+  if (state->share + growth < demand->used + demand->least - ROUNDING_ERROR && state->others->lacking > 0)
+    return smaller(demand->used, state->share);
+  return state->share + growth;
+}
+
+/* Gives back of what the shard does not need, as others lack more than is unassigned. */
+static double shrunk_share(const share_state *state, double missing) {
+  double spare = state->share - state->need;
+  return state->share - smaller(larger(missing, spare / 2), spare);
+}
+
+double fc_quota_adjust_by_room(double limit, const fc_quota_others *others, double own_share,
+                               const fc_quota_demand *own, double unplaceable) {
+  const share_state state = {.unassigned = limit - others->assigned - own_share,
+                             .others = others,
+                             .share = own_share,
+                             .demand = own,
+                             .need = own->used + own->wanted - unplaceable,
+                             .unplaceable = unplaceable};
+  /* Nothing but rounding counts as nothing: shards passed on halves of it, a write each. */
+  double missing = others->lacking - state.unassigned;
+  /* A shard whose machines were full kept its share for the tasks that were pending there, while
+   * others had room and no share (scene share_without_room). */
+  if (state.need < own_share && missing > ROUNDING_ERROR) return shrunk_share(&state, missing);
+  if (state.need + unplaceable > own_share) return grown_share(&state);
+  return own_share;
 }
 
 double fc_quota_adjust(double limit, const fc_quota_others *others, double own_share, const fc_quota_demand *own) {
-  double need = own->used + own->wanted;
-  double unassigned = limit - others->assigned - own_share;
-  if (need > own_share) return grown_share(unassigned, others, own_share, own);
-  double missing = others->lacking - unassigned;
-  if (missing <= 0) return own_share;
-  double spare = own_share - need;
-  double released = missing > spare / 2 ? missing : spare / 2;
-  return own_share - (released < spare ? released : spare);
+  return fc_quota_adjust_by_room(limit, others, own_share, own, 0);
 }
--- a/src/coordination/quota_division.h
+++ b/src/coordination/quota_division.h
@@ -14,7 +14,8 @@
   double least;  /* the smallest amount with which one of those can start; 0: not known */
 } fc_quota_demand;
 
-/* The sums over all other shards. */
+/* The sums over all other shards. What they lack is what they use and could place beyond their
+ * shares. */
 typedef struct fc_quota_others {
   double assigned, lacking;
   size_t count;
@@ -33,5 +34,9 @@
  * others lack more than is unassigned: then at least half of what it can spare, or all that is too
  * little to start any pending task. */
 double fc_quota_adjust(double limit, const fc_quota_others *others, double own_share, const fc_quota_demand *own);
+/* The same where `unplaceable` of what the shard's pending tasks want finds no room on its machines
+ * now: it can spare that for others, and takes it only while no other lacks any. */
+double fc_quota_adjust_by_room(double limit, const fc_quota_others *others, double own_share,
+                               const fc_quota_demand *own, double unplaceable);
 
 #endif
--- a/src/scheduler/bin_packing.c
+++ b/src/scheduler/bin_packing.c
@@ -37,7 +37,7 @@
   GPtrArray *candidates; /* candidate, by fc_job_compare_priority() */
   GQueue *by_team;       /* for each team its candidates of the priority being placed */
   fc_team_allowance allowance;
-  const fc_job *preceding_gangs[FC_TEAMS_MAX];
+  fc_gang_order gang_order;
   fc_team_usage usage;
   GArray *decisions;
 } placing_round;
@@ -183,7 +183,7 @@
  * more in this round. */
 static bool place_next(placing_round *round, candidate *placed) {
   fc_job *job = placed->job;
-  if (fc_gang_precedes(round->cluster, round->preceding_gangs[job->team], job, round->now)) return false;
+  if (fc_gang_order_holds_back(&round->gang_order, job)) return false;
   if (job->spec.kind == FC_JOB_GANG) {
     place_gang(round, placed);
     return false;
@@ -291,7 +291,7 @@
 
 static void place_candidates(placing_round *round) {
   const fc_cluster *cluster = round->cluster;
-  fc_gang_precedence(cluster, round->preceding_gangs);
+  fc_gang_order_take(cluster, &round->gang_order, round->now);
   round->usage = fc_cluster_team_usage(cluster);
   round->by_team = g_new0(GQueue, cluster->settings->team_count);
   for (guint from = 0; from < round->candidates->len;) from = place_priority(round, from);
--- a/src/scheduler/gang_precedence.c
+++ b/src/scheduler/gang_precedence.c
@@ -75,3 +75,12 @@
   return job->spec.kind == FC_JOB_ARRAY && job->queue.priority <= gang->queue.priority &&
          now > gang->queue.entered_at + cluster->settings->operator_settings.handover_wait_s;
 }
+
+void fc_gang_order_take(const fc_cluster *cluster, fc_gang_order *order, double now) {
+  *order = (fc_gang_order){.cluster = cluster, .now = now};
+  fc_gang_precedence(cluster, order->preceding);
+}
+
+bool fc_gang_order_holds_back(const fc_gang_order *order, const fc_job *job) {
+  return fc_gang_precedes(order->cluster, order->preceding[job->team], job, order->now);
+}
--- a/src/scheduler/gang_precedence.h
+++ b/src/scheduler/gang_precedence.h
@@ -18,4 +18,17 @@
 /* Must the job leave its team's limit to that gang (NULL: no gang)? */
 bool fc_gang_precedes(const fc_cluster *cluster, const fc_job *gang, const fc_job *job, double now);
 
+/* The preceding gangs of all teams, as one plan sees them. */
+typedef struct fc_gang_order {
+  const fc_cluster *cluster;
+  double now;
+  const fc_job *preceding[FC_TEAMS_MAX]; /* NULL: none */
+} fc_gang_order;
+
+/* `now`: steady time. Valid while the cluster state does not change. */
+void fc_gang_order_take(const fc_cluster *cluster, fc_gang_order *order, double now);
+/* Must nothing of the job be started now, to leave its team's limit to a gang? The job's team is in
+ * the settings. */
+bool fc_gang_order_holds_back(const fc_gang_order *order, const fc_job *job);
+
 #endif
--- a/src/scheduler/handover_planning.c
+++ b/src/scheduler/handover_planning.c
@@ -7,8 +7,8 @@
 #include "scheduler/job_order.h"
 #include "scheduler/least_resources.h"
 #include "scheduler/pending_tasks.h"
+#include "scheduler/shard_room.h"
 #include "scheduler/team_quota.h"
-#include "scheduler/zone_spread.h"
 
 /* A job's pause between handovers grows by a round with each, up to this many rounds more. */
 #define HANDOVER_BACKOFF_MAX 7u
@@ -32,47 +32,6 @@
   return jobs;
 }
 
-static bool fits(const fc_free_capacity *entry, const fc_job *job, int owner, unsigned zone) {
-  const fc_machine *machine = entry->machine;
-  if (machine->owner != owner || (zone != FC_ANY_ZONE && machine->zone != zone)) return false;
-  return fc_resources_fit(&entry->room, &job->spec) && fc_machine_suits_job(machine, job);
-}
-
-/* How many of the tasks the owner's machines in the zone hold; `take`: the room is then taken. */
-static unsigned tasks_fitting_in_zone(GArray *capacity, const fc_job *job, int owner, unsigned zone, unsigned tasks,
-                                      bool take) {
-  unsigned count = 0;
-  if (tasks == 0) return 0;
-  const fc_zone_spread spread = fc_job_zone_spread(job);
-  for (guint i = 0; i < capacity->len && count < tasks; i++) {
-    fc_free_capacity *entry = &g_array_index(capacity, fc_free_capacity, i);
-    if (!fits(entry, job, owner, zone) || !fc_zone_spread_allows(&spread, &job->spec, entry->machine->zone)) continue;
-    fc_resources room_before = entry->room;
-    while (count < tasks && fc_resources_fit(&entry->room, &job->spec)) {
-      fc_resources_subtract(&entry->room, &job->spec);
-      count++;
-    }
-    if (!take) entry->room = room_before;
-  }
-  return count;
-}
-
-/* The same of all zones, or of the best one where the job must be in one. */
-static unsigned tasks_fitting(GArray *capacity, const fc_cluster *cluster, const fc_job *job, int owner, unsigned tasks,
-                              bool take) {
-  if (!job->spec.one_zone) return tasks_fitting_in_zone(capacity, job, owner, FC_ANY_ZONE, tasks, take);
-  unsigned most = 0;
-  unsigned best_zone = FC_ANY_ZONE;
-  for (unsigned zone = 0; zone < cluster->settings->zone_count; zone++) {
-    unsigned count = tasks_fitting_in_zone(capacity, job, owner, zone, tasks, false);
-    if (count <= most) continue;
-    most = count;
-    best_zone = zone;
-  }
-  if (take && best_zone != FC_ANY_ZONE) (void)tasks_fitting_in_zone(capacity, job, owner, best_zone, tasks, true);
-  return most;
-}
-
 static void count_pending_by_slice(const fc_job *job, unsigned pending[FC_SLICES_MAX]) {
   memset(pending, 0, FC_SLICES_MAX * sizeof pending[0]);
   GArray *tasks = fc_job_pending_tasks(job, -1, FC_PENDING_TASKS_MAX);
@@ -149,7 +108,8 @@
 }
 
 /* Gives each slice the room that its own shard has for it. */
-static void pack_in_own_shards(const fc_cluster *cluster, GArray *capacity, fc_team_usage *usage, queued_job *queued) {
+static void pack_in_own_shards(const fc_shard_room *room, fc_team_usage *usage, queued_job *queued) {
+  const fc_cluster *cluster = room->cluster;
   fc_job *job = queued->job;
   for (unsigned slice = 0; slice < job->slices.count; slice++) {
     int owner = fc_job_slice_owner(job, slice);
@@ -157,7 +117,7 @@
     /* What is pending for its team's limit claims no room: beside it others' jobs were pending for
      * minutes at full shards (days with meetings, seed 6038). */
     unsigned allowed = tasks_within_limit(cluster, usage, job, queued->pending[slice]);
-    unsigned packed = tasks_fitting(capacity, cluster, job, owner, allowed, true);
+    unsigned packed = fc_shard_room_count(room, job, owner, allowed, true);
     if (job->team >= 0) {
       usage->cpus[job->team] += packed * job->spec.cpus;
       usage->gpus[job->team] += packed * job->spec.gpus;
@@ -169,27 +129,28 @@
 }
 
 /* The queue (queued_job), once each shard has packed its own slices. */
-static GArray *pack_own_queues(const fc_cluster *cluster, GArray *capacity, const GPtrArray *jobs) {
+static GArray *pack_own_queues(const fc_shard_room *room, const GPtrArray *jobs) {
   GArray *queue = g_array_sized_new(FALSE, TRUE, sizeof(queued_job), jobs->len);
-  fc_team_usage usage = fc_cluster_team_usage(cluster);
+  fc_team_usage usage = fc_cluster_team_usage(room->cluster);
   for (guint i = 0; i < jobs->len; i++) {
     queued_job queued = {.job = jobs->pdata[i]};
     count_pending_by_slice(queued.job, queued.pending);
-    pack_in_own_shards(cluster, capacity, &usage, &queued);
+    pack_in_own_shards(room, &usage, &queued);
     g_array_append_val(queue, queued);
   }
   return queue;
 }
 
 /* The member that holds most of the slice; -1: none that may get it has room. */
-static int best_peer(const fc_cluster *cluster, const fc_peer_progress *peers, GArray *capacity, const fc_job *job,
-                     unsigned slice, unsigned pending) {
+static int best_peer(const fc_shard_room *room, const fc_peer_progress *peers, const fc_job *job, unsigned slice,
+                     unsigned pending) {
+  const fc_cluster *cluster = room->cluster;
   int best = -1;
   unsigned most = 0;
   for (int member = 0; member < (int)cluster->membership.term.count; member++) {
     if (member == cluster->membership.self || !peers->available[member]) continue;
     if (peer_knowledge(cluster, peers, job, slice, member) == KNOWLEDGE_INCOMPLETE) continue;
-    unsigned count = tasks_fitting(capacity, cluster, job, member, pending, false);
+    unsigned count = fc_shard_room_count(room, job, member, pending, false);
     if (job->spec.kind == FC_JOB_GANG && count < pending) continue;
     if (count <= most) continue;
     most = count;
@@ -199,16 +160,17 @@
 }
 
 /* Plans the handovers of the job's slices that are ours and resolved and fit only elsewhere. */
-static void hand_over_slices(const fc_cluster *cluster, const fc_peer_progress *peers, GArray *capacity,
-                             const queued_job *queued, GArray *handovers) {
+static void hand_over_slices(const fc_shard_room *room, const fc_peer_progress *peers, const queued_job *queued,
+                             GArray *handovers) {
+  const fc_cluster *cluster = room->cluster;
   fc_job *job = queued->job;
   for (unsigned slice = 0; slice < job->slices.count; slice++) {
     unsigned pending = queued->pending[slice];
     if (fc_job_slice_owner(job, slice) != cluster->membership.self || !(job->slices.resolved >> slice & 1)) continue;
     if (pending == 0 || (queued->staying >> slice & 1)) continue;
-    int peer = best_peer(cluster, peers, capacity, job, slice, pending);
+    int peer = best_peer(room, peers, job, slice, pending);
     if (peer < 0) continue;
-    (void)tasks_fitting(capacity, cluster, job, peer, pending, true);
+    (void)fc_shard_room_count(room, job, peer, pending, true);
     fc_handover handover = {
         .job = job, .slice = slice, .to = peer, .machine_owners = machine_owners_of_slice(job, slice) | 1u << peer};
     handover.partly_known = peer_knowledge(cluster, peers, job, slice, peer) != KNOWLEDGE_COMPLETE;
@@ -232,12 +194,13 @@
   if (cluster->membership.self < 0 || cluster->membership.term.count < 2) return handovers;
   GArray *capacity = fc_free_capacity_gather(cluster, fc_machine_usable_by_owner, now);
   fc_free_capacity_sort(capacity);
+  const fc_shard_room room = {.cluster = cluster, .capacity = capacity};
   GPtrArray *jobs = pending_jobs(cluster);
   const fc_job_spec least = fc_least_resources_of(jobs);
-  GArray *queue = keep_fitting(cluster, capacity, &least) ? pack_own_queues(cluster, capacity, jobs) : NULL;
+  GArray *queue = keep_fitting(cluster, capacity, &least) ? pack_own_queues(&room, jobs) : NULL;
   for (guint i = 0; queue && i < queue->len && keep_fitting(cluster, capacity, &least); i++) {
     const queued_job *queued = &g_array_index(queue, queued_job, i);
-    if (handover_allowed(cluster, queued->job, now)) hand_over_slices(cluster, peers, capacity, queued, handovers);
+    if (handover_allowed(cluster, queued->job, now)) hand_over_slices(&room, peers, queued, handovers);
   }
   if (queue) g_array_free(queue, TRUE);
   g_ptr_array_free(jobs, TRUE);
--- a/src/scheduler/queue_packing.c
+++ b/src/scheduler/queue_packing.c
@@ -204,14 +204,13 @@
  * leave the limit to them. */
 static void pack_queue(fc_capacity_model *model, const GPtrArray *jobs, double now) {
   const fc_cluster *cluster = model->cluster;
-  const fc_job *preceding[FC_TEAMS_MAX];
-  fc_gang_precedence(cluster, preceding);
+  fc_gang_order order;
+  fc_gang_order_take(cluster, &order, now);
   for (size_t team = 0; team < cluster->settings->team_count; team++)
-    if (preceding[team]) pack_job(model, preceding[team]);
+    if (order.preceding[team]) pack_job(model, order.preceding[team]);
   for (guint i = 0; i < jobs->len; i++) {
     const fc_job *job = jobs->pdata[i];
-    const fc_job *gang = preceding[job->team];
-    if (job != gang && !fc_gang_precedes(cluster, gang, job, now)) pack_job(model, job);
+    if (job != order.preceding[job->team] && !fc_gang_order_holds_back(&order, job)) pack_job(model, job);
   }
 }
 
--- a/src/scheduler/victim_selection.c
+++ b/src/scheduler/victim_selection.c
@@ -59,14 +59,21 @@
   return left < right ? -1 : left > right;
 }
 
-/* Would the task fit with all victims gone? Most machines of a full fleet hold no victim: they cost
- * no more than this. */
-static bool could_fit(const victim_query *query, const fc_free_capacity *entry) {
+fc_resources fc_victims_room(const fc_cluster *cluster, const fc_team_usage *usage, const fc_free_capacity *entry,
+                             const fc_job *job) {
+  const victim_query query = {.cluster = cluster, .usage = usage, .job = job};
   fc_resources room = entry->room;
   for (guint i = 0; i < entry->machine->placements->len; i++) {
     const fc_placement *placement = entry->machine->placements->pdata[i];
-    if (may_preempt(query, placement)) fc_resources_add(&room, &placement->job->spec);
+    if (may_preempt(&query, placement)) fc_resources_add(&room, &placement->job->spec);
   }
+  return room;
+}
+
+/* Would the task fit with all victims gone? Most machines of a full fleet hold no victim: they cost
+ * no more than this. */
+static bool could_fit(const victim_query *query, const fc_free_capacity *entry) {
+  fc_resources room = fc_victims_room(query->cluster, query->usage, entry, query->job);
   return fc_resources_fit(&room, &query->job->spec);
 }
 
--- a/tests/test_quota_division.c
+++ b/tests/test_quota_division.c
@@ -69,11 +69,108 @@
   g_rand_free(rand);
 }
 
+/* What a shard wants and has no room for weighs less than what others could place. */
+static void adjustment_of_a_share_by_room(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    fc_quota_others others;
+    double own;
+    fc_quota_demand demand;
+    double unplaceable, expect;
+  } rows[] = {
+      {"gives up what it has no room for", {19, 10, 2}, 11, {8, 16, 1}, 16, 8},
+      {"but what it can place", {19, 10, 2}, 11, {8, 16, 1}, 14, 10},
+      {"only as much as others lack", {10, 2, 2}, 20, {8, 16, 1}, 16, 14},
+      {"nothing while no other lacks any", {19, 0, 2}, 11, {8, 16, 1}, 16, 11},
+      {"takes none of what others lack", {19, 3, 2}, 8, {8, 16, 1}, 16, 8},
+      {"takes what no other lacks", {9, 3, 2}, 8, {8, 16, 1}, 16, 18},
+      {"takes what it can place, also if others lack some", {19, 9, 2}, 8, {8, 16, 1}, 13, 11},
+      {"never below its usage", {10, 50, 2}, 20, {20, 5, 1}, 5, 20},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    double share = fc_quota_adjust_by_room(30, &rows[i].others, rows[i].own, &rows[i].demand, rows[i].unplaceable);
+    check_row(rows[i].name, share == rows[i].expect);
+  }
+}
+
+enum { SHARDS = 3 };
+
+/* The shards of one team as they adjust their shares; what they use and want stays. */
+typedef struct division {
+  double limit;
+  double share[SHARDS], unplaceable[SHARDS];
+  fc_quota_demand demand[SHARDS];
+} division;
+
+static double lacking(const division *shards, int k) {
+  const fc_quota_demand *demand = &shards->demand[k];
+  return MAX(0, demand->used + demand->wanted - shards->unplaceable[k] - shards->share[k]);
+}
+
+static division random_division(GRand *rand) {
+  division shards = {.limit = 30};
+  double rest = shards.limit;
+  for (int k = 0; k < SHARDS; k++) {
+    shards.share[k] = g_rand_int_range(rand, 0, (gint32)rest + 1);
+    rest -= shards.share[k];
+    fc_quota_demand *demand = &shards.demand[k];
+    demand->used = g_rand_int_range(rand, 0, (gint32)shards.share[k] + 1);
+    demand->wanted = g_rand_boolean(rand) ? g_rand_int_range(rand, 0, 40) : 0;
+    demand->least = demand->wanted > 0 ? 1 : 0;
+    shards.unplaceable[k] = demand->wanted > 0 ? g_rand_int_range(rand, 0, (gint32)demand->wanted + 1) : 0;
+  }
+  return shards;
+}
+
+/* Returns whether the shard's share has changed. */
+static bool adjust_shard(division *shards, int k) {
+  fc_quota_others others = {.count = SHARDS - 1};
+  for (int other = 0; other < SHARDS; other++) {
+    if (other == k) continue;
+    others.assigned += shards->share[other];
+    others.lacking += lacking(shards, other);
+  }
+  double before = shards->share[k];
+  shards->share[k] =
+      fc_quota_adjust_by_room(shards->limit, &others, before, &shards->demand[k], shards->unplaceable[k]);
+  assert_true(shards->share[k] >= shards->demand[k].used - 1e-9);
+  assert_true(shards->share[0] + shards->share[1] + shards->share[2] <= shards->limit + 1e-6);
+  return ABS(shards->share[k] - before) > 1e-6;
+}
+
+/* In any order of adjustments the shares come to rest, and then no shard has room for tasks that wait
+ * for a whole unit of the limit which another can spare. */
+static void shares_come_to_rest_where_there_is_room(void **state) {
+  (void)state;
+  enum { ADJUSTMENTS_MAX = 90 };
+  GRand *rand = g_rand_new_with_seed(11);
+  for (int play = 0; play < 5000; play++) {
+    division shards = random_division(rand);
+    unsigned at_rest = 0; /* so many adjustments have changed nothing */
+    for (int step = 0; step < ADJUSTMENTS_MAX; step++)
+      at_rest = adjust_shard(&shards, g_rand_int_range(rand, 0, SHARDS)) ? 0 : at_rest + 1;
+    for (int k = 0; k < SHARDS; k++) assert_false(adjust_shard(&shards, k));
+    double spare = shards.limit;
+    double lack = 0;
+    for (int k = 0; k < SHARDS; k++) {
+      const fc_quota_demand *demand = &shards.demand[k];
+      spare -= MIN(shards.share[k], demand->used + demand->wanted - shards.unplaceable[k]);
+      lack = MAX(lack, lacking(&shards, k));
+    }
+    assert_true(lack < 1 || spare < 1);
+    assert_true(at_rest > 0);
+  }
+  g_rand_free(rand);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(division_of_a_limit),
       cmocka_unit_test(adjustment_of_a_share),
       cmocka_unit_test(sum_of_shares_keeps_to_the_limit),
+      cmocka_unit_test(adjustment_of_a_share_by_room),
+      cmocka_unit_test(shares_come_to_rest_where_there_is_room),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
