Arrays go on beside a gang that has its share; no preemption for what it holds back

Symptom: jobs starve beside room and below their limit; the same tasks are preempted and placed again twice a second (test_faults_preemption_loop). Once the owner's share holds the gang, arrays go on with other members' shares and with what is left of the owner's.

--- a/src/bookkeeping/machine_state.c
+++ b/src/bookkeeping/machine_state.c
@@ -40,6 +40,10 @@
   machine->reachability.owner_suspects = false;
 }
 
+bool fc_machine_reserved_from(const fc_machine *machine, const char *job_id, double now) {
+  return now < machine->reservation.until && strcmp(machine->reservation.gang, job_id) != 0;
+}
+
 fc_placement *fc_machine_find_placement(const fc_machine *machine, const char *job_id, uint32_t index,
                                         uint64_t attempt) {
   for (guint i = 0; i < machine->placements->len; i++) {
--- a/src/bookkeeping/machine_state.h
+++ b/src/bookkeeping/machine_state.h
@@ -127,6 +127,8 @@
 static inline bool fc_machine_returning(const fc_machine *machine) {
   return machine->drain.state == FC_DRAIN_RETURNING;
 }
+/* Is it reserved for a gang other than the job? */
+bool fc_machine_reserved_from(const fc_machine *machine, const char *job_id, double now);
 /* From here on it takes no new tasks. */
 static inline void fc_machine_cordon(fc_machine *machine) {
   if (machine->drain.state == FC_DRAIN_NONE) machine->drain.state = FC_DRAIN_CORDONED;
--- a/src/controller/metrics.h
+++ b/src/controller/metrics.h
@@ -43,13 +43,14 @@
   uint64_t requests;   /* at the address for users and workers */
   uint64_t exchanges;  /* views begun to be sent to peers */
   uint64_t views_received;
-  uint64_t worker_calls;   /* direct ones that were sent */
-  uint64_t expired_leases; /* of workers, each once in an epoch */
-  uint64_t unknown_starts; /* sent by direct calls that ended without an answer */
-  uint64_t machines_sent;  /* in views */
-  uint64_t placed;         /* tasks */
-  uint64_t preempted;      /* tasks */
-  uint64_t handed_over;    /* jobs */
+  uint64_t worker_calls;    /* direct ones that were sent */
+  uint64_t expired_leases;  /* of workers, each once in an epoch */
+  uint64_t unknown_starts;  /* sent by direct calls that ended without an answer */
+  uint64_t machines_sent;   /* in views */
+  uint64_t placed;          /* tasks */
+  uint64_t preempted;       /* tasks */
+  uint64_t preempted_early; /* of those, within a worker lease of being placed */
+  uint64_t handed_over;     /* jobs */
   uint64_t machines_transferred;
 } fc_counters;
 
--- a/src/controller/metrics_page.c
+++ b/src/controller/metrics_page.c
@@ -36,6 +36,7 @@
       {"unknown_starts_total", (double)counters->unknown_starts},
       {"placed_total", (double)counters->placed},
       {"preempted_total", (double)counters->preempted},
+      {"preempted_early_total", (double)counters->preempted_early},
       {"handed_over_total", (double)counters->handed_over},
       {"lent_total", (double)counters->machines_transferred},
   };
--- a/src/controller/scheduling_loop.c
+++ b/src/controller/scheduling_loop.c
@@ -41,10 +41,14 @@
 
 /* Requests the stops, and frees their array. */
 static void preempt_placements(fc_scheduling_loop *loop, GPtrArray *stops, GPtrArray *to_call) {
+  const fc_settings *settings = loop->deps.cluster->settings;
+  fc_counters *counters = &loop->deps.metrics->counters;
   for (guint i = 0; i < stops->len; i++) {
     fc_placement *placement = stops->pdata[i];
-    fc_worker_commands_request_stop(loop->deps.cluster->settings, placement);
-    loop->deps.metrics->counters.preempted++;
+    fc_worker_commands_request_stop(settings, placement);
+    counters->preempted++;
+    /* Tasks that are placed and preempted over and over show here. */
+    counters->preempted_early += fc_now() < placement->created_at + settings->lease_s;
     g_debug("preempt task=%s/%u machine=%s", placement->job_id, placement->index, placement->machine->id);
     add_call(to_call, placement->machine);
   }
--- a/src/scheduler/bin_packing.c
+++ b/src/scheduler/bin_packing.c
@@ -67,8 +67,7 @@
   const fc_machine *machine = machine_target->machine;
   if (!fc_resources_fit(&machine_target->room, spec)) return false;
   if (only_zone != FC_ANY_ZONE && machine->zone != only_zone) return false;
-  if (!fc_machine_suits_job(machine, placed->job)) return false;
-  return round->now >= machine->reservation.until || strcmp(machine->reservation.gang, spec->id) == 0;
+  return fc_machine_suits_job(machine, placed->job) && !fc_machine_reserved_from(machine, spec->id, round->now);
 }
 
 static double room_share(const target *machine_target) {
@@ -123,8 +122,8 @@
 }
 
 static bool within_allowance(const placing_round *round, const fc_job *job, unsigned tasks) {
-  return round->allowance.cpus[job->team] + FC_QUOTA_TOLERANCE >= job->spec.cpus * tasks &&
-         round->allowance.gpus[job->team] + FC_QUOTA_TOLERANCE >= job->spec.gpus * tasks;
+  const fc_resources reserved = fc_gang_order_reserved(&round->gang_order, job);
+  return fc_team_allowance_holds(&round->allowance, &reserved, job, tasks);
 }
 
 /* How many of the gang's pending tasks the zone holds, all at the most; `take`: the room is then
--- a/src/scheduler/gang_precedence.c
+++ b/src/scheduler/gang_precedence.c
@@ -1,6 +1,7 @@
 #include "scheduler/gang_precedence.h"
 
 #include "bookkeeping/dependencies.h"
+#include "bookkeeping/quota_usage.h"
 #include "scheduler/job_order.h"
 #include "scheduler/team_quota.h"
 
@@ -76,11 +77,64 @@
          now > gang->queue.entered_at + cluster->settings->operator_settings.handover_wait_s;
 }
 
+/* ---- the order of a plan ---- */
+
+static fc_resources gang_need(const fc_job *gang) {
+  double tasks = gang->spec.tasks - gang->completion.count;
+  return (fc_resources){.cpus = tasks * gang->spec.cpus, .gpus = tasks * gang->spec.gpus};
+}
+
+/* What the team uses on the member's machines. */
+static fc_resources usage_at(const fc_cluster *cluster, int team, int member) {
+  fc_resources usage = {0, 0, 0};
+  fc_job_iter job_iter = fc_cluster_jobs(cluster);
+  for (const fc_job *job; (job = fc_job_iter_next(&job_iter));) {
+    if (job->team != team) continue;
+    for (guint i = 0; i < job->placements->len; i++) {
+      const fc_placement *placement = job->placements->pdata[i];
+      if (fc_placement_active(placement) && placement->machine->owner == member) fc_resources_add(&usage, &job->spec);
+    }
+  }
+  return usage;
+}
+
+/* Does the share of the gang's owner hold all of it beside what runs there? Others may go on with
+ * their own shares then: a gang that waited for machines held up all arrays of its team, with nothing
+ * of the limit used (scene gang_without_machines). */
+static bool share_holds(const fc_cluster *cluster, const fc_job *gang) {
+  const fc_quota_record *quota = &cluster->quota.record;
+  int owner = fc_job_slice_owner(gang, 0);
+  if (owner < 0 || quota->term != cluster->membership.term.number) return false;
+  int index = fc_quota_record_find(quota, cluster->membership.term.members[owner].name);
+  if (index < 0) return false;
+  const fc_team_settings *team_settings = &cluster->settings->teams[gang->team];
+  const fc_resources usage = usage_at(cluster, gang->team, owner);
+  const fc_resources need = gang_need(gang);
+  return (team_settings->cpus_max <= 0 ||
+          usage.cpus + need.cpus <= quota->cpus[index][gang->team] + FC_QUOTA_TOLERANCE) &&
+         (team_settings->gpus_max <= 0 ||
+          usage.gpus + need.gpus <= quota->gpus[index][gang->team] + FC_QUOTA_TOLERANCE);
+}
+
 void fc_gang_order_take(const fc_cluster *cluster, fc_gang_order *order, double now) {
   *order = (fc_gang_order){.cluster = cluster, .now = now};
   fc_gang_precedence(cluster, order->preceding);
+  for (size_t team = 0; team < cluster->settings->team_count; team++)
+    order->share_held[team] = order->preceding[team] && share_holds(cluster, order->preceding[team]);
 }
 
-bool fc_gang_order_holds_back(const fc_gang_order *order, const fc_job *job) {
+static bool precedes(const fc_gang_order *order, const fc_job *job) {
   return fc_gang_precedes(order->cluster, order->preceding[job->team], job, order->now);
 }
+
+bool fc_gang_order_holds_back(const fc_gang_order *order, const fc_job *job) {
+  if (!precedes(order, job)) return false;
+  return job->spec.kind == FC_JOB_GANG || !order->share_held[job->team];
+}
+
+fc_resources fc_gang_order_reserved(const fc_gang_order *order, const fc_job *job) {
+  const fc_job *gang = order->preceding[job->team];
+  if (!precedes(order, job) || fc_job_slice_owner(gang, 0) != order->cluster->membership.self)
+    return (fc_resources){0, 0, 0};
+  return gang_need(gang);
+}
--- a/src/scheduler/gang_precedence.h
+++ b/src/scheduler/gang_precedence.h
@@ -1,7 +1,8 @@
 /* Precedence of a gang under its team's limit. Two gangs that each gather half of the limit would
  * both be pending forever, and so would one whose team's limit is used up task by task (fault
  * test, seed 249): one gang of the team at a time gathers, and arrays of its priority or lower start
- * nothing until it runs. Pure functions over the cluster state. */
+ * nothing until its owner's share of the limit holds all of it, and then nothing out of that. Pure
+ * functions over the cluster state. */
 #ifndef FC_SCHEDULER_GANG_PRECEDENCE_H
 #define FC_SCHEDULER_GANG_PRECEDENCE_H
 
@@ -23,6 +24,7 @@
   const fc_cluster *cluster;
   double now;
   const fc_job *preceding[FC_TEAMS_MAX]; /* NULL: none */
+  bool share_held[FC_TEAMS_MAX];         /* its owner's share of the limit holds all of it */
 } fc_gang_order;
 
 /* `now`: steady time. Valid while the cluster state does not change. */
@@ -30,5 +32,7 @@
 /* Must nothing of the job be started now, to leave its team's limit to a gang? The job's team is in
  * the settings. */
 bool fc_gang_order_holds_back(const fc_gang_order *order, const fc_job *job);
+/* What of our allowance the job has to leave to a gang of ours that precedes it; nothing: none does. */
+fc_resources fc_gang_order_reserved(const fc_gang_order *order, const fc_job *job);
 
 #endif
--- a/src/scheduler/preemption.c
+++ b/src/scheduler/preemption.c
@@ -1,5 +1,6 @@
 #include "scheduler/preemption.h"
 
+#include "scheduler/gang_precedence.h"
 #include "scheduler/job_order.h"
 #include "scheduler/pending_tasks.h"
 #include "scheduler/victim_selection.h"
@@ -14,6 +15,7 @@
   const fc_cluster *cluster;
   double now;
   fc_team_allowance allowance;
+  fc_gang_order gang_order;
   fc_team_usage usage;
   GArray *capacity; /* fc_free_capacity */
   GArray *failures; /* search_failure */
@@ -60,6 +62,9 @@
   if (job->spec.kind == FC_JOB_GANG || !fc_job_placeable(round->cluster, job, round->now) ||
       job->slices.handover_pending)
     return false;
+  /* What may not be placed gets no room: the victims were placed there again, twice a second (scene
+   * preempted_for_nothing). */
+  if (fc_gang_order_holds_back(&round->gang_order, job)) return false;
   /* Idle room in another shard is cheaper: the handover needs time to find it. */
   if (round->now < job->queue.entered_at + settings->operator_settings.handover_wait_s +
                        settings->operator_settings.round_s * ROUND_SHARE_BEFORE_PREEMPTION)
@@ -68,8 +73,8 @@
 }
 
 static bool within_allowance(const preemption_round *round, const fc_job *job) {
-  return !(round->allowance.cpus[job->team] < job->spec.cpus - FC_QUOTA_TOLERANCE ||
-           round->allowance.gpus[job->team] < job->spec.gpus - FC_QUOTA_TOLERANCE);
+  const fc_resources reserved = fc_gang_order_reserved(&round->gang_order, job);
+  return fc_team_allowance_holds(&round->allowance, &reserved, job, 1);
 }
 
 /* Makes room for the job's pending tasks, until there is none to be made. */
@@ -94,6 +99,7 @@
 
 GPtrArray *fc_preemption_plan(const fc_cluster *cluster, const fc_team_allowance *allowance, double now) {
   preemption_round round = {.cluster = cluster, .now = now, .allowance = *allowance};
+  fc_gang_order_take(cluster, &round.gang_order, now);
   round.usage = fc_cluster_team_usage(cluster);
   round.capacity = fc_preemption_capacity(cluster, now);
   round.failures = g_array_new(FALSE, TRUE, sizeof(search_failure));
--- a/src/scheduler/team_quota.c
+++ b/src/scheduler/team_quota.c
@@ -8,6 +8,12 @@
   return usage;
 }
 
+bool fc_team_allowance_holds(const fc_team_allowance *allowance, const fc_resources *reserved, const fc_job *job,
+                             unsigned tasks) {
+  return allowance->cpus[job->team] - reserved->cpus + FC_QUOTA_TOLERANCE >= job->spec.cpus * tasks &&
+         allowance->gpus[job->team] - reserved->gpus + FC_QUOTA_TOLERANCE >= job->spec.gpus * tasks;
+}
+
 void fc_team_usage_add(fc_team_usage *usage, const fc_job *job) {
   usage->cpus[job->team] += job->spec.cpus;
   usage->gpus[job->team] += job->spec.gpus;
--- a/src/scheduler/team_quota.h
+++ b/src/scheduler/team_quota.h
@@ -13,6 +13,10 @@
   double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX];
 } fc_team_allowance;
 
+/* Does the allowance, less what is reserved of it, hold so many tasks of the job? */
+bool fc_team_allowance_holds(const fc_team_allowance *allowance, const fc_resources *reserved, const fc_job *job,
+                             unsigned tasks);
+
 /* What the tasks of each team use. */
 typedef struct fc_team_usage {
   double cpus[FC_TEAMS_MAX], gpus[FC_TEAMS_MAX];
--- a/tests/test_gang_precedence.c
+++ b/tests/test_gang_precedence.c
@@ -59,9 +59,57 @@
   }
 }
 
+/* Arrays go on beside a gang that waits, once its owner's share holds all of it: with other members'
+ * shares, and with what is left of its owner's. */
+static void arrays_beside_a_gang_that_has_its_share(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    bool gang_is_ours;
+    double share;     /* of the gang's owner; the gang needs 12 GPUs */
+    unsigned running; /* tasks of blue with a GPU each on a machine of that owner */
+    bool held_back;
+    double reserved; /* of our allowance */
+  } rows[] = {
+      {"the share holds it", false, 12, 0, false, 0}, {"the share is short", false, 11, 0, true, 0},
+      {"the share is in use", false, 13, 2, true, 0}, {"the share holds it beside what runs", false, 14, 2, false, 0},
+      {"it is ours", true, 14, 2, false, 12},         {"it is ours, and our share is short", true, 11, 0, true, 12},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings settings = fixture_settings();
+    fc_cluster *cluster = fixture_cluster(&settings);
+    fixture_two_members(cluster);
+    fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
+    machine->owner = rows[i].gang_is_ours ? 0 : 1;
+    fc_job *gang = fixture_job(cluster, "job-000001", "gang", "high", "blue", 12, 1, "");
+    gang->record.handed_to[0] = g_strdup(rows[i].gang_is_ours ? "paddock-0" : "paddock-1");
+    fc_job *array = fixture_job(cluster, "job-000002", "sweep", "standard", "blue", 4, 1, "");
+    fc_job *service = fixture_job(cluster, "job-000003", "service", "prod", "blue", 20, 1, "");
+    fc_job *other_gang = fixture_job(cluster, "job-000004", "gang", "standard", "blue", 2, 1, "");
+    fixture_assign_slices(cluster);
+    for (unsigned k = 0; k < rows[i].running; k++) fixture_run_task(cluster, machine, service, k, 1);
+    fc_quota_record *quota = &cluster->quota.record;
+    *quota = (fc_quota_record){.term = cluster->membership.term.number, .member_count = 2};
+    for (size_t k = 0; k < 2; k++)
+      g_strlcpy(quota->members[k], cluster->membership.term.members[k].name, sizeof quota->members[k]);
+    quota->gpus[machine->owner][1] = rows[i].share;
+    fc_gang_order order;
+    fc_gang_order_take(cluster, &order, 10);
+    check_row(rows[i].name, order.preceding[1] == gang);
+    check_row(rows[i].name, fc_gang_order_holds_back(&order, array) == rows[i].held_back);
+    check_row(rows[i].name, fc_gang_order_reserved(&order, array).gpus == rows[i].reserved);
+    check_row(rows[i].name, !fc_gang_order_holds_back(&order, service));
+    check_row(rows[i].name, fc_gang_order_reserved(&order, service).gpus == 0);
+    check_row(rows[i].name, fc_gang_order_holds_back(&order, other_gang));
+    check_row(rows[i].name, !fc_gang_order_holds_back(&order, gang));
+    fc_cluster_free(cluster);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(one_gang_of_a_team_precedes),
+      cmocka_unit_test(arrays_beside_a_gang_that_has_its_share),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -43,9 +43,52 @@
   }
 }
 
+/* No room is made for a job that may not be placed: its victims would be placed there again. */
+static void no_victims_for_what_is_held_back(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned gang_tasks; /* of a gang of blue that waits, a GPU each; the limit is 16; 0: no gang */
+    double share;        /* ours of blue's limit */
+    double reserved_s;   /* for so long yet the machine is reserved for a gang */
+    unsigned expect;
+  } rows[] = {
+      {"nothing precedes it", 0, 16, 0, 1},
+      {"a gang without its share", 12, 8, 0, 0},
+      {"a gang that has its share, and nothing is left", 12, 12, 0, 0},
+      {"a gang that has its share, and some is left", 12, 13, 0, 1},
+      {"the machine is reserved for a gang", 0, 16, 4, 0},
+      {"the machine was reserved for a gang", 0, 16, -1, 1},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings settings = fixture_settings();
+    fc_cluster *cluster = fixture_cluster(&settings);
+    fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
+    machine->agent.heard_at = 90;
+    fc_job *victim = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    for (uint32_t k = 0; k < 4; k++) fixture_run_task(cluster, machine, victim, k, 1);
+    fixture_job(cluster, "job-000002", "sweep", "high", "blue", 1, 1, "");
+    if (rows[i].gang_tasks) fixture_job(cluster, "job-000003", "gang", "high", "blue", rows[i].gang_tasks, 1, "");
+    if (rows[i].reserved_s) {
+      g_strlcpy(machine->reservation.gang, "job-000009", sizeof machine->reservation.gang);
+      machine->reservation.until = 90 + rows[i].reserved_s;
+    }
+    fc_quota_record *quota = &cluster->quota.record;
+    *quota = (fc_quota_record){.term = cluster->membership.term.number, .member_count = 1, .members = {"paddock-0"}};
+    quota->gpus[0][1] = rows[i].share;
+    fc_team_allowance allowance = fixture_unlimited_allowance();
+    allowance.gpus[1] = rows[i].share;
+    GPtrArray *stops = fc_preemption_plan(cluster, &allowance, 90);
+    check_row(rows[i].name, stops->len == rows[i].expect);
+    g_ptr_array_free(stops, TRUE);
+    fc_cluster_free(cluster);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(victims_by_priority_and_guarantee),
+      cmocka_unit_test(no_victims_for_what_is_held_back),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
