A share is spared only for work that waits, where all machines are reconciled

Cause: what finds no room for a moment was spared for others at once: each submission, and each change of term before the last member had reconciled its machines, would pass shares on. Change: a job's first handover_wait_s count as if it had room, and so does all that is pending at a member whose machines are not all reconciled in this term (fc_cluster_member_reconciled).

--- a/src/bookkeeping/reconciliation_progress.c
+++ b/src/bookkeeping/reconciliation_progress.c
@@ -58,6 +58,12 @@
   return left;
 }
 
+bool fc_cluster_member_reconciled(const fc_cluster *cluster, int member) {
+  const fc_reconciliation *progress = &cluster->reconciliation;
+  if (fc_cluster_fully_reconciled(cluster)) return true;
+  return progress->members_term == cluster->membership.term.number && (progress->members >> member & 1);
+}
+
 bool fc_cluster_update_reconciled(fc_cluster *cluster) {
   const fc_membership *membership = &cluster->membership;
   fc_reconciliation *progress = &cluster->reconciliation;
--- a/src/bookkeeping/reconciliation_progress.h
+++ b/src/bookkeeping/reconciliation_progress.h
@@ -16,6 +16,8 @@
 bool fc_cluster_update_reconciled(fc_cluster *cluster);
 /* Has that been reached in the present term? */
 bool fc_cluster_fully_reconciled(const fc_cluster *cluster);
+/* Have all machines of that member been reconciled in the present term? */
+bool fc_cluster_member_reconciled(const fc_cluster *cluster, int member);
 /* Resolves what the progress so far allows of a job that has just been read. */
 void fc_cluster_resolve_slices(const fc_cluster *cluster, fc_job *job);
 
--- a/src/controller/quota_room.c
+++ b/src/controller/quota_room.c
@@ -1,6 +1,7 @@
 #include "controller/quota_room.h"
 
 #include "bookkeeping/quota_usage.h"
+#include "bookkeeping/reconciliation_progress.h"
 #include "scheduler/free_capacity.h"
 #include "scheduler/gang_precedence.h"
 #include "scheduler/job_order.h"
@@ -38,14 +39,20 @@
 
 /* ---- the room ---- */
 
+/* May it find no room but for the time being? Shares would be passed on at each submission. */
+static bool just_entered(const fc_gang_order *order, const fc_job *job) {
+  return order->now < job->queue.entered_at + order->cluster->settings->operator_settings.handover_wait_s;
+}
+
 /* The team's jobs that a share lets start, in the order of the queue. */
-static GPtrArray *pending_jobs_of(const fc_cluster *cluster, const fc_gang_order *order, size_t team) {
-  GPtrArray *jobs = fc_cluster_open_jobs(cluster);
+static GPtrArray *pending_jobs_of(const fc_gang_order *order, size_t team) {
+  GPtrArray *jobs = fc_cluster_open_jobs(order->cluster);
   guint retained = 0;
   for (guint i = 0; i < jobs->len; i++) {
     const fc_job *job = jobs->pdata[i];
-    if (job->team != (int)team || job->spec.kind == FC_JOB_GANG || fc_gang_order_holds_back(order, job)) continue;
-    if (fc_job_has_pending_tasks(job, -1)) jobs->pdata[retained++] = jobs->pdata[i];
+    if (job->team != (int)team || job->spec.kind == FC_JOB_GANG || just_entered(order, job)) continue;
+    if (!fc_gang_order_holds_back(order, job) && fc_job_has_pending_tasks(job, -1))
+      jobs->pdata[retained++] = jobs->pdata[i];
   }
   g_ptr_array_set_size(jobs, (gint)retained);
   return jobs;
@@ -74,23 +81,25 @@
   g_array_free(tasks, TRUE);
 }
 
+/* What a member's machines hold is not known before they are reconciled: after each change of term
+ * the last to do so would be left without a share. */
 static void add_unplaceable(const fc_shard_room *room, const fc_job *job, fc_quota_tally *tally) {
   unsigned pending[FC_MEMBERS_MAX];
   count_by_member(job, pending);
   for (int member = 0; member < (int)room->cluster->membership.term.count; member++) {
-    if (pending[member] == 0) continue;
+    if (pending[member] == 0 || !fc_cluster_member_reconciled(room->cluster, member)) continue;
     unsigned without_room = pending[member] - fc_shard_room_count(room, job, member, pending[member], true);
     tally->unplaceable_cpus[member][job->team] += without_room * job->spec.cpus;
     tally->unplaceable_gpus[member][job->team] += without_room * job->spec.gpus;
   }
 }
 
-static void find_for_team(const fc_cluster *cluster, const fc_gang_order *order, size_t team, fc_quota_tally *tally,
-                          double now) {
-  GPtrArray *jobs = pending_jobs_of(cluster, order, team);
+static void find_for_team(const fc_gang_order *order, size_t team, fc_quota_tally *tally) {
+  const fc_cluster *cluster = order->cluster;
+  GPtrArray *jobs = pending_jobs_of(order, team);
   if (jobs->len > 0) {
     const fc_team_usage usage = fc_cluster_team_usage(cluster);
-    GArray *capacity = fc_free_capacity_gather(cluster, fc_machine_usable_by_owner, now);
+    GArray *capacity = fc_free_capacity_gather(cluster, fc_machine_usable_by_owner, order->now);
     const fc_shard_room room = {.cluster = cluster, .capacity = capacity, .usage = &usage};
     keep_useful(&room, jobs);
     fc_free_capacity_sort(capacity);
@@ -107,6 +116,6 @@
     if (!fc_team_limited(&cluster->settings->teams[team]) || !team_contended(cluster, quota, tally, team)) continue;
     if (!order_taken) fc_gang_order_take(cluster, &order, now);
     order_taken = true;
-    find_for_team(cluster, &order, team, tally, now);
+    find_for_team(&order, team, tally);
   }
 }
