Fault test judges a transaction by the version that sent it, not by the one there on arrival

Cause: in the test. The controllers' version was looked up as a transaction arrived. Those of the former version, which does not know the announced limits, that were on their way while it was replaced were judged by them. Change: a request keeps what its sender was; the check is as strict for the present version, and now also judges what it sent before a downgrade.

--- a/tests/sim/deployment.c
+++ b/tests/sim/deployment.c
@@ -20,6 +20,7 @@
 } kv_sizes;
 
 static kv_sizes g_first_sizes, g_announced_sizes;
+enum { PRESENT_VERSION, FORMER_VERSION };
 static bool g_former[WORLD_NODES];
 
 fc_settings *deployment_settings(unsigned node) {
@@ -185,7 +186,13 @@
   return false;
 }
 
+unsigned deployment_version_at(uint32_t ip) {
+  int node = links_controller_at(ip);
+  return node >= 0 && g_former[node] ? FORMER_VERSION : PRESENT_VERSION;
+}
+
+/* By the version that sent it, not by the one that runs there as it arrives: transactions of the former
+ * version that came after its upgrade were judged by limits that it does not know. */
 bool world_sent_by_former(const struct sim_exchange *exchange) {
-  int node = links_sender(exchange);
-  return node >= 0 && g_former[node];
+  return sim_sender_then(exchange) == FORMER_VERSION;
 }
--- a/tests/sim/exchanges.c
+++ b/tests/sim/exchanges.c
@@ -14,6 +14,7 @@
 static GHashTable *g_stand_ins; /* ip -> stub */
 static GHashTable *g_servers;   /* "ip:port" -> server */
 static sim_link_fn g_link_state;
+static sim_sender_fn g_sender_now;
 static double g_lose_request, g_lose_reply;
 static double g_slow_until, g_slow_most_s;
 
@@ -21,6 +22,7 @@
   g_stand_ins = g_hash_table_new(NULL, NULL);
   g_servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_slow_until = 0;
+  g_sender_now = NULL;
 }
 
 /* ---- links ---- */
@@ -31,6 +33,10 @@
   g_lose_reply = lose_reply;
 }
 
+void sim_set_senders(sim_sender_fn fn) {
+  g_sender_now = fn;
+}
+
 sim_link sim_link_now(uint32_t from, uint32_t to) {
   return g_link_state ? g_link_state(from, to) : SIM_CLEAR;
 }
@@ -62,6 +68,7 @@
   uint16_t port;
   uint64_t connection; /* 0: one of its own */
   char *method, *path, *body;
+  unsigned sender; /* what it was as it sent the request */
   bool answered, given_up;
   int status;
   char *reply;
@@ -108,6 +115,10 @@
   hand_over_reply(exchange);
 }
 
+unsigned sim_sender_then(const sim_exchange *exchange) {
+  return exchange->sender;
+}
+
 /* The process that runs now, if it is the one at the address; else NULL. */
 static sim_process *sender_at(uint32_t ip) {
   sim_process *here = sim_process_here();
@@ -180,6 +191,7 @@
   sim_own_work_begin();
   sim_exchange *exchange = g_new0(sim_exchange, 1);
   exchange->from = from;
+  exchange->sender = g_sender_now ? g_sender_now(from) : 0;
   exchange->to = to;
   exchange->port = port;
   exchange->method = g_strdup(method);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -73,6 +73,9 @@
 typedef sim_link (*sim_link_fn)(uint32_t from, uint32_t to);
 /* lose_request, lose_reply: the shares that are lost. */
 void sim_set_links(sim_link_fn fn, double lose_request, double lose_reply);
+/* What the sender at an address is at the moment, a number that its requests keep on their way. */
+typedef unsigned (*sim_sender_fn)(uint32_t ip);
+void sim_set_senders(sim_sender_fn fn);
 /* Until then everything that is sent takes up to so much longer. */
 void sim_slow_links(double until, double most_s);
 
@@ -85,6 +88,8 @@
 /* It answers by sim_answer(), at once or later. */
 typedef void (*sim_server_fn)(const sim_request *request, void *arg);
 void sim_serve(uint32_t ip, sim_server_fn fn, void *arg);
+/* What the request's sender was when it sent it; 0 without sim_set_senders(). */
+unsigned sim_sender_then(const struct sim_exchange *exchange);
 /* The first answer counts, others are ignored. */
 void sim_answer(struct sim_exchange *exchange, int status, const char *body);
 
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -75,6 +75,7 @@
   links_init();
   sim_init(seed);
   sim_set_links(links_state, lose, lose);
+  sim_set_senders(deployment_version_at);
   kv_init();
   cloud_init();
   deployment_init();
