--- a/src/coordination/quota_division.c
+++ b/src/coordination/quota_division.c
@@ -69,7 +69,7 @@
                              .unplaceable = unplaceable};
   /* Nothing but rounding counts as nothing: shards passed on halves of it, a write each. */
   double missing = others->lacking - state.unassigned;
-  /* A shard whose machines were full kept its share for the tasks that were pending there, while
+  /* A shard whose machines were full held its share for the tasks that were pending there, while
    * others had room and no share (scene share_without_room). */
   if (state.need < own_share && missing > ROUNDING_ERROR) return shrunk_share(&state, missing);
   if (state.need + unplaceable > own_share) return grown_share(&state);
