Machines of cancelled tasks go back earlier without the store, while we still may

Symptom: a task of a cancelled job on its machine up to five seconds after cancel_s (test_faults_late_start_without_authority). Cause: the return was due half a lease before the deadline. Without the key-value store authority may end before that, as soon as a member is missing, and the worker's lease lasts a lease longer: a late start was carried out. Trace: may_act=0 from about 218 on, return due at 219.6, carried out at 226.50, deadline 226.6. Change: without the store it is due a lease and one and a half heartbeat intervals before the deadline.

--- a/src/controller/cancellation_deadline.c
+++ b/src/controller/cancellation_deadline.c
@@ -8,6 +8,10 @@
 #define RESERVE_LEASES 0.5
 #define RESERVE_HEARTBEATS 3
 
+/* The same without the key-value store, both together. */
+#define OUTAGE_RESERVE_LEASES 1
+#define OUTAGE_RESERVE_HEARTBEATS 1.5
+
 /* In heartbeat intervals. */
 #define CHECK_INTERVAL_HEARTBEATS 0.5
 #define CLOUD_TIMEOUT_HEARTBEATS 1
@@ -35,17 +39,25 @@
   return placement->start.sent && placement->status.state != FC_TASK_EXITED;
 }
 
-static double reserve_s(const fc_settings *settings) {
-  return MAX(settings->lease_s * RESERVE_LEASES, settings->heartbeat_s * RESERVE_HEARTBEATS);
+/* Without the key-value store our authority may end as soon as a member is missing, and with it the
+ * right to return anything, while the leases that we renewed last a lease longer: a late start was
+ * carried out just before the deadline, and its task outlasted it (fault test, upgrades_and_meetings
+ * 20169). */
+static double reserve_s(const fc_cluster *cluster, double now) {
+  const fc_settings *settings = cluster->settings;
+  double reserve_s = MAX(settings->lease_s * RESERVE_LEASES, settings->heartbeat_s * RESERVE_HEARTBEATS);
+  if (fc_cluster_store_reachable(cluster, now)) return reserve_s;
+  double outage_reserve_s =
+      settings->lease_s * OUTAGE_RESERVE_LEASES + settings->heartbeat_s * OUTAGE_RESERVE_HEARTBEATS;
+  return MAX(reserve_s, outage_reserve_s);
 }
 
 /* Has the machine to be returned for a cancelled task that is not proved gone? */
 static bool deadline_near(const fc_cluster *cluster, const fc_machine *machine, double now) {
-  const fc_settings *settings = cluster->settings;
+  double returned_after_s = cluster->settings->cancel_s - reserve_s(cluster, now);
   for (guint i = 0; i < machine->placements->len; i++) {
     const fc_placement *placement = machine->placements->pdata[i];
-    if (may_run(placement) &&
-        now > fc_cluster_cancelled_since(cluster, placement->job_id) + settings->cancel_s - reserve_s(settings))
+    if (may_run(placement) && now > fc_cluster_cancelled_since(cluster, placement->job_id) + returned_after_s)
       return true;
   }
   return false;
