--- a/tests/test_unused_shares.c
+++ b/tests/test_unused_shares.c
@@ -58,6 +58,19 @@
                                   .in_s = in_s + k});
 }
 
+/* A gang of blue in zone b, whose only machine has room for four of its tasks. */
+static void submit_blue_gang(unsigned tasks, double in_s) {
+  world_submit_job(&(world_job){.id = world_id(BLUE_GANG),
+                                .kind = "gang",
+                                .priority = "high",
+                                .team = "blue",
+                                .tasks = tasks,
+                                .gpus = 1,
+                                .run_s = 8,
+                                .zone = "b",
+                                .in_s = in_s});
+}
+
 static unsigned blue_arrays_done(void) {
   unsigned done = 0;
   for (unsigned k = 0; k < ARRAYS; k++) done += world_ended_at(world_id(BLUE_ARRAY + k)) > 0;
@@ -109,15 +122,7 @@
   unsigned failed = 0;
   for (uint32_t seed = 1; seed <= SEEDS; seed++) {
     begin(seed);
-    world_submit_job(&(world_job){.id = world_id(BLUE_GANG),
-                                  .kind = "gang",
-                                  .priority = "high",
-                                  .team = "blue",
-                                  .tasks = 2 * ROOM_GPUS,
-                                  .gpus = 1,
-                                  .run_s = 8,
-                                  .zone = "b",
-                                  .in_s = 1});
+    submit_blue_gang(2 * ROOM_GPUS, 1);
     submit_blue_arrays(ARRAYS_AT_S);
     world_check_starvation(ARRAYS_AT_S);
     sim_run_until(sim_now() + ARRAYS_AT_S + ARRAYS + STARVED_AFTER_S + 5);
@@ -147,15 +152,7 @@
                                   .run_s = 1e6,
                                   .zone = "a",
                                   .in_s = 1});
-    world_submit_job(&(world_job){.id = world_id(BLUE_GANG),
-                                  .kind = "gang",
-                                  .priority = "high",
-                                  .team = "blue",
-                                  .tasks = BLUE_LIMIT_GPUS,
-                                  .gpus = 1,
-                                  .run_s = 8,
-                                  .zone = "b",
-                                  .in_s = FULL_AT_S});
+    submit_blue_gang(BLUE_LIMIT_GPUS, FULL_AT_S);
     world_submit_job(&(world_job){.id = world_id(BLUE_HELD_BACK),
                                   .kind = "sweep",
                                   .priority = "high",
