--- a/review/common/fc.py
+++ b/review/common/fc.py
@@ -373,6 +373,10 @@
         self.unreachable = False
         self.hung = False
         self.received = []      # direct commands, with the time of their arrival
+        self.slow_answers = 0.0  # answers to reports arrive up to this many seconds later
+        self.slow_orders = 0.0  # answers to direct commands arrive up to this many seconds later
+        self.slow_reports = 0.0  # reports arrive up to this many seconds later
+        self.slow_delivery = 0.0  # direct commands arrive up to this many seconds later
         self.recall = None      # when the cloud takes the machine away, if the worker knows
         self.failing = False    # every task that starts ends with an error
         self.late_orders = 0.0  # share of direct commands that are held up, unanswered, and carried out once
@@ -528,6 +532,8 @@
         if self.deaf or self.unreachable:
             return HANG
         self.note_size("request to " + path, len(body))
+        if self.slow_delivery:
+            time.sleep(random.uniform(0, self.slow_delivery))
         with self.lock:
             if path == "/status":
                 return 200, self.report()
@@ -538,7 +544,10 @@
                 threading.Timer(random.uniform(2, 16), self.orders, (req,)).start()
                 return HANG
             self.received.append((time.monotonic(), req))
-            return self.orders(req)
+            result = self.orders(req)
+        if self.slow_orders:
+            time.sleep(random.uniform(0, self.slow_orders))
+        return result
 
     def restart(self, away_s):
         """The machine's worker ends, and a new one is there a moment later: no tasks, stint 1, no token seen."""
@@ -616,11 +625,15 @@
                 self.changed.clear()
                 report = self.report()
             sent = time.monotonic()
+            if self.slow_reports:
+                time.sleep(random.uniform(0, self.slow_reports))
             if self.mute or self.unreachable or self.world.blocked(self, self.node):
                 time.sleep(1.0)
                 status, resp = 0, None
             else:
                 status, resp = self._post(self.world.worker_ports(self)[self.node], report)
+                if self.slow_answers:
+                    time.sleep(random.uniform(0, self.slow_answers))
                 while self.hung and not self.gone:
                     time.sleep(0.05)
                 if self.deaf:
