Review, case 1: a cancelled task starts after cancel_s during an outage of the cloud

A start command is held up in an interrupted link, its job is cancelled, and the cloud answers 503 when the machine is to be returned. The machine's lease is renewed all the time, so the command is executed when the link is back.

--- a/review/common/fc.py
+++ b/review/common/fc.py
@@ -20,6 +20,7 @@
 
 REPO = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "127.0.0.1"
+peer = threading.local()  # .port: the client's port, in a handler
 HANG = object()   # a handler's result: no answer; the connection stays open
 RESET = object()  # a handler's result: the connection is closed without an answer
 
@@ -36,6 +37,21 @@
     return ports
 
 
+def sender_of(port, server_port, pids):
+    """Index in `pids` of the process whose socket has the local port and is connected to the server; None: no such."""
+    want = "0100007F:%04X" % port, "0100007F:%04X" % server_port
+    with open("/proc/net/tcp") as f:
+        inode = next((x[9] for x in map(str.split, f) if (x[1], x[2]) == want), None)
+    for i, pid in enumerate(pids):
+        try:
+            for fd in os.listdir("/proc/%d/fd" % pid):
+                if os.readlink("/proc/%d/fd/%s" % (pid, fd)) == "socket:[%s]" % inode:
+                    return i
+        except OSError:
+            pass
+    return None
+
+
 class HttpServer:
     """One thread a connection; handler(method, path, body) -> (status, object), HANG or RESET."""
 
@@ -63,6 +79,7 @@
     def _serve(self, conn):
         f = conn.makefile("rb")
         try:
+            peer.port = conn.getpeername()[1]
             while True:
                 line = f.readline()
                 if not line:
@@ -304,6 +321,8 @@
                 with self.lock:
                     w = self.machines.pop(n, None)
                 if w:
+                    if w.tasks:
+                        self.world.released_with_work.append((n, len(w.tasks)))
                     w.end("released")
             return 200, {}
         if method == "POST":
@@ -463,7 +482,7 @@
                 if now - self.world.gang_lost(t) > self.world.settings["workers"]["gang_peer_s"] / 2:
                     self._exit(t, "mates_gone")
                 return
-            run_s = self.world.run_s.get(job["id"])
+            run_s = self.world.task_run_s(t) if self.world.task_run_s else self.world.run_s.get(job["id"])
             if self.failing and now - t.since > 0.5:
                 self._exit(t, "error")
                 return
@@ -500,6 +519,8 @@
                         if sum(o.job[what] for o in live) > self.flavor[have] + 1e-6:
                             t.state, t.cause = "exited", "no_room"
                             break
+                if t.state == "pulling" and t.job["kit"] in self.images:
+                    self._step(t, time.monotonic())  # the image is here: the task starts at once
             elif c["call"] == "halt" and t and t.state != "exited":
                 if t.state == "running" and t.job["markS"] > 0 and c.get("leewayS", 0) >= t.job["stowS"]:
                     t.state, t.since = "saving", time.monotonic()
@@ -531,6 +552,10 @@
             return RESET
         if self.deaf or self.unreachable:
             return HANG
+        if self.world.link_filter:
+            result = self.world.link_filter(self, method, path, body)
+            if result is not None:
+                return result
         self.note_size("request to " + path, len(body))
         if self.slow_delivery:
             time.sleep(random.uniform(0, self.slow_delivery))
@@ -628,7 +653,7 @@
             if self.slow_reports:
                 time.sleep(random.uniform(0, self.slow_reports))
             if self.mute or self.unreachable or self.world.blocked(self, self.node):
-                time.sleep(1.0)
+                time.sleep(4.0)  # no response
                 status, resp = 0, None
             else:
                 status, resp = self._post(self.world.worker_ports(self)[self.node], report)
@@ -742,9 +767,12 @@
         self.ports, self.peer_ports = ports[:nodes], ports[nodes:]
         self.jobs, self.run_s = {}, {}
         self.on, self.events, self.done = {}, [], {}
+        self.task_run_s = None  # function(task) -> run time, in place of the job's
+        self.link_filter = None  # called with (worker, method, path, body) for each direct call; None: it gets through
         self.on_command = None  # called with (worker, route, command) for each command that is executed
         self.violations = []
         self.oversize = []      # messages of controllers to workers beyond 64 KiB
+        self.released_with_work = []  # (machine, number of its tasks)
         self.lease_ends = []    # (machine, names of the tasks that ended with its lease)
         self.quiet = False      # tasks are not recorded one by one
         self.state, self.cloud = State(self, nodes), Cloud(self)
