--- a/review/common/fc.py
+++ b/review/common/fc.py
@@ -25,6 +25,13 @@
 RESET = object()  # a handler's result: the connection is closed without an answer
 
 
+def _ended(signum, frame):
+    raise SystemExit(2)  # the case's `finally` ends the processes that it started
+
+
+signal.signal(signal.SIGTERM, _ended)
+
+
 def free_ports(count):
     socks = []
     for _ in range(count):
