--- a/review/common/fc.py
+++ b/review/common/fc.py
@@ -26,6 +26,7 @@
 
 
 def _ended(signum, frame):
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)  # timeout(1) sends it to the group as well
     raise SystemExit(2)  # the case's `finally` ends the processes that it started
 
 
