Simulated workers report a higher fencing token at most once in half a lease

Cause: the protocol says "At most once in half of lease_s does a higher token count as a change"; the simulated worker sent a report after each one. Tokens changed only with terms so far, so that nothing depended on it.

Change: the time at which a token last counted is part of the worker.

--- a/tests/sim/heartbeats.c
+++ b/tests/sim/heartbeats.c
@@ -54,8 +54,12 @@
   return (uint64_t)json_integer_value(json_object_get(message, name));
 }
 
+/* A higher fencing token counts as a changed status at most once in half a lease. */
 static void adopt_fencing_token(sim_worker *worker, uint64_t fencing_token) {
-  if (fencing_token > worker->fencing_token) worker->status_changed = true;
+  if (fencing_token > worker->fencing_token && sim_now() >= worker->token_reported_at + LEASE_S / 2) {
+    worker->status_changed = true;
+    worker->token_reported_at = sim_now();
+  }
   worker->fencing_token = fencing_token;
 }
 
--- a/tests/sim/stand_ins.h
+++ b/tests/sim/stand_ins.h
@@ -96,10 +96,11 @@
   double outbound_lost_until; /* until then its heartbeats reach no controller */
   double preemption_notice_at, preempted_at;
   uint64_t epoch, heartbeat_seq, fencing_token;
-  double lease_renewed_at; /* when the last answered heartbeat was sent */
-  GPtrArray *tasks;        /* sim_task */
-  int node;                /* the controller that it sends heartbeats to */
-  uint64_t connection;     /* to that controller; 0: none open */
+  double token_reported_at; /* when a higher fencing token last counted as a changed status */
+  double lease_renewed_at;  /* when the last answered heartbeat was sent */
+  GPtrArray *tasks;         /* sim_task */
+  int node;                 /* the controller that it sends heartbeats to */
+  uint64_t connection;      /* to that controller; 0: none open */
   double next_heartbeat_at, heartbeat_sent_at;
   uint64_t sent_epoch;                    /* the epoch in the heartbeat in flight */
   unsigned incarnation, sent_incarnation; /* incremented at each restart of the machine */
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -29,6 +29,7 @@
   worker->incarnation++;
   worker->epoch = 1;
   worker->heartbeat_seq = worker->fencing_token = 0;
+  worker->token_reported_at = -LEASE_S;
   worker->lease_renewed_at = worker->next_heartbeat_at = sim_now();
   worker->in_flight = false;
   worker->connection = 0;
@@ -84,6 +85,7 @@
   worker->spot = spot;
   worker->created_at = sim_now();
   worker->boots_at = sim_now() + boot_s;
+  worker->token_reported_at = -LEASE_S;
   worker->tasks = g_ptr_array_new();
   worker->node = g_rand_int_range(sim_rand(), 0, WORLD_NODES);
   g_hash_table_insert(g_workers, worker->id, worker);
