--- a/src/bookkeeping/cluster.c
+++ b/src/bookkeeping/cluster.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "coordination/fencing_token.h"
+
 /* The decay time of arrival statistics, in worker leases: about two boot times of a machine. With a
  * longer one, capacity stays reserved for a burst that has long ended. */
 #define ARRIVAL_DECAY_LEASES 8
@@ -96,6 +98,15 @@
   return true;
 }
 
+bool fc_cluster_raises_tokens(const fc_cluster *cluster) {
+  const fc_membership *membership = &cluster->membership;
+  for (size_t i = 0; i < membership->term.count; i++) {
+    const fc_member_key *key = g_hash_table_lookup(membership->keys, membership->term.members[i].name);
+    if (key && !key->raised_tokens) return false;
+  }
+  return fc_term_reserves_tokens(membership->term.number);
+}
+
 bool fc_cluster_is_cancelled(const fc_cluster *cluster, const char *id) {
   const fc_job *job = fc_cluster_find_job(cluster, id);
   return job ? job->phase == FC_PHASE_CANCELLED : g_hash_table_contains(cluster->unread_cancellations, id);
--- a/src/bookkeeping/cluster.h
+++ b/src/bookkeeping/cluster.h
@@ -29,6 +29,7 @@
 typedef struct fc_member_key {
   uint64_t version;
   unsigned job_format; /* newest format of job records that the member reads */
+  bool raised_tokens;  /* it accepts heartbeats with raised fencing tokens */
 } fc_member_key;
 
 /* A job record that can't be applied until further parts of its description have been read. */
@@ -117,6 +118,10 @@
 /* Whether all live members read job records of the format. The others would not see such jobs. */
 bool fc_cluster_members_read_format(const fc_cluster *cluster, unsigned format);
 
+/* Whether fencing tokens may be raised above the term's number: the term reserves raised tokens, and all
+ * live members accept them. */
+bool fc_cluster_raises_tokens(const fc_cluster *cluster);
+
 /* Whether the job is known to be cancelled, also if its own record does not say so yet. */
 bool fc_cluster_is_cancelled(const fc_cluster *cluster, const char *id);
 /* Lower bound of when a user saw the cancellation confirmed; INFINITY: not known to be cancelled. */
--- a/src/bookkeeping/cluster_machines.h
+++ b/src/bookkeeping/cluster_machines.h
@@ -5,6 +5,7 @@
 #define FC_BOOKKEEPING_CLUSTER_MACHINES_H
 
 #include "bookkeeping/cluster.h"
+#include "coordination/fencing_token.h"
 
 /* Returns the machine with that id, adding it if it is unknown. Owned by the cluster state. */
 fc_machine *fc_cluster_ensure_machine(fc_cluster *cluster, const char *id, double now);
@@ -27,6 +28,11 @@
   return machine->reconciled_term == cluster->membership.term.number;
 }
 
+/* The lowest fencing token of the current term that the machine's worker accepts, as far as known. */
+static inline uint64_t fc_machine_fencing_token(const fc_cluster *cluster, const fc_machine *machine) {
+  return fc_fencing_token_accepted(machine->worker.fencing_token, cluster->membership.term.number);
+}
+
 /* Resources that no placement uses; none if the machine's type, or the job of one of its tasks, is
  * unknown. */
 fc_resources fc_machine_free_resources(const fc_cluster *cluster, const fc_machine *machine);
--- a/src/bookkeeping/shard_ownership.c
+++ b/src/bookkeeping/shard_ownership.c
@@ -4,6 +4,7 @@
 
 #include "bookkeeping/cluster_machines.h"
 #include "coordination/assignment.h"
+#include "coordination/fencing_token.h"
 
 void fc_cluster_assign_slices(const fc_cluster *cluster, fc_job *job) {
   job->slices.owner_mask = 0;
@@ -51,7 +52,8 @@
 static void reassign_job(const fc_cluster *cluster, fc_job *job, const previous_term *previous) {
   const fc_membership *membership = &cluster->membership;
   unsigned owned_before = slices_owned_before(job, previous);
-  bool next_term = previous->continuous && membership->term.number == previous->number + 1 && membership->self >= 0;
+  bool next_term = previous->continuous && fc_term_number_follows(membership->term.number, previous->number) &&
+                   membership->self >= 0;
   fc_cluster_assign_slices(cluster, job);
   for (unsigned i = 0; i < job->slices.count; i++) {
     bool stays = next_term && (owned_before >> i & 1) && fc_job_slice_owner(job, i) == membership->self;
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -105,8 +105,15 @@
   controller->worker_calls = fc_worker_calls_new(cluster, leadership, commands, reconciler, metrics);
   controller->probes = fc_machine_probes_new(cluster, leadership, controller->worker_calls);
   controller->worker_leases = fc_worker_leases_new(cluster, leadership, controller->peers, wakeups, metrics);
-  controller->heartbeats = fc_heartbeats_new(cluster, leadership, controller->peers, registration, reconciler, commands,
-                                             controller->worker_calls, metrics);
+  controller->heartbeats = fc_heartbeats_new(&(fc_heartbeats_deps){.cluster = cluster,
+                                                                   .leadership = leadership,
+                                                                   .cancellations = controller->cancellations,
+                                                                   .peers = controller->peers,
+                                                                   .registration = registration,
+                                                                   .reconciler = reconciler,
+                                                                   .commands = commands,
+                                                                   .calls = controller->worker_calls,
+                                                                   .metrics = metrics});
 }
 
 static fc_client_server *build_client_server(fc_controller *controller) {
--- a/src/controller/heartbeats.c
+++ b/src/controller/heartbeats.c
@@ -19,14 +19,7 @@
 enum { STATUS_OK = 200, STATUS_BAD_REQUEST = 400, STATUS_MISDIRECTED = 421, STATUS_UNAVAILABLE = 503 };
 
 struct fc_heartbeats {
-  fc_cluster *cluster;
-  const fc_leadership *leadership;
-  fc_peers *peers;
-  fc_machine_registration *registration;
-  fc_reconciler *reconciler;
-  fc_worker_commands *commands;
-  fc_worker_calls *calls;
-  fc_metrics *metrics;
+  fc_heartbeats_deps deps;
 };
 
 /* A heartbeat and the number of the connection that it came on; 0: not known. */
@@ -41,18 +34,9 @@
   GString *body;
 } response;
 
-fc_heartbeats *fc_heartbeats_new(fc_cluster *cluster, const fc_leadership *leadership, fc_peers *peers,
-                                 fc_machine_registration *registration, fc_reconciler *reconciler,
-                                 fc_worker_commands *commands, fc_worker_calls *calls, fc_metrics *metrics) {
+fc_heartbeats *fc_heartbeats_new(const fc_heartbeats_deps *deps) {
   fc_heartbeats *heartbeats = g_new(fc_heartbeats, 1);
-  *heartbeats = (fc_heartbeats){.cluster = cluster,
-                                .leadership = leadership,
-                                .peers = peers,
-                                .registration = registration,
-                                .reconciler = reconciler,
-                                .commands = commands,
-                                .calls = calls,
-                                .metrics = metrics};
+  heartbeats->deps = *deps;
   return heartbeats;
 }
 
@@ -60,10 +44,10 @@
   g_free(heartbeats);
 }
 
-static void respond(const fc_heartbeats *heartbeats, const response *out, const GArray *commands) {
+static void respond(const response *out, uint64_t fencing_token, const GArray *commands) {
   *out->status = STATUS_OK;
-  fc_heartbeat_answer(out->body, heartbeats->cluster->membership.term.number,
-                      commands ? (const fc_command *)commands->data : NULL, commands ? commands->len : 0);
+  fc_heartbeat_answer(out->body, fencing_token, commands ? (const fc_command *)commands->data : NULL,
+                      commands ? commands->len : 0);
 }
 
 static void refuse(const response *out) {
@@ -83,7 +67,7 @@
   double now = fc_now(), since_response_s = now - lease->answered_at;
   bool soon = since_response_s < FC_WORKER_REQUEST_TIMEOUT_S;
   bool same_connection = connection && connection == lease->connection;
-  double max_s = heartbeats->cluster->settings->heartbeat_s * RESPONSE_RECENT_HEARTBEATS;
+  double max_s = heartbeats->deps.cluster->settings->heartbeat_s * RESPONSE_RECENT_HEARTBEATS;
   if (lease->answered_at && (soon || same_connection) && since_response_s < max_s) {
     machine->reachability.unidirectional_since = 0;
   } else if (!machine->reachability.unidirectional_since) {
@@ -99,10 +83,10 @@
  * the machine lost; with a third member gone, both ran out (scene unreachable_machines_at_a_leader_change). If the
  * owner's calls never succeed, the worker is redirected in the end, as its heartbeats may get through. */
 static bool owner_out_of_touch(const fc_heartbeats *heartbeats, const fc_machine *machine, double now) {
-  const fc_settings *settings = heartbeats->cluster->settings;
+  const fc_settings *settings = heartbeats->deps.cluster->settings;
   const fc_machine_reachability *reach = &machine->reachability;
-  bool reconciled = fc_machine_reconciled(heartbeats->cluster, machine);
-  double term_since = fc_leadership_term_since(heartbeats->leadership);
+  bool reconciled = fc_machine_reconciled(heartbeats->deps.cluster, machine);
+  double term_since = fc_leadership_term_since(heartbeats->deps.leadership);
   if (!reconciled && now < term_since + settings->lease_s * OWNER_RECONCILES_LEASES) return true;
   if (reach->owner_suspects && now < reach->owner_suspects_since + settings->lease_s * OWNER_SUSPECTS_LEASES)
     return true;
@@ -113,9 +97,9 @@
 /* Returns whether to redirect the worker to its owner: not while this member hears nothing from the owner, and not
  * shortly after an earlier redirect, from which the worker may just have returned. */
 static bool should_redirect(const fc_heartbeats *heartbeats, const fc_machine *machine, const fc_heartbeat *heartbeat) {
-  const fc_settings *settings = heartbeats->cluster->settings;
+  const fc_settings *settings = heartbeats->deps.cluster->settings;
   double now = fc_now();
-  const fc_peer *owner = fc_peers_of_member(heartbeats->peers, machine->owner);
+  const fc_peer *owner = fc_peers_of_member(heartbeats->deps.peers, machine->owner);
   if (!owner || now > owner->heard_at + settings->heartbeat_s * OWNER_SILENT_HEARTBEATS) return false;
   if (heartbeat->task_count > 0 && owner_out_of_touch(heartbeats, machine, now)) return false;
   return now > machine->lease.redirected_at + settings->lease_s * REDIRECT_SPACING_LEASES;
@@ -129,7 +113,7 @@
     update_unidirectional(heartbeats, machine, received->connection);
   machine->lease.redirected_at = fc_now();
   *out->status = STATUS_MISDIRECTED;
-  fc_worker_redirect_answer(out->body, heartbeats->cluster->membership.term.members[machine->owner].name);
+  fc_worker_redirect_answer(out->body, heartbeats->deps.cluster->membership.term.members[machine->owner].name);
 }
 
 /* Commands to stop the tasks of cancelled jobs. */
@@ -144,6 +128,25 @@
   return commands;
 }
 
+/* Returns whether the owner may have sent the worker a start, still in flight, of a job that is cancelled by now. This
+ * member doesn't know the owner's starts, and the owner may have learned of the cancellation later. */
+static bool owner_start_may_be_unwanted(const fc_heartbeats *heartbeats) {
+  double cancel_s = heartbeats->deps.cluster->settings->cancel_s;
+  return fc_now() < fc_cancellations_learned_at(heartbeats->deps.cancellations) + cancel_s;
+}
+
+/* The fencing token for the answer to a worker of another member's machine. A raised token makes the worker refuse
+ * starts that the owner has sent it and that are still in flight. One of them was executed after the deadline of its
+ * job's cancellation when only the return of the machine could prevent it and the cloud had an outage (scene
+ * starts_held_up_during_a_cloud_outage). */
+static uint64_t token_for_owner(const fc_heartbeats *heartbeats, const fc_heartbeat *heartbeat) {
+  const fc_cluster *cluster = heartbeats->deps.cluster;
+  uint64_t term = cluster->membership.term.number;
+  uint64_t accepted = fc_fencing_token_accepted(heartbeat->fencing_token, term);
+  if (!fc_cluster_raises_tokens(cluster) || !owner_start_may_be_unwanted(heartbeats)) return accepted;
+  return fc_fencing_token_raise(accepted, term);
+}
+
 /* Renews the lease of another member's worker and stops its tasks of cancelled jobs, as any member
  * that holds leadership may. Only the owner starts tasks, and has workers forget tasks that have ended. */
 static void renew_for_owner(const fc_heartbeats *heartbeats, fc_machine *machine, const received_heartbeat *received,
@@ -151,11 +154,13 @@
   const fc_heartbeat *heartbeat = &received->heartbeat;
   update_unidirectional(heartbeats, machine, received->connection);
   fc_machine_worker_show_epoch(&machine->worker, heartbeat->epoch, heartbeat->sequence);
-  GArray *commands = cancelled_tasks(heartbeats->cluster, heartbeat);
+  GArray *commands = cancelled_tasks(heartbeats->deps.cluster, heartbeat);
   machine->lease.answered_at = fc_now();
   machine->lease.connection = received->connection;
-  g_debug("renewed worker lease for the owner machine=%s owner=%d", machine->id, machine->owner);
-  respond(heartbeats, out, commands);
+  uint64_t token = token_for_owner(heartbeats, heartbeat);
+  g_debug("renewed worker lease for the owner machine=%s owner=%d token=%" G_GUINT64_FORMAT, machine->id,
+          machine->owner, (guint64)token);
+  respond(out, token, commands);
   g_array_free(commands, TRUE);
 }
 
@@ -177,12 +182,12 @@
 /* Probes the worker by a direct call for the tasks that it holds. */
 static void probe(const fc_heartbeats *heartbeats, fc_machine *machine) {
   machine->probe.wanted = true;
-  fc_worker_calls_send(heartbeats->calls, machine);
+  fc_worker_calls_send(heartbeats->deps.calls, machine);
 }
 
 /* Applies the heartbeat of an owned machine. Returns false if it is to be refused. */
 static bool accept_heartbeat(const fc_heartbeats *heartbeats, fc_machine *machine, const received_heartbeat *received) {
-  if (machine->worker.restarted && fc_machine_reconciled(heartbeats->cluster, machine)) {
+  if (machine->worker.restarted && fc_machine_reconciled(heartbeats->deps.cluster, machine)) {
     /* A delayed heartbeat from before the restart would look newer than one sent after it, so only responses to direct
      * calls show what the worker holds (fault test, seed 38). */
     update_unidirectional(heartbeats, machine, received->connection);
@@ -192,7 +197,7 @@
   }
   if (fc_heartbeat_order_is_newer(machine, &received->heartbeat)) {
     update_unidirectional(heartbeats, machine, received->connection);
-    fc_reconciler_apply_heartbeat(heartbeats->reconciler, machine, &received->heartbeat);
+    fc_reconciler_apply_heartbeat(heartbeats->deps.reconciler, machine, &received->heartbeat);
     machine->lease.answered_at = fc_now();
     return true;
   }
@@ -214,14 +219,16 @@
   /* Determined before the heartbeat is applied. */
   bool takes_commands = fc_heartbeat_order_is_newer(machine, &received->heartbeat) || machine->worker.restarted;
   if (!accept_heartbeat(heartbeats, machine, received)) return false;
-  fc_machine_registration_record_endpoint(heartbeats->registration, machine);
+  fc_machine_registration_record_endpoint(heartbeats->deps.registration, machine);
   machine->lease.connection = received->connection;
-  if (!takes_commands || !fc_machine_reconciled(heartbeats->cluster, machine)) {
-    respond(heartbeats, out, NULL);
+  uint64_t token =
+      fc_worker_commands_answer_token(heartbeats->deps.commands, machine, received->heartbeat.fencing_token);
+  if (!takes_commands || !fc_machine_reconciled(heartbeats->deps.cluster, machine)) {
+    respond(out, token, NULL);
     return true;
   }
-  GArray *commands = fc_worker_commands_for_answer(heartbeats->commands, machine, received->heartbeat.sequence);
-  respond(heartbeats, out, commands);
+  GArray *commands = fc_worker_commands_for_answer(heartbeats->deps.commands, machine, received->heartbeat.sequence);
+  respond(out, token, commands);
   g_array_free(commands, TRUE);
   return true;
 }
@@ -244,17 +251,19 @@
 /* Returns the machine that sent the heartbeat, after writing its record if there is none. NULL: this
  * member may not answer it now. May suspend the calling routine. */
 static fc_machine *find_sender(const fc_heartbeats *heartbeats, const fc_heartbeat *heartbeat) {
-  const fc_cluster *cluster = heartbeats->cluster;
-  if (!fc_leadership_held(heartbeats->leadership)) return NULL;
+  const fc_cluster *cluster = heartbeats->deps.cluster;
+  if (!fc_leadership_held(heartbeats->deps.leadership)) return NULL;
   fc_machine *machine = fc_cluster_find_machine(cluster, heartbeat->machine);
   bool recorded = machine && machine->record_version;
-  if (!recorded && (!fc_machine_registration_record(heartbeats->registration, heartbeat) ||
-                    !fc_leadership_held(heartbeats->leadership)))
+  if (!recorded && (!fc_machine_registration_record(heartbeats->deps.registration, heartbeat) ||
+                    !fc_leadership_held(heartbeats->deps.leadership)))
     return NULL;
   machine = fc_cluster_find_machine(cluster, heartbeat->machine);
-  /* A fencing token above the term known here: there is a newer term that has not been read here yet. The worker would
+  /* A fencing token of a newer term, which has not been read here yet. The worker would
    * drop a 200 with the old token, and would stay with this member while its lease expires. */
-  if (!machine || !machine->record_version || heartbeat->fencing_token > cluster->membership.term.number) return NULL;
+  if (!machine || !machine->record_version ||
+      fc_fencing_token_is_newer(heartbeat->fencing_token, cluster->membership.term.number))
+    return NULL;
   if (machine->record_write_pending) return NULL; /* another member may already own it */
   return matches_record(machine, heartbeat) ? machine : NULL;
 }
@@ -263,7 +272,7 @@
 static bool answer(const fc_heartbeats *heartbeats, const received_heartbeat *received, const response *out) {
   fc_machine *machine = find_sender(heartbeats, &received->heartbeat);
   if (!machine) return false;
-  if (!fc_machine_owned_by_self(heartbeats->cluster, machine))
+  if (!fc_machine_owned_by_self(heartbeats->deps.cluster, machine))
     return answer_for_owner(heartbeats, machine, received, out);
   return answer_as_owner(heartbeats, machine, received, out);
 }
@@ -279,7 +288,7 @@
     g_info("malformed heartbeat: %s", error);
     return;
   }
-  heartbeats->metrics->counters.heartbeats++;
+  heartbeats->deps.metrics->counters.heartbeats++;
   if (!answer(heartbeats, &received, &to)) refuse(&to);
   fc_heartbeat_clear(&received.heartbeat);
 }
--- a/src/controller/heartbeats.h
+++ b/src/controller/heartbeats.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "controller/cancellations.h"
 #include "controller/leadership.h"
 #include "controller/machine_registration.h"
 #include "controller/metrics.h"
@@ -18,10 +19,21 @@
 
 typedef struct fc_heartbeats fc_heartbeats;
 
-/* The arguments must outlive the result, which the caller frees with fc_heartbeats_free(). */
-fc_heartbeats *fc_heartbeats_new(fc_cluster *cluster, const fc_leadership *leadership, fc_peers *peers,
-                                 fc_machine_registration *registration, fc_reconciler *reconciler,
-                                 fc_worker_commands *commands, fc_worker_calls *calls, fc_metrics *metrics);
+/* The modules that the handling of heartbeats uses. */
+typedef struct fc_heartbeats_deps {
+  fc_cluster *cluster;
+  const fc_leadership *leadership;
+  const fc_cancellations *cancellations;
+  fc_peers *peers;
+  fc_machine_registration *registration;
+  fc_reconciler *reconciler;
+  fc_worker_commands *commands;
+  fc_worker_calls *calls;
+  fc_metrics *metrics;
+} fc_heartbeats_deps;
+
+/* The modules in `deps` must outlive the result, which the caller frees with fc_heartbeats_free(). */
+fc_heartbeats *fc_heartbeats_new(const fc_heartbeats_deps *deps);
 void fc_heartbeats_free(fc_heartbeats *heartbeats);
 
 /* Handles a heartbeat request. `body`: its body of `length` bytes; `connection`: the number of the
--- a/src/controller/membership.c
+++ b/src/controller/membership.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "coordination/fencing_token.h"
+
 /* Timeouts of requests to the key-value store, and of waiting until their outcome has been read. */
 #define REQUEST_TIMEOUT_S 1.0
 #define READ_TIMEOUT_S 2.0
@@ -107,7 +109,7 @@
   const fc_membership *membership = &routine->cluster->membership;
   const char *name = routine->cluster->settings->name;
   fc_term next = membership->term;
-  next.number++;
+  next.number = fc_next_term_number(next.number);
   if (!membership->term_version) next.seed = g_random_int();
   int self = fc_term_find(&next, name);
   if (self < 0) {
@@ -161,7 +163,7 @@
   g_strlcpy(name, next.members[index].name, sizeof name);
   memmove(&next.members[index], &next.members[index + 1], (next.count - index - 1) * sizeof next.members[0]);
   next.count--;
-  next.number++;
+  next.number = fc_next_term_number(next.number);
   next.names_since = next.number;
   fc_kv_result result = commit_term(routine, &next, name);
   g_info("exclusion from the term member=%s result=%d", name, result);
@@ -186,6 +188,18 @@
   }
 }
 
+/* ---- terms of versions without raised fencing tokens ---- */
+
+/* Replaces a term that a version without raised fencing tokens has committed. Workers that have seen a
+ * raised token of the term before refuse its commands. */
+static void renumber_term(fc_membership_routine *routine) {
+  fc_term next = routine->cluster->membership.term;
+  if (fc_term_reserves_tokens(next.number)) return;
+  next.number = fc_next_term_number(next.number);
+  fc_kv_result result = commit_term(routine, &next, NULL);
+  g_info("term renumbered number=%" G_GUINT64_FORMAT " result=%d", (guint64)next.number, result);
+}
+
 /* ---- the routine ---- */
 
 typedef enum { LEASE_HELD, LEASE_GONE } lease_state;
@@ -220,8 +234,10 @@
       g_warning("member lease expired");
       break;
     }
-    if (fc_leadership_held(routine->leadership) && fc_cluster_store_reachable(routine->cluster, fc_now()))
+    if (fc_leadership_held(routine->leadership) && fc_cluster_store_reachable(routine->cluster, fc_now())) {
+      renumber_term(routine);
       exclude_expired(routine, absences);
+    }
   }
   g_hash_table_destroy(absences);
 }
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -3,6 +3,7 @@
 #include "bookkeeping/cluster_machines.h"
 #include "bookkeeping/reconciliation_progress.h"
 #include "controller/failure_attribution.h"
+#include "coordination/fencing_token.h"
 #include "coordination/leader_lease.h"
 #include "transport/routine.h"
 
@@ -188,7 +189,8 @@
   bool was_reconciled = fc_machine_reconciled(cluster, machine);
   const list_origin origin = {
       .call_sent_at = call_sent_at,
-      .reconciles = !was_reconciled && heartbeat->fencing_token == cluster->membership.term.number,
+      .reconciles =
+          !was_reconciled && fc_fencing_token_in_term(heartbeat->fencing_token, cluster->membership.term.number),
       .new_epoch = machine->worker.reported && heartbeat->epoch > machine->worker.epoch,
   };
   /* Its lease had expired; now that it shows its epoch it can take tasks again. */
--- a/src/controller/record_applier.c
+++ b/src/controller/record_applier.c
@@ -179,7 +179,9 @@
     return;
   }
   fc_member_key *key = g_new(fc_member_key, 1);
-  *key = (fc_member_key){.version = change->version, .job_format = fc_member_key_format(change->value)};
+  *key = (fc_member_key){.version = change->version,
+                         .job_format = fc_member_key_format(change->value),
+                         .raised_tokens = fc_member_key_raised_tokens(change->value)};
   g_hash_table_replace(keys, g_strdup(name), key);
 }
 
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -11,7 +11,7 @@
 #define CALLS_MIN 2u
 #define FENCES_AND_PROBES_DIVISOR 2u /* calls that fence or probe may use one in this many of those */
 #define CALL_TIMEOUT_HEARTBEATS 0.75
-#define CALLS_PER_ROUTINE_MAX 2 /* the second fences with the epoch that the response to the first has shown */
+#define CALLS_PER_ROUTINE_MAX 2 /* the second has the epoch and token that the response to the first has shown */
 #define MACHINE_ID_BYTES 64
 
 struct fc_worker_calls {
@@ -30,9 +30,10 @@
 
 /* The purpose of a direct call. */
 typedef struct direct_call {
-  uint64_t term; /* its fencing token */
-  bool fencing;  /* the machine was not reconciled in the term */
-  bool probing;  /* it was to be probed for its list of tasks */
+  uint64_t term;
+  uint64_t fencing_token;
+  bool fencing; /* the machine was not reconciled in the term */
+  bool probing; /* it was to be probed for its list of tasks */
   double sent_at;
 } direct_call;
 
@@ -124,7 +125,16 @@
   machine->probe.confirmed_at = sent_at;
 }
 
-/* Applies the response to a call. Returns whether the machine has to be fenced with the epoch that it has shown. */
+/* Whether the worker refused the call for its epoch or its fencing token, so that another call, with those
+ * that it has shown, may succeed. */
+static bool repeatable(const fc_machine *machine, const direct_call *call, fc_worker_call_result result,
+                       const fc_heartbeat *heartbeat) {
+  if (result != FC_WORKER_CALL_REFUSED || fc_fencing_token_is_newer(heartbeat->fencing_token, call->term)) return false;
+  bool unfenced = call->fencing && machine->reconciled_term != call->term;
+  return unfenced || heartbeat->fencing_token > call->fencing_token;
+}
+
+/* Applies the response to a call. Returns whether the worker has to be called again. */
 static bool accept_answer(fc_worker_calls *calls, fc_machine *machine, const direct_call *call,
                           fc_worker_call_result result, const fc_heartbeat *heartbeat) {
   const fc_cluster *cluster = calls->cluster;
@@ -132,9 +142,7 @@
       strcmp(heartbeat->machine, machine->id) != 0)
     return false;
   fc_worker_calls_apply_answer(calls, machine, heartbeat, call->sent_at);
-  /* It refused the epoch in the call: it has a newer one, or this is the first message from the machine. */
-  return call->fencing && result == FC_WORKER_CALL_REFUSED && heartbeat->fencing_token <= call->term &&
-         machine->reconciled_term != call->term;
+  return repeatable(machine, call, result, heartbeat);
 }
 
 /* ---- calls ---- */
@@ -152,21 +160,23 @@
   fc_worker_call_result result = FC_WORKER_CALL_UNSENT;
   double timeout_s = calls->cluster->settings->heartbeat_s * CALL_TIMEOUT_HEARTBEATS;
   if (call->fencing || call->probing || commands->len > 0)
-    result = fc_worker_call(endpoint, call->term, machine->worker.epoch, (const fc_command *)commands->data,
+    result = fc_worker_call(endpoint, call->fencing_token, machine->worker.epoch, (const fc_command *)commands->data,
                             commands->len, fc_now() + timeout_s, heartbeat);
   g_array_free(commands, TRUE);
   calls->metrics->counters.worker_calls += result != FC_WORKER_CALL_UNSENT;
   return result;
 }
 
-/* Calls the machine's worker once. Returns whether another call has to fence it with the epoch that it has shown.
- * Suspends the calling routine. */
+/* Calls the machine's worker once. Returns whether it has to be called again. Suspends the calling routine. */
 static bool call_worker(fc_worker_calls *calls, const char *id, uint64_t term) {
   fc_machine *machine = fc_cluster_find_machine(calls->cluster, id);
   fc_endpoint endpoint;
   if (!may_call(calls, machine, term) || !fc_endpoint_parse(machine->record.endpoint, &endpoint)) return false;
-  const direct_call call = {
-      .term = term, .fencing = machine->reconciled_term != term, .probing = machine->probe.wanted, .sent_at = fc_now()};
+  const direct_call call = {.term = term,
+                            .fencing_token = fc_machine_fencing_token(calls->cluster, machine),
+                            .fencing = machine->reconciled_term != term,
+                            .probing = machine->probe.wanted,
+                            .sent_at = fc_now()};
   machine->probe.wanted = false;
   fc_heartbeat heartbeat;
   fc_worker_call_result result = send_call(calls, machine, &endpoint, &call, &heartbeat);
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -1,5 +1,6 @@
 #include "controller/worker_commands.h"
 
+#include "bookkeeping/cluster_machines.h"
 #include "protocol/worker_api.h"
 #include "transport/routine.h"
 
@@ -64,17 +65,25 @@
   return true;
 }
 
+/* Returns whether the next answers to the worker can revoke a start that a direct call carries now. */
+static bool direct_start_revocable(const fc_cluster *cluster, const fc_machine *machine) {
+  if (!fc_cluster_raises_tokens(cluster)) return true; /* members of an earlier version: starts can't be revoked */
+  uint64_t token = fc_machine_fencing_token(cluster, machine);
+  return fc_fencing_token_raise(token, cluster->membership.term.number) > token;
+}
+
 /* Fills in the command to start a task that no heartbeat has listed yet, and marks it as sent. Returns false if it is
  * not to be sent on this route. */
 static bool start_command(const fc_worker_commands *commands, fc_placement *placement, const command_route *route,
                           fc_command *command) {
   /* Only one direct copy is tracked; further copies are sent with the responses to heartbeats. */
   if (route->direct && placement->start.direct != FC_DIRECT_START_NONE) return false;
+  if (route->direct && !direct_start_revocable(commands->cluster, placement->machine)) return false;
   command->op = FC_COMMAND_START;
   placement->start.sent = true;
   if (route->direct) {
     placement->start.direct = FC_DIRECT_START_IN_FLIGHT;
-    placement->start.direct_token = commands->cluster->membership.term.number;
+    placement->start.direct_token = fc_machine_fencing_token(commands->cluster, placement->machine);
     placement->start.direct_epoch = placement->machine->worker.epoch;
   } else {
     placement->start.heartbeat_sequence = route->sequence;
@@ -134,3 +143,24 @@
 GArray *fc_worker_commands_for_answer(fc_worker_commands *commands, fc_machine *machine, uint64_t sequence) {
   return list_commands(commands, machine, &(command_route){.sequence = sequence});
 }
+
+/* Returns whether the next answer to the worker has to revoke the direct copy of the start: its outcome is unknown, or
+ * it is still in flight although the task must not run. */
+static bool revokes_start(const fc_cluster *cluster, const fc_placement *placement) {
+  if (placement->start.direct == FC_DIRECT_START_IN_FLIGHT) return fc_worker_commands_task_unwanted(cluster, placement);
+  return placement->start.direct == FC_DIRECT_START_UNACKNOWLEDGED;
+}
+
+uint64_t fc_worker_commands_answer_token(const fc_worker_commands *commands, const fc_machine *machine,
+                                         uint64_t shown) {
+  const fc_cluster *cluster = commands->cluster;
+  uint64_t term = cluster->membership.term.number;
+  uint64_t token = MAX(fc_machine_fencing_token(cluster, machine), fc_fencing_token_accepted(shown, term));
+  if (!fc_cluster_raises_tokens(cluster)) return token;
+  for (guint i = 0; i < machine->placements->len; i++) {
+    const fc_placement *placement = machine->placements->pdata[i];
+    if (placement->start.direct_token >= token && revokes_start(cluster, placement))
+      return fc_fencing_token_raise(token, term);
+  }
+  return token;
+}
--- a/src/controller/worker_commands.h
+++ b/src/controller/worker_commands.h
@@ -21,6 +21,12 @@
 /* The same for the response to the heartbeat with this sequence number. */
 GArray *fc_worker_commands_for_answer(fc_worker_commands *commands, fc_machine *machine, uint64_t sequence);
 
+/* Returns the fencing token for the answer to a heartbeat of a machine of this shard that shows the token `shown`.
+ * While a direct start may still be executed, it is above the token of that start. So the answer either makes the
+ * worker refuse the start or, if it is lost, doesn't renew the worker's lease, after whose end the epoch doesn't match.
+ */
+uint64_t fc_worker_commands_answer_token(const fc_worker_commands *commands, const fc_machine *machine, uint64_t shown);
+
 /* Whether the task must not run any more: it is done, or its job has ended. */
 bool fc_worker_commands_task_unwanted(const fc_cluster *cluster, const fc_placement *placement);
 /* Marks the task, whose job has to be in the cluster state, to be stopped with enough time for a checkpoint. The stop
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -11,6 +11,7 @@
 /* Fields of the records. */
 #define FIELD_FORMAT "f"
 #define FIELD_JOB_FORMAT "jobFormat"
+#define FIELD_RAISED_TOKENS "raisedTokens"
 
 #define FIELD_TERM "term"
 #define FIELD_SEED "seed"
@@ -45,7 +46,8 @@
 /* ---- members and terms ---- */
 
 json_t *fc_member_key_encode(void) {
-  return json_pack("{si si}", FIELD_FORMAT, RECORD_FORMAT, FIELD_JOB_FORMAT, FC_JOB_FORMAT_AWAITING);
+  return json_pack("{si si sb}", FIELD_FORMAT, RECORD_FORMAT, FIELD_JOB_FORMAT, FC_JOB_FORMAT_AWAITING,
+                   FIELD_RAISED_TOKENS, 1);
 }
 
 unsigned fc_member_key_format(const json_t *value) {
@@ -54,6 +56,10 @@
   return (unsigned)fc_read_count_or(&reader, FIELD_JOB_FORMAT, 1, UINT32_MAX, FC_JOB_FORMAT_PLAIN);
 }
 
+bool fc_member_key_raised_tokens(const json_t *value) {
+  return json_is_true(json_object_get(value, FIELD_RAISED_TOKENS));
+}
+
 static json_t *encode_member(const fc_member *member) {
   return json_pack("{ss sI}", FIELD_NAME, member->name, FIELD_INCARNATION, (json_int_t)member->incarnation);
 }
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -37,7 +37,7 @@
 
 /* A configuration of the members, from which all assignments to members are derived. */
 typedef struct fc_term {
-  uint64_t number;                   /* also the fencing token of commands to workers */
+  uint64_t number;                   /* also the lowest of its fencing tokens (coordination/fencing_token.h) */
   uint64_t seed;                     /* of the assignment */
   uint64_t names_since;              /* the term since which the members' names are unchanged */
   fc_member members[FC_MEMBERS_MAX]; /* sorted by name */
@@ -48,10 +48,13 @@
 json_t *fc_marker_encode(void);
 
 /* Encodes the value of a member's own key, which exists as long as its lease. It has the newest format
- * of job records that the process reads; versions without support for dependencies give none. */
+ * of job records that the process reads, and that it accepts raised fencing tokens; earlier versions
+ * give neither. */
 json_t *fc_member_key_encode(void);
 /* The newest format that the member reads; FC_JOB_FORMAT_PLAIN when it gives none or is malformed. */
 unsigned fc_member_key_format(const json_t *value);
+/* Whether the member accepts heartbeats with raised fencing tokens (coordination/fencing_token.h). */
+bool fc_member_key_raised_tokens(const json_t *value);
 
 json_t *fc_term_encode(const fc_term *term);
 bool fc_term_decode(const json_t *value, fc_term *out);
--- a/tests/sim/kv_commits.c
+++ b/tests/sim/kv_commits.c
@@ -1,11 +1,34 @@
 /* Compare-and-swap transactions of the simulated key-value store. */
 #include "kv.h"
 
-/* The former version does not record which job format it reads. */
-static void remove_job_formats(const json_t *changes) {
+/* The former version does not record which job format it reads, nor that it accepts raised fencing tokens. */
+static void remove_announcements(const json_t *changes) {
   json_t *item;
   size_t i;
-  json_array_foreach(changes, i, item) json_object_del(json_object_get(item, "v"), "jobFormat");
+  json_array_foreach(changes, i, item) {
+    json_object_del(json_object_get(item, "v"), "jobFormat");
+    json_object_del(json_object_get(item, "v"), "raisedTokens");
+  }
+}
+
+/* The former version numbers a term one above the stored one. Returns false for a term that it would not
+ * write: one with the same members and incarnations as the stored one. */
+static bool renumber_terms(const json_t *changes) {
+  json_t *item;
+  size_t i;
+  json_array_foreach(changes, i, item) {
+    const char *key = json_string_value(json_object_get(item, "set"));
+    if (!key || strcmp(key, FC_KEY_TERM) != 0) continue;
+    json_t *written = json_object_get(item, "v");
+    const kv_entry *stored = kv_lookup(key);
+    if (stored && json_equal(json_object_get(stored->value, "members"), json_object_get(written, "members")))
+      return false;
+    json_int_t number = stored ? json_integer_value(json_object_get(stored->value, "term")) + 1 : 1;
+    bool names_changed = json_equal(json_object_get(written, "since"), json_object_get(written, "term"));
+    json_object_set_new(written, "term", json_integer(number));
+    if (names_changed) json_object_set_new(written, "since", json_integer(number));
+  }
+  return true;
 }
 
 /* The keys whose conditions do not hold. The caller owns the result. */
@@ -83,7 +106,12 @@
   const json_t *changes = json_object_get(body, "then");
   const json_t *conditions = json_object_get(body, "when");
   if (sender_is_former) {
-    remove_job_formats(changes);
+    remove_announcements(changes);
+    if (!renumber_terms(changes)) {
+      kv_answer(request->exchange, 409, json_pack("{s[s] sI}", "failed", FC_KEY_TERM, "round", kv_revision()));
+      json_decref(body);
+      return;
+    }
   } else {
     kv_check_announced_limits(request, conditions, changes);
   }
--- a/tests/sim/machines.c
+++ b/tests/sim/machines.c
@@ -2,6 +2,8 @@
  * creation. */
 #include "workers.h"
 
+#include "coordination/fencing_token.h"
+
 static sim_worker *machine_at(unsigned number) {
   return g_worker_list->pdata[number];
 }
@@ -73,6 +75,12 @@
   return count;
 }
 
+unsigned world_raised_tokens(void) {
+  unsigned count = 0;
+  for (guint i = 0; i < g_worker_list->len; i++) count += !fc_term_reserves_tokens(machine_at(i)->fencing_token);
+  return count;
+}
+
 static unsigned count_tasks(task_state state) {
   unsigned count = 0;
   for (guint i = 0; i < g_worker_list->len; i++) {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -206,10 +206,12 @@
 
 unsigned world_machine_count(void);                             /* created so far */
 unsigned world_terminated_machines(unsigned from, unsigned to); /* how many of them are terminated */
-unsigned world_node_of(unsigned machine);                       /* the controller that it sends heartbeats to */
-unsigned world_running_tasks(void);                             /* the number of running tasks */
-unsigned world_fetching_tasks(void);                            /* the number of tasks that fetch their image */
-unsigned world_exited_tasks(const char *cause);                 /* the number of tasks that exited with that cause */
+/* How many workers have seen a raised fencing token, while no term is of the former version. */
+unsigned world_raised_tokens(void);
+unsigned world_node_of(unsigned machine);       /* the controller that it sends heartbeats to */
+unsigned world_running_tasks(void);             /* the number of running tasks */
+unsigned world_fetching_tasks(void);            /* the number of tasks that fetch their image */
+unsigned world_exited_tasks(const char *cause); /* the number of tasks that exited with that cause */
 
 /* ---- checks ---- */
 
--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -161,6 +161,77 @@
   }
 }
 
+/* A controller is cut off from the workers while start commands are on their way to them; other controllers renew
+ * the workers' leases, and the cloud returns no machine. */
+typedef struct held_start_row {
+  const char *name;
+  double link_s;                /* duration of the cut */
+  double cancel_s;              /* when the jobs are cancelled, after the cut began */
+  double cloud_from_s, cloud_s; /* when the cloud's outage begins, after the cut; its duration */
+  bool kv_down;                 /* from the cancellation to the end of the cut, for all controllers */
+  bool peers_cut;               /* the controller is cut off from its peers as well */
+  bool crash;                   /* it is killed at the cancellation */
+  bool paused;                  /* it is suspended for a while from the cancellation on */
+} held_start_row;
+
+static const held_start_row k_held_starts[] = {
+    {"an outage of the cloud about the deadline", 38, 2, 24, 20, false, false, false, false},
+    {"an outage of the cloud from before the cut on", 38, 2, 0, 60, false, false, false, false},
+    {"an outage of the cloud for minutes", 70, 2, 0, 150, false, false, false, false},
+    {"cancelled late", 60, 20, 15, 60, false, false, false, false},
+    {"cut off from its peers as well", 38, 2, 0, 60, false, true, false, false},
+    {"the key-value store is down as well", 38, 2, 0, 60, true, false, false, false},
+    {"the controller is killed", 38, 2, 0, 60, false, false, true, false},
+    {"the controller is suspended", 38, 2, 0, 60, false, false, false, true},
+};
+
+enum { HELD_JOBS = 6, HELD_SEEDS = 3, PAUSED_S = 12 };
+#define START_IN_FLIGHT_S 0.1 /* from a submission to the transit of its start commands */
+
+static void run_held_starts(const held_start_row *row, uint32_t seed, unsigned node) {
+  start_services(seed, 6);
+  if (row->cloud_from_s <= 0) world_cloud_down(true);
+  for (unsigned k = 6; k < 6 + HELD_JOBS; k++) world_submit(world_id(k), "sweep", "standard", 2, 1, 1e6, 0);
+  sim_run_until(sim_now() + START_IN_FLIGHT_S);
+  world_cut_node_workers(node, row->link_s, SIM_HELD);
+  if (row->peers_cut) world_cut_node_peers(node, row->link_s);
+  double began = sim_now();
+  sim_run_until(began + row->cancel_s);
+  for (unsigned k = 6; k < 6 + HELD_JOBS; k++) world_cancel(world_id(k), (int)(node + 1) % WORLD_NODES, 0);
+  sim_run_until(began + row->cancel_s + 0.5);
+  if (row->kv_down) world_kv_down(row->link_s);
+  if (row->crash) world_crash(node, 4);
+  if (row->paused) world_pause_node(node, PAUSED_S);
+  sim_run_until(began + row->cloud_from_s);
+  world_cloud_down(true);
+  sim_run_until(began + row->cloud_from_s + row->cloud_s);
+  world_cloud_down(false);
+  sim_run_until(began + row->link_s + row->cloud_s + 60);
+}
+
+/* Failure guarded against: a start that was held up in an interrupted link was executed after the
+ * cancellation deadline, as only the machine's return to the cloud ruled it out (review case 1). */
+static void starts_held_up_during_a_cloud_outage(void **state) {
+  (void)state;
+  unsigned broken = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_held_starts); i++) {
+    const held_start_row *row = &k_held_starts[i];
+    for (uint32_t seed = 0; seed < HELD_SEEDS; seed++) {
+      unsigned node = seed % WORLD_NODES;
+      run_held_starts(row, 700 + 10 * (uint32_t)i + seed, node);
+      world_result r = world_current_result();
+      print_message("%s, controller %u: %u cancelled, %u started after that, %u ended by a lease, %u returned\n",
+                    row->name, node, r.cancelled, r.late_starts, r.lease_kills,
+                    world_terminated_machines(0, world_machine_count()));
+      if (r.broken) print_message("%s, controller %u: %s\n", row->name, node, r.first);
+      broken += r.broken > 0;
+      check_row(row->name, r.cancelled == HELD_JOBS);
+      check_row(row->name, world_running_tasks() == 12); /* the services run, and nothing else */
+    }
+  }
+  if (broken > 0) fail_msg("%u of %zu plays broke a rule", broken, G_N_ELEMENTS(k_held_starts) * HELD_SEEDS);
+}
+
 typedef struct unreachable_row {
   const char *name;
   enum { HUNG, OUTBOUND_CUT, INBOUND_CUT } fault;
@@ -276,6 +347,7 @@
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(cancellation_before_a_kv_store_outage), cmocka_unit_test(commands_delayed_past_a_cancellation),
-      cmocka_unit_test(cancellation_on_unreachable_machines), cmocka_unit_test(polling_a_partitioned_controller)};
+      cmocka_unit_test(starts_held_up_during_a_cloud_outage), cmocka_unit_test(cancellation_on_unreachable_machines),
+      cmocka_unit_test(polling_a_partitioned_controller)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -167,6 +167,33 @@
   }
 }
 
+/* Failure guarded against: the old version counts terms by one, and workers that had seen a raised fencing token
+ * refused every controller from its first term on, until their leases had expired. */
+static void rollback_after_raised_tokens(void **state) {
+  (void)state;
+  static const bool all_new[WORLD_NODES] = {true, true, true};
+  for (unsigned node = 0; node < WORLD_NODES; node++) {
+    start_mixed_fleet(70 + node, all_new);
+    for (unsigned k = 1; k <= 6; k++) world_submit(world_id(k), "service", "prod", 2, 1, 1e6, 0);
+    sim_run_until(sim_now() + 15);
+    assert_int_equal(world_running_tasks(), 12);
+    /* The other controllers renew the workers' leases, and know of a cancellation. */
+    world_cancel(world_id(6), -1, 0);
+    world_cut_node_workers((node + 1) % WORLD_NODES, 10, SIM_HELD);
+    sim_run_until(sim_now() + 12);
+    unsigned raised = world_raised_tokens();
+    unsigned terms = world_terms_written(), lease_kills = world_current_result().lease_kills;
+    world_downgrade(node, 0.5);
+    sim_run_until(sim_now() + 40);
+    print_message("controller %u rolled back: %u workers with raised tokens, %u terms written, %u ended by a lease\n",
+                  node, raised, world_terms_written() - terms, world_current_result().lease_kills - lease_kills);
+    if (world_current_result().broken) fail_msg("controller %u rolled back: %s", node, world_current_result().first);
+    assert_true(raised > 0);
+    assert_int_equal(world_current_result().lease_kills, lease_kills);
+    assert_int_equal(world_running_tasks(), 10);
+  }
+}
+
 /* Transactions of old controllers are applied minutes after the last of these controllers has ended. */
 static void delayed_transactions_of_the_old_version(void **state) {
   (void)state;
@@ -261,6 +288,7 @@
       cmocka_unit_test(mixed_versions_serve),
       cmocka_unit_test(dependencies_beside_the_old_version),
       cmocka_unit_test(rollback_of_one_controller),
+      cmocka_unit_test(rollback_after_raised_tokens),
       cmocka_unit_test(delayed_transactions_of_the_old_version),
       cmocka_unit_test(records_larger_than_the_new_limits),
   };
--- a/tests/test_worker_commands.c
+++ b/tests/test_worker_commands.c
@@ -136,12 +136,134 @@
   }
 }
 
+enum { TERM = 8192, RAISED = 10240, LAST_TOKEN = 12287 }; /* coordination/fencing_token.h */
+
+/* The fixture in a term that reserves raised fencing tokens. */
+static worker_fixture *fixture_with_raised_tokens(bool earlier_member) {
+  worker_fixture *fixture = worker_fixture_new();
+  fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
+  fc_cluster_apply_term(fixture->cluster, &term, 10, true, 0);
+  fc_leadership_term_applied(fixture->leadership, 0, false);
+  fc_member_key *key = g_new0(fc_member_key, 1);
+  key->raised_tokens = !earlier_member;
+  g_hash_table_replace(fixture->cluster->membership.keys, g_strdup("paddock-1"), key);
+  return fixture;
+}
+
+static uint64_t answered_token(const GString *out) {
+  uint64_t token = 0;
+  assert_int_equal(sscanf(out->str, "{\"captaincy\":%" G_GUINT64_FORMAT, &token), 1);
+  return token;
+}
+
+/* Failure guarded against: an answer renewed the lease of a worker, and with it the validity of a direct start that was
+ * still in flight (review case 1). */
+static void answers_revoke_direct_starts(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    fc_direct_start direct;
+    uint64_t shown, started_with;
+    bool cancelled, earlier_member;
+    uint64_t answered;
+  } rows[] = {
+      {"no direct start", FC_DIRECT_START_NONE, TERM, 0, false, false, TERM},
+      {"in flight", FC_DIRECT_START_IN_FLIGHT, TERM, TERM, false, false, TERM},
+      {"in flight, the job is cancelled", FC_DIRECT_START_IN_FLIGHT, TERM, TERM, true, false, RAISED},
+      {"unacknowledged", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, false, false, RAISED},
+      {"unacknowledged, the job is cancelled", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, true, false, RAISED},
+      {"unacknowledged, with a raised token", FC_DIRECT_START_UNACKNOWLEDGED, RAISED, RAISED, true, false, RAISED + 1},
+      {"unacknowledged, before the worker showed the raised token", FC_DIRECT_START_UNACKNOWLEDGED, RAISED, TERM, true,
+       false, RAISED},
+      {"unacknowledged, sent in an earlier term", FC_DIRECT_START_UNACKNOWLEDGED, 4096, 4096, true, false, TERM},
+      {"unacknowledged, beside an earlier version", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, true, true, TERM},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_fixture *fixture = fixture_with_raised_tokens(rows[i].earlier_member);
+    fc_cluster *cluster = fixture->cluster;
+    fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
+    fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *placement = fc_cluster_add_placement(cluster, machine, "job-000001", 0, 1, fc_now());
+    placement->start = (fc_placement_start){
+        .sent = true, .direct = rows[i].direct, .direct_token = rows[i].started_with, .direct_epoch = 1};
+    if (rows[i].cancelled) job->phase = FC_PHASE_CANCELLED;
+    GString *out = g_string_new(NULL);
+    check_row(rows[i].name, send_heartbeat(fixture, 1, 1, (unsigned)rows[i].shown, "", out) == 200);
+    check_row(rows[i].name, answered_token(out) == rows[i].answered);
+    g_string_free(out, TRUE);
+    worker_fixture_free(fixture);
+  }
+}
+
+/* The same by a member that doesn't own the machine and knows nothing of its owner's starts: it raises the token as
+ * long as a job may have been cancelled whose start is in flight. */
+static void answers_for_the_owner_revoke_its_starts(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint64_t shown;
+    bool deadline_over; /* of the last cancellation that was learned of */
+    bool earlier_member;
+    uint64_t answered; /* 0: the heartbeat is refused */
+  } rows[] = {
+      {"no token of the term shown yet", 4096, false, false, RAISED},
+      {"a cancellation just now", TERM, false, false, RAISED},
+      {"raised before", RAISED + 7, false, false, RAISED + 8},
+      {"no higher one left", LAST_TOKEN, false, false, LAST_TOKEN},
+      {"a cancellation whose deadline is over", TERM, true, false, TERM},
+      {"raised before, no cancellation since", RAISED + 7, true, false, RAISED + 7},
+      {"beside an earlier version", TERM, false, true, TERM},
+      {"a newer term", LAST_TOKEN + 1, false, false, 0},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_fixture *fixture = fixture_with_raised_tokens(rows[i].earlier_member);
+    fc_machine *machine = fixture_machine(fixture->cluster, "vm-1", "a", false);
+    machine->owner = 1;
+    fc_peers_at(fixture->peers, 0)->heard_at = -1e9;
+    if (rows[i].deadline_over) fixture->settings.cancel_s = 0;
+    GString *out = g_string_new(NULL);
+    int status = send_heartbeat(fixture, 1, 1, (unsigned)rows[i].shown, "", out);
+    check_row(rows[i].name, status == (rows[i].answered ? 200 : 503));
+    if (rows[i].answered) check_row(rows[i].name, answered_token(out) == rows[i].answered);
+    g_string_free(out, TRUE);
+    worker_fixture_free(fixture);
+  }
+}
+
+/* No start is sent directly with the last token of a term, which no answer could revoke. */
+static void direct_starts_can_be_revoked(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint64_t shown;
+    bool earlier_member, sent;
+    uint64_t token;
+  } rows[] = {
+      {"none shown yet", 0, false, true, TERM},
+      {"a raised token", RAISED, false, true, RAISED},
+      {"the last token", LAST_TOKEN, false, false, 0},
+      {"the last token, beside an earlier version", LAST_TOKEN, true, true, LAST_TOKEN},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_fixture *fixture = fixture_with_raised_tokens(rows[i].earlier_member);
+    fc_machine *machine = fixture_machine(fixture->cluster, "vm-1", "a", false);
+    machine->worker.fencing_token = rows[i].shown;
+    fixture_job(fixture->cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *placement = fc_cluster_add_placement(fixture->cluster, machine, "job-000001", 0, 1, 0);
+    GArray *commands = fc_worker_commands_for_call(fixture->commands, machine);
+    check_row(rows[i].name, (commands->len == 1) == rows[i].sent);
+    check_row(rows[i].name, placement->start.direct_token == rows[i].token);
+    g_array_free(commands, TRUE);
+    worker_fixture_free(fixture);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(start_is_repeated_until_listed),
-      cmocka_unit_test(starts_of_cancelled_jobs),
-      cmocka_unit_test(exited_tasks_are_forgotten),
-      cmocka_unit_test(calls_name_a_shown_epoch),
+      cmocka_unit_test(start_is_repeated_until_listed), cmocka_unit_test(starts_of_cancelled_jobs),
+      cmocka_unit_test(exited_tasks_are_forgotten),     cmocka_unit_test(calls_name_a_shown_epoch),
+      cmocka_unit_test(answers_revoke_direct_starts),   cmocka_unit_test(answers_for_the_owner_revoke_its_starts),
+      cmocka_unit_test(direct_starts_can_be_revoked),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/worker_fixture.h
+++ b/tests/worker_fixture.h
@@ -16,6 +16,7 @@
   fc_metrics *metrics;
   fc_wakeups *wakeups;
   fc_leadership *leadership;
+  fc_cancellations *cancellations;
   fc_peers *peers;
   fc_task_completion *completion;
   fc_reconciler *reconciler;
@@ -41,8 +42,15 @@
       fc_machine_registration_new(fixture->cluster, fixture->leadership, NULL, NULL, fixture->wakeups);
   fixture->leases =
       fc_worker_leases_new(fixture->cluster, fixture->leadership, fixture->peers, fixture->wakeups, fixture->metrics);
-  fixture->heartbeats = fc_heartbeats_new(fixture->cluster, fixture->leadership, fixture->peers, fixture->registration,
-                                          fixture->reconciler, fixture->commands, fixture->calls, fixture->metrics);
+  fixture->heartbeats = fc_heartbeats_new(&(fc_heartbeats_deps){.cluster = fixture->cluster,
+                                                                .leadership = fixture->leadership,
+                                                                .cancellations = fixture->cancellations,
+                                                                .peers = fixture->peers,
+                                                                .registration = fixture->registration,
+                                                                .reconciler = fixture->reconciler,
+                                                                .commands = fixture->commands,
+                                                                .calls = fixture->calls,
+                                                                .metrics = fixture->metrics});
 }
 
 /* A controller that holds leadership as paddock-0 in term 5, beside paddock-1. Freed with
@@ -56,6 +64,7 @@
   fixture->metrics = fc_metrics_new();
   fixture->wakeups = fc_wakeups_new();
   fixture->leadership = fc_leadership_new(fixture->cluster);
+  fixture->cancellations = fc_cancellations_new(fixture->cluster, fixture->wakeups);
   fixture->peers = fc_peers_new(fixture->cluster);
   worker_fixture_build(fixture);
   fc_term term = {.number = 5, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
@@ -80,6 +89,7 @@
   fc_reconciler_free(fixture->reconciler);
   fc_task_completion_free(fixture->completion);
   fc_peers_free(fixture->peers);
+  fc_cancellations_free(fixture->cancellations);
   fc_leadership_free(fixture->leadership);
   fc_wakeups_free(fixture->wakeups);
   fc_metrics_free(fixture->metrics);
