Move heartbeats of other members' machines to lease_renewals, responses to a module

The second is a module of its own now, what both write is heartbeat_response, and the evidence that responses arrive moves to machine_reachability, whose state it is.

--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -105,10 +105,11 @@
   controller->worker_calls = fc_worker_calls_new(cluster, leadership, commands, reconciler, metrics);
   controller->probes = fc_machine_probes_new(cluster, leadership, controller->worker_calls);
   controller->worker_leases = fc_worker_leases_new(cluster, leadership, controller->peers, wakeups, metrics);
+  fc_lease_renewals *renewals =
+      fc_lease_renewals_new(cluster, leadership, controller->cancellations, controller->peers);
   controller->heartbeats = fc_heartbeats_new(&(fc_heartbeats_deps){.cluster = cluster,
                                                                    .leadership = leadership,
-                                                                   .cancellations = controller->cancellations,
-                                                                   .peers = controller->peers,
+                                                                   .renewals = renewals,
                                                                    .registration = registration,
                                                                    .reconciler = reconciler,
                                                                    .commands = commands,
--- a/src/controller/heartbeats.h
+++ b/src/controller/heartbeats.h
@@ -8,11 +8,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "controller/cancellations.h"
 #include "controller/leadership.h"
+#include "controller/lease_renewals.h"
 #include "controller/machine_registration.h"
 #include "controller/metrics.h"
-#include "controller/peers.h"
 #include "controller/reconciler.h"
 #include "controller/worker_calls.h"
 #include "controller/worker_commands.h"
@@ -23,8 +22,7 @@
 typedef struct fc_heartbeats_deps {
   fc_cluster *cluster;
   const fc_leadership *leadership;
-  const fc_cancellations *cancellations;
-  fc_peers *peers;
+  const fc_lease_renewals *renewals;
   fc_machine_registration *registration;
   fc_reconciler *reconciler;
   fc_worker_commands *commands;
--- a/src/controller/machine_reachability.c
+++ b/src/controller/machine_reachability.c
@@ -5,6 +5,8 @@
 
 /* For how long peers repeat which leases they renewed. */
 #define RENEWALS_KNOWN_LEASES 2
+/* An older response says nothing about the connection now. */
+#define RESPONSE_RECENT_HEARTBEATS 2.0
 
 static double age_s(uint32_t age_ms) {
   return age_ms / FC_MS_PER_S;
@@ -37,6 +39,24 @@
   }
 }
 
+/* A worker that gets no response within FC_WORKER_REQUEST_TIMEOUT_S tries the next member, and sends no request on a
+ * connection before it has read the last response there. So a worker that returns sooner than that, or on the same
+ * connection, has received it. The arrival of heartbeats alone proves nothing, as the connection may be unidirectional.
+ * The time alone is not enough either: where the heartbeat interval exceeds the timeout, every machine was probed
+ * between any two heartbeats. */
+void fc_reachability_update_unidirectional(const fc_cluster *cluster, fc_machine *machine, uint64_t connection) {
+  const fc_machine_lease *lease = &machine->lease;
+  double now = fc_now(), since_response_s = now - lease->answered_at;
+  bool soon = since_response_s < FC_WORKER_REQUEST_TIMEOUT_S;
+  bool same_connection = connection && connection == lease->connection;
+  double max_s = cluster->settings->heartbeat_s * RESPONSE_RECENT_HEARTBEATS;
+  if (lease->answered_at && (soon || same_connection) && since_response_s < max_s) {
+    machine->reachability.unidirectional_since = 0;
+  } else if (!machine->reachability.unidirectional_since) {
+    machine->reachability.unidirectional_since = now;
+  }
+}
+
 void fc_reachability_note_probe(fc_cluster *cluster, size_t peer, const fc_frame_probe *probe, double sent_at,
                                 double now) {
   fc_machine *machine = fc_cluster_find_machine(cluster, probe->machine);
--- a/src/controller/machine_reachability.h
+++ b/src/controller/machine_reachability.h
@@ -12,6 +12,9 @@
 
 /* Records that another member has renewed the lease of a machine's worker. `now`: monotonic time. */
 void fc_reachability_note_renewal(fc_cluster *cluster, const fc_frame_lease_renewal *renewal, double now);
+/* Updates `unidirectional_since` of the machine by whether a heartbeat that came on this connection shows that its
+ * worker has received this member's last response. */
+void fc_reachability_update_unidirectional(const fc_cluster *cluster, fc_machine *machine, uint64_t connection);
 /* Records that a peer (by its index in the settings) has probed a machine directly. `sent_at`: monotonic time at which
  * the view was sent whose acknowledgement reports the probe. */
 void fc_reachability_note_probe(fc_cluster *cluster, size_t peer, const fc_frame_probe *probe, double sent_at,
--- a/tests/worker_fixture.h
+++ b/tests/worker_fixture.h
@@ -25,6 +25,7 @@
   fc_machine_probes *probes;
   fc_machine_registration *registration;
   fc_worker_leases *leases;
+  fc_lease_renewals *renewals;
   fc_heartbeats *heartbeats;
   uint64_t connection; /* number of the connection that heartbeats come on */
 } worker_fixture;
@@ -42,10 +43,11 @@
       fc_machine_registration_new(fixture->cluster, fixture->leadership, NULL, NULL, fixture->wakeups);
   fixture->leases =
       fc_worker_leases_new(fixture->cluster, fixture->leadership, fixture->peers, fixture->wakeups, fixture->metrics);
+  fixture->renewals =
+      fc_lease_renewals_new(fixture->cluster, fixture->leadership, fixture->cancellations, fixture->peers);
   fixture->heartbeats = fc_heartbeats_new(&(fc_heartbeats_deps){.cluster = fixture->cluster,
                                                                 .leadership = fixture->leadership,
-                                                                .cancellations = fixture->cancellations,
-                                                                .peers = fixture->peers,
+                                                                .renewals = fixture->renewals,
                                                                 .registration = fixture->registration,
                                                                 .reconciler = fixture->reconciler,
                                                                 .commands = fixture->commands,
@@ -81,6 +83,7 @@
 
 static inline void worker_fixture_free(worker_fixture *fixture) {
   fc_heartbeats_free(fixture->heartbeats);
+  fc_lease_renewals_free(fixture->renewals);
   fc_worker_leases_free(fixture->leases);
   fc_machine_registration_free(fixture->registration);
   fc_machine_probes_free(fixture->probes);
