--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -52,12 +52,22 @@
   free(text);
 }
 
+static unsigned wanted_tasks(const sim_worker *worker) {
+  unsigned count = 0;
+  for (guint i = 0; i < worker->tasks->len; i++) {
+    const sim_task *task = worker->tasks->pdata[i];
+    count += task->state != TASK_EXITED && !world_seen_cancelled_at(task->job_id);
+  }
+  return count;
+}
+
 static void serve_release(const sim_request *request) {
   json_t *message = json_loads(request->body, 0, NULL), *id;
   size_t i;
   json_array_foreach(json_object_get(message, "paddocks"), i, id) {
     sim_worker *worker = g_hash_table_lookup(g_workers, json_string_value(id));
     if (worker && !worker->released_at) worker->released_at = sim_now();
+    if (worker && !worker->terminated) g_result.return_kills += wanted_tasks(worker);
     if (worker) worker->terminated = true;
   }
   json_decref(message);
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -21,10 +21,10 @@
   for (uint32_t seed = first; seed < first + count; seed++) {
     world_result r = world_play(seed, BUSY_S, day);
     print_message(
-        "seed %u: %u faults, %u crashes, %u starts, %u lease kills; %u jobs: %u accepted, %u done, %u "
+        "seed %u: %u faults, %u crashes, %u starts, %u lease kills, %u return kills; %u jobs: %u accepted, %u done, %u "
         "cancelled, %u open; %u late starts, %u%% served at least, %u invalid requests\n",
-        seed, r.faults, r.crashes, r.starts, r.lease_kills, r.submitted, r.accepted, r.finished, r.cancelled,
-        r.unfinished, r.late_starts, r.min_served_percent, r.invalid_requests);
+        seed, r.faults, r.crashes, r.starts, r.lease_kills, r.return_kills, r.submitted, r.accepted, r.finished,
+        r.cancelled, r.unfinished, r.late_starts, r.min_served_percent, r.invalid_requests);
     /* Go on with the other seeds, so that one failure doesn't hide others. */
     if (r.broken) print_message("seed %u broke %u rules, first at %s\n", seed, r.broken, r.first);
     broken += r.broken;
