--- a/tests/test_reconciliation_progress.c
+++ b/tests/test_reconciliation_progress.c
@@ -10,17 +10,22 @@
   (void)state;
   static const struct {
     const char *name;
-    uint64_t number;
+    uint64_t previous, number; /* of the terms (coordination/fencing_token.h) */
     bool continuous, owner_recorded, reconciled, resolved;
   } rows[] = {
-      {"a member of both terms", 2, true, true, true, true},
-      {"a new incarnation", 2, false, true, false, false},
-      {"a term in between was missed", 3, true, true, true, false},
-      {"assigned to this member by the term, not by its record", 2, true, false, false, true},
+      {"a member of both terms", 1, 2, true, true, true, true},
+      {"a new incarnation", 1, 2, false, true, false, false},
+      {"a term in between was missed", 1, 3, true, true, true, false},
+      {"assigned to this member by the term, not by its record", 1, 2, true, false, false, true},
+      {"a member of both terms, in steps", 4096, 8192, true, true, true, true},
+      {"a term in between was missed, in steps", 4096, 12288, true, true, true, false},
+      {"a term of an earlier version", 4096, 4097, true, true, true, true},
+      {"the term after that, which may not be the next", 4097, 12288, true, true, true, false},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     fc_settings settings = fixture_settings();
     fc_cluster *cluster = fixture_cluster(&settings);
+    cluster->membership.term.number = rows[i].previous;
     fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
     fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 1, 1, "");
     if (!rows[i].owner_recorded) g_strlcpy(machine->record.owner, "paddock-9", sizeof machine->record.owner);
