--- a/src/bookkeeping/record_writes.c
+++ b/src/bookkeeping/record_writes.c
@@ -4,8 +4,12 @@
 
 #include "bookkeeping/dependencies.h"
 
+static size_t encoded_bytes(const json_t *value) {
+  return json_dumpb(value, NULL, 0, JSON_COMPACT);
+}
+
 static bool fits_in_value(const fc_cluster *cluster, const json_t *value) {
-  return json_dumpb(value, NULL, 0, JSON_COMPACT) <= fc_settings_value_max_bytes(cluster->settings);
+  return encoded_bytes(value) <= fc_settings_value_max_bytes(cluster->settings);
 }
 
 /* The encoded record, a new reference. NULL: it exceeds the value size. */
@@ -34,7 +38,11 @@
 fc_write *fc_job_record_write(const fc_cluster *cluster, const fc_job *job, fc_job_phase phase,
                               const uint8_t *completed, char *const *handed_to, const fc_job_origin *origin) {
   json_t *value = encode_job_record(cluster, job, phase, completed, handed_to, origin);
-  if (!value) return NULL;
+  if (!value) {
+    g_warning("job record too large job=%s phase=%s limit=%zu", job->spec.id, fc_job_phase_name(phase),
+              fc_settings_value_max_bytes(cluster->settings));
+    return NULL;
+  }
   char *key = g_strconcat(FC_PREFIX_JOB, job->spec.id, NULL);
   fc_write *write = fc_write_new();
   fc_write_compare(write, key, job->record.version);
