Split the encoding of sets of tasks from job_record.c; one count of set bits

The module of the job's record held a second job, bitmaps and ranges of tasks, and the count of set bits stood twice in other modules.

--- a/src/bookkeeping/job_records.c
+++ b/src/bookkeeping/job_records.c
@@ -49,8 +49,7 @@
 
 static void apply_completion(fc_job *job, const char *id, const char *ranges) {
   if (!fc_ranges_decode(ranges, job->completion.bitmap, job->spec.tasks)) g_warning("job %s: bad ranges", id);
-  job->completion.count = 0;
-  for (uint32_t i = 0; i < job->spec.tasks; i++) job->completion.count += fc_job_task_done(job, i);
+  job->completion.count = fc_task_bitmap_count(job->completion.bitmap, job->spec.tasks);
 }
 
 static void apply_phase(const fc_cluster *cluster, fc_job *job, const char *id, fc_job_phase phase, uint64_t version,
--- a/src/controller/task_completion.c
+++ b/src/controller/task_completion.c
@@ -50,12 +50,6 @@
   return placement->status.state == FC_TASK_EXITED && placement->status.cause == FC_CAUSE_DONE;
 }
 
-static uint32_t count_bits(const uint8_t *bitmap, uint32_t tasks) {
-  uint32_t count = 0;
-  for (uint32_t i = 0; i < tasks; i++) count += fc_task_bitmap_has(bitmap, i);
-  return count;
-}
-
 /* Fills in the bitmap of the tasks that are done, recorded or not. Returns false if the record has them all. */
 static bool collect_done(const fc_job *job, uint8_t *bitmap) {
   bool unrecorded = false;
@@ -119,7 +113,7 @@
           *fitting = g_malloc0(fc_task_bitmap_bytes(job->spec.tasks));
   fc_write *write = NULL;
   if (collect_done(job, ended)) {
-    *count = count_bits(ended, job->spec.tasks);
+    *count = fc_task_bitmap_count(ended, job->spec.tasks);
     fc_job_phase phase = *count == job->spec.tasks ? FC_PHASE_DONE : FC_PHASE_ACCEPTED;
     write = record_write(cluster, job, phase, ended);
     if (!write && phase == FC_PHASE_ACCEPTED && fc_job_record_fit_completions(cluster, job, ended, fitting))
--- a/src/protocol/job_record.h
+++ b/src/protocol/job_record.h
@@ -5,6 +5,7 @@
 
 #include "protocol/job.h"
 #include "protocol/job_description.h"
+#include "protocol/task_ranges.h"
 
 /* Formats of a record. Records of accepted jobs with unfinished dependencies, and records that refer to
  * a description in parts, have the second: versions without support for dependencies reject it, and so
@@ -50,21 +51,4 @@
 bool fc_job_record_decode(const json_t *value, fc_job_record *out);
 void fc_job_record_clear(fc_job_record *record);
 
-/* A bitmap with one bit for each task. */
-static inline size_t fc_task_bitmap_bytes(uint32_t tasks) {
-  return (tasks + 7) / 8;
-}
-static inline bool fc_task_bitmap_has(const uint8_t *bitmap, uint32_t index) {
-  return bitmap[index / 8] >> (index % 8) & 1;
-}
-static inline void fc_task_bitmap_set(uint8_t *bitmap, uint32_t index) {
-  bitmap[index / 8] |= (uint8_t)(1u << (index % 8));
-}
-
-/* Encodes the numbers of the set bits among the first `tasks` as ranges; the caller frees the text. */
-char *fc_ranges_encode(const uint8_t *bitmap, uint32_t tasks);
-/* Sets the bits of the ranges in the text. False for a malformed text or a number that is not below
- * `tasks`; some bits may then be set already. */
-bool fc_ranges_decode(const char *text, uint8_t *bitmap, uint32_t tasks);
-
 #endif
