--- a/src/protocol/job_description.c
+++ b/src/protocol/job_description.c
@@ -55,6 +55,14 @@
   return end;
 }
 
+/* Digest of the text and of the size of its parts: a retry under another limit must not mix its parts with
+ * those that are stored already. */
+static void set_digest(fc_description_ref *ref, const char *text, size_t value_bytes) {
+  g_autofree char *digested = g_strdup_printf("%zu %s", value_bytes, text);
+  g_autofree char *digest = g_compute_checksum_for_string(DIGEST_TYPE, digested, -1);
+  g_strlcpy(ref->digest, digest, sizeof ref->digest);
+}
+
 GPtrArray *fc_job_description_split(const char *text, size_t value_bytes, fc_description_ref *ref) {
   GPtrArray *parts = g_ptr_array_new_with_free_func(g_free);
   for (const char *start = text; *start;) {
@@ -63,8 +71,7 @@
     start = end;
   }
   ref->count = parts->len;
-  g_autofree char *digest = g_compute_checksum_for_string(DIGEST_TYPE, text, -1);
-  g_strlcpy(ref->digest, digest, sizeof ref->digest);
+  set_digest(ref, text, value_bytes);
   return parts;
 }
 
--- a/src/protocol/job_description.h
+++ b/src/protocol/job_description.h
@@ -1,6 +1,6 @@
 /* Splits job descriptions that are too long for one value of the key-value store, mostly because of
  * their dependencies, into parts with their own keys. The job's record refers to the parts by a
- * digest of the text. Nothing here suspends the calling routine. */
+ * digest of the text and of the size of its parts. Nothing here suspends the calling routine. */
 #ifndef FC_PROTOCOL_JOB_DESCRIPTION_H
 #define FC_PROTOCOL_JOB_DESCRIPTION_H
 
