Lower the assumed limit of values when the store refuses one

Callers saw 503 for as long as they asked when the key-value store had lowered its limit below what the settings say, without state.next: the same too large value was sent, and refused with 400, again and again; completions of such a job were repeated about ten times a second.

The limit is part of the cluster state now (value_limit.c). A refusal of a single change with a value above 1 KiB, the least that settings allow, halves it; a larger value that is stored raises it. All that builds values asks for it, and a cancellation is repeated at once with a smaller one.

--- a/src/bookkeeping/cluster.c
+++ b/src/bookkeeping/cluster.c
@@ -33,6 +33,7 @@
   fc_cluster *cluster = g_new0(fc_cluster, 1);
   cluster->settings = settings;
   cluster->sync.read_at = NEVER_READ_S;
+  fc_value_limit_init(&cluster->value_limit, fc_settings_value_max_bytes(settings));
   cluster->jobs = table_by_id(NULL, fc_job_free);
   cluster->machines = table_by_id(NULL, fc_machine_free);
   cluster->machine_types = g_ptr_array_new_with_free_func(fc_machine_type_free);
--- a/src/bookkeeping/cluster.h
+++ b/src/bookkeeping/cluster.h
@@ -14,6 +14,7 @@
 #include "bookkeeping/job_state.h"
 #include "bookkeeping/machine_state.h"
 #include "bookkeeping/resources.h"
+#include "bookkeeping/value_limit.h"
 #include "protocol/cloud_api.h"
 #include "protocol/records.h"
 #include "protocol/settings.h"
@@ -80,6 +81,7 @@
 typedef struct fc_cluster {
   const fc_settings *settings;
   fc_store_sync sync;
+  fc_value_limit value_limit;         /* of the key-value store */
   double clock_offset_s;              /* wall-clock time minus monotonic time */
   GHashTable *jobs;                   /* id -> fc_job */
   GHashTable *machines;               /* id -> fc_machine */
--- a/src/bookkeeping/group_commit.c
+++ b/src/bookkeeping/group_commit.c
@@ -48,7 +48,7 @@
 struct fc_group_commit {
   fc_kv *kv;
   unsigned max_txn_ops;
-  size_t max_value_bytes;
+  fc_value_limit *value_limit;
   double response_timeout_s;
   fc_write_rate rate;
   GQueue queues[FC_WRITE_PRIORITIES]; /* queued_write */
@@ -64,7 +64,7 @@
   /* At the minimum rate, a transaction larger than one second's worth would never be sent. */
   unsigned min_burst = limits->min_writes_per_s < 1 ? 1 : (unsigned)limits->min_writes_per_s;
   commit->max_txn_ops = MIN(limits->txn_ops, min_burst);
-  commit->max_value_bytes = limits->value_bytes;
+  commit->value_limit = limits->value_limit;
   commit->response_timeout_s = limits->response_timeout_s;
   fc_write_rate_init(&commit->rate, limits->writes_per_s, limits->min_writes_per_s, limits->requests_per_s, fc_now());
   commit->in_flight = g_ptr_array_new();
@@ -241,6 +241,18 @@
   return found;
 }
 
+/* Learns about the size of values from a transaction's outcome. Only a request with a single change, in a
+ * transaction of its own, shows that its value was refused. */
+static void update_value_limit(const fc_group_commit *commit, const GPtrArray *batch, fc_kv_result result) {
+  for (guint i = 0; i < batch->len; i++) {
+    const queued_write *queued = batch->pdata[i];
+    size_t value_bytes = fc_write_largest_value_bytes(queued->write);
+    if (result == FC_KV_OK) fc_value_limit_stored(commit->value_limit, value_bytes);
+    if (result == FC_KV_REFUSED && batch->len == 1 && fc_write_change_count(queued->write) == 1)
+      fc_value_limit_refused(commit->value_limit, value_bytes);
+  }
+}
+
 /* Resolves the requests of a transaction with its outcome. Those that were not executed through no
  * fault of their own are queued again in their original order. */
 static void resolve_batch(fc_group_commit *commit, GPtrArray *batch, fc_kv_result result, uint64_t revision,
@@ -273,6 +285,7 @@
   if (result == FC_KV_BUSY || result == FC_KV_DOWN)
     fc_write_rate_pause(&commit->rate, fc_now() + g_random_double_range(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S));
   g_ptr_array_remove_fast(commit->in_flight, sent);
+  update_value_limit(commit, sent->batch, result);
   resolve_batch(commit, sent->batch, result, revision, failed_keys);
   g_ptr_array_free(failed_keys, TRUE);
   transaction_free(sent);
@@ -352,7 +365,7 @@
 fc_kv_result fc_group_commit_write(fc_group_commit *commit, fc_write *write, fc_write_priority priority,
                                    double deadline, uint64_t *revision) {
   size_t value_bytes = fc_write_largest_value_bytes(write);
-  if (value_bytes > commit->max_value_bytes) {
+  if (value_bytes > fc_value_limit_bytes(commit->value_limit)) {
     g_warning("value too large key=%s bytes=%zu", fc_write_changed_key(write, 0), value_bytes);
     fc_write_free(write);
     return FC_KV_REFUSED;
--- a/src/bookkeeping/group_commit.h
+++ b/src/bookkeeping/group_commit.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "bookkeeping/value_limit.h"
 #include "bookkeeping/write_request.h"
 #include "protocol/kv_store.h"
 
@@ -24,15 +25,16 @@
 
 /* The limits of the key-value store; the rates are this member's even share of them. */
 typedef struct fc_group_commit_limits {
-  unsigned txn_ops;          /* changes in one transaction */
-  size_t value_bytes;        /* of one encoded value; a write with a larger one is refused */
-  double writes_per_s;       /* current rate, changes per second */
-  double min_writes_per_s;   /* the store may lower the rate to this without notice */
-  double requests_per_s;     /* transactions per second */
-  double response_timeout_s; /* after this time the outcome of a transaction is unknown */
+  unsigned txn_ops;            /* changes in one transaction */
+  fc_value_limit *value_limit; /* of one encoded value; a write with a larger one is refused. Follows refusals */
+  double writes_per_s;         /* current rate, changes per second */
+  double min_writes_per_s;     /* the store may lower the rate to this without notice */
+  double requests_per_s;       /* transactions per second */
+  double response_timeout_s;   /* after this time the outcome of a transaction is unknown */
 } fc_group_commit_limits;
 
-/* `kv` must outlive the result, which lives as long as the process. `limits` is copied. */
+/* `kv` and the limit of values must outlive the result, which lives as long as the process. `limits` is
+ * copied. */
 fc_group_commit *fc_group_commit_new(fc_kv *kv, const fc_group_commit_limits *limits);
 
 /* Sets this member's share of both rates: the fraction `share` of the total, where `even` is the
@@ -58,7 +60,8 @@
  * NULL). CONFLICT: a condition of this request failed. DOWN: not executed; it could not be sent
  * before the deadline. UNKNOWN: may have been executed; the caller has to read the keys before
  * deciding. REFUSED: not executed, and repeating it would not help; a request with a value above
- * the size limit is not sent at all. */
+ * the size limit is not sent at all. If the refusal may be due to the size of its value, the limit is
+ * lowered, and a request with a smaller value may help. */
 fc_kv_result fc_group_commit_write(fc_group_commit *commit, fc_write *write, fc_write_priority priority,
                                    double deadline, uint64_t *revision);
 
--- a/src/bookkeeping/record_writes.c
+++ b/src/bookkeeping/record_writes.c
@@ -21,7 +21,7 @@
 
 fc_write *fc_job_record_write(const fc_cluster *cluster, const fc_job *job, fc_job_phase phase,
                               const uint8_t *completed, char *const *handed_to, const fc_job_origin *origin) {
-  size_t max_bytes = fc_settings_value_max_bytes(cluster->settings);
+  size_t max_bytes = fc_value_limit_bytes(&cluster->value_limit);
   const fc_job_record record = record_of(job, phase, handed_to, origin);
   json_t *value = fc_job_record_encode_within(&record, completed, max_bytes);
   if (!value) {
@@ -49,7 +49,7 @@
 static size_t completions_room(const fc_cluster *cluster, const fc_job *job) {
   const fc_job_record record = record_of(job, FC_PHASE_ACCEPTED, job->record.handed_to, &job->record.origin);
   size_t reserved = fc_job_record_longest_bytes(cluster, &record);
-  size_t max_bytes = fc_settings_value_max_bytes(cluster->settings);
+  size_t max_bytes = fc_value_limit_bytes(&cluster->value_limit);
   return reserved < max_bytes ? max_bytes - reserved : 0;
 }
 
--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -150,7 +150,7 @@
 
 /* A quarter of the value is reserved for completed tasks and handovers, which are added later. */
 static bool fits_a_value(const fc_admission *admission, const json_t *record) {
-  size_t max_bytes = fc_settings_value_max_bytes(admission->cluster->settings) / 4 * 3;
+  size_t max_bytes = fc_value_limit_bytes(&admission->cluster->value_limit) / 4 * 3;
   return json_dumpb(record, NULL, 0, JSON_COMPACT) <= max_bytes;
 }
 
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -66,11 +66,12 @@
   controller->cancellations = fc_cancellations_new(controller->cluster, controller->wakeups);
 }
 
-static fc_group_commit *build_commit(const fc_settings *settings, fc_kv *kv) {
+static fc_group_commit *build_commit(fc_cluster *cluster, fc_kv *kv) {
+  const fc_settings *settings = cluster->settings;
   double members = (double)(settings->peer_count + 1);
   const fc_group_commit_limits limits = {
       .txn_ops = settings->kv_txn_ops,
-      .value_bytes = fc_settings_value_max_bytes(settings),
+      .value_limit = &cluster->value_limit,
       .writes_per_s = settings->kv_write_rps / members,
       .min_writes_per_s = settings->kv_next_write_rps / members,
       .requests_per_s = settings->kv_rps / members * TRANSACTION_RATE_SHARE,
@@ -87,7 +88,7 @@
   controller->watch = fc_kv_watch_new(controller->cluster, controller->kv, applier, controller->leadership,
                                       controller->wakeups, controller->metrics);
   controller->cloud = fc_cloud_access_new(controller->cluster, controller->leadership);
-  controller->commit = build_commit(controller->settings, controller->kv);
+  controller->commit = build_commit(controller->cluster, controller->kv);
 }
 
 /* ---- modules that serve workers, users and peers ---- */
--- a/src/controller/job_queries.c
+++ b/src/controller/job_queries.c
@@ -38,7 +38,7 @@
 
 typedef enum {
   CANCEL_ANSWERED,
-  CANCEL_CONFLICT, /* the job's record has changed meanwhile */
+  CANCEL_REPEAT, /* the job's record has changed meanwhile, or has to be smaller */
   CANCEL_FAILED,
 } cancel_result;
 
@@ -50,9 +50,11 @@
   fc_write *write = fc_job_record_write(queries->cluster, job, FC_PHASE_CANCELLED, job->completion.bitmap,
                                         job->record.handed_to, &job->record.origin);
   if (!write) goto out;
+  size_t max_bytes = fc_value_limit_bytes(&queries->cluster->value_limit);
   uint64_t revision = 0;
   fc_kv_result result = fc_group_commit_write(queries->commit, write, FC_WRITE_PRIORITY_HEARTBEAT, deadline, &revision);
-  if (result == FC_KV_CONFLICT) outcome = CANCEL_CONFLICT;
+  bool limit_lowered = fc_value_limit_bytes(&queries->cluster->value_limit) < max_bytes;
+  if (result == FC_KV_CONFLICT || (result == FC_KV_REFUSED && limit_lowered)) outcome = CANCEL_REPEAT;
   if (result != FC_KV_OK) goto out;
   /* Takes effect without waiting until the watch reads the record: if the key-value store became unreachable now, more
    * tasks of the job would be started until it is back. */
@@ -92,7 +94,7 @@
   }
   double deadline = fc_now() + queries->cluster->settings->heartbeat_s;
   cancel_result result;
-  while ((result = try_cancel(queries, id, deadline, response)) == CANCEL_CONFLICT) {
+  while ((result = try_cancel(queries, id, deadline, response)) == CANCEL_REPEAT) {
   }
   if (result == CANCEL_FAILED) fc_http_answer_retry(response, 503, "not written; ask again");
 }
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -25,7 +25,6 @@
 #define TEXT_LENGTH_MAX 256u
 #define ENDPOINT_LENGTH_MAX 32u
 #define AMOUNT_MAX 1e9
-#define BYTES_PER_KB 1024
 
 /* Fields that occur in several objects of the file. */
 #define FIELD_HOST_NAME "host_name"
@@ -196,7 +195,7 @@
 static const kv_limit_field k_kv_limit_fields[] = {
     {"rps", offsetof(kv_limits, rps), 0.1, 1e6},
     {"write_rps", offsetof(kv_limits, write_rps), 0.1, 1e6},
-    {"value_kb", offsetof(kv_limits, value_kb), 1, 1024},
+    {"value_kb", offsetof(kv_limits, value_kb), FC_KV_VALUE_KB_MIN, 1024},
     {"txn_ops", offsetof(kv_limits, txn_ops), TXN_OPS_MIN, 1e4},
 };
 
@@ -350,7 +349,7 @@
 }
 
 size_t fc_settings_value_max_bytes(const fc_settings *settings) {
-  return (size_t)(settings->kv_value_kb * BYTES_PER_KB);
+  return (size_t)(settings->kv_value_kb * FC_BYTES_PER_KB);
 }
 
 int fc_settings_team_index(const fc_settings *settings, const char *name) {
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -14,6 +14,10 @@
 #define FC_TEAMS_MAX 64
 #define FC_OBJECTIVES_MAX 64
 
+#define FC_BYTES_PER_KB 1024
+/* The lowest limit that the key-value store may have for the size of a value. */
+#define FC_KV_VALUE_KB_MIN 1
+
 typedef struct fc_peer_settings {
   char *name;
   char *zone;
--- a/tests/test_peer_view.c
+++ b/tests/test_peer_view.c
@@ -19,12 +19,8 @@
   fc_peer_views *views;
 } view_controller;
 
-static const fc_group_commit_limits k_limits = {.txn_ops = 8,
-                                                .value_bytes = 8192,
-                                                .writes_per_s = 10,
-                                                .min_writes_per_s = 10,
-                                                .requests_per_s = 10,
-                                                .response_timeout_s = 1};
+static const fc_group_commit_limits k_limits = {
+    .txn_ops = 8, .writes_per_s = 10, .min_writes_per_s = 10, .requests_per_s = 10, .response_timeout_s = 1};
 
 /* One of two controllers in term 5; its only peer is the other. The caller frees it. */
 static view_controller *controller_new(const char *name, const char *other, uint64_t incarnation) {
@@ -39,7 +35,9 @@
   controller->leadership = fc_leadership_new(controller->cluster);
   controller->peers = fc_peers_new(controller->cluster);
   controller->cancellations = fc_cancellations_new(controller->cluster, controller->wakeups);
-  controller->commit = fc_group_commit_new(NULL, &k_limits);
+  fc_group_commit_limits limits = k_limits;
+  limits.value_limit = &controller->cluster->value_limit;
+  controller->commit = fc_group_commit_new(NULL, &limits);
   controller->views =
       fc_peer_views_new(controller->cluster, controller->leadership, controller->peers, controller->cancellations,
                         controller->commit, controller->wakeups, controller->metrics);
--- a/tests/test_record_limits.c
+++ b/tests/test_record_limits.c
@@ -12,8 +12,9 @@
 typedef struct record_row {
   const char *name;
   enum {
-    ANNOUNCED, /* the controllers know the lower limit from the start */
-    UPGRADED,  /* they know it after an upgrade, when records are larger already */
+    ANNOUNCED,      /* the controllers know the lower limit from the start */
+    UPGRADED,       /* they know it after an upgrade, when records are larger already */
+    WITHOUT_NOTICE, /* no setting tells of it */
   } limit;
   bool crash; /* all controllers crash once the limit is lower */
   bool done;  /* the jobs run to their ends; else they are cancelled */
@@ -26,6 +27,9 @@
     {"known after an upgrade, cancelled", UPGRADED, false, false},
     {"known after an upgrade, all crash, cancelled", UPGRADED, true, false},
     {"known after an upgrade, all crash, done", UPGRADED, true, true},
+    {"without notice, cancelled", WITHOUT_NOTICE, false, false},
+    {"without notice, all crash, cancelled", WITHOUT_NOTICE, true, false},
+    {"without notice, done", WITHOUT_NOTICE, false, true},
 };
 
 /* The records of the four arrays differ in their lengths by one byte each, so that one of them is filled with
@@ -44,7 +48,7 @@
 static void start(const record_row *row, uint32_t seed) {
   const scene_setup setup = {.seed = seed, .keep_idle = true, .images_cached = true, .machines = {16, 6}};
   scene_prepare(&setup);
-  world_kv_announce_limits(LOWER_VALUE_KB, TXN_OPS, 40);
+  if (row->limit != WITHOUT_NOTICE) world_kv_announce_limits(LOWER_VALUE_KB, TXN_OPS, 40);
   if (row->limit == UPGRADED) world_former_version();
   scene_start(&setup);
   submit_arrays(row);
