Store how many tasks of an ended job were done when its record does not list them

A cancelled job whose record was shortened was shown, after a restart of the controller, with fewer tasks done than before, and archived so.

--- a/src/protocol/job_record.c
+++ b/src/protocol/job_record.c
@@ -136,6 +136,7 @@
   json_t *object = encode_description(record);
   json_object_set_new(object, FIELD_PHASE, json_string(k_phases[record->phase]));
   if (record->done && *record->done) json_object_set_new(object, FIELD_DONE, json_string(record->done));
+  if (record->done_count) json_object_set_new(object, FIELD_DONE_COUNT, json_integer(record->done_count));
   json_object_set_new(object, FIELD_SLICES, json_integer(record->slices));
   json_t *handed_to = encode_handed_to(record);
   if (handed_to) json_object_set_new(object, FIELD_HANDED_TO, handed_to);
