--- a/tests/test_job_record.c
+++ b/tests/test_job_record.c
@@ -119,6 +119,30 @@
   g_free(text);
 }
 
+/* Guards against a job that ended with a shortened record and is shown with too few tasks done. */
+static void number_of_finished_tasks(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    uint32_t done_count;
+  } rows[] = {{"listed", 0}, {"counted", 700}};
+  char *text = submission("");
+  fc_job_record record = {.phase = FC_PHASE_CANCELLED, .done = (char *)"0-3,7", .slices = 1};
+  char error[200];
+  assert_true(fc_job_spec_parse(text, strlen(text), &record.spec, error, sizeof error));
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    record.done_count = rows[i].done_count;
+    json_t *encoded = fc_job_record_encode(&record);
+    fc_job_record decoded;
+    check_row(rows[i].name, fc_job_record_decode(encoded, &decoded));
+    check_row(rows[i].name, decoded.done_count == rows[i].done_count);
+    fc_job_record_clear(&decoded);
+    json_decref(encoded);
+  }
+  fc_job_spec_clear(&record.spec);
+  g_free(text);
+}
+
 /* A member whose key has no valid format reads only plain records. */
 static void job_format_of_a_member(void **state) {
   (void)state;
@@ -249,8 +273,8 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(dependencies_of_a_submission),       cmocka_unit_test(format_by_pending_dependencies),
       cmocka_unit_test(malformed_dependencies_are_refused), cmocka_unit_test(job_format_of_a_member),
-      cmocka_unit_test(descriptions_split_into_parts),      cmocka_unit_test(keys_of_description_parts),
-      cmocka_unit_test(records_that_refer_to_parts),
+      cmocka_unit_test(number_of_finished_tasks),           cmocka_unit_test(descriptions_split_into_parts),
+      cmocka_unit_test(keys_of_description_parts),          cmocka_unit_test(records_that_refer_to_parts),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
