Admit a job only with room for its handovers, with fewer slices if there is none for all

An accepted job could not be handed over when its record, of up to three quarters of a value, has no room for the names and terms of a handover of each slice: with 16 slices, or with values of 1 KiB. Cause: admission reserved a quarter of the value, whatever the number of slices.

Admission asks for the room that the longest later form needs, as the writes of completions do, and halves the number of slices, or moves the description to parts, if there is none.

--- a/src/bookkeeping/record_room.c
+++ b/src/bookkeeping/record_room.c
@@ -41,7 +41,8 @@
   return record_bytes(&changed);
 }
 
-size_t fc_job_record_longest_bytes(const fc_cluster *cluster, const fc_job_record *record) {
+/* The largest size that the record may reach without completed tasks. */
+static size_t longest_bytes(const fc_cluster *cluster, const fc_job_record *record) {
   fc_job_record longest = *record;
   longest.done = NULL;
   longest.origin.handed_over = longest.origin.partly_known = (1u << record->slices) - 1;
@@ -53,6 +54,18 @@
   return MAX(bytes_in_phase(&longest, FC_PHASE_ACCEPTED), bytes_in_phase(&longest, FC_PHASE_CANCELLED));
 }
 
+size_t fc_job_record_completions_room(const fc_cluster *cluster, const fc_job_record *record) {
+  size_t reserved = longest_bytes(cluster, record) + DONE_FIELD_BYTES;
+  size_t max_bytes = fc_value_limit_bytes(&cluster->value_limit);
+  return reserved < max_bytes ? max_bytes - reserved : 0;
+}
+
+unsigned fc_job_record_slices_with_room(const fc_cluster *cluster, const fc_job_record *record) {
+  fc_job_record fewer = *record;
+  while (fewer.slices > 0 && fc_job_record_completions_room(cluster, &fewer) == 0) fewer.slices /= 2;
+  return fewer.slices;
+}
+
 /* ---- encoding within a limit ---- */
 
 /* Encodes the record with as many of the completed tasks as fit. NULL: too large without any. */
--- a/src/bookkeeping/record_room.h
+++ b/src/bookkeeping/record_room.h
@@ -7,10 +7,13 @@
 
 #include "bookkeeping/cluster.h"
 
-/* The largest size, in bytes, that the record may reach without further completed tasks: the job is
- * cancelled, or each of its slices is handed over to the member with the longest name. Its `done` is not
- * counted. */
-size_t fc_job_record_longest_bytes(const fc_cluster *cluster, const fc_job_record *record);
+/* Bytes of encoded ranges of completed tasks for which an accepted job's record has room, beside whatever
+ * else may be written to it later: the job is cancelled, or each of its slices is handed over to the member
+ * with the longest name. 0: not even room for that. */
+size_t fc_job_record_completions_room(const fc_cluster *cluster, const fc_job_record *record);
+/* The number of slices of a new job: those of the record, or fewer, if it has no room for the handovers of
+ * so many; 0: not even for one. At least 1 if the description is in parts. */
+unsigned fc_job_record_slices_with_room(const fc_cluster *cluster, const fc_job_record *record);
 
 /* Encodes the record with `completed`, a bitmap of its tasks, in place of its `done`, in at most
  * `max_bytes` bytes; the caller owns the reference. If it is longer, completed tasks are left out, the
--- a/src/bookkeeping/record_writes.c
+++ b/src/bookkeeping/record_writes.c
@@ -45,14 +45,6 @@
     if (fc_task_bitmap_has(ended, i)) fc_task_bitmap_set(completed, i);
 }
 
-/* Bytes of the encoded ranges for which the job's record has room, whatever is written to it later. */
-static size_t completions_room(const fc_cluster *cluster, const fc_job *job) {
-  const fc_job_record record = record_of(job, FC_PHASE_ACCEPTED, job->record.handed_to, &job->record.origin);
-  size_t reserved = fc_job_record_longest_bytes(cluster, &record);
-  size_t max_bytes = fc_value_limit_bytes(&cluster->value_limit);
-  return reserved < max_bytes ? max_bytes - reserved : 0;
-}
-
 static bool ranges_fit(const fc_job *job, const uint8_t *completed, size_t room) {
   char *ranges = fc_ranges_encode(completed, job->spec.tasks);
   bool fit = strlen(ranges) <= room;
@@ -84,7 +76,8 @@
 
 bool fc_job_record_fit_completions(const fc_cluster *cluster, const fc_job *job, const uint8_t *ended,
                                    uint8_t *completed) {
-  size_t room = completions_room(cluster, job);
+  const fc_job_record record = record_of(job, FC_PHASE_ACCEPTED, job->record.handed_to, &job->record.origin);
+  size_t room = fc_job_record_completions_room(cluster, &record);
   merge_completions(job, ended, job->spec.tasks, completed);
   if (!ranges_fit(job, completed, room)) {
     if (ranges_fit(job, job->completion.bitmap, room)) {
--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -1,6 +1,7 @@
 #include "controller/admission.h"
 
 #include "bookkeeping/cluster_machines.h"
+#include "bookkeeping/record_room.h"
 #include "controller/http_answers.h"
 #include "scheduler/slice_assignment.h"
 
@@ -132,15 +133,20 @@
 
 /* ---- storing ---- */
 
-/* Builds the record of a new job with its slices assigned to members; the spec is still missing. */
+/* Builds the record of a new job with its slices assigned to members. It borrows from the submission, and has no slices
+ * if there is no room for later handovers. */
 static fc_job_record new_record(fc_admission *admission, const submission *submitted) {
   const fc_cluster *cluster = admission->cluster;
   const fc_term *term = &cluster->membership.term;
   fc_job_record record = {
+      .spec = *submitted->spec,
+      .parts = submitted->parts,
       .origin = {.term = term->number, .submitted_at = fc_time_of_day()},
       .phase = submitted->phase,
       .awaiting = submitted->open != NULL,
       .slices = fc_job_slice_count(submitted->spec, cluster->settings->operator_settings.split_limit)};
+  record.spec.dependencies = submitted->open;
+  record.slices = fc_job_record_slices_with_room(cluster, &record);
   bool healthy[FC_MEMBERS_MAX];
   for (size_t member = 0; member < term->count; member++)
     healthy[member] = fc_peers_member_healthy(admission->peers, (int)member);
@@ -148,20 +154,19 @@
   return record;
 }
 
-/* A quarter of the value is reserved for completed tasks and handovers, which are added later. */
-static bool fits_a_value(const fc_admission *admission, const json_t *record) {
+/* Whether the description may stand in the record. A quarter of the value is reserved for completed tasks and
+ * handovers, which are added later. */
+static bool fits_a_value(const fc_admission *admission, const fc_job_record *record, const json_t *encoded) {
   size_t max_bytes = fc_value_limit_bytes(&admission->cluster->value_limit) / 4 * 3;
-  return json_dumpb(record, NULL, 0, JSON_COMPACT) <= max_bytes;
+  return record->slices > 0 && json_dumpb(encoded, NULL, 0, JSON_COMPACT) <= max_bytes;
 }
 
 /* Encodes the record; a description that is too long for it is written separately first. Returns false after it has
  * sent an error response. */
 static bool make_record(fc_admission *admission, fc_http_response *response, submission *submitted) {
   fc_job_record record = new_record(admission, submitted);
-  record.spec = *submitted->spec;
-  record.spec.dependencies = submitted->open;
   submitted->record = fc_job_record_encode(&record);
-  if (fits_a_value(admission, submitted->record)) return true;
+  if (fits_a_value(admission, &record, submitted->record)) return true;
   json_decref(submitted->record);
   submitted->record = NULL;
   if (!fc_cluster_members_read_format(admission->cluster, FC_JOB_FORMAT_AWAITING)) {
@@ -176,7 +181,7 @@
     fc_http_answer_retry(response, 503, "not written yet; ask again");
     return false;
   }
-  record.parts = submitted->parts;
+  record = new_record(admission, submitted);
   submitted->record = fc_job_record_encode(&record);
   return true;
 }
