Move the description of an accepted job to parts when its record has no room left

An accepted job whose description alone is (nearly) as long as a value could not be handed over, and its completed tasks could not be recorded, once the limit had fallen below the one that it was stored under: completed tasks can be left out of a record, the description can't.

Controllers take the reference from each record that they read, not only from the first. A version that does not would delete the parts as unused, so nothing moves while a member lacks the feature in its key; the third check of members' keys shares its walk with the other two.

--- a/src/bookkeeping/cluster.c
+++ b/src/bookkeeping/cluster.c
@@ -43,6 +43,7 @@
   cluster->membership.self = -1;
   cluster->descriptions = fc_description_parts_new();
   cluster->incomplete_jobs = table_by_id(g_free, incomplete_job_free);
+  cluster->oversized_jobs = table_by_id(g_free, NULL);
   cluster->dependencies.by_id = table_by_id(NULL, fc_dependency_free);
   cluster->dependencies.unrecorded_cancellations = table_by_id(NULL, NULL);
   fc_arrival_stats_init(&cluster->arrivals, settings->lease_s * ARRIVAL_DECAY_LEASES);
@@ -63,6 +64,7 @@
   g_hash_table_destroy(cluster->membership.keys);
   fc_description_parts_free(cluster->descriptions);
   g_hash_table_destroy(cluster->incomplete_jobs);
+  g_hash_table_destroy(cluster->oversized_jobs);
   g_hash_table_destroy(cluster->dependencies.by_id);
   g_hash_table_destroy(cluster->dependencies.unrecorded_cancellations);
   fc_arrival_stats_clear(&cluster->arrivals);
@@ -90,22 +92,42 @@
   return cluster->sync.loaded && now - cluster->sync.read_at < max_age_s;
 }
 
-bool fc_cluster_members_read_format(const fc_cluster *cluster, unsigned format) {
+typedef bool (*member_key_test)(const fc_member_key *key, unsigned arg);
+
+/* Whether the test holds for the keys of all live members. */
+static bool all_members(const fc_cluster *cluster, member_key_test test, unsigned arg) {
   const fc_membership *membership = &cluster->membership;
   for (size_t i = 0; i < membership->term.count; i++) {
     const fc_member_key *key = g_hash_table_lookup(membership->keys, membership->term.members[i].name);
-    if (key && key->job_format < format) return false;
+    if (key && !test(key, arg)) return false;
   }
   return true;
 }
 
+static bool reads_format(const fc_member_key *key, unsigned format) {
+  return key->job_format >= format;
+}
+
+static bool accepts_raised_tokens(const fc_member_key *key, unsigned unused) {
+  (void)unused;
+  return key->raised_tokens;
+}
+
+static bool follows_moved_descriptions(const fc_member_key *key, unsigned unused) {
+  (void)unused;
+  return key->moved_descriptions;
+}
+
+bool fc_cluster_members_read_format(const fc_cluster *cluster, unsigned format) {
+  return all_members(cluster, reads_format, format);
+}
+
+bool fc_cluster_moves_descriptions(const fc_cluster *cluster) {
+  return all_members(cluster, follows_moved_descriptions, 0);
+}
+
 bool fc_cluster_raises_tokens(const fc_cluster *cluster) {
-  const fc_membership *membership = &cluster->membership;
-  for (size_t i = 0; i < membership->term.count; i++) {
-    const fc_member_key *key = g_hash_table_lookup(membership->keys, membership->term.members[i].name);
-    if (key && !key->raised_tokens) return false;
-  }
-  return fc_term_reserves_tokens(membership->term.number);
+  return fc_term_reserves_tokens(cluster->membership.term.number) && all_members(cluster, accepts_raised_tokens, 0);
 }
 
 bool fc_cluster_is_cancelled(const fc_cluster *cluster, const char *id) {
--- a/src/bookkeeping/cluster.h
+++ b/src/bookkeeping/cluster.h
@@ -29,8 +29,9 @@
 /* A member's own key, which exists as long as its lease. */
 typedef struct fc_member_key {
   uint64_t version;
-  unsigned job_format; /* newest format of job records that the member reads */
-  bool raised_tokens;  /* it accepts heartbeats with raised fencing tokens */
+  unsigned job_format;     /* newest format of job records that the member reads */
+  bool raised_tokens;      /* it accepts heartbeats with raised fencing tokens */
+  bool moved_descriptions; /* it follows descriptions that move from job records to parts */
 } fc_member_key;
 
 /* A job record that can't be applied until further parts of its description have been read. */
@@ -90,6 +91,7 @@
   GHashTable *unread_cancellations;   /* id -> fc_unread_cancellation */
   fc_description_parts *descriptions; /* descriptions that are stored outside their job records */
   GHashTable *incomplete_jobs;        /* id -> fc_incomplete_job */
+  GHashTable *oversized_jobs;         /* set of ids: accepted jobs whose record has no room for what is to be written */
   fc_membership membership;
   fc_reconciliation reconciliation;
   fc_quota_state quota;
@@ -120,6 +122,10 @@
 /* Whether all live members read job records of the format. The others would not see such jobs. */
 bool fc_cluster_members_read_format(const fc_cluster *cluster, unsigned format);
 
+/* Whether all live members follow a description that moves from a job's record to parts. The others would
+ * take its parts for unused, and delete them. */
+bool fc_cluster_moves_descriptions(const fc_cluster *cluster);
+
 /* Whether fencing tokens may be raised above the term's number: the term reserves raised tokens, and all
  * live members accept them. */
 bool fc_cluster_raises_tokens(const fc_cluster *cluster);
--- a/src/bookkeeping/job_records.c
+++ b/src/bookkeeping/job_records.c
@@ -24,7 +24,6 @@
 static fc_job *add_job(fc_cluster *cluster, const fc_job_record *record, bool fresh, double now) {
   fc_job *job = g_new0(fc_job, 1);
   job->spec = fc_job_spec_copy(&record->spec);
-  job->record.description = record->parts;
   job->slices.count = record->slices;
   job->slices.resolved = fresh ? FC_ALL_SLICES : 0;
   job->completion.bitmap = g_malloc0(fc_task_bitmap_bytes(job->spec.tasks));
@@ -107,6 +106,8 @@
   apply_completion(job, id, record);
   apply_phase(cluster, job, id, record->phase, version, now);
   job->record.version = version;
+  /* The description moves to parts if the record has no room for it any more. */
+  job->record.description = record->parts;
   unsigned handed_over = apply_handovers(job, record);
   job->record.origin = record->origin;
   fc_cluster_assign_slices(cluster, job);
--- a/src/bookkeeping/record_writes.c
+++ b/src/bookkeeping/record_writes.c
@@ -19,19 +19,41 @@
   return record;
 }
 
+/* Replaces the record that was read; takes over the reference. */
+static fc_write *record_write(const fc_job *job, json_t *value) {
+  char *key = g_strconcat(FC_PREFIX_JOB, job->spec.id, NULL);
+  fc_write *write = fc_write_new();
+  fc_write_compare(write, key, job->record.version);
+  fc_write_put(write, key, value);
+  g_free(key);
+  return write;
+}
+
+/* Adds the job to those whose descriptions are to be moved out of their records. */
+static void note_oversized(const fc_cluster *cluster, const fc_job *job) {
+  if (!g_hash_table_add(cluster->oversized_jobs, g_strdup(job->spec.id))) return;
+  g_warning("job record too large job=%s limit=%zu", job->spec.id, fc_value_limit_bytes(&cluster->value_limit));
+}
+
 fc_write *fc_job_record_write(const fc_cluster *cluster, const fc_job *job, fc_job_phase phase,
                               const uint8_t *completed, char *const *handed_to, const fc_job_origin *origin) {
   size_t max_bytes = fc_value_limit_bytes(&cluster->value_limit);
   const fc_job_record record = record_of(job, phase, handed_to, origin);
   json_t *value = fc_job_record_encode_within(&record, completed, max_bytes);
-  if (!value) {
-    g_warning("job record too large job=%s phase=%s limit=%zu", job->spec.id, fc_job_phase_name(phase), max_bytes);
-    return NULL;
-  }
-  char *key = g_strconcat(FC_PREFIX_JOB, job->spec.id, NULL);
-  fc_write *write = fc_write_new();
-  fc_write_compare(write, key, job->record.version);
-  fc_write_put(write, key, value);
+  if (!value) note_oversized(cluster, job);
+  return value ? record_write(job, value) : NULL;
+}
+
+fc_write *fc_job_description_move_write(const fc_cluster *cluster, const fc_job *job, const fc_description_ref *parts,
+                                        uint64_t first_part) {
+  fc_job_record record = record_of(job, FC_PHASE_ACCEPTED, job->record.handed_to, &job->record.origin);
+  record.parts = *parts;
+  json_t *value =
+      fc_job_record_encode_within(&record, job->completion.bitmap, fc_value_limit_bytes(&cluster->value_limit));
+  if (!value) return NULL;
+  fc_write *write = record_write(job, value);
+  char *key = fc_job_part_key(job->spec.id, parts->digest, 0);
+  fc_write_compare(write, key, first_part);
   g_free(key);
   return write;
 }
@@ -78,6 +100,7 @@
                                    uint8_t *completed) {
   const fc_job_record record = record_of(job, FC_PHASE_ACCEPTED, job->record.handed_to, &job->record.origin);
   size_t room = fc_job_record_completions_room(cluster, &record);
+  if (room == 0) note_oversized(cluster, job);
   merge_completions(job, ended, job->spec.tasks, completed);
   if (!ranges_fit(job, completed, room)) {
     if (ranges_fit(job, job->completion.bitmap, room)) {
--- a/src/bookkeeping/record_writes.h
+++ b/src/bookkeeping/record_writes.h
@@ -10,10 +10,15 @@
 /* Replaces the job's record, on condition that it is still the one that was read. `completed` is a
  * bitmap of its tasks; `handed_to` is as in fc_job_record. If the record exceeds the value size of the
  * key-value store, current or announced, it is shortened (record_room.h). NULL: the job is accepted, and
- * its record is too large even without any completed task. */
+ * its record is too large even without any completed task; it is added to the cluster's oversized jobs. */
 fc_write *fc_job_record_write(const fc_cluster *cluster, const fc_job *job, fc_job_phase phase,
                               const uint8_t *completed, char *const *handed_to, const fc_job_origin *origin);
 
+/* Replaces the record of an accepted job by one that refers to its description in parts, on condition that
+ * it is still the one that was read and that the first part is at version `first_part`. NULL as above. */
+fc_write *fc_job_description_move_write(const fc_cluster *cluster, const fc_job *job, const fc_description_ref *parts,
+                                        uint64_t first_part);
+
 /* Fills `completed`, a bitmap of the job's size, with the recorded completions and as many of the
  * newly `ended` tasks as the job's record has room for, beside what may be written to it later. Where the
  * recorded completions alone exceed that room, some are left out. Returns whether `completed` contains at
--- a/src/bookkeeping/write_request.c
+++ b/src/bookkeeping/write_request.c
@@ -84,6 +84,10 @@
   return change_at(write, index)->key;
 }
 
+const json_t *fc_write_changed_value(const fc_write *write, unsigned index) {
+  return change_at(write, index)->value;
+}
+
 size_t fc_write_body_bytes(const fc_write *write) {
   return write->body_bytes;
 }
--- a/src/bookkeeping/write_request.h
+++ b/src/bookkeeping/write_request.h
@@ -28,6 +28,8 @@
 unsigned fc_write_change_count(const fc_write *write);
 /* The key of the change at `index`, owned by the request. */
 const char *fc_write_changed_key(const fc_write *write, unsigned index);
+/* The value that the change at `index` sets, owned by the request; NULL: it deletes the key. */
+const json_t *fc_write_changed_value(const fc_write *write, unsigned index);
 /* Approximate size of the request in the body of a transaction, in bytes. */
 size_t fc_write_body_bytes(const fc_write *write);
 /* The size of its largest encoded value, in bytes; 0: the request only deletes keys. */
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -4,6 +4,7 @@
 #include "controller/cancellation_deadline.h"
 #include "controller/client_server.h"
 #include "controller/description_cleanup.h"
+#include "controller/description_relocation.h"
 #include "controller/machine_returns.h"
 #include "controller/membership.h"
 #include "controller/scaling.h"
@@ -30,6 +31,7 @@
   fc_kv *kv;
   fc_kv_watch *watch;
   fc_group_commit *commit;
+  fc_description_store *descriptions;
   fc_cloud_access *cloud;
 
   fc_worker_calls *worker_calls;
@@ -89,6 +91,7 @@
                                       controller->wakeups, controller->metrics);
   controller->cloud = fc_cloud_access_new(controller->cluster, controller->leadership);
   controller->commit = build_commit(controller->cluster, controller->kv);
+  controller->descriptions = fc_description_store_new(controller->cluster, controller->watch, controller->commit);
 }
 
 /* ---- modules that serve workers, users and peers ---- */
@@ -125,11 +128,10 @@
       fc_dependency_resolver_new(cluster, controller->watch, controller->commit, controller->leadership, archive,
                                  controller->wakeups, controller->metrics);
   fc_job_lookup *lookup = fc_job_lookup_new(cluster, controller->watch, controller->resolver, archive);
-  fc_description_store *descriptions = fc_description_store_new(cluster, controller->watch, controller->commit);
   const fc_client_server_deps deps = {
       .settings = controller->settings,
-      .admission =
-          fc_admission_new(cluster, controller->commit, controller->peers, lookup, controller->resolver, descriptions),
+      .admission = fc_admission_new(cluster, controller->commit, controller->peers, lookup, controller->resolver,
+                                    controller->descriptions),
       .queries = fc_job_queries_new(cluster, controller->watch, controller->commit, controller->cancellations, lookup),
       .readiness = fc_readiness_new(cluster, controller->leadership, controller->peers),
       .heartbeats = controller->heartbeats,
@@ -242,12 +244,19 @@
   return fc_description_cleanup_start(cleanup);
 }
 
+static bool start_description_relocation(const fc_controller *controller) {
+  fc_description_relocation *relocation =
+      fc_description_relocation_new(controller->cluster, controller->watch, controller->commit,
+                                    controller->descriptions, controller->leadership, controller->metrics);
+  return fc_description_relocation_start(relocation);
+}
+
 static bool start_maintenance(fc_controller *controller) {
   fc_machine_returns *returns =
       fc_machine_returns_new(controller->cluster, controller->commit, controller->watch, controller->wakeups);
   return start_scaling(controller, returns) && start_archiver(controller) &&
          start_cancellation_deadline(controller, returns) && fc_dependency_resolver_start(controller->resolver) &&
-         start_description_cleanup(controller);
+         start_description_cleanup(controller) && start_description_relocation(controller);
 }
 
 fc_controller_error fc_controller_start(const fc_settings *settings, fc_controller **out) {
--- a/src/controller/record_applier.c
+++ b/src/controller/record_applier.c
@@ -71,7 +71,10 @@
  * its parts have been read. */
 static bool read_description(const fc_cluster *cluster, const char *id, fc_job_record *record) {
   /* A known job has its description already, and descriptions never change. */
-  if (fc_cluster_find_job(cluster, id)) return true;
+  if (fc_cluster_find_job(cluster, id)) {
+    fc_description_parts_drop_texts(cluster->descriptions, id, record->parts.digest);
+    return true;
+  }
   char *text = fc_description_parts_join(cluster->descriptions, id, &record->parts);
   bool ok = text && fc_job_description_read(text, &record->spec);
   if (text && !ok) g_critical("description unreadable job=%s", id);
@@ -181,7 +184,8 @@
   fc_member_key *key = g_new(fc_member_key, 1);
   *key = (fc_member_key){.version = change->version,
                          .job_format = fc_member_key_format(change->value),
-                         .raised_tokens = fc_member_key_raised_tokens(change->value)};
+                         .raised_tokens = fc_member_key_raised_tokens(change->value),
+                         .moved_descriptions = fc_member_key_moved_descriptions(change->value)};
   g_hash_table_replace(keys, g_strdup(name), key);
 }
 
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -12,6 +12,7 @@
 #define FIELD_FORMAT "f"
 #define FIELD_JOB_FORMAT "jobFormat"
 #define FIELD_RAISED_TOKENS "raisedTokens"
+#define FIELD_MOVED_DESCRIPTIONS "movedDescriptions"
 
 #define FIELD_TERM "term"
 #define FIELD_SEED "seed"
@@ -46,8 +47,8 @@
 /* ---- members and terms ---- */
 
 json_t *fc_member_key_encode(void) {
-  return json_pack("{si si sb}", FIELD_FORMAT, RECORD_FORMAT, FIELD_JOB_FORMAT, FC_JOB_FORMAT_AWAITING,
-                   FIELD_RAISED_TOKENS, 1);
+  return json_pack("{si si sb sb}", FIELD_FORMAT, RECORD_FORMAT, FIELD_JOB_FORMAT, FC_JOB_FORMAT_AWAITING,
+                   FIELD_RAISED_TOKENS, 1, FIELD_MOVED_DESCRIPTIONS, 1);
 }
 
 unsigned fc_member_key_format(const json_t *value) {
@@ -60,6 +61,10 @@
   return json_is_true(json_object_get(value, FIELD_RAISED_TOKENS));
 }
 
+bool fc_member_key_moved_descriptions(const json_t *value) {
+  return json_is_true(json_object_get(value, FIELD_MOVED_DESCRIPTIONS));
+}
+
 static json_t *encode_member(const fc_member *member) {
   return json_pack("{ss sI}", FIELD_NAME, member->name, FIELD_INCARNATION, (json_int_t)member->incarnation);
 }
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -48,13 +48,14 @@
 json_t *fc_marker_encode(void);
 
 /* Encodes the value of a member's own key, which exists as long as its lease. It has the newest format
- * of job records that the process reads, and that it accepts raised fencing tokens; earlier versions
- * give neither. */
+ * of job records that the process reads, and further features below; earlier versions give none. */
 json_t *fc_member_key_encode(void);
 /* The newest format that the member reads; FC_JOB_FORMAT_PLAIN when it gives none or is malformed. */
 unsigned fc_member_key_format(const json_t *value);
 /* Whether the member accepts heartbeats with raised fencing tokens (coordination/fencing_token.h). */
 bool fc_member_key_raised_tokens(const json_t *value);
+/* Whether the member follows descriptions that move from a job's record to parts after it was read. */
+bool fc_member_key_moved_descriptions(const json_t *value);
 
 json_t *fc_term_encode(const fc_term *term);
 bool fc_term_decode(const json_t *value, fc_term *out);
--- a/tests/sim/jobs.c
+++ b/tests/sim/jobs.c
@@ -46,23 +46,33 @@
   return g_string_free(list, FALSE);
 }
 
+/* Its allowed machine types as JSON, "null" for any; the caller frees it with g_free(). */
+static char *list_types(const sim_job *job) {
+  if (job->absent_types == 0) return g_strdup("null");
+  GString *list = g_string_new("[\"g4\"");
+  for (unsigned i = 0; i < job->absent_types; i++) g_string_append_printf(list, ",\"absent-type-%u\"", i);
+  g_string_append_c(list, ']');
+  return g_string_free(list, FALSE);
+}
+
 static const char *json_flag(bool flag) {
   return flag ? "true" : "false";
 }
 
 static void write_bodies(sim_job *job, unsigned image) {
-  char *dependencies = list_dependencies(job);
+  char *dependencies = list_dependencies(job), *types = list_types(job);
   job->body = g_strdup_printf(
       "{\"id\":\"%s\",\"squad\":\"%s\",\"club\":\"%s\",\"play\":\"%s\",\"rank\":\"%s\",\"runs\":%u,\"cpus\":%f,"
-      "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":null,\"ground\":%s,\"samePlace\":%s,"
+      "\"gpus\":%f,\"memGb\":8,\"kit\":\"img-%u\",\"pullGb\":1,\"builds\":%s,\"ground\":%s,\"samePlace\":%s,"
       "\"scatter\":%s,\"loaners\":%s,\"expectS\":10,\"markS\":0,\"stowS\":0,\"whistleS\":%s,"
       "\"awaits\":%s}",
-      job->id, job->kind, job->team, job->kind, job->priority, job->tasks, job->cpus, job->gpus, image,
+      job->id, job->kind, job->team, job->kind, job->priority, job->tasks, job->cpus, job->gpus, image, types,
       json_string_or_null(job->zone), json_flag(job->one_zone), json_flag(job->spread), json_flag(job->spot),
       json_number_or_null(job->deadline_s), dependencies);
   size_t plain_length = (size_t)(strstr(job->body, ",\"awaits\"") - job->body);
   job->body_without_dependencies = g_strdup_printf("%.*s}", (int)plain_length, job->body);
   g_free(dependencies);
+  g_free(types);
 }
 
 void job_add(sim_job *job, unsigned image) {
@@ -90,6 +100,7 @@
   job->priority = spec->priority ? spec->priority : "standard";
   job->team = spec->team ? spec->team : "red";
   job->zone = spec->zone;
+  job->absent_types = spec->absent_types;
   job->tasks = spec->tasks;
   job->cpus = job->gpus = spec->gpus;
   job->run_s = spec->run_s;
--- a/tests/sim/kv_commits.c
+++ b/tests/sim/kv_commits.c
@@ -1,13 +1,14 @@
 /* Compare-and-swap transactions of the simulated key-value store. */
 #include "kv.h"
 
-/* The former version does not record which job format it reads, nor that it accepts raised fencing tokens. */
+/* The former version records neither which job format it reads nor the features of later versions. */
 static void remove_announcements(const json_t *changes) {
   json_t *item;
   size_t i;
   json_array_foreach(changes, i, item) {
     json_object_del(json_object_get(item, "v"), "jobFormat");
     json_object_del(json_object_get(item, "v"), "raisedTokens");
+    json_object_del(json_object_get(item, "v"), "movedDescriptions");
   }
 }
 
--- a/tests/sim/stand_ins.h
+++ b/tests/sim/stand_ins.h
@@ -41,6 +41,7 @@
   double stagger_s; /* how much longer each task runs than the one before it */
   double odd_run_s; /* run time of the tasks with odd numbers; 0: run_s */
   bool one_zone, spread, spot;
+  unsigned absent_types;                  /* listed as allowed machine types, though they do not exist */
   const char *zone;                       /* where it has to run; NULL: anywhere */
   char *body, *body_without_dependencies; /* of its submission */
   GPtrArray *dependencies;                /* sim_job: jobs that have to be done before it starts */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -83,10 +83,11 @@
   const char *id, *kind, *priority, *team; /* priority, team: NULL: standard, red */
   const char *zone;                        /* where it has to run; NULL: anywhere */
   unsigned tasks;
-  double gpus, run_s; /* of each task; it has as many CPUs as GPUs */
-  double in_s;        /* until its submission */
-  double stagger_s;   /* how much longer each task runs than the one before it */
-  double odd_run_s;   /* run time of the tasks with odd numbers; 0: run_s */
+  double gpus, run_s;    /* of each task; it has as many CPUs as GPUs */
+  unsigned absent_types; /* machine types that do not exist, listed beside that of all machines */
+  double in_s;           /* until its submission */
+  double stagger_s;      /* how much longer each task runs than the one before it */
+  double odd_run_s;      /* run time of the tasks with odd numbers; 0: run_s */
   bool one_zone, spread, spot;
   double cancel_in_s;          /* from its acceptance as seen by the user; 0: never */
   double deadline_s;           /* 0: none */
--- a/tests/test_record_limits.c
+++ b/tests/test_record_limits.c
@@ -92,7 +92,55 @@
   assert_int_equal(failed, 0);
 }
 
+typedef struct long_row {
+  const char *name;
+  unsigned absent_types; /* how long the description is */
+  bool moved;            /* it has no room in a record under the lower limit */
+  bool crash;            /* all controllers crash after it has moved */
+} long_row;
+
+static const long_row k_long_rows[] = {
+    {"short", 0, false, false},
+    {"longer than a value", 60, true, false},
+    {"longer than a value, all crash", 60, true, true},
+    {"leaves no room for handovers", 25, true, true},
+};
+
+/* Guards against accepted jobs whose description leaves their record no room, once values are smaller, so that they
+ * can't be handed over and their completed tasks can't be recorded. */
+static void long_descriptions_move_out_of_records(void **state) {
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_long_rows); i++) {
+    const long_row *row = &k_long_rows[i];
+    const scene_setup setup = {.seed = 95, .keep_idle = true, .images_cached = true, .machines = {3, 3}};
+    scene_prepare(&setup);
+    world_kv_announce_limits(LOWER_VALUE_KB, TXN_OPS, 40);
+    world_former_version();
+    scene_start(&setup);
+    world_submit_job(&(world_job){.id = world_id(7),
+                                  .kind = "sweep",
+                                  .tasks = 40,
+                                  .gpus = 0.1,
+                                  .run_s = 50,
+                                  .odd_run_s = 160,
+                                  .absent_types = row->absent_types});
+    sim_run_until(sim_now() + 30);
+    for (unsigned node = 0; node < WORLD_NODES; node++) world_upgrade(node, 0.3 + 4 * node);
+    world_kv_limit(LOWER_VALUE_KB, TXN_OPS, 0);
+    sim_run_until(sim_now() + 50);
+    check_row(row->name, kv_value_contains("fc1/job/job-000007", "\"parts\":") == row->moved);
+    check_row(row->name, kv_value_contains("fc1/job/job-000007", "\"done\":\"0,2,4"));
+    for (unsigned node = 0; row->crash && node < WORLD_NODES; node++) world_crash(node, 1);
+    sim_run_until(sim_now() + 200);
+    world_result r = world_current_result();
+    if (r.broken) fail_msg("%s: %s", row->name, r.first);
+    check_row(row->name, world_seen_done_at(world_id(7)) > 0);
+    check_row(row->name, kv_has_key("fc1over/job-000007"));
+  }
+}
+
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(full_records_can_be_ended)};
+  const struct CMUnitTest tests[] = {cmocka_unit_test(full_records_can_be_ended),
+                                     cmocka_unit_test(long_descriptions_move_out_of_records)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
