Lower the assumed number of changes in a transaction when the store refuses one

When the key-value store took fewer changes in a transaction than any setting says, the records of rented machines were never written and those of returned ones never removed: the same transaction of several changes was refused with 400 again and again. Same cause as a refused value: a write that does not fit is repeated unchanged.

--- a/src/bookkeeping/group_commit.c
+++ b/src/bookkeeping/group_commit.c
@@ -4,6 +4,7 @@
 
 #include "bookkeeping/write_rate.h"
 #include "protocol/records.h"
+#include "protocol/settings.h"
 #include "transport/routine.h"
 
 /* The protocol limits the body of a transaction to 64 KiB; the rest is for the envelope. */
@@ -23,6 +24,9 @@
 /* The longest single wait on the condition variable. */
 #define MAX_COND_WAIT_S 1.0
 
+/* The number of changes that is tried after a refusal is the refused number divided by this. */
+#define REFUSED_CHANGES_DIVISOR 2
+
 /* Shorter waits count as none: they are below the resolution of a timer, and the loop around the
  * sleep would spin. */
 #define MIN_SLEEP_S 1e-6
@@ -241,15 +245,23 @@
   return found;
 }
 
-/* Learns about the size of values from a transaction's outcome. Only a request with a single change, in a
- * transaction of its own, shows that its value was refused. */
-static void update_value_limit(const fc_group_commit *commit, const GPtrArray *batch, fc_kv_result result) {
+/* Lowers the limit that the refused request may have exceeded: of its changes if it has several, else of
+ * its value. */
+static void lower_limits(fc_group_commit *commit, const fc_write *refused) {
+  unsigned changes = fc_write_change_count(refused);
+  if (changes == 1) fc_value_limit_refused(commit->value_limit, fc_write_largest_value_bytes(refused));
+  if (changes <= FC_KV_TXN_OPS_MIN || changes > commit->max_txn_ops) return;
+  commit->max_txn_ops = MAX(changes / REFUSED_CHANGES_DIVISOR, FC_KV_TXN_OPS_MIN);
+  g_warning("transaction refused changes=%u, limit lowered to=%u", changes, commit->max_txn_ops);
+}
+
+/* Learns about the store's limits from a transaction's outcome. Which of several requests was refused is
+ * not known. */
+static void update_limits(fc_group_commit *commit, const GPtrArray *batch, fc_kv_result result) {
   for (guint i = 0; i < batch->len; i++) {
     const queued_write *queued = batch->pdata[i];
-    size_t value_bytes = fc_write_largest_value_bytes(queued->write);
-    if (result == FC_KV_OK) fc_value_limit_stored(commit->value_limit, value_bytes);
-    if (result == FC_KV_REFUSED && batch->len == 1 && fc_write_change_count(queued->write) == 1)
-      fc_value_limit_refused(commit->value_limit, value_bytes);
+    if (result == FC_KV_OK) fc_value_limit_stored(commit->value_limit, fc_write_largest_value_bytes(queued->write));
+    if (result == FC_KV_REFUSED && batch->len == 1) lower_limits(commit, queued->write);
   }
 }
 
@@ -285,7 +297,7 @@
   if (result == FC_KV_BUSY || result == FC_KV_DOWN)
     fc_write_rate_pause(&commit->rate, fc_now() + g_random_double_range(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S));
   g_ptr_array_remove_fast(commit->in_flight, sent);
-  update_value_limit(commit, sent->batch, result);
+  update_limits(commit, sent->batch, result);
   resolve_batch(commit, sent->batch, result, revision, failed_keys);
   g_ptr_array_free(failed_keys, TRUE);
   transaction_free(sent);
--- a/src/bookkeeping/group_commit.h
+++ b/src/bookkeeping/group_commit.h
@@ -60,12 +60,12 @@
  * NULL). CONFLICT: a condition of this request failed. DOWN: not executed; it could not be sent
  * before the deadline. UNKNOWN: may have been executed; the caller has to read the keys before
  * deciding. REFUSED: not executed, and repeating it would not help; a request with a value above
- * the size limit is not sent at all. If the refusal may be due to the size of its value, the limit is
- * lowered, and a request with a smaller value may help. */
+ * the size limit is not sent at all. The limit that it may have exceeded, of the size of values or of the
+ * number of changes, is lowered, and a smaller request may help. */
 fc_kv_result fc_group_commit_write(fc_group_commit *commit, fc_write *write, fc_write_priority priority,
                                    double deadline, uint64_t *revision);
 
-/* The maximum number of changes in one transaction, and so in one request. */
+/* The maximum number of changes in one transaction, and so in one request, as far as it is known. */
 unsigned fc_group_commit_max_writes(const fc_group_commit *commit);
 
 /* Whether another request of this priority would be sent within `wait_s` seconds at the current
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -15,7 +15,6 @@
 #define CPU_WARNING_CORES 0.015
 #define FD_WARNING 256
 /* Releasing a machine and archiving a job each change two keys in one transaction. */
-#define TXN_OPS_MIN 2
 /* The peers' listener accepts up to eight connections for each peer, and calls to peers may use an
  * eighth of all descriptors. */
 #define FD_PER_CONTROLLER_MIN 16
@@ -196,7 +195,7 @@
     {"rps", offsetof(kv_limits, rps), 0.1, 1e6},
     {"write_rps", offsetof(kv_limits, write_rps), 0.1, 1e6},
     {"value_kb", offsetof(kv_limits, value_kb), FC_KV_VALUE_KB_MIN, 1024},
-    {"txn_ops", offsetof(kv_limits, txn_ops), TXN_OPS_MIN, 1e4},
+    {"txn_ops", offsetof(kv_limits, txn_ops), FC_KV_TXN_OPS_MIN, 1e4},
 };
 
 static double *limit_at(kv_limits *limits, const kv_limit_field *field) {
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -15,8 +15,9 @@
 #define FC_OBJECTIVES_MAX 64
 
 #define FC_BYTES_PER_KB 1024
-/* The lowest limit that the key-value store may have for the size of a value. */
+/* The lowest limits that the key-value store may have: the size of a value, and the changes in a transaction. */
 #define FC_KV_VALUE_KB_MIN 1
+#define FC_KV_TXN_OPS_MIN 2
 
 typedef struct fc_peer_settings {
   char *name;
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -67,6 +67,34 @@
   }
 }
 
+/* Guards against machines whose records are never written or removed, as the store takes fewer changes in a
+ * transaction than any setting says. */
+static void transactions_adapt_to_refusals(void **state) {
+  (void)state;
+  static const struct {
+    const char *name;
+    unsigned txn_ops;
+  } rows[] = {{"as in the settings", 8}, {"half", 4}, {"the least", 2}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    const scene_setup setup = {.seed = 70 + (uint32_t)i, .capacity = 12, .images_cached = true};
+    scene_prepare(&setup);
+    world_release_idle();
+    world_kv_limit(8, rows[i].txn_ops, 0);
+    scene_start(&setup);
+    scene_submit(&(scene_jobs){
+        .count = 1, .kind = "sweep", .priority = "standard", .tasks = 64, .gpus = 1, .run_s = 20, .in_s = 5});
+    sim_run_until(sim_now() + 300);
+    world_result r = world_current_result();
+    print_message("%s: %u of %u done, %u machines rented, %u returned\n", rows[i].name, r.finished, r.submitted,
+                  world_machine_count(), world_terminated_machines(0, world_machine_count()));
+    if (r.broken) fail_msg("%s: %s", rows[i].name, r.first);
+    check_row(rows[i].name, r.finished == 1);
+    check_row(rows[i].name, world_terminated_machines(0, world_machine_count()) == world_machine_count());
+    world_check_released();
+    check_row(rows[i].name, world_current_result().broken == 0);
+  }
+}
+
 /* Many arrays whose tasks complete one by one: the writes of these completions, which are not urgent except
  * for an array's last task, leave the write rate to submissions. */
 static void completions_leave_write_rate_for_submissions(void **state) {
@@ -112,6 +140,7 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(kv_store_limits_are_lowered),
+                                     cmocka_unit_test(transactions_adapt_to_refusals),
                                      cmocka_unit_test(completions_leave_write_rate_for_submissions)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
