Never let a value exceed what fits into a transaction of 64 KiB

With state.value_kb of 64 or more a large array's record was filled beyond what a transaction takes, and each later write of it was refused: the protocol limits a transaction to 64 KiB in total. Cause: only the limit of a value was looked at.

--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -18,6 +18,9 @@
 /* The peers' listener accepts up to eight connections for each peer, and calls to peers may use an
  * eighth of all descriptors. */
 #define FD_PER_CONTROLLER_MIN 16
+/* The key-value store takes 64 KiB in a transaction, with the value's key and the conditions. */
+#define TXN_VALUE_MAX_BYTES ((size_t)56 * FC_BYTES_PER_KB)
+
 /* A worker that misses one response gets the next only several heartbeat intervals later. */
 #define HEARTBEATS_PER_LEASE_MIN 3
 #define NAME_LENGTH_MAX 64u
@@ -348,7 +351,8 @@
 }
 
 size_t fc_settings_value_max_bytes(const fc_settings *settings) {
-  return (size_t)(settings->kv_value_kb * FC_BYTES_PER_KB);
+  size_t value_bytes = (size_t)(settings->kv_value_kb * FC_BYTES_PER_KB);
+  return MIN(value_bytes, TXN_VALUE_MAX_BYTES);
 }
 
 int fc_settings_team_index(const fc_settings *settings, const char *name) {
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -90,7 +90,8 @@
  * larger fleet; NULL: no such limit. */
 const char *fc_settings_warning(const fc_settings *settings);
 void fc_operator_defaults(fc_operator_settings *out);
-/* Largest size of a value in the key-value store, in bytes, under the current and the next limits. */
+/* Largest size of a value in the key-value store, in bytes, under the current and the next limits, and that
+ * of a transaction. */
 size_t fc_settings_value_max_bytes(const fc_settings *settings);
 /* The index of a team; -1: unknown. */
 int fc_settings_team_index(const fc_settings *settings, const char *name);
--- a/tests/test_record_room.c
+++ b/tests/test_record_room.c
@@ -9,6 +9,7 @@
 #define DEFAULT_SEED 45
 #define DEFAULT_TRIALS 400
 #define JOB_ID "job-000412"
+#define TRANSACTION_MAX_BYTES ((size_t)64 * 1024)
 #define TERM_NUMBER ((uint64_t)41 * 4096)
 
 /* A member's name may have 63 bytes. With the least limit, and more slices than by default, shorter ones only have
@@ -56,7 +57,7 @@
 }
 
 static void random_settings(trial *t) {
-  static const unsigned limits_kb[] = {1, 2, 3, 4, 8, 16};
+  static const unsigned limits_kb[] = {1, 2, 3, 4, 8, 16, 64, 256};
   t->settings = fixture_settings();
   fc_operator_settings *operators = &t->settings.operator_settings;
   operators->split_limit = 1u << g_rand_int_range(t->random, 0, 5);
@@ -122,6 +123,7 @@
 static fc_job *store(trial *t, fc_write *write) {
   check_row(t->name, write != NULL);
   check_row(t->name, fc_write_largest_value_bytes(write) <= limit_of(t));
+  check_row(t->name, fc_write_body_bytes(write) <= TRANSACTION_MAX_BYTES);
   fc_job *job = store_value(t, fc_write_changed_value(write, 0));
   fc_write_free(write);
   for (uint32_t i = 0; i < t->spec.tasks; i++)
