Known red: limited teams start nothing when the record of quota shares has no room

All members' shares of all limited teams stand in one value; where it does not fit it is refused before it is sent, about five times a second, and without shares no task of a limited team starts.

--- a/tests/sim/deployment.c
+++ b/tests/sim/deployment.c
@@ -8,6 +8,7 @@
 
 #define KEEP_IDLE_SHARE 1e6    /* keeps all idle machines */
 #define RETURN_IDLE_SHARE 0.01 /* keeps no idle machine */
+#define TEAM_GPUS_MAX 100      /* quota of a team that is added; its shares have many digits */
 #define DAY_OVER_KEEP_S 20     /* short, so that jobs are archived during faults */
 
 static fc_settings g_settings[WORLD_NODES];
@@ -112,6 +113,15 @@
   }
 }
 
+void world_add_teams(unsigned count) {
+  for (int node = 0; node < WORLD_NODES; node++) {
+    fc_settings *settings = &g_settings[node];
+    for (unsigned i = 0; i < count; i++)
+      settings->teams[settings->team_count++] =
+          (fc_team_settings){.name = g_strdup_printf("team-%u", i), .gpus_max = TEAM_GPUS_MAX};
+  }
+}
+
 void world_large(unsigned machines) {
   world_capacity(machines / ZONES, 0);
   world_keep_idle();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -75,6 +75,7 @@
 void world_keep_idle(void);                          /* idle machines are not returned */
 void world_archive_after(double for_s);              /* terminal jobs are archived after for_s */
 void world_set_blue_quota(double cpus, double gpus); /* the quota of team blue */
+void world_add_teams(unsigned count);                /* further teams with a quota, without jobs */
 void world_cache_images(void);                       /* machines have all images cached */
 
 /* ---- jobs ---- */
--- a/tests/test_record_limits.c
+++ b/tests/test_record_limits.c
@@ -139,8 +139,32 @@
   }
 }
 
+/* Guards against limited teams that start nothing, as the record of all members' shares has no room in a value. */
+static void quota_of_many_teams(void **state) {
+  (void)state;
+  static const unsigned k_added_teams[] = {0, 6, 14, 40, 62};
+  unsigned failed = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS(k_added_teams); i++) {
+    const scene_setup setup = {.seed = 97, .keep_idle = true, .images_cached = true, .machines = {3, 3}};
+    scene_prepare(&setup);
+    world_add_teams(k_added_teams[i]);
+    world_kv_announce_limits(LOWER_VALUE_KB, TXN_OPS, 40);
+    scene_start(&setup);
+    world_submit_job(
+        &(world_job){.id = world_id(1), .kind = "sweep", .team = "blue", .tasks = 4, .gpus = 1, .run_s = 5});
+    sim_run_until(sim_now() + 90);
+    bool done = world_seen_done_at(world_id(1)) > 0;
+    print_message("%u teams added: %s\n", k_added_teams[i], done ? "done" : "not done");
+    failed += !done;
+  }
+  assert_int_equal(failed, 0);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(full_records_can_be_ended),
-                                     cmocka_unit_test(long_descriptions_move_out_of_records)};
+                                     cmocka_unit_test(long_descriptions_move_out_of_records),
+                                     cmocka_unit_test(quota_of_many_teams)};
+  cmocka_set_test_filter(g_getenv("RECORD_LIMITS_ONLY"));
+  cmocka_set_skip_filter(g_getenv("RECORD_LIMITS_BUT"));
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
