One name for the sizes of job ids and of names

The buffer of the id of a malformed submission has 32 bytes instead of 64; ids have 22 characters at most.

--- a/src/bookkeeping/cancellation_log.h
+++ b/src/bookkeeping/cancellation_log.h
@@ -11,7 +11,7 @@
 #include "protocol/peer_frame.h"
 
 typedef struct fc_cancellation {
-  char job[32];
+  char job[FC_JOB_ID_SIZE];
   uint64_t revision; /* revision of the transaction that stored it */
   double since;      /* lower bound of when a client saw it acknowledged, by fc_now() */
 } fc_cancellation;
--- a/src/bookkeeping/description_parts.c
+++ b/src/bookkeeping/description_parts.c
@@ -9,7 +9,7 @@
 } description_part;
 
 typedef struct description {
-  char job[32];
+  char job[FC_JOB_ID_SIZE];
   char digest[FC_JOB_DIGEST_SIZE];
   double first_seen;
   GArray *parts; /* description_part, by number */
--- a/src/bookkeeping/job_state.h
+++ b/src/bookkeeping/job_state.h
@@ -21,7 +21,7 @@
 
 /* A job, by id, while accepted jobs depend on it. */
 typedef struct fc_dependency {
-  char id[32];
+  char id[FC_JOB_ID_SIZE];
   fc_dependency_state state;
   GPtrArray *dependents; /* fc_job, not owned: the jobs that list it */
 } fc_dependency;
--- a/src/bookkeeping/machine_state.h
+++ b/src/bookkeeping/machine_state.h
@@ -76,7 +76,7 @@
 
 /* A temporary reservation for one gang. */
 typedef struct fc_machine_reservation {
-  char gang[32];
+  char gang[FC_JOB_ID_SIZE];
   double until;
 } fc_machine_reservation;
 
@@ -87,7 +87,7 @@
 } fc_machine_view;
 
 struct fc_machine {
-  char id[64];
+  char id[FC_NAME_SIZE];
   fc_machine_record record;    /* endpoint, type, zone and recorded owner */
   uint64_t record_version;     /* 0: no record; the machine must not be used */
   bool record_write_pending;   /* another member may already own it: no task is placed on it meanwhile */
--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -50,7 +50,7 @@
 typedef struct fc_placement {
   fc_machine *machine;
   fc_job *job; /* NULL: the job's record has not been read */
-  char job_id[32];
+  char job_id[FC_JOB_ID_SIZE];
   uint32_t index;
   uint64_t attempt;
   double created_at; /* when it was placed or first reported */
--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -48,7 +48,7 @@
 
 static void refuse_malformed(fc_admission *admission, const fc_http_request *request, fc_http_response *response,
                              const char *error) {
-  char id[64];
+  char id[FC_JOB_ID_SIZE];
   if (!fc_job_id_peek(request->body, request->body_len, id, sizeof id)) {
     fc_http_answer_error(response, 400, error);
     return;
--- a/src/controller/description_cleanup.c
+++ b/src/controller/description_cleanup.c
@@ -9,8 +9,6 @@
 /* Clients retry a submission for up to a minute, and a retry reuses the parts already written. */
 #define RETENTION_S 120.0
 
-#define JOB_ID_BYTES 32
-
 struct fc_description_cleanup {
   fc_cluster *cluster;
   fc_kv_watch *watch;
@@ -21,7 +19,7 @@
 
 /* A stored description that no job record refers to. */
 typedef struct unused_description {
-  char job[JOB_ID_BYTES];
+  char job[FC_JOB_ID_SIZE];
   char digest[FC_JOB_DIGEST_SIZE];
   unsigned count; /* of its parts */
 } unused_description;
--- a/src/controller/handover_execution.c
+++ b/src/controller/handover_execution.c
@@ -3,9 +3,6 @@
 #include "bookkeeping/record_writes.h"
 #include "controller/decided_write.h"
 
-#define JOB_ID_BYTES 32
-#define MEMBER_NAME_BYTES 64
-
 struct fc_handover_execution {
   fc_cluster *cluster;
   fc_group_commit *commit;
@@ -17,13 +14,13 @@
 /* The handover of one job's slices. */
 typedef struct job_handover {
   fc_handover_execution *execution;
-  char id[JOB_ID_BYTES];
-  uint64_t version;                          /* of the job's record, on which the write is conditional */
-  uint64_t term_version, term_number;        /* of the current term; the write is conditional on the version too */
-  unsigned slices;                           /* one bit per slice */
-  unsigned partly_known;                     /* one bit per slice, as in fc_handover */
-  unsigned machine_owners[FC_SLICES_MAX];    /* as in fc_handover */
-  char to[FC_SLICES_MAX][MEMBER_NAME_BYTES]; /* name of the new owner by slice */
+  char id[FC_JOB_ID_SIZE];
+  uint64_t version;                       /* of the job's record, on which the write is conditional */
+  uint64_t term_version, term_number;     /* of the current term; the write is conditional on the version too */
+  unsigned slices;                        /* one bit per slice */
+  unsigned partly_known;                  /* one bit per slice, as in fc_handover */
+  unsigned machine_owners[FC_SLICES_MAX]; /* as in fc_handover */
+  char to[FC_SLICES_MAX][FC_NAME_SIZE];   /* name of the new owner by slice */
 } job_handover;
 
 fc_handover_execution *fc_handover_execution_new(fc_cluster *cluster, fc_group_commit *commit, fc_kv_watch *watch,
--- a/src/controller/machine_probes.c
+++ b/src/controller/machine_probes.c
@@ -14,7 +14,6 @@
 #define PROBE_TIMEOUT_HEARTBEATS 0.75
 #define FDS_PER_PROBE 32u /* probes may use one in this many file descriptors; calls to owned machines come first */
 #define PROBES_MIN 1u
-#define MACHINE_ID_BYTES 64
 
 struct fc_machine_probes {
   fc_cluster *cluster;
@@ -24,7 +23,7 @@
 
 typedef struct probe_routine {
   fc_machine_probes *probes;
-  char machine[MACHINE_ID_BYTES];
+  char machine[FC_NAME_SIZE];
 } probe_routine;
 
 fc_machine_probes *fc_machine_probes_new(fc_cluster *cluster, const fc_leadership *leadership, fc_worker_calls *calls) {
--- a/src/controller/machine_registration.c
+++ b/src/controller/machine_registration.c
@@ -13,7 +13,6 @@
 #define RECORD_TIMEOUT_S 2.0
 #define RECORD_OUTCOME_TIMEOUT_S 1.5
 #define RECORD_RETRY_TIMEOUT_S 1.0
-#define MACHINE_ID_BYTES 64
 
 struct fc_machine_registration {
   fc_cluster *cluster;
@@ -26,7 +25,7 @@
 
 typedef struct endpoint_routine {
   fc_machine_registration *registration;
-  char machine[MACHINE_ID_BYTES];
+  char machine[FC_NAME_SIZE];
 } endpoint_routine;
 
 fc_machine_registration *fc_machine_registration_new(fc_cluster *cluster, const fc_leadership *leadership,
--- a/src/controller/record_applier.c
+++ b/src/controller/record_applier.c
@@ -128,7 +128,7 @@
 
 static void apply_description_part(fc_record_applier *applier, const char *name, const fc_kv_change *change) {
   fc_cluster *cluster = applier->cluster;
-  char job[32], digest[FC_JOB_DIGEST_SIZE];
+  char job[FC_JOB_ID_SIZE], digest[FC_JOB_DIGEST_SIZE];
   unsigned number;
   const char *text = change->value ? fc_job_part_decode(change->value) : NULL;
   if (!fc_job_part_key_parse(name, job, digest, &number) || (change->value && !text)) {
--- a/src/controller/task_completion.c
+++ b/src/controller/task_completion.c
@@ -15,7 +15,6 @@
 #define OUTCOME_TIMEOUT_S 2.0
 #define RETRY_MIN_S 0.05
 #define RETRY_MAX_S 0.2
-#define JOB_ID_BYTES 32
 
 struct fc_task_completion {
   fc_cluster *cluster;
@@ -27,7 +26,7 @@
 
 typedef struct recording_routine {
   fc_task_completion *completion;
-  char job_id[JOB_ID_BYTES];
+  char job_id[FC_JOB_ID_SIZE];
 } recording_routine;
 
 fc_task_completion *fc_task_completion_new(fc_cluster *cluster, fc_group_commit *commit, fc_kv_watch *watch,
--- a/src/controller/transfer_execution.c
+++ b/src/controller/transfer_execution.c
@@ -7,9 +7,6 @@
 /* How long a machine stays reserved for its gang, in scheduling rounds. */
 #define RESERVATION_ROUNDS 2
 
-#define MACHINE_ID_BYTES 64
-#define MEMBER_NAME_BYTES 64
-
 struct fc_transfer_execution {
   fc_cluster *cluster;
   fc_group_commit *commit;
@@ -21,10 +18,10 @@
 /* The transfer of one machine. */
 typedef struct pending_transfer {
   fc_transfer_execution *execution;
-  char id[MACHINE_ID_BYTES];
-  char to[MEMBER_NAME_BYTES]; /* name of the new owner */
-  uint64_t version;           /* of the machine's record, on which the write is conditional */
-  uint64_t term_version;      /* of the current term; the write is conditional on it too */
+  char id[FC_NAME_SIZE];
+  char to[FC_NAME_SIZE]; /* name of the new owner */
+  uint64_t version;      /* of the machine's record, on which the write is conditional */
+  uint64_t term_version; /* of the current term; the write is conditional on it too */
 } pending_transfer;
 
 fc_transfer_execution *fc_transfer_execution_new(fc_cluster *cluster, fc_group_commit *commit, fc_kv_watch *watch,
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -12,7 +12,6 @@
 #define FENCES_AND_PROBES_DIVISOR 2u /* calls that fence or probe may use one in this many of those */
 #define CALL_TIMEOUT_HEARTBEATS 0.75
 #define CALLS_PER_ROUTINE_MAX 2 /* the second has the epoch and token that the response to the first has shown */
-#define MACHINE_ID_BYTES 64
 
 struct fc_worker_calls {
   fc_cluster *cluster;
@@ -25,7 +24,7 @@
 
 typedef struct call_routine {
   fc_worker_calls *calls;
-  char machine[MACHINE_ID_BYTES];
+  char machine[FC_NAME_SIZE];
 } call_routine;
 
 /* The purpose of a direct call. */
