Record completions that were left out once a record has room again

A job was never done when its record listed fewer completed tasks than the owner of their slice knew: that owner had nothing new to write, the other controllers had restarted and waited for its slices. Cause: since a record without room leaves completions out, and completions were written only after a task's end.

A unit test has the four kinds of lists.

--- a/src/bookkeeping/cluster.c
+++ b/src/bookkeeping/cluster.c
@@ -44,6 +44,7 @@
   cluster->descriptions = fc_description_parts_new();
   cluster->incomplete_jobs = table_by_id(g_free, incomplete_job_free);
   cluster->oversized_jobs = table_by_id(g_free, NULL);
+  cluster->unlisted_completions = table_by_id(g_free, NULL);
   cluster->dependencies.by_id = table_by_id(NULL, fc_dependency_free);
   cluster->dependencies.unrecorded_cancellations = table_by_id(NULL, NULL);
   fc_arrival_stats_init(&cluster->arrivals, settings->lease_s * ARRIVAL_DECAY_LEASES);
@@ -65,6 +66,7 @@
   fc_description_parts_free(cluster->descriptions);
   g_hash_table_destroy(cluster->incomplete_jobs);
   g_hash_table_destroy(cluster->oversized_jobs);
+  g_hash_table_destroy(cluster->unlisted_completions);
   g_hash_table_destroy(cluster->dependencies.by_id);
   g_hash_table_destroy(cluster->dependencies.unrecorded_cancellations);
   fc_arrival_stats_clear(&cluster->arrivals);
--- a/src/bookkeeping/cluster.h
+++ b/src/bookkeeping/cluster.h
@@ -91,7 +91,8 @@
   GHashTable *unread_cancellations;   /* id -> fc_unread_cancellation */
   fc_description_parts *descriptions; /* descriptions that are stored outside their job records */
   GHashTable *incomplete_jobs;        /* id -> fc_incomplete_job */
-  GHashTable *oversized_jobs;         /* set of ids: accepted jobs whose record has no room for what is to be written */
+  GHashTable *unlisted_completions; /* set of ids: accepted jobs whose record lists fewer completed tasks than known */
+  GHashTable *oversized_jobs;       /* set of ids: accepted jobs whose record has no room for what is to be written */
   fc_membership membership;
   fc_reconciliation reconciliation;
   fc_quota_state quota;
--- a/src/bookkeeping/job_records.c
+++ b/src/bookkeeping/job_records.c
@@ -48,9 +48,23 @@
 
 /* Completions read before stay: a record without room may leave some out. */
 static void apply_completion(fc_job *job, const char *id, const fc_job_record *record) {
-  if (!fc_ranges_decode(record->done, job->completion.bitmap, job->spec.tasks)) g_warning("job %s: bad ranges", id);
-  uint32_t listed = fc_task_bitmap_count(job->completion.bitmap, job->spec.tasks);
-  job->completion.count = MAX(listed, record->done_count);
+  size_t bytes = fc_task_bitmap_bytes(job->spec.tasks);
+  uint8_t *listed = g_malloc0(bytes);
+  if (!fc_ranges_decode(record->done, listed, job->spec.tasks)) g_warning("job %s: bad ranges", id);
+  job->record.completed = fc_task_bitmap_count(listed, job->spec.tasks);
+  for (size_t i = 0; i < bytes; i++) job->completion.bitmap[i] |= listed[i];
+  g_free(listed);
+  uint32_t known = fc_task_bitmap_count(job->completion.bitmap, job->spec.tasks);
+  job->completion.count = MAX(known, record->done_count);
+}
+
+/* Updates whether this controller knows of completions that the record of the accepted job does not list. */
+static void update_unlisted(const fc_cluster *cluster, const fc_job *job) {
+  if (job->record.phase == FC_PHASE_ACCEPTED && job->completion.count > job->record.completed) {
+    g_hash_table_add(cluster->unlisted_completions, g_strdup(job->spec.id));
+  } else {
+    g_hash_table_remove(cluster->unlisted_completions, job->spec.id);
+  }
 }
 
 static void apply_phase(const fc_cluster *cluster, fc_job *job, const char *id, fc_job_phase phase, uint64_t version,
@@ -105,6 +119,7 @@
   apply_dependencies(job, record);
   apply_completion(job, id, record);
   apply_phase(cluster, job, id, record->phase, version, now);
+  update_unlisted(cluster, job);
   job->record.version = version;
   /* The description moves to parts if the record has no room for it any more. */
   job->record.description = record->parts;
@@ -148,5 +163,6 @@
 void fc_cluster_remove_job(fc_cluster *cluster, fc_job *job) {
   for (guint i = 0; i < job->placements->len; i++) ((fc_placement *)job->placements->pdata[i])->job = NULL;
   fc_dependencies_remove(cluster, job);
+  g_hash_table_remove(cluster->unlisted_completions, job->spec.id);
   g_hash_table_remove(cluster->jobs, job->spec.id);
 }
--- a/src/bookkeeping/job_state.h
+++ b/src/bookkeeping/job_state.h
@@ -33,9 +33,10 @@
   fc_job_origin origin;
   fc_description_ref description; /* reference to the description if it is stored outside the record */
   char *handed_to[FC_SLICES_MAX]; /* member that the slice was handed over to; NULL: as assigned */
+  uint32_t completed;             /* number of completed tasks that the record lists */
 } fc_job_stored;
 
-/* Which tasks have completed. */
+/* Which tasks have completed, by any record read so far. A record without room may list fewer. */
 typedef struct fc_job_completion {
   uint8_t *bitmap;
   uint32_t count;
--- a/src/bookkeeping/record_writes.c
+++ b/src/bookkeeping/record_writes.c
@@ -90,12 +90,6 @@
   merge_completions(job, ended, low, completed);
 }
 
-static bool has_new_completion(const fc_job *job, const uint8_t *completed) {
-  for (size_t i = 0; i < fc_task_bitmap_bytes(job->spec.tasks); i++)
-    if (completed[i] & ~job->completion.bitmap[i]) return true;
-  return false;
-}
-
 bool fc_job_record_fit_completions(const fc_cluster *cluster, const fc_job *job, const uint8_t *ended,
                                    uint8_t *completed) {
   const fc_job_record record = record_of(job, FC_PHASE_ACCEPTED, job->record.handed_to, &job->record.origin);
@@ -109,7 +103,7 @@
       fc_task_bitmap_retain_longest(completed, job->spec.tasks, room);
     }
   }
-  return has_new_completion(job, completed);
+  return fc_task_bitmap_count(completed, job->spec.tasks) > job->record.completed;
 }
 
 fc_write *fc_machine_record_write(const char *machine, uint64_t version, uint64_t term_version,
--- a/src/bookkeeping/record_writes.h
+++ b/src/bookkeeping/record_writes.h
@@ -19,10 +19,10 @@
 fc_write *fc_job_description_move_write(const fc_cluster *cluster, const fc_job *job, const fc_description_ref *parts,
                                         uint64_t first_part);
 
-/* Fills `completed`, a bitmap of the job's size, with the recorded completions and as many of the
- * newly `ended` tasks as the job's record has room for, beside what may be written to it later. Where the
- * recorded completions alone exceed that room, some are left out. Returns whether `completed` contains at
- * least one new completion. */
+/* Fills `completed`, a bitmap of the job's size, with the known completions and as many of the newly
+ * `ended` tasks as the job's record has room for, beside what may be written to it later. Where the known
+ * completions alone exceed that room, some are left out. Returns whether `completed` contains more tasks
+ * than the record lists now. */
 bool fc_job_record_fit_completions(const fc_cluster *cluster, const fc_job *job, const uint8_t *ended,
                                    uint8_t *completed);
 
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -34,6 +34,7 @@
   fc_description_store *descriptions;
   fc_cloud_access *cloud;
 
+  fc_task_completion *completion;
   fc_worker_calls *worker_calls;
   fc_machine_probes *probes;
   fc_worker_leases *worker_leases;
@@ -102,6 +103,7 @@
   fc_wakeups *wakeups = controller->wakeups;
   fc_metrics *metrics = controller->metrics;
   fc_task_completion *completion = fc_task_completion_new(cluster, controller->commit, controller->watch, metrics);
+  controller->completion = completion;
   fc_reconciler *reconciler = fc_reconciler_new(cluster, completion, wakeups, metrics);
   fc_worker_commands *commands = fc_worker_commands_new(cluster, completion);
   fc_machine_registration *registration =
@@ -256,7 +258,8 @@
       fc_machine_returns_new(controller->cluster, controller->commit, controller->watch, controller->wakeups);
   return start_scaling(controller, returns) && start_archiver(controller) &&
          start_cancellation_deadline(controller, returns) && fc_dependency_resolver_start(controller->resolver) &&
-         start_description_cleanup(controller) && start_description_relocation(controller);
+         start_description_cleanup(controller) && start_description_relocation(controller) &&
+         fc_task_completion_start(controller->completion);
 }
 
 fc_controller_error fc_controller_start(const fc_settings *settings, fc_controller **out) {
--- a/src/controller/task_completion.c
+++ b/src/controller/task_completion.c
@@ -49,7 +49,7 @@
   return placement->status.state == FC_TASK_EXITED && placement->status.cause == FC_CAUSE_DONE;
 }
 
-/* Fills in the bitmap of the tasks that are done, recorded or not. Returns false if the record has them all. */
+/* Fills in the bitmap of the tasks that are done, recorded or not. Returns false if the record lists them all. */
 static bool collect_done(const fc_job *job, uint8_t *bitmap) {
   bool unrecorded = false;
   memcpy(bitmap, job->completion.bitmap, fc_task_bitmap_bytes(job->spec.tasks));
@@ -64,7 +64,7 @@
    * machine was lost in between (fault test, seed 23), as the remaining tasks could not start as a gang again. */
   if (unrecorded && job->spec.kind == FC_JOB_GANG)
     for (uint32_t i = 0; i < job->spec.tasks; i++) fc_task_bitmap_set(bitmap, i);
-  return unrecorded;
+  return unrecorded || job->completion.count > job->record.completed;
 }
 
 /* Whether a task in this shard still runs or is pending, so that more completions will follow. */
@@ -196,3 +196,23 @@
   if (done && !job && placement->created_at + cluster->settings->heartbeat_s >= cluster->sync.read_at) return;
   placement->end_recorded = true;
 }
+
+/* Records the completions that records without room have left out, once there is room: other controllers may have
+ * restarted since and know only what the records list. */
+static void run_unlisted(void *arg) {
+  fc_task_completion *completion = arg;
+  const fc_cluster *cluster = completion->cluster;
+  fc_metrics_enter_duty(completion->metrics, FC_DUTY_COMMITS);
+  double pause_s = cluster->settings->heartbeat_s;
+  while (fc_routine_sleep(pause_s * g_random_double_range(BATCH_JITTER_MIN, BATCH_JITTER_MAX)) != FC_WAKE_CANCELLED) {
+    if (!fc_cluster_store_reachable(cluster, fc_now())) continue;
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, cluster->unlisted_completions);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) fc_task_completion_record(completion, id);
+  }
+}
+
+bool fc_task_completion_start(fc_task_completion *completion) {
+  return fc_routine_spawn(run_unlisted, completion) != NULL;
+}
--- a/src/controller/task_completion.h
+++ b/src/controller/task_completion.h
@@ -15,6 +15,8 @@
 fc_task_completion *fc_task_completion_new(fc_cluster *cluster, fc_group_commit *commit, fc_kv_watch *watch,
                                            fc_metrics *metrics);
 void fc_task_completion_free(fc_task_completion *completion);
+/* Starts the routine that records completions that records without room have left out. False if out of memory. */
+bool fc_task_completion_start(fc_task_completion *completion);
 
 /* To be called when tasks of the job have ended: starts a routine that records them, or notifies the running one.
  * Returns at once. */
--- a/tests/test_record_limits.c
+++ b/tests/test_record_limits.c
@@ -3,6 +3,7 @@
 #include "check.h"
 
 #include "scene.h"
+#include "sim/kv.h"
 
 #define LOWER_VALUE_KB 1
 #define TXN_OPS 8
@@ -92,6 +93,44 @@
   assert_int_equal(failed, 0);
 }
 
+/* Replaces the job's record by one that lists no completed task, as a controller with no room for them writes it. */
+static void leave_out_completions(const char *key) {
+  json_t *value = json_deep_copy(kv_lookup(key)->value);
+  json_object_del(value, "done");
+  kv_next_revision();
+  kv_put(key, value, 0);
+  json_decref(value);
+  kv_watches_answer();
+}
+
+/* Guards against jobs that are never done, as their record lists fewer completed tasks than one controller knows of,
+ * while the others have restarted and wait for that one's slices. */
+static void completions_left_out_are_recorded_later(void **state) {
+  (void)state;
+  unsigned failed = 0;
+  for (unsigned informed = 0; informed <= WORLD_NODES; informed++) {
+    const scene_setup setup = {.seed = 110, .keep_idle = true, .images_cached = true, .machines = {3, 3}};
+    scene_prepare(&setup);
+    scene_start(&setup);
+    world_submit_job(
+        &(world_job){.id = world_id(1), .kind = "sweep", .tasks = 16, .gpus = 0.5, .run_s = 5, .stagger_s = 10});
+    sim_run_until(sim_now() + 125);
+    leave_out_completions("fc1/job/job-000001");
+    sim_run_until(sim_now() + 0.2);
+    /* With `informed` beyond the last controller all of them restart. */
+    for (unsigned node = 0; node < WORLD_NODES; node++)
+      if (node != informed) world_crash(node, 0.5);
+    sim_run_until(sim_now() + 150);
+    world_result r = world_current_result();
+    bool done = world_seen_done_at(world_id(1)) > 0 && kv_has_key("fc1over/job-000001");
+    print_message("informed %u: %s; %u of %u starts of tasks done before\n", informed, done ? "done" : "not done",
+                  r.starts_after_done, r.starts);
+    if (r.broken) print_message("informed %u: %s\n", informed, r.first);
+    failed += r.broken || !done;
+  }
+  assert_int_equal(failed, 0);
+}
+
 typedef struct long_row {
   const char *name;
   unsigned absent_types; /* how long the description is */
@@ -163,9 +202,9 @@
 }
 
 int main(void) {
-  const struct CMUnitTest tests[] = {cmocka_unit_test(full_records_can_be_ended),
-                                     cmocka_unit_test(long_descriptions_move_out_of_records),
-                                     cmocka_unit_test(quota_of_many_teams)};
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(full_records_can_be_ended), cmocka_unit_test(completions_left_out_are_recorded_later),
+      cmocka_unit_test(long_descriptions_move_out_of_records), cmocka_unit_test(quota_of_many_teams)};
   cmocka_set_test_filter(g_getenv("RECORD_LIMITS_ONLY"));
   cmocka_set_skip_filter(g_getenv("RECORD_LIMITS_BUT"));
   return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_record_writes.c
+++ b/tests/test_record_writes.c
@@ -46,9 +46,41 @@
   }
 }
 
+/* Reads a record of the job that lists these completions. */
+static void read_listing(fc_cluster *cluster, const fc_job *job, const char *done, uint64_t version) {
+  fc_job_record record = {.spec = job->spec, .done = (char *)done, .slices = 1};
+  (void)fc_cluster_apply_job(cluster, job->spec.id, &record, version, true, 0);
+}
+
+/* Guards against completed tasks that only one controller knows of, and nobody records. */
+static void completions_left_out_are_still_to_be_recorded(void **state) {
+  (void)state;
+  static const struct {
+    const char *name, *first, *second;
+    bool left_out;
+  } rows[] = {{"none", "0-3", "0-3", false},
+              {"more", "0-3", "0-5", false},
+              {"fewer", "0-3", "0-1", true},
+              {"others", "0-3", "4-9", true}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    fc_settings settings = fixture_settings();
+    fc_cluster *cluster = fixture_cluster(&settings);
+    const fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 40, 1, "");
+    read_listing(cluster, job, rows[i].first, 6);
+    read_listing(cluster, job, rows[i].second, 7);
+    uint8_t completed[5] = {0};
+    check_row(rows[i].name, g_hash_table_contains(cluster->unlisted_completions, "job-000001") == rows[i].left_out);
+    check_row(rows[i].name,
+              fc_job_record_fit_completions(cluster, job, job->completion.bitmap, completed) == rows[i].left_out);
+    check_row(rows[i].name, fc_task_bitmap_has(completed, 3));
+    fc_cluster_free(cluster);
+  }
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(completions_that_fit_a_value),
+      cmocka_unit_test(completions_left_out_are_still_to_be_recorded),
   };
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
