--- a/tests/test_record_limits.c
+++ b/tests/test_record_limits.c
@@ -10,13 +10,15 @@
 
 enum { ARRAYS = 4, TASKS = 400, EVEN_RUN_S = 3, ODD_RUN_CANCELLED_S = 600, ODD_RUN_DONE_S = 60 };
 
+typedef enum {
+  ANNOUNCED,      /* the controllers know the lower limit from the start */
+  UPGRADED,       /* they know it after an upgrade, when records are larger already */
+  WITHOUT_NOTICE, /* no setting tells of it */
+} limit_notice;
+
 typedef struct record_row {
   const char *name;
-  enum {
-    ANNOUNCED,      /* the controllers know the lower limit from the start */
-    UPGRADED,       /* they know it after an upgrade, when records are larger already */
-    WITHOUT_NOTICE, /* no setting tells of it */
-  } limit;
+  limit_notice limit;
   bool crash; /* all controllers crash once the limit is lower */
   bool done;  /* the jobs run to their ends; else they are cancelled */
 } record_row;
@@ -180,6 +182,77 @@
   }
 }
 
+#define DEFAULT_SEED 300
+#define DEFAULT_SEEDS 16
+
+enum { ARRAYS_MAX = 5, CRASHES_MAX = 4, BUSY_S = 140, PLAY_S = 420 };
+
+static void submit_random_array(GRand *random, unsigned number) {
+  static const unsigned k_absent_types[] = {0, 0, 25, 60};
+  bool cancelled = g_rand_double(random) < 0.4;
+  world_submit_job(&(world_job){.id = world_id(number),
+                                .kind = "sweep",
+                                .tasks = (unsigned)g_rand_int_range(random, 10, 400),
+                                .gpus = 0.01,
+                                .run_s = g_rand_double_range(random, 1, 20),
+                                .odd_run_s = g_rand_double_range(random, 1, 90),
+                                .stagger_s = g_rand_double_range(random, 0, 0.3),
+                                .absent_types = k_absent_types[g_rand_int_range(random, 0, 4)],
+                                .in_s = g_rand_double_range(random, 0, 20),
+                                .cancel_in_s = cancelled ? g_rand_double_range(random, 10, BUSY_S) : 0});
+}
+
+/* Returns how many of the jobs have ended. */
+static unsigned play_random(GRand *random, uint32_t seed, unsigned arrays) {
+  const scene_setup setup = {.seed = seed, .keep_idle = true, .images_cached = true, .machines = {20, 16}};
+  double lower_kb = g_rand_int_range(random, LOWER_VALUE_KB, LOWER_VALUE_KB + 2);
+  int limit = g_rand_int_range(random, ANNOUNCED, WITHOUT_NOTICE + 1);
+  scene_prepare(&setup);
+  if (limit != WITHOUT_NOTICE) world_kv_announce_limits(lower_kb, TXN_OPS, 40);
+  if (limit == UPGRADED) world_former_version();
+  scene_start(&setup);
+  for (unsigned k = 0; k < arrays; k++) submit_random_array(random, k);
+  sim_run_until(sim_now() + g_rand_double_range(random, 20, BUSY_S / 2.0));
+  for (unsigned node = 0; limit == UPGRADED && node < WORLD_NODES; node++) world_upgrade(node, 0.3 + node);
+  world_kv_limit(lower_kb, TXN_OPS, 0);
+  for (int crashes = g_rand_int_range(random, 0, CRASHES_MAX + 1); crashes > 0; crashes--)
+    world_crash_in((unsigned)g_rand_int_range(random, 0, WORLD_NODES), g_rand_double_range(random, 5, BUSY_S),
+                   g_rand_double_range(random, 0.3, 5));
+  sim_run_until(sim_now() + PLAY_S);
+  unsigned ended = 0;
+  for (unsigned k = 0; k < arrays; k++) {
+    char *archived = g_strconcat("fc1over/", world_id(k), NULL);
+    ended += world_seen_terminal_state(world_id(k)) != NULL && kv_has_key(archived);
+    g_free(archived);
+  }
+  return ended;
+}
+
+static unsigned number_from_environment(const char *name, unsigned fallback) {
+  const char *text = g_getenv(name);
+  return text ? (unsigned)g_ascii_strtoull(text, NULL, 10) : fallback;
+}
+
+/* Large arrays of random shapes, some cancelled, while controllers crash and the limit falls. RECORD_SEED and
+ * RECORD_SEEDS: the first seed and the number of seeds of a longer run. */
+static void random_arrays_end(void **state) {
+  (void)state;
+  unsigned failed = 0, first = number_from_environment("RECORD_SEED", DEFAULT_SEED);
+  unsigned seeds = number_from_environment("RECORD_SEEDS", DEFAULT_SEEDS);
+  for (unsigned seed = first; seed < first + seeds; seed++) {
+    GRand *random = g_rand_new_with_seed(seed);
+    unsigned arrays = (unsigned)g_rand_int_range(random, 1, ARRAYS_MAX + 1);
+    unsigned ended = play_random(random, seed, arrays);
+    world_result r = world_current_result();
+    print_message("seed %u: %u of %u jobs ended, %u crashes; %u of %u starts of tasks done before\n", seed, ended,
+                  arrays, r.crashes, r.starts_after_done, r.starts);
+    if (r.broken) print_message("seed %u: %s\n", seed, r.first);
+    failed += r.broken || ended != arrays;
+    g_rand_free(random);
+  }
+  assert_int_equal(failed, 0);
+}
+
 /* Guards against limited teams that start nothing, as the record of all members' shares has no room in a value. */
 static void quota_of_many_teams(void **state) {
   (void)state;
@@ -202,9 +275,10 @@
 }
 
 int main(void) {
-  const struct CMUnitTest tests[] = {
-      cmocka_unit_test(full_records_can_be_ended), cmocka_unit_test(completions_left_out_are_recorded_later),
-      cmocka_unit_test(long_descriptions_move_out_of_records), cmocka_unit_test(quota_of_many_teams)};
+  const struct CMUnitTest tests[] = {cmocka_unit_test(full_records_can_be_ended),
+                                     cmocka_unit_test(completions_left_out_are_recorded_later),
+                                     cmocka_unit_test(long_descriptions_move_out_of_records),
+                                     cmocka_unit_test(random_arrays_end), cmocka_unit_test(quota_of_many_teams)};
   cmocka_set_test_filter(g_getenv("RECORD_LIMITS_ONLY"));
   cmocka_set_skip_filter(g_getenv("RECORD_LIMITS_BUT"));
   return cmocka_run_group_tests(tests, NULL, NULL);
