--- a/src/controller/task_completion.c
+++ b/src/controller/task_completion.c
@@ -203,8 +203,7 @@
   fc_task_completion *completion = arg;
   const fc_cluster *cluster = completion->cluster;
   fc_metrics_enter_duty(completion->metrics, FC_DUTY_COMMITS);
-  double pause_s = cluster->settings->heartbeat_s;
-  while (fc_routine_sleep(pause_s * g_random_double_range(BATCH_JITTER_MIN, BATCH_JITTER_MAX)) != FC_WAKE_CANCELLED) {
+  while (fc_routine_sleep(cluster->settings->heartbeat_s) != FC_WAKE_CANCELLED) {
     if (!fc_cluster_store_reachable(cluster, fc_now())) continue;
     GHashTableIter iter;
     gpointer id;
