Leave completions out of the record when two of three controllers have nothing new to write

With the earlier moment a controller that knew them had a task left, whose end recorded them anyway: the mutation in which nobody records what a record has left out was not noticed. Now it is, rows 'informed 1' and 'informed 2' are not done then; all rows hold on the sources as they are.

--- a/tests/test_record_limits.c
+++ b/tests/test_record_limits.c
@@ -116,13 +116,14 @@
     scene_start(&setup);
     world_submit_job(
         &(world_job){.id = world_id(1), .kind = "sweep", .tasks = 16, .gpus = 0.5, .run_s = 5, .stagger_s = 10});
-    sim_run_until(sim_now() + 125);
+    /* All but the last task have completed: two of the controllers have nothing new to record. */
+    sim_run_until(sim_now() + 159);
     leave_out_completions("fc1/job/job-000001");
     sim_run_until(sim_now() + 0.2);
     /* With `informed` beyond the last controller all of them restart. */
     for (unsigned node = 0; node < WORLD_NODES; node++)
       if (node != informed) world_crash(node, 0.5);
-    sim_run_until(sim_now() + 150);
+    sim_run_until(sim_now() + 159);
     world_result r = world_current_result();
     bool done = world_seen_done_at(world_id(1)) > 0 && kv_has_key("fc1over/job-000001");
     print_message("informed %u: %s; %u of %u starts of tasks done before\n", informed, done ? "done" : "not done",
