--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -196,6 +196,10 @@
       .stops = fc_task_stops_new(controller->cluster, controller->worker_calls),
       .quota = quota,
       .balancer = build_shard_balancer(controller),
+      .completion = controller->completion,
+      .relocation =
+          fc_description_relocation_new(controller->cluster, controller->watch, controller->commit,
+                                        controller->descriptions, controller->leadership, controller->metrics),
       .wakeups = controller->wakeups,
       .metrics = controller->metrics,
       .status = {.cluster = controller->cluster,
@@ -246,20 +250,12 @@
   return fc_description_cleanup_start(cleanup);
 }
 
-static bool start_description_relocation(const fc_controller *controller) {
-  fc_description_relocation *relocation =
-      fc_description_relocation_new(controller->cluster, controller->watch, controller->commit,
-                                    controller->descriptions, controller->leadership, controller->metrics);
-  return fc_description_relocation_start(relocation);
-}
-
 static bool start_maintenance(fc_controller *controller) {
   fc_machine_returns *returns =
       fc_machine_returns_new(controller->cluster, controller->commit, controller->watch, controller->wakeups);
   return start_scaling(controller, returns) && start_archiver(controller) &&
          start_cancellation_deadline(controller, returns) && fc_dependency_resolver_start(controller->resolver) &&
-         start_description_cleanup(controller) && start_description_relocation(controller) &&
-         fc_task_completion_start(controller->completion);
+         start_description_cleanup(controller);
 }
 
 fc_controller_error fc_controller_start(const fc_settings *settings, fc_controller **out) {
--- a/src/controller/description_relocation.c
+++ b/src/controller/description_relocation.c
@@ -2,8 +2,6 @@
 
 #include "bookkeeping/record_writes.h"
 
-#define PAUSE_HEARTBEATS 0.5 /* between two passes */
-
 struct fc_description_relocation {
   fc_cluster *cluster;
   fc_kv_watch *watch;
@@ -11,6 +9,7 @@
   fc_description_store *descriptions;
   const fc_leadership *leadership;
   fc_metrics *metrics;
+  bool running; /* a routine moves descriptions */
 };
 
 fc_description_relocation *fc_description_relocation_new(fc_cluster *cluster, fc_kv_watch *watch,
@@ -70,15 +69,15 @@
 
 static void run(void *arg) {
   fc_description_relocation *relocation = arg;
-  const fc_cluster *cluster = relocation->cluster;
   fc_metrics_enter_duty(relocation->metrics, FC_DUTY_COMMITS);
-  while (fc_routine_sleep(cluster->settings->heartbeat_s * PAUSE_HEARTBEATS) != FC_WAKE_CANCELLED) {
-    if (g_hash_table_size(cluster->oversized_jobs) == 0 || !fc_cluster_moves_descriptions(cluster)) continue;
-    if (fc_leadership_held(relocation->leadership) && fc_cluster_store_reachable(cluster, fc_now()))
-      run_pass(relocation);
-  }
+  run_pass(relocation);
+  relocation->running = false;
 }
 
-bool fc_description_relocation_start(fc_description_relocation *relocation) {
-  return fc_routine_spawn(run, relocation) != NULL;
+void fc_description_relocation_begin(fc_description_relocation *relocation) {
+  const fc_cluster *cluster = relocation->cluster;
+  if (relocation->running || g_hash_table_size(cluster->oversized_jobs) == 0) return;
+  if (!fc_cluster_moves_descriptions(cluster)) return;
+  relocation->running = true;
+  if (!fc_routine_spawn(run, relocation)) relocation->running = false;
 }
--- a/src/controller/description_relocation.h
+++ b/src/controller/description_relocation.h
@@ -10,11 +10,12 @@
 
 typedef struct fc_description_relocation fc_description_relocation;
 
-/* The arguments must outlive the result, which lives as long as its routine. */
+/* The arguments must outlive the result, which is never freed. */
 fc_description_relocation *fc_description_relocation_new(fc_cluster *cluster, fc_kv_watch *watch,
                                                          fc_group_commit *commit, fc_description_store *descriptions,
                                                          const fc_leadership *leadership, fc_metrics *metrics);
-/* Starts its routine. False if out of memory. */
-bool fc_description_relocation_start(fc_description_relocation *relocation);
+/* Starts a routine that moves the descriptions of the cluster's oversized jobs, if there are any and none runs yet.
+ * Returns at once. */
+void fc_description_relocation_begin(fc_description_relocation *relocation);
 
 #endif
--- a/src/controller/scheduling_loop.c
+++ b/src/controller/scheduling_loop.c
@@ -156,6 +156,13 @@
   }
 }
 
+/* Makes room in records that lack it, and has written what they have left out. */
+static void update_records(const fc_scheduling_loop *loop) {
+  if (!fc_cluster_store_reachable(loop->deps.cluster, fc_now())) return;
+  fc_description_relocation_begin(loop->deps.relocation);
+  fc_task_completion_record_unlisted(loop->deps.completion);
+}
+
 static void run_round(fc_scheduling_loop *loop) {
   GPtrArray *to_call = g_ptr_array_new();
   loop->deps.metrics->counters.rounds++;
@@ -168,6 +175,7 @@
   add_due_calls(loop, now, to_call);
   for (guint i = 0; i < to_call->len; i++) fc_worker_calls_send(loop->deps.calls, to_call->pdata[i]);
   g_ptr_array_free(to_call, TRUE);
+  update_records(loop);
 }
 
 /* Logs the status once in a worker lease. */
--- a/src/controller/scheduling_loop.h
+++ b/src/controller/scheduling_loop.h
@@ -5,10 +5,12 @@
 
 #include <stdbool.h>
 
+#include "controller/description_relocation.h"
 #include "controller/machine_probes.h"
 #include "controller/quota_shares.h"
 #include "controller/shard_balancer.h"
 #include "controller/status_log.h"
+#include "controller/task_completion.h"
 #include "controller/task_stops.h"
 #include "controller/wakeups.h"
 #include "controller/worker_leases.h"
@@ -25,6 +27,8 @@
   fc_task_stops *stops;
   fc_quota_shares *quota;
   fc_shard_balancer *balancer;
+  fc_task_completion *completion;
+  fc_description_relocation *relocation;
   fc_wakeups *wakeups;
   fc_metrics *metrics;
   fc_metrics_sources status;
--- a/src/controller/task_completion.c
+++ b/src/controller/task_completion.c
@@ -197,21 +197,9 @@
   placement->end_recorded = true;
 }
 
-/* Records the completions that records without room have left out, once there is room: other controllers may have
- * restarted since and know only what the records list. */
-static void run_unlisted(void *arg) {
-  fc_task_completion *completion = arg;
-  const fc_cluster *cluster = completion->cluster;
-  fc_metrics_enter_duty(completion->metrics, FC_DUTY_COMMITS);
-  while (fc_routine_sleep(cluster->settings->heartbeat_s) != FC_WAKE_CANCELLED) {
-    if (!fc_cluster_store_reachable(cluster, fc_now())) continue;
-    GHashTableIter iter;
-    gpointer id;
-    g_hash_table_iter_init(&iter, cluster->unlisted_completions);
-    while (g_hash_table_iter_next(&iter, &id, NULL)) fc_task_completion_record(completion, id);
-  }
-}
-
-bool fc_task_completion_start(fc_task_completion *completion) {
-  return fc_routine_spawn(run_unlisted, completion) != NULL;
+void fc_task_completion_record_unlisted(fc_task_completion *completion) {
+  GHashTableIter iter;
+  gpointer id;
+  g_hash_table_iter_init(&iter, completion->cluster->unlisted_completions);
+  while (g_hash_table_iter_next(&iter, &id, NULL)) fc_task_completion_record(completion, id);
 }
--- a/src/controller/task_completion.h
+++ b/src/controller/task_completion.h
@@ -15,12 +15,13 @@
 fc_task_completion *fc_task_completion_new(fc_cluster *cluster, fc_group_commit *commit, fc_kv_watch *watch,
                                            fc_metrics *metrics);
 void fc_task_completion_free(fc_task_completion *completion);
-/* Starts the routine that records completions that records without room have left out. False if out of memory. */
-bool fc_task_completion_start(fc_task_completion *completion);
 
 /* To be called when tasks of the job have ended: starts a routine that records them, or notifies the running one.
  * Returns at once. */
 void fc_task_completion_record(fc_task_completion *completion, const char *job_id);
+/* Records the completions that records without room have left out, once there is room: other controllers may have
+ * restarted since and know only what the records list. Returns at once. */
+void fc_task_completion_record_unlisted(fc_task_completion *completion);
 /* If the task has exited: marks the placement as one whose end is recorded or needs no record, or has the end recorded.
  * Returns at once. */
 void fc_task_completion_update(fc_task_completion *completion, fc_placement *placement);
