--- a/tests/sim/controllers.c
+++ b/tests/sim/controllers.c
@@ -1,5 +1,6 @@
 /* Processes of the simulated controllers: starts, crashes, pauses, upgrades, and the processor time
  * that they use. */
+#include "bookkeeping/cluster_machines.h"
 #include "controller/controller.h"
 
 #include "deployment.h"
@@ -103,6 +104,19 @@
   replace_version(node, true, back_in_s);
 }
 
+/* ---- state ---- */
+
+unsigned world_owner_of(unsigned machine) {
+  const sim_worker *worker = g_worker_list->pdata[machine];
+  for (unsigned node = 0; node < WORLD_NODES; node++) {
+    if (!sim_process_alive(WORLD_NODE_IP(node))) continue;
+    const fc_cluster *cluster = fc_controller_cluster(g_controllers[node]);
+    const fc_machine *known = fc_cluster_find_machine(cluster, worker->id);
+    if (known && fc_machine_owned_by_self(cluster, known)) return node;
+  }
+  return WORLD_NODES;
+}
+
 /* ---- processor time ---- */
 
 /* A sim_work_cost_fn: the cost of the scheduling rounds since the last call. A round visits every machine and
--- a/tests/sim/days.c
+++ b/tests/sim/days.c
@@ -5,6 +5,8 @@
 
 #define LOSS_SHARE 0.002          /* of requests and of responses */
 #define DUPLICATE_SHARE 0.03      /* of heartbeats */
+#define REPEATED_CALL_SHARE 0.1   /* of executed direct calls, on days with such copies */
+#define FAILING_TASK_SHARE 0.04   /* on the same days */
 #define FAULT_MAX_S 45            /* the longest fault of random_faults.c */
 #define FIRST_MACHINES 3          /* present from the start */
 #define JOB_INTERVAL_S 8          /* mean */
@@ -96,6 +98,10 @@
 
 world_result world_play(uint32_t seed, double busy_s, const world_day *day) {
   world_set_up(seed, LOSS_SHARE);
+  if (day->repeated_calls) {
+    world_repeat_calls(REPEATED_CALL_SHARE);
+    g_failing_task_share = FAILING_TASK_SHARE;
+  }
   if (day->upgrade) begin_with_former_version();
   world_start_nodes();
   for (int i = 0; i < FIRST_MACHINES; i++) (void)worker_new(i % ZONES, false, 0);
--- a/tests/sim/heartbeats.c
+++ b/tests/sim/heartbeats.c
@@ -1,6 +1,6 @@
 /* Messages between simulated workers and controllers: heartbeats and their responses, late duplicates of
  * heartbeats, direct commands, and the lease that answered heartbeats renew. */
-#include "workers.h"
+#include "repeated_calls.h"
 
 #define HEARTBEAT_TIMEOUT_S 4
 #define HEARTBEAT_RETRY_S 1 /* after a heartbeat that was rejected or not answered */
@@ -56,6 +56,10 @@
 
 /* A higher fencing token counts as a changed status at most once in half a lease. */
 static void adopt_fencing_token(sim_worker *worker, uint64_t fencing_token) {
+  if (worker->restarted_at > 0 && fencing_token > worker->token_before_restart) {
+    g_result.max_unfenced_s = MAX(g_result.max_unfenced_s, sim_now() - worker->restarted_at);
+    worker->restarted_at = 0;
+  }
   if (fencing_token > worker->fencing_token && sim_now() >= worker->token_reported_at + LEASE_S / 2) {
     worker->status_changed = true;
     worker->token_reported_at = sim_now();
@@ -166,10 +170,9 @@
 
 /* ---- direct commands ---- */
 
-void worker_serve_commands(const sim_request *request, void *arg) {
-  sim_worker *worker = arg;
+bool worker_receive_call(sim_worker *worker, const char *body) {
   worker_check_lease(worker);
-  json_t *message = json_loads(request->body, 0, NULL);
+  json_t *message = json_loads(body, 0, NULL);
   uint64_t fencing_token = get_integer(message, "captaincy");
   bool accepted = fencing_token >= worker->fencing_token && get_integer(message, "stint") == worker->epoch;
   if (accepted) {
@@ -177,6 +180,13 @@
     tasks_execute(worker, json_object_get(message, "calls"));
   }
   json_decref(message);
+  return accepted;
+}
+
+void worker_serve_commands(const sim_request *request, void *arg) {
+  sim_worker *worker = arg;
+  bool accepted = worker_receive_call(worker, request->body);
+  if (accepted) repeated_calls_note_executed(worker, request->body);
   char *text = status_message(worker);
   sim_answer(request->exchange, accepted ? 200 : 409, text);
   free(text);
--- a/tests/sim/machines.c
+++ b/tests/sim/machines.c
@@ -31,6 +31,10 @@
     if (!machine_at(i)->terminated) worker_restart_empty(machine_at(i));
 }
 
+void world_fail_tasks(unsigned machine, double for_s) {
+  machine_at(machine)->tasks_fail_until = sim_now() + for_s;
+}
+
 void world_preempt_machine(unsigned machine, double in_s) {
   sim_worker *worker = machine_at(machine);
   worker->preemption_notice_at = sim_now();
--- a/tests/sim/stand_ins.h
+++ b/tests/sim/stand_ins.h
@@ -82,6 +82,7 @@
   const char *cause;     /* of its exit */
   double ends_at;        /* the image fetch, then the run */
   double waiting_since;  /* waits for the rest of its gang since then */
+  bool fails;            /* ends with an error instead of completing */
   double gang_broken_at; /* when it detected the loss of another task of its gang */
 } sim_task;
 
@@ -93,16 +94,19 @@
   double created_at, boots_at;
   double released_at; /* when it was returned to the cloud */
   double planned_hang_s;
+  double tasks_fail_until;    /* until then every task that runs on it fails */
   double hung_until;          /* until then it neither runs nor answers */
   double inbound_lost_until;  /* until then nothing that is sent to it arrives */
   double outbound_lost_until; /* until then its heartbeats reach no controller */
   double preemption_notice_at, preempted_at;
   uint64_t epoch, heartbeat_seq, fencing_token;
-  double token_reported_at; /* when a higher fencing token last counted as a changed status */
-  double lease_renewed_at;  /* when the last answered heartbeat was sent */
-  GPtrArray *tasks;         /* sim_task */
-  int node;                 /* the controller that it sends heartbeats to */
-  uint64_t connection;      /* to that controller; 0: none open */
+  uint64_t token_before_restart; /* the highest token that it has seen in earlier lives */
+  double restarted_at;           /* since when it has not seen a higher one; 0: it has, or was not restarted */
+  double token_reported_at;      /* when a higher fencing token last counted as a changed status */
+  double lease_renewed_at;       /* when the last answered heartbeat was sent */
+  GPtrArray *tasks;              /* sim_task */
+  int node;                      /* the controller that it sends heartbeats to */
+  uint64_t connection;           /* to that controller; 0: none open */
   double next_heartbeat_at, heartbeat_sent_at;
   uint64_t sent_epoch;                    /* the epoch in the heartbeat in flight */
   unsigned incarnation, sent_incarnation; /* incremented at each restart of the machine */
@@ -144,6 +148,7 @@
 extern double g_faults_end_at;              /* all faults are over by then; 0: not known yet */
 extern double g_cancel_on_completion_share; /* of jobs that are cancelled as they complete */
 extern double g_delayed_commit_share;       /* of transactions that are applied late, unanswered */
+extern double g_failing_task_share;         /* of tasks that begin */
 extern double g_image_fetch_max_s;
 extern bool g_verbose;
 extern unsigned g_zone_capacity, g_zone_spot_capacity; /* machines that the cloud has in each zone */
--- a/tests/sim/tasks.c
+++ b/tests/sim/tasks.c
@@ -1,6 +1,6 @@
 /* Tasks on simulated machines: commands, image fetches, runs, and gangs, whose tasks begin and complete
  * together. */
-#include "workers.h"
+#include "repeated_calls.h"
 
 #define GANG_PEER_SHARE 0.8 /* of GANG_PEER_S, after which a task detects the loss of another of its gang */
 #define IMAGE_FETCH_MIN_S 0.2
@@ -180,6 +180,7 @@
   task->state = is_gang(job) ? TASK_WAITING : TASK_RUNNING;
   task->waiting_since = sim_now();
   task->ends_at = sim_now() + run_time(job, task->index);
+  task->fails = repeated_calls_task_fails();
   worker->status_changed = true;
   check_task_start(worker, task);
   /* The result of an earlier run is still available. */
@@ -232,6 +233,7 @@
   const sim_job *job = task->job;
   double now = sim_now();
   if (task->state == TASK_FETCHING && now >= task->ends_at) image_fetched(worker, task);
+  if (task->state == TASK_RUNNING && (task->fails || now < worker->tasks_fail_until)) exit_task(worker, task, "error");
   if (is_gang(job) && (task->state == TASK_WAITING || task->state == TASK_RUNNING)) {
     gang_step(worker, task);
   } else if (task->state == TASK_RUNNING && strcmp(job->kind, "sweep") == 0 && now >= task->ends_at) {
--- a/tests/sim/workers.c
+++ b/tests/sim/workers.c
@@ -26,6 +26,8 @@
 
 void worker_restart_empty(sim_worker *worker) {
   tasks_drop_all(worker);
+  worker->token_before_restart = MAX(worker->token_before_restart, worker->fencing_token);
+  worker->restarted_at = sim_now();
   worker->incarnation++;
   worker->epoch = 1;
   worker->heartbeat_seq = worker->fencing_token = 0;
--- a/tests/sim/workers.h
+++ b/tests/sim/workers.h
@@ -15,6 +15,8 @@
 void worker_check_lease(sim_worker *worker);
 /* Sends a heartbeat; the response renews the lease and may carry commands. */
 void worker_send_heartbeat(sim_worker *worker);
+/* Executes a direct call with that body if its fencing token and epoch allow; returns whether they do. */
+bool worker_receive_call(sim_worker *worker, const char *body);
 /* A sim_server_fn for the worker in `arg`: serves the commands that controllers send directly. */
 void worker_serve_commands(const sim_request *request, void *arg);
 
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -1,12 +1,13 @@
 /* The simulated deployment as a whole: state that all stand-ins share, the set-up of a scene or a day,
  * and the count of violated rules. */
 #include "deployment.h"
+#include "repeated_calls.h"
 #include "stand_ins.h"
 
 GHashTable *g_jobs, *g_workers, *g_workers_by_ip;
 GPtrArray *g_worker_list;
 world_result g_result;
-double g_duplicate_share, g_faults_end_at;
+double g_duplicate_share, g_faults_end_at, g_failing_task_share;
 bool g_verbose;
 unsigned g_zone_capacity, g_zone_spot_capacity;
 
@@ -67,7 +68,8 @@
   set_up_logging();
   memset(&g_result, 0, sizeof g_result);
   world_reset_min_lease_left();
-  g_duplicate_share = g_faults_end_at = g_cancel_on_completion_share = 0;
+  g_duplicate_share = g_faults_end_at = g_cancel_on_completion_share = g_failing_task_share = 0;
+  repeated_calls_init(seed);
   world_capacity(DEFAULT_CAPACITY, DEFAULT_SPOT_CAPACITY);
   users_init();
   workers_init();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -36,7 +36,10 @@
   unsigned starts_after_done;                /* starts of tasks that had completed before */
   unsigned submissions, unanswered, refused; /* ended; not answered; answered with 429 or 503 */
   double min_lease_left_s;                   /* the shortest remaining lease of a running worker */
-  unsigned over_rate;                        /* transactions that the key-value store refused for their rate */
+  unsigned copies, copies_executed, starts_by_copies; /* copies of direct calls delivered; of those, executed; tasks
+                                                       * that they began */
+  double max_unfenced_s; /* the longest time in which a restarted machine had seen no token above those before */
+  unsigned over_rate;    /* transactions that the key-value store refused for their rate */
   unsigned status_requests, status_answers, status_refusals; /* ended; answered with 200; with 503 */
 } world_result;
 
@@ -48,6 +51,7 @@
 typedef struct world_day {
   bool overlapping_faults; /* add incidents that overlap */
   bool pipelines;          /* add jobs that depend on others */
+  bool repeated_calls;     /* executed direct calls arrive again, and some tasks fail */
   bool upgrade;            /* controllers start with the former version and are upgraded one by one */
 } world_day;
 
@@ -200,6 +204,14 @@
 void world_cut_inbound(unsigned from, unsigned to, double for_s); /* nothing that is sent to them arrives */
 /* Their heartbeats reach no controller; direct commands reach them. */
 void world_cut_outbound(unsigned from, unsigned to, double for_s);
+/* Every task that runs on the machine within for_s fails. */
+void world_fail_tasks(unsigned machine, double for_s);
+/* That share of the direct calls that workers execute arrives again, a fraction of a second to some leases later,
+ * some of it more than once. */
+void world_repeat_calls(double share);
+void world_record_calls(void); /* records the direct calls that workers execute from now on */
+/* Copies of the recorded calls that carry a start of the job arrive now; returns their number. */
+unsigned world_repeat_starts_of(const char *id);
 /* Both give a machine notice that it is preempted in in_s; the first picks a spot machine in use, and
  * returns false if there is none. */
 bool world_preempt_any_spot(double in_s);
@@ -212,6 +224,7 @@
 unsigned world_terminated_machines(unsigned from, unsigned to); /* how many of them are terminated */
 /* How many workers have seen a raised fencing token, while no term is of the former version. */
 unsigned world_raised_tokens(void);
+unsigned world_owner_of(unsigned machine);      /* the controller that owns it; WORLD_NODES: none */
 unsigned world_node_of(unsigned machine);       /* the controller that it sends heartbeats to */
 unsigned world_running_tasks(void);             /* the number of running tasks */
 unsigned world_fetching_tasks(void);            /* the number of tasks that fetch their image */
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -12,12 +12,15 @@
 #define SEEDS_WITH_PIPELINES 16u
 #define SEEDS_WITH_UPGRADES 16u
 
+/* Simulated days of each kind with copies of executed direct calls. */
+#define SEEDS_WITH_COPIES 12u
+
 /* FAULT_SEED=N begins with seed N, and runs it alone unless FAULT_SEEDS=M asks for M seeds. */
 static void run_days(const world_day *day, uint32_t seeds) {
   const char *first_text = g_getenv("FAULT_SEED"), *count_text = g_getenv("FAULT_SEEDS");
   uint32_t first = first_text ? (uint32_t)atoi(first_text) : 1;
   uint32_t count = count_text ? (uint32_t)atoi(count_text) : first_text ? 1 : seeds;
-  unsigned unaccepted = 0, unfinished = 0, starts = 0, late_starts = 0, broken = 0, invalid = 0;
+  unsigned unaccepted = 0, unfinished = 0, starts = 0, late_starts = 0, broken = 0, invalid = 0, copies = 0;
   for (uint32_t seed = first; seed < first + count; seed++) {
     world_result r = world_play(seed, BUSY_S, day);
     print_message(
@@ -28,6 +31,12 @@
     /* Go on with the other seeds, so that one failure doesn't hide others. */
     if (r.broken) print_message("seed %u broke %u rules, first at %s\n", seed, r.broken, r.first);
     broken += r.broken;
+    if (day->repeated_calls)
+      print_message(
+          "seed %u: %u copies of calls, %u executed, %u tasks begun by them; %.2f s until a restarted machine "
+          "had a new token\n",
+          seed, r.copies, r.copies_executed, r.starts_by_copies, r.max_unfenced_s);
+    copies += r.copies;
     unaccepted += r.submitted - r.accepted;
     unfinished += r.unfinished;
     starts += r.starts;
@@ -35,6 +44,7 @@
     invalid += r.invalid_requests;
   }
   print_message("%u days: %u starts, %u of them after a confirmed cancellation\n", count, starts, late_starts);
+  assert_true(!day->repeated_calls || count == 1 || copies > 0);
   assert_int_equal(broken, 0);
   assert_true(starts > 50 * count);
   assert_true(!day->overlapping_faults || count == 1 || invalid > 0);
@@ -77,11 +87,47 @@
   run_days(&(world_day){.pipelines = true, .upgrade = true, .overlapping_faults = true}, SEEDS_WITH_UPGRADES);
 }
 
+/* The same kinds with copies: a share of the executed direct calls arrives again, late, beside restarts of
+ * controllers and machines; some tasks fail. */
+static void copies_with_faults(void **state) {
+  (void)state;
+  run_days(&(world_day){.repeated_calls = true}, SEEDS_WITH_COPIES);
+}
+
+static void copies_with_meetings(void **state) {
+  (void)state;
+  run_days(&(world_day){.repeated_calls = true, .overlapping_faults = true}, SEEDS_WITH_COPIES);
+}
+
+static void copies_with_pipelines(void **state) {
+  (void)state;
+  run_days(&(world_day){.repeated_calls = true, .pipelines = true}, SEEDS_WITH_COPIES);
+}
+
+static void copies_with_pipelines_and_meetings(void **state) {
+  (void)state;
+  run_days(&(world_day){.repeated_calls = true, .pipelines = true, .overlapping_faults = true}, SEEDS_WITH_COPIES);
+}
+
+static void copies_with_upgrades(void **state) {
+  (void)state;
+  run_days(&(world_day){.repeated_calls = true, .pipelines = true, .upgrade = true}, SEEDS_WITH_COPIES);
+}
+
+static void copies_with_upgrades_and_meetings(void **state) {
+  (void)state;
+  run_days(&(world_day){.repeated_calls = true, .pipelines = true, .upgrade = true, .overlapping_faults = true},
+           SEEDS_WITH_COPIES);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test(days_with_faults),    cmocka_unit_test(days_with_meetings),
-      cmocka_unit_test(days_with_pipelines), cmocka_unit_test(days_with_pipelines_and_meetings),
-      cmocka_unit_test(days_with_upgrades),  cmocka_unit_test(days_with_upgrades_and_meetings)};
+      cmocka_unit_test(days_with_faults),      cmocka_unit_test(days_with_meetings),
+      cmocka_unit_test(days_with_pipelines),   cmocka_unit_test(days_with_pipelines_and_meetings),
+      cmocka_unit_test(days_with_upgrades),    cmocka_unit_test(days_with_upgrades_and_meetings),
+      cmocka_unit_test(copies_with_faults),    cmocka_unit_test(copies_with_meetings),
+      cmocka_unit_test(copies_with_pipelines), cmocka_unit_test(copies_with_pipelines_and_meetings),
+      cmocka_unit_test(copies_with_upgrades),  cmocka_unit_test(copies_with_upgrades_and_meetings)};
   /* Runs a single test, such as FAULT_TEST=days_with_meetings. */
   cmocka_set_test_filter(g_getenv("FAULT_TEST"));
   return cmocka_run_group_tests(tests, NULL, NULL);
