Excuse expired leases only where no controller was up for the worker, by the sim's record

The row 'again and again, with little capacity' allowed no expired lease, as one controller can always be reached. A trace shows one that nobody can prevent: a controller crashes every 5 s, for 0.3 s, and the worker, which tries the next one 5 s after a lost heartbeat (4 s and 1 s), meets each of the three just while it is down (134.25, 139.25, 144.25).

Simulated workers note whether they have tried a controller that was up since the last renewal; only a lease without one is excused, with as many starts.

--- a/tests/sim/heartbeats.c
+++ b/tests/sim/heartbeats.c
@@ -16,6 +16,7 @@
   if (g_verbose && worker->tasks->len > 0)
     g_printerr("%.2f lease expired %s tasks=%u\n", sim_now(), worker->id, worker->tasks->len);
   g_result.lease_kills += worker->tasks->len;
+  if (!worker->tried_live_controller) g_result.unavoidable_lease_kills += worker->tasks->len;
   tasks_drop_all(worker);
   worker->epoch++;
   worker->lease_renewed_at = sim_now();
@@ -74,6 +75,7 @@
   if (fencing_token < worker->fencing_token) return;
   adopt_fencing_token(worker, fencing_token);
   worker->lease_renewed_at = worker->heartbeat_sent_at;
+  worker->tried_live_controller = false;
   tasks_execute(worker, json_object_get(message, "calls"));
 }
 
@@ -155,6 +157,7 @@
   worker->heartbeat_sent_at = sim_now();
   worker->sent_epoch = worker->epoch;
   worker->sent_incarnation = worker->incarnation;
+  worker->tried_live_controller |= sim_process_alive(WORLD_NODE_IP(worker->node));
   worker->status_changed = false;
   worker->next_heartbeat_at = sim_now() + HEARTBEAT_S * sim_draw(0.75, 1.25);
   char *body = status_message(worker);
--- a/tests/sim/stand_ins.h
+++ b/tests/sim/stand_ins.h
@@ -111,6 +111,7 @@
   uint64_t sent_epoch;                    /* the epoch in the heartbeat in flight */
   unsigned incarnation, sent_incarnation; /* incremented at each restart of the machine */
   bool in_flight, status_changed;
+  bool tried_live_controller; /* since the lease was renewed, a heartbeat was sent to a controller that was up */
 } sim_worker;
 
 /* ---- network faults ---- */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -26,8 +26,9 @@
   unsigned ran_twice, over_quota; /* violations of these two rules: tasks that run twice, quotas exceeded */
   unsigned submitted, accepted, finished, unfinished, cancelled; /* jobs */
   unsigned starts;                                               /* of tasks */
-  unsigned lease_kills;  /* tasks that ended because their worker's lease expired */
-  unsigned return_kills; /* tasks of jobs not seen cancelled that ended because their machine was returned */
+  unsigned lease_kills;             /* tasks that ended because their worker's lease expired */
+  unsigned unavoidable_lease_kills; /* of those, on machines that had found no controller up since the renewal */
+  unsigned return_kills;            /* tasks of jobs not seen cancelled that ended because their machine was returned */
   unsigned crashes, faults;
   unsigned late_starts;                      /* of tasks, after the user saw the job cancelled */
   unsigned invalid_requests;                 /* requests that must be refused or change nothing */
--- a/tests/test_leaders.c
+++ b/tests/test_leaders.c
@@ -350,14 +350,15 @@
     print_message("%s: %u starts, %u lease kills, done reported after %.1f s at most, %u handed over so far\n",
                   row->name, r.starts, r.lease_kills, longest_s, handed_over);
     check_rules(row->name);
-    /* No lease expires: at least one controller can be reached in time. */
-    check_row(row->name, r.lease_kills == 0 && r.starts_after_done == 0);
+    /* No lease expires unless its worker has tried each controller just while that was down. */
+    unsigned unavoidable = r.unavoidable_lease_kills;
+    check_row(row->name, r.lease_kills == unavoidable && r.starts_after_done <= unavoidable);
     check_row(row->name, r.finished == G_N_ELEMENTS(k_array_tasks));
     /* A worker may first try a controller that has crashed, and users poll every 4 to 6 s. */
     check_row(row->name, longest_s < 20);
     for (unsigned k = 0; k < G_N_ELEMENTS(k_array_tasks); k++)
-      check_row(row->name, row->killed > 0 || world_starts_of(world_id(k)) == k_array_tasks[k]);
-    check_row(row->name, r.starts <= 17 + row->killed);
+      check_row(row->name, row->killed + unavoidable > 0 || world_starts_of(world_id(k)) == k_array_tasks[k]);
+    check_row(row->name, r.starts <= 17 + row->killed + unavoidable);
   }
   assert_true(handed_over > 0);
 }
