Count a task lost in a restart as gone only once its worker refuses copies of its start

Seen in the scenes of copied calls: a machine is back within a second under its name, without tasks, session 1 and no token; the owner takes the task for gone by the first list, starts it elsewhere, and a copy of the first start, answered before the restart, runs it a second time on the restarted machine.

That list proved that the worker lacks the task, not that it refuses its start: the owner went on with the token that the start had carried, or a lower one.

Once a restart is found, the owner sends nothing below a token above all that it sent before, beginning with a second call at once; a task that was listed is gone only once a list shows a token above that of its start.

Rows of test_reconciler (tasks_lost_in_a_restart) and test_worker_commands fail without the change.

--- a/src/bookkeeping/cluster_machines.h
+++ b/src/bookkeeping/cluster_machines.h
@@ -28,9 +28,12 @@
   return machine->reconciled_term == cluster->membership.term.number;
 }
 
-/* The lowest fencing token of the current term that the machine's worker accepts, as far as known. */
+/* The lowest fencing token of the current term that the machine's worker accepts, as far as known, and
+ * that makes it refuse commands from before its restart. */
 static inline uint64_t fc_machine_fencing_token(const fc_cluster *cluster, const fc_machine *machine) {
-  return fc_fencing_token_accepted(machine->worker.fencing_token, cluster->membership.term.number);
+  uint64_t term = cluster->membership.term.number;
+  return MAX(fc_fencing_token_accepted(machine->worker.fencing_token, term),
+             fc_fencing_token_accepted(machine->worker.lowest_token, term));
 }
 
 /* Resources that no placement uses; none if the machine's type, or the job of one of its tasks, is
--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -83,7 +83,8 @@
  * command. */
 bool fc_placement_start_outdated(const fc_placement *placement, uint64_t lowest_epoch);
 /* Whether the machine's worker, once it has forgotten the attempt and has seen no token above `token`,
- * would execute a late copy of the direct start command in its present epoch. An answer to the command doesn't rule that out. */
+ * would execute a late copy of the direct start command in its present epoch. An answer to the command doesn't rule
+ * that out. */
 bool fc_placement_start_repeatable(const fc_placement *placement, uint64_t token);
 /* Whether the placement remains after the worker has lost the task, because a copy of its start
  * command is outstanding. That applies only if this controller has owned the machine ever since:
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -112,7 +112,8 @@
   if (!start->sent) return false;      /* only planned so far */
   /* A restarted worker counts its epochs from the beginning, and may reach the one that a start named. */
   if (origin->new_epoch) return start->direct == FC_DIRECT_START_NONE;
-  if (placement->status.reported) return true;
+  /* The worker has lost the task in a restart, and a copy of the start would begin it again. */
+  if (placement->status.reported) return !fc_placement_start_repeatable(placement, heartbeat->fencing_token);
   /* Sent but never listed. The outcome is unknown while a direct copy of the start may arrive. After that it is decided
    * by the heartbeat that follows the one whose response carried the start, or by the response to a direct call sent
    * after the worker's request timeout for that heartbeat. Of a restarted machine only responses to direct calls count:
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -95,8 +95,14 @@
 }
 
 /* Resets what is known of the worker after a restart. Its tasks are gone, except those with a direct start that may
- * still arrive and would then be executed. */
-static void reset_worker_state(fc_machine *machine, const fc_heartbeat *heartbeat) {
+ * still arrive and would then be executed. As it has seen no fencing token and counts epochs anew, it executes copies
+ * of any command sent before, until it sees a higher token. */
+static void reset_worker_state(const fc_worker_calls *calls, fc_machine *machine, const fc_heartbeat *heartbeat) {
+  const fc_cluster *cluster = calls->cluster;
+  uint64_t token = fc_machine_fencing_token(cluster, machine);
+  if (fc_cluster_raises_tokens(cluster))
+    machine->worker.lowest_token = fc_fencing_token_raise(token, cluster->membership.term.number);
+  machine->probe.wanted = true;
   for (guint i = 0; i < machine->placements->len; i++) {
     fc_placement *placement = machine->placements->pdata[i];
     /* A task that counts as reported, and is missing in the new list, is removed. */
@@ -108,20 +114,22 @@
   machine->worker.epoch_began_at = fc_now();
 }
 
-void fc_worker_calls_apply_answer(fc_worker_calls *calls, fc_machine *machine, const fc_heartbeat *heartbeat,
+bool fc_worker_calls_apply_answer(fc_worker_calls *calls, fc_machine *machine, const fc_heartbeat *heartbeat,
                                   double sent_at) {
   /* A response is newer than every heartbeat that had arrived when the call was sent. If its numbers say otherwise, the
    * worker was restarted and counts from the beginning. A call sent before the worker's lease expired may have been
    * answered in the epoch that ended with the lease. */
   bool sent_afterwards = sent_at > MAX(machine->worker.heard_at, machine->worker.expired_at);
-  if (!fc_heartbeat_order_is_newer(machine, heartbeat) && sent_afterwards) {
+  bool restarted = !fc_heartbeat_order_is_newer(machine, heartbeat) && sent_afterwards;
+  if (restarted) {
     if (!machine->worker.restarted)
       g_info("worker restarted machine=%s tasks=%u", machine->id, machine->placements->len);
-    reset_worker_state(machine, heartbeat);
+    reset_worker_state(calls, machine, heartbeat);
   }
-  if (!fc_heartbeat_order_is_newer(machine, heartbeat)) return;
+  if (!fc_heartbeat_order_is_newer(machine, heartbeat)) return restarted;
   fc_reconciler_apply_answer(calls->reconciler, machine, heartbeat, sent_at);
   machine->probe.confirmed_at = sent_at;
+  return restarted;
 }
 
 /* Whether the worker refused the call for its epoch or its fencing token, so that another call, with those
@@ -140,8 +148,8 @@
   if (cluster->membership.term.number != call->term || !fc_machine_owned_by_self(cluster, machine) ||
       strcmp(heartbeat->machine, machine->id) != 0)
     return false;
-  fc_worker_calls_apply_answer(calls, machine, heartbeat, call->sent_at);
-  return repeatable(machine, call, result, heartbeat);
+  bool restarted = fc_worker_calls_apply_answer(calls, machine, heartbeat, call->sent_at);
+  return restarted || repeatable(machine, call, result, heartbeat);
 }
 
 /* ---- calls ---- */
--- a/src/controller/worker_calls.h
+++ b/src/controller/worker_calls.h
@@ -21,8 +21,9 @@
 /* Starts a routine that sends the machine its commands or, if it is not reconciled yet, an empty call that fences it.
  * Returns at once. Does nothing if a call to the machine is in flight, or there is no socket for it. */
 void fc_worker_calls_send(fc_worker_calls *calls, fc_machine *machine);
-/* Applies the response of a machine of this shard to a direct call that was sent at `sent_at` (monotonic time). */
-void fc_worker_calls_apply_answer(fc_worker_calls *calls, fc_machine *machine, const fc_heartbeat *heartbeat,
+/* Applies the response of a machine of this shard to a direct call that was sent at `sent_at` (monotonic time). Returns
+ * whether it shows that the worker was restarted. */
+bool fc_worker_calls_apply_answer(fc_worker_calls *calls, fc_machine *machine, const fc_heartbeat *heartbeat,
                                   double sent_at);
 
 /* Whether there is a socket for a call to the machine. */
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -152,9 +152,11 @@
 }
 
 /* Returns whether the next answer to the worker has to revoke the direct copy of the start: its outcome is unknown, it
- * is still in flight although the task must not run, or the worker is to forget the task. */
+ * is still in flight although the task must not run, or the worker is to forget the task or has lost it in a restart.
+ */
 static bool revokes_start(const fc_cluster *cluster, const fc_placement *placement) {
-  if (is_forgettable(placement)) return true;
+  bool lost = placement->status.reported && !placement->status.listed;
+  if (lost || is_forgettable(placement)) return true;
   if (placement->start.direct == FC_DIRECT_START_IN_FLIGHT) return fc_worker_commands_task_unwanted(cluster, placement);
   return placement->start.direct == FC_DIRECT_START_UNACKNOWLEDGED;
 }
--- a/tests/test_reconciler.c
+++ b/tests/test_reconciler.c
@@ -167,6 +167,46 @@
   }
 }
 
+/* A list lacks a task that was listed before, as the worker was restarted. While the worker has seen no token above
+ * that of the task's direct start, a copy of the start would run the task: it is not placed elsewhere before. */
+static void tasks_lost_in_a_restart(void **state) {
+  (void)state;
+  enum { TERM = 8192, RAISED = 10240 }; /* coordination/fencing_token.h */
+  static const struct {
+    const char *name;
+    uint64_t started_with, shown;
+    unsigned named_epoch; /* by the start; the worker's is 1 */
+    bool lost;            /* the placement is removed */
+  } rows[] = {
+      {"started by an answer", 0, TERM, 0, true},
+      {"started directly, no token shown since the restart", TERM, 0, 1, false},
+      {"started directly, the token of the start shown", TERM, TERM, 1, false},
+      {"started directly, a higher token shown", TERM, RAISED, 1, true},
+      {"started directly in an epoch before", TERM, TERM, 0, true},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_fixture *fixture = worker_fixture_new();
+    fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
+    fc_cluster_apply_term(fixture->cluster, &term, 10, true, 0);
+    fc_machine *machine = fixture_machine(fixture->cluster, "vm-1", "a", false);
+    machine->worker.epoch = 1;
+    machine->worker.sequence = 9;
+    machine->worker.fencing_token = TERM;
+    fixture_job(fixture->cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
+    fc_placement *placement = fc_cluster_add_placement(fixture->cluster, machine, "job-000001", 0, 1, 0);
+    placement->status = (fc_placement_status){.state = FC_TASK_RUNNING, .reported = true};
+    placement->start =
+        (fc_placement_start){.sent = true, .direct_token = rows[i].started_with, .direct_epoch = rows[i].named_epoch};
+    fc_heartbeat heartbeat = {
+        .machine = "vm-1", .epoch = 1, .sequence = 2, .fencing_token = rows[i].shown, .spot_notice_s = -1};
+    fc_worker_calls_apply_answer(fixture->calls, machine, &heartbeat, fc_now());
+    check_row(rows[i].name, machine->worker.restarted);
+    check_row(rows[i].name, machine->placements->len == (rows[i].lost ? 0 : 1));
+    check_row(rows[i].name, fc_machine_fencing_token(fixture->cluster, machine) > TERM);
+    worker_fixture_free(fixture);
+  }
+}
+
 /* A start was sent and never listed, on a machine of which only responses to direct calls count. The outcome is decided
  * by the response to a probe that was sent when no copy of the start could be executed any more. */
 static void starts_decided_by_direct_answers(void **state) {
@@ -235,6 +275,7 @@
       cmocka_unit_test(unacknowledged_direct_starts),
       cmocka_unit_test(unlisted_starts_in_a_new_epoch),
       cmocka_unit_test(unlisted_start_stays_with_its_machine),
+      cmocka_unit_test(tasks_lost_in_a_restart),
       cmocka_unit_test(starts_decided_by_direct_answers),
       cmocka_unit_test(reconciled_machine_is_in_no_earlier_view),
   };
--- a/tests/test_repeated_calls.c
+++ b/tests/test_repeated_calls.c
@@ -19,7 +19,7 @@
 enum { JOB = 1, TRANSFERRING_JOB, PREEMPTING_JOB, PREEMPTING_JOBS = 12 };
 
 /* How the first attempt ends. */
-typedef enum attempt_end { FAILS, MOVED, PREEMPTED, GANG_FAILS, CANCELLED } attempt_end;
+typedef enum attempt_end { FAILS, MOVED, PREEMPTED, GANG_FAILS, LOST_AT_RESTART, CANCELLED } attempt_end;
 
 /* What happens between that and the copies. */
 typedef enum later_fault {
@@ -77,6 +77,10 @@
       sim_run_until(sim_now() + PREEMPTED_WITHIN_S);
       world_capacity(PREEMPTING_JOBS, 0);
       break;
+    case LOST_AT_RESTART: /* of the machine, which is then drained, so that the task is placed elsewhere */
+      world_restart_machines(machine, machine + 1);
+      world_preempt_machine(machine, SPOT_NOTICE_S);
+      break;
     case CANCELLED:
       world_cancel(world_id(JOB), -1, 0);
       break;
@@ -154,6 +158,10 @@
       {"a gang that began anew", GANG_FAILS, NOTHING},
       {"a gang that began anew, a controller is back within a second", GANG_FAILS, CONTROLLER_RESTARTS},
       {"a gang that began anew, the machine is back without tasks", GANG_FAILS, MACHINE_RESTARTS},
+      {"lost with a restart of its machine", LOST_AT_RESTART, NOTHING},
+      {"lost with a restart of its machine, a controller is back within a second", LOST_AT_RESTART,
+       CONTROLLER_RESTARTS},
+      {"lost with a restart of its machine, which restarts again", LOST_AT_RESTART, MACHINE_RESTARTS},
       {"cancelled", CANCELLED, NOTHING},
       {"cancelled, the owner is back within a second", CANCELLED, OWNER_RESTARTS},
       {"cancelled, the machine has another owner", CANCELLED, OWNER_GONE},
--- a/tests/test_worker_commands.c
+++ b/tests/test_worker_commands.c
@@ -213,17 +213,21 @@
     uint64_t shown, started_with;
     bool cancelled, earlier_member;
     uint64_t answered;
+    bool lost; /* listed before, but not by this heartbeat */
   } rows[] = {
-      {"no direct start", FC_DIRECT_START_NONE, TERM, 0, false, false, TERM},
-      {"in flight", FC_DIRECT_START_IN_FLIGHT, TERM, TERM, false, false, TERM},
-      {"in flight, the job is cancelled", FC_DIRECT_START_IN_FLIGHT, TERM, TERM, true, false, RAISED},
-      {"unacknowledged", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, false, false, RAISED},
-      {"unacknowledged, the job is cancelled", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, true, false, RAISED},
-      {"unacknowledged, with a raised token", FC_DIRECT_START_UNACKNOWLEDGED, RAISED, RAISED, true, false, RAISED + 1},
+      {"lost by a restarted worker", FC_DIRECT_START_NONE, TERM, TERM, false, false, RAISED, true},
+      {"no direct start", FC_DIRECT_START_NONE, TERM, 0, false, false, TERM, false},
+      {"in flight", FC_DIRECT_START_IN_FLIGHT, TERM, TERM, false, false, TERM, false},
+      {"in flight, the job is cancelled", FC_DIRECT_START_IN_FLIGHT, TERM, TERM, true, false, RAISED, false},
+      {"unacknowledged", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, false, false, RAISED, false},
+      {"unacknowledged, the job is cancelled", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, true, false, RAISED, false},
+      {"unacknowledged, with a raised token", FC_DIRECT_START_UNACKNOWLEDGED, RAISED, RAISED, true, false, RAISED + 1,
+       false},
       {"unacknowledged, before the worker showed the raised token", FC_DIRECT_START_UNACKNOWLEDGED, RAISED, TERM, true,
-       false, RAISED},
-      {"unacknowledged, sent in an earlier term", FC_DIRECT_START_UNACKNOWLEDGED, 4096, 4096, true, false, TERM},
-      {"unacknowledged, beside an earlier version", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, true, true, TERM},
+       false, RAISED, false},
+      {"unacknowledged, sent in an earlier term", FC_DIRECT_START_UNACKNOWLEDGED, 4096, 4096, true, false, TERM, false},
+      {"unacknowledged, beside an earlier version", FC_DIRECT_START_UNACKNOWLEDGED, TERM, TERM, true, true, TERM,
+       false},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
     worker_fixture *fixture = fixture_with_raised_tokens(rows[i].earlier_member);
@@ -231,6 +235,8 @@
     fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
     fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
     fc_placement *placement = fc_cluster_add_placement(cluster, machine, "job-000001", 0, 1, fc_now());
+    placement->status.reported = rows[i].lost;
+    if (rows[i].lost) machine->worker.epoch = 1;
     placement->start = (fc_placement_start){
         .sent = true, .direct = rows[i].direct, .direct_token = rows[i].started_with, .direct_epoch = 1};
     if (rows[i].cancelled) job->phase = FC_PHASE_CANCELLED;
