Log, count and stop tasks that a worker lists although their owner took them for ended

In the incident no line at info told that a task was placed again after a direct start, nor that its former machine listed the former attempt once more; the owner took the copy for a second place of the task, and both ran on.

An attempt that appears on a machine reconciled before is stopped, its end is forgotten under a higher token, and until then its task is placed nowhere else.

The first list in test_reconciler's heartbeats_in_order is now the first of the term: on a machine reconciled before, its task would be unexpected.

--- a/src/controller/heartbeats.c
+++ b/src/controller/heartbeats.c
@@ -71,6 +71,8 @@
   machine->lease.connection = received->connection;
   uint64_t token =
       fc_worker_commands_answer_token(heartbeats->deps.commands, machine, received->heartbeat.fencing_token);
+  heartbeats->deps.metrics->counters.raised_tokens +=
+      token > fc_machine_fencing_token(heartbeats->deps.cluster, machine);
   if (!takes_commands || !fc_machine_reconciled(heartbeats->deps.cluster, machine)) {
     fc_heartbeat_response_accept(response, token, NULL);
     return true;
--- a/src/controller/membership.c
+++ b/src/controller/membership.c
@@ -206,10 +206,12 @@
  * workers that have seen a raised token of the term before refuse its commands. */
 static void renumber_term(fc_membership_routine *routine) {
   fc_term next = routine->cluster->membership.term;
-  if (fc_term_reserves_tokens(next.number) && !tokens_nearly_used_up(routine->cluster)) return;
+  bool used_up = tokens_nearly_used_up(routine->cluster);
+  if (fc_term_reserves_tokens(next.number) && !used_up) return;
   next.number = fc_next_term_number(next.number);
   fc_kv_result result = commit_term(routine, &next, NULL);
-  g_info("term renumbered number=%" G_GUINT64_FORMAT " result=%d", (guint64)next.number, result);
+  g_info("term renumbered number=%" G_GUINT64_FORMAT " tokens_used_up=%d result=%d", (guint64)next.number, used_up,
+         result);
 }
 
 /* ---- the routine ---- */
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -98,6 +98,7 @@
   placement->status.state = task->state;
   placement->status.cause = task->cause;
   if (has_exited) {
+    if (task->cause != FC_CAUSE_DONE) fc_placement_note_former_start(placement);
     fc_failure_attribution_note_exit(reconciler->cluster->settings, placement);
     fc_wakeups_raise(reconciler->wakeups, FC_WAKEUP_SCHEDULE);
   }
@@ -151,6 +152,33 @@
   }
 }
 
+static void log_unexpected_task(const fc_placement *placement, const fc_heartbeat *heartbeat) {
+  const fc_former_start *former =
+      placement->job ? fc_former_starts_find(placement->job->former_starts, placement->index) : NULL;
+  bool known = former && former->attempt == placement->attempt;
+  g_info("unexpected task listed task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s state=%d token=%" G_GUINT64_FORMAT
+         " epoch=%" G_GUINT64_FORMAT " started_by=%s start_token=%" G_GUINT64_FORMAT,
+         placement->job_id, placement->index, (guint64)placement->attempt, placement->machine->id,
+         placement->status.state, (guint64)heartbeat->fencing_token, (guint64)heartbeat->epoch,
+         known ? "direct_call" : "-", (guint64)(known ? former->fencing_token : 0));
+}
+
+/* Adds a placement for a listed attempt that this controller doesn't know. On a machine that was reconciled before, a
+ * late copy of a command has begun it: it is stopped, and until it has ended its task is not placed elsewhere. */
+static fc_placement *add_listed(fc_reconciler *reconciler, fc_machine *machine, const fc_heartbeat *heartbeat,
+                                const fc_task_status *task, const list_origin *origin, double now) {
+  fc_placement *placement =
+      fc_cluster_add_placement(reconciler->cluster, machine, task->job, task->index, task->attempt, now);
+  if (origin->reconciles) return placement;
+  placement->status.state = task->state;
+  placement->start =
+      (fc_placement_start){.sent = true, .direct_token = heartbeat->fencing_token, .direct_epoch = heartbeat->epoch};
+  placement->stop.requested = true;
+  reconciler->metrics->counters.unexpected_tasks++;
+  log_unexpected_task(placement, heartbeat);
+  return placement;
+}
+
 /* Replaces the placements of the machine by the worker's task list. */
 static void update_tasks(fc_reconciler *reconciler, fc_machine *machine, const fc_heartbeat *heartbeat,
                          const list_origin *origin, double now) {
@@ -159,8 +187,7 @@
   for (size_t i = 0; i < heartbeat->task_count; i++) {
     const fc_task_status *task = &heartbeat->tasks[i];
     fc_placement *placement = fc_machine_find_placement(machine, task->job, task->index, task->attempt);
-    if (!placement)
-      placement = fc_cluster_add_placement(reconciler->cluster, machine, task->job, task->index, task->attempt, now);
+    if (!placement) placement = add_listed(reconciler, machine, heartbeat, task, origin, now);
     update_placement(reconciler, placement, task, now);
     placement->status.listed = true;
   }
--- a/tests/test_reconciler.c
+++ b/tests/test_reconciler.c
@@ -1,4 +1,5 @@
 /* Reconciliation: what a task list proves before and after the machine is fenced; without a network. */
+#include "scheduler/pending_tasks.h"
 #include "worker_fixture.h"
 
 /* A machine gets no command before its worker has shown the current fencing token, from which on it
@@ -48,6 +49,7 @@
     fixture_job(cluster, "job-000001", "sweep", "standard", "red", 4, 1, "");
     GString *out = g_string_new(NULL);
     machine->worker.reported = false;
+    machine->reconciled_term = 0; /* the first list of the term: its task is expected */
     assert_int_equal(send_heartbeat(fixture, 2, 10, 5, RUNNING(0), out), 200);
     check_row(rows[i].name,
               send_heartbeat(fixture, rows[i].epoch, rows[i].sequence, 5, rows[i].tasks, out) == rows[i].status);
@@ -167,6 +169,44 @@
   }
 }
 
+/* A list names an attempt that this controller doesn't know. On a machine reconciled before, a late copy of a command
+ * has begun it: it is stopped, and forgotten under a higher token; until then its task is placed nowhere else. */
+static void unexpected_tasks_are_stopped(void **state) {
+  (void)state;
+  enum { TERM = 8192 }; /* coordination/fencing_token.h */
+  static const struct {
+    const char *name, *tasks;
+    bool reconciled; /* before the heartbeat */
+    const char *command;
+    unsigned unexpected;
+  } rows[] = {
+      {"the first list of the term", RUNNING(0), false, "\"calls\":[]", 0},
+      {"running", RUNNING(0), true, "\"call\":\"halt\"", 1},
+      {"refused", EXITED(0, "no_room"), true, "\"captaincy\":10240,\"calls\":[{\"call\":\"clear\"", 1},
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    worker_fixture *fixture = worker_fixture_new();
+    fc_cluster *cluster = fixture->cluster;
+    fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
+    fc_cluster_apply_term(cluster, &term, 10, true, 0);
+    fc_leadership_term_applied(fixture->leadership, 0, false);
+    fc_member_key *key = g_new0(fc_member_key, 1);
+    key->raised_tokens = true;
+    g_hash_table_replace(cluster->membership.keys, g_strdup("paddock-1"), key);
+    fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
+    if (!rows[i].reconciled) machine->reconciled_term = 0;
+    fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 1, 1, "");
+    GString *out = g_string_new(NULL);
+    check_row(rows[i].name, send_heartbeat(fixture, 1, 1, TERM, rows[i].tasks, out) == 200);
+    check_row(rows[i].name, body_contains(out, rows[i].command));
+    check_row(rows[i].name, fixture->metrics->counters.unexpected_tasks == rows[i].unexpected);
+    bool exited = ((const fc_placement *)machine->placements->pdata[0])->status.state == FC_TASK_EXITED;
+    check_row(rows[i].name, fc_job_has_pending_tasks_in(job, FC_ALL_SLICES) == exited);
+    g_string_free(out, TRUE);
+    worker_fixture_free(fixture);
+  }
+}
+
 /* A list lacks a task that was listed before, as the worker was restarted. While the worker has seen no token above
  * that of the task's direct start, a copy of the start would run the task: it is not placed elsewhere before. */
 static void tasks_lost_in_a_restart(void **state) {
@@ -275,6 +315,7 @@
       cmocka_unit_test(unacknowledged_direct_starts),
       cmocka_unit_test(unlisted_starts_in_a_new_epoch),
       cmocka_unit_test(unlisted_start_stays_with_its_machine),
+      cmocka_unit_test(unexpected_tasks_are_stopped),
       cmocka_unit_test(tasks_lost_in_a_restart),
       cmocka_unit_test(starts_decided_by_direct_answers),
       cmocka_unit_test(reconciled_machine_is_in_no_earlier_view),
--- a/tests/test_repeated_calls.c
+++ b/tests/test_repeated_calls.c
@@ -182,6 +182,39 @@
   if (broken > 0) fail_msg("%u of %zu plays broke a rule", broken, G_N_ELEMENTS(rows) * SEEDS_PER_ROW);
 }
 
+#define STOPPED_WITHIN_S 5.0 /* two heartbeats */
+
+static unsigned unexpected_tasks(void) {
+  unsigned count = 0;
+  for (unsigned node = 0; node < WORLD_NODES; node++) count += (unsigned)world_counters(node).unexpected_tasks;
+  return count;
+}
+
+/* A machine is back without tasks and tokens, and a copy arrives before any message of a controller: nobody can prevent
+ * that it is executed. The owner sees the task on the next list, stops it, and leaves the other attempt alone. */
+static void copies_before_the_first_answer(void **state) {
+  (void)state;
+  static const repeat_row row = {"failed, a copy arrives just after a restart", FAILS, NOTHING};
+  for (uint32_t seed = 1; seed <= SEEDS_PER_ROW; seed++) {
+    begin(&row, 5000 + seed);
+    unsigned machine = (unsigned)world_machine_of(world_id(JOB), 0);
+    end_attempt(row.end, machine);
+    wait_for_other_place(&row, machine);
+    unsigned starts = world_starts_of(world_id(JOB));
+    world_restart_machines(machine, machine + 1);
+    check_row(row.name, world_repeat_starts_of(world_id(JOB)) > 0);
+    sim_run_until(sim_now() + STOPPED_WITHIN_S);
+    check_row(row.name, world_starts_of(world_id(JOB)) == starts + 1); /* the one that nobody can prevent */
+    check_row(row.name, unexpected_tasks() == 1);
+    check_row(row.name, world_tasks_of(world_id(JOB)) == 1);
+    check_row(row.name, world_machine_of(world_id(JOB), 0) != (int)machine);
+    sim_run_until(sim_now() + OBSERVED_S);
+    check_row(row.name, world_starts_of(world_id(JOB)) == starts + 1);
+    print_message("%s, seed %u: %.3f s until the machine had a new token\n", row.name, seed,
+                  world_current_result().max_unfenced_s);
+  }
+}
+
 #define SHORT_TASK_S 0.4
 #define SHORT_TASKS 8000u
 #define SAMPLE_S 100.0
@@ -218,6 +251,7 @@
 
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(copies_of_executed_starts),
+                                     cmocka_unit_test(copies_before_the_first_answer),
                                      cmocka_unit_test(terms_of_many_short_tasks)};
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
