--- a/src/controller/status_log.c
+++ b/src/controller/status_log.c
@@ -14,6 +14,7 @@
 
 typedef struct machine_summary {
   unsigned owned, silent;      /* in the shard of this controller */
+  unsigned raised_tokens;      /* the most that one machine of this shard has used in this term */
   unsigned unreconciled;       /* in all shards */
   const char *unreconciled_id; /* of one of them; "-" if there are none */
 } machine_summary;
@@ -32,11 +33,14 @@
 
 static machine_summary summarize_machines(const fc_cluster *cluster) {
   machine_summary summary = {.unreconciled_id = "-"};
+  uint64_t term = cluster->membership.term.number;
   double silent_since = fc_now() - cluster->settings->heartbeat_s * SILENT_HEARTBEATS;
   fc_machine_iter machine_iter = fc_cluster_machines(cluster);
   for (const fc_machine *machine; (machine = fc_machine_iter_next(&machine_iter));) {
     bool owned = fc_machine_owned_by_self(cluster, machine);
     summary.owned += owned;
+    if (owned)
+      summary.raised_tokens = MAX(summary.raised_tokens, fc_fencing_tokens_raised(machine->worker.fencing_token, term));
     summary.silent += owned && machine->worker.heard_at < silent_since;
     if (!machine->record_version || fc_machine_reconciled(cluster, machine)) continue;
     summary.unreconciled++;
@@ -50,11 +54,11 @@
   job_summary jobs = summarize_jobs(cluster);
   machine_summary machines = summarize_machines(cluster);
   g_info("status term=%" G_GUINT64_FORMAT " self=%d may_act=%d fresh_s=%.1f latched=%d quota_term=%" G_GUINT64_FORMAT
-         " waiting=%u unclear=%u machines=%u silent=%u unsettled=%u e.g. %s routines=%zu",
+         " waiting=%u unclear=%u machines=%u silent=%u unsettled=%u e.g. %s routines=%zu raised_tokens=%u",
          (guint64)cluster->membership.term.number, cluster->membership.self, fc_leadership_held(sources->leadership),
          fc_now() - cluster->sync.read_at, fc_cluster_fully_reconciled(cluster), (guint64)cluster->quota.record.term,
          jobs.pending, jobs.unresolved, machines.owned, machines.silent, machines.unreconciled,
-         machines.unreconciled_id, fc_routine_count());
+         machines.unreconciled_id, fc_routine_count(), machines.raised_tokens);
 }
 
 static void log_counters(const fc_counters *counters) {
--- a/src/coordination/fencing_token.c
+++ b/src/coordination/fencing_token.c
@@ -33,6 +33,11 @@
   return fc_fencing_token_in_term(shown, term) ? shown : term;
 }
 
+unsigned fc_fencing_tokens_raised(uint64_t token, uint64_t term) {
+  if (token == term || !fc_fencing_token_in_term(token, term)) return 0;
+  return (unsigned)(token - term - FIRST_RAISED_TOKEN) + 1;
+}
+
 bool fc_fencing_token_nearly_last(uint64_t token, uint64_t term) {
   return fc_fencing_token_in_term(token, term) && token >= term + NEARLY_LAST_TOKEN;
 }
--- a/src/coordination/fencing_token.h
+++ b/src/coordination/fencing_token.h
@@ -25,6 +25,8 @@
 /* The lowest token of the term that a worker accepts after it has shown the token `shown`, which must
  * not be of a later term. */
 uint64_t fc_fencing_token_accepted(uint64_t shown, uint64_t term);
+/* How many raised tokens of the term there are up to this one; 0: it is not one of them. */
+unsigned fc_fencing_tokens_raised(uint64_t token, uint64_t term);
 /* Whether so few raised tokens of the term are left above this one that a new term is needed soon. */
 bool fc_fencing_token_nearly_last(uint64_t token, uint64_t term);
 /* The lowest raised token of the term above its token `token`; `token` itself if there is none. */
