--- a/tests/test_reconciler.c
+++ b/tests/test_reconciler.c
@@ -173,7 +173,6 @@
  * has begun it: it is stopped, and forgotten under a higher token; until then its task is placed nowhere else. */
 static void unexpected_tasks_are_stopped(void **state) {
   (void)state;
-  enum { TERM = 8192 }; /* coordination/fencing_token.h */
   static const struct {
     const char *name, *tasks;
     bool reconciled; /* before the heartbeat */
@@ -185,14 +184,8 @@
       {"refused", EXITED(0, "no_room"), true, "\"captaincy\":10240,\"calls\":[{\"call\":\"clear\"", 1},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    worker_fixture *fixture = worker_fixture_new();
+    worker_fixture *fixture = fixture_with_raised_tokens(false);
     fc_cluster *cluster = fixture->cluster;
-    fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
-    fc_cluster_apply_term(cluster, &term, 10, true, 0);
-    fc_leadership_term_applied(fixture->leadership, 0, false);
-    fc_member_key *key = g_new0(fc_member_key, 1);
-    key->raised_tokens = true;
-    g_hash_table_replace(cluster->membership.keys, g_strdup("paddock-1"), key);
     fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
     if (!rows[i].reconciled) machine->reconciled_term = 0;
     fc_job *job = fixture_job(cluster, "job-000001", "sweep", "standard", "red", 1, 1, "");
@@ -211,7 +204,6 @@
  * that of the task's direct start, a copy of the start would run the task: it is not placed elsewhere before. */
 static void tasks_lost_in_a_restart(void **state) {
   (void)state;
-  enum { TERM = 8192, RAISED = 10240 }; /* coordination/fencing_token.h */
   static const struct {
     const char *name;
     uint64_t started_with, shown;
@@ -225,9 +217,7 @@
       {"started directly in an epoch before", TERM, TERM, 0, true},
   };
   for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-    worker_fixture *fixture = worker_fixture_new();
-    fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
-    fc_cluster_apply_term(fixture->cluster, &term, 10, true, 0);
+    worker_fixture *fixture = fixture_with_raised_tokens(false);
     fc_machine *machine = fixture_machine(fixture->cluster, "vm-1", "a", false);
     machine->worker.epoch = 1;
     machine->worker.sequence = 9;
--- a/tests/test_worker_commands.c
+++ b/tests/test_worker_commands.c
@@ -80,20 +80,6 @@
   }
 }
 
-enum { TERM = 8192, RAISED = 10240, LAST_TOKEN = 12287 }; /* coordination/fencing_token.h */
-
-/* The fixture in a term that reserves raised fencing tokens. */
-static worker_fixture *fixture_with_raised_tokens(bool earlier_member) {
-  worker_fixture *fixture = worker_fixture_new();
-  fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
-  fc_cluster_apply_term(fixture->cluster, &term, 10, true, 0);
-  fc_leadership_term_applied(fixture->leadership, 0, false);
-  fc_member_key *key = g_new0(fc_member_key, 1);
-  key->raised_tokens = !earlier_member;
-  g_hash_table_replace(fixture->cluster->membership.keys, g_strdup("paddock-1"), key);
-  return fixture;
-}
-
 static uint64_t answered_token(const GString *out) {
   uint64_t token = 0;
   assert_int_equal(sscanf(out->str, "{\"captaincy\":%" G_GUINT64_FORMAT, &token), 1);
--- a/tests/worker_fixture.h
+++ b/tests/worker_fixture.h
@@ -100,6 +100,21 @@
   g_free(fixture);
 }
 
+/* Fencing tokens of a term (coordination/fencing_token.h): its number, the first raised token and the last. */
+enum { TERM = 8192, RAISED = 10240, LAST_TOKEN = 12287 };
+
+/* The fixture in a term that reserves raised fencing tokens. */
+static inline worker_fixture *fixture_with_raised_tokens(bool earlier_member) {
+  worker_fixture *fixture = worker_fixture_new();
+  fc_term term = {.number = TERM, .seed = 1, .members = {{"paddock-0", 1}, {"paddock-1", 2}}, .count = 2};
+  fc_cluster_apply_term(fixture->cluster, &term, 10, true, 0);
+  fc_leadership_term_applied(fixture->leadership, 0, false);
+  fc_member_key *key = g_new0(fc_member_key, 1);
+  key->raised_tokens = !earlier_member;
+  g_hash_table_replace(fixture->cluster->membership.keys, g_strdup("paddock-1"), key);
+  return fixture;
+}
+
 /* Handles a heartbeat of vm-1 whose task list is `tasks`. Returns the HTTP status; the body of the
  * response replaces the content of *out. */
 static inline int send_heartbeat(worker_fixture *fixture, unsigned epoch, unsigned sequence, unsigned fencing_token,
