--- a/src/bookkeeping/record_room.c
+++ b/src/bookkeeping/record_room.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "protocol/json.h"
+
 /* Bytes of the field of completed tasks without their numbers: ,"done":"" */
 #define DONE_FIELD_BYTES 10u
 
@@ -11,13 +13,9 @@
 /* Stands for a name that a record must have, but nobody reads once the job has ended. */
 static char g_placeholder[] = "-";
 
-static size_t encoded_bytes(const json_t *value) {
-  return json_dumpb(value, NULL, 0, JSON_COMPACT);
-}
-
 static size_t record_bytes(const fc_job_record *record) {
   json_auto_t *value = fc_job_record_encode(record);
-  return encoded_bytes(value);
+  return fc_json_encoded_bytes(value);
 }
 
 /* ---- what a record may grow to ---- */
@@ -107,7 +105,7 @@
   whole.done = fc_ranges_encode(completed, record->spec.tasks);
   json_t *value = fc_job_record_encode(&whole);
   g_free(whole.done);
-  if (encoded_bytes(value) <= max_bytes) return value;
+  if (fc_json_encoded_bytes(value) <= max_bytes) return value;
   json_decref(value);
   value = encode_shortened(record, completed, max_bytes);
   if (value || record->phase == FC_PHASE_ACCEPTED) return value;
--- a/src/bookkeeping/write_request.c
+++ b/src/bookkeeping/write_request.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "protocol/json.h"
+
 /* Field names and punctuation around a key and its value or version, in bytes. */
 #define ENTRY_OVERHEAD_BYTES 40u
 
@@ -55,7 +57,7 @@
 }
 
 void fc_write_put(fc_write *write, const char *key, json_t *value) {
-  size_t value_bytes = json_dumpb(value, NULL, 0, JSON_COMPACT);
+  size_t value_bytes = fc_json_encoded_bytes(value);
   write->body_bytes += strlen(key) + value_bytes + ENTRY_OVERHEAD_BYTES;
   write->largest_value_bytes = MAX(write->largest_value_bytes, value_bytes);
   change entry = {.key = g_strdup(key), .value = value};
--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -3,6 +3,7 @@
 #include "bookkeeping/cluster_machines.h"
 #include "bookkeeping/record_room.h"
 #include "controller/http_answers.h"
+#include "protocol/json.h"
 #include "scheduler/slice_assignment.h"
 
 #define ROUNDING 1e-6 /* tolerance for rounding errors when amounts of CPUs or GPUs are compared */
@@ -158,7 +159,7 @@
  * handovers, which are added later. */
 static bool fits_a_value(const fc_admission *admission, const fc_job_record *record, const json_t *encoded) {
   size_t max_bytes = fc_value_limit_bytes(&admission->cluster->value_limit) / 4 * 3;
-  return record->slices > 0 && json_dumpb(encoded, NULL, 0, JSON_COMPACT) <= max_bytes;
+  return record->slices > 0 && fc_json_encoded_bytes(encoded) <= max_bytes;
 }
 
 /* Encodes the record; a description that is too long for it is written separately first. Returns false after it has
--- a/src/protocol/job_record.c
+++ b/src/protocol/job_record.c
@@ -30,10 +30,6 @@
     [FC_PHASE_DONE] = "done",
 };
 
-const char *fc_job_phase_name(fc_job_phase phase) {
-  return k_phases[phase];
-}
-
 /* ---- objects whose keys are slice numbers ---- */
 
 /* Sets a slice's value in *object, which is created if it is NULL. */
--- a/src/protocol/job_record.h
+++ b/src/protocol/job_record.h
@@ -42,9 +42,6 @@
   bool awaiting;                  /* its dependencies are unfinished */
 } fc_job_record;
 
-/* The phase's name in the record, a constant. */
-const char *fc_job_phase_name(fc_job_phase phase);
-
 /* Encodes the record's value; the caller owns the reference. */
 json_t *fc_job_record_encode(const fc_job_record *record);
 /* Decodes such a value. False when it is malformed, with `out` empty; else the caller clears `out`. The
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -260,6 +260,10 @@
   return 0;
 }
 
+size_t fc_json_encoded_bytes(const json_t *value) {
+  return json_dumpb(value, NULL, 0, JSON_COMPACT);
+}
+
 void fc_json_append(GString *out, json_t *value) {
   /* All values are built by this program, so a failure here is a bug in it. */
   if (!value || json_dump_callback(value, append_chunk, out, JSON_COMPACT | JSON_ENCODE_ANY) != 0)
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -101,6 +101,8 @@
  * elements, which are skipped. NULL is read as an empty array. */
 size_t fc_json_decode_list(const json_t *array, fc_json_decoder decode, GPtrArray *out);
 
+/* The number of bytes of `value` as compact JSON text. */
+size_t fc_json_encoded_bytes(const json_t *value);
 /* Appends `value` as compact JSON text to `out`, and takes its reference. */
 void fc_json_append(GString *out, json_t *value);
 
