--- a/tests/test_repeated_calls.c
+++ b/tests/test_repeated_calls.c
@@ -183,6 +183,7 @@
 }
 
 #define STOPPED_WITHIN_S 5.0 /* two heartbeats */
+#define NEXT_HEARTBEAT_S 1.5 /* at the earliest, after the first */
 
 static unsigned unexpected_tasks(void) {
   unsigned count = 0;
@@ -210,6 +211,8 @@
     check_row(row.name, world_machine_of(world_id(JOB), 0) != (int)machine);
     sim_run_until(sim_now() + OBSERVED_S);
     check_row(row.name, world_starts_of(world_id(JOB)) == starts + 1);
+    /* A call brings the new token: it does not wait for the next heartbeat. */
+    check_row(row.name, world_current_result().max_unfenced_s < NEXT_HEARTBEAT_S);
     print_message("%s, seed %u: %.3f s until the machine had a new token\n", row.name, seed,
                   world_current_result().max_unfenced_s);
   }
