--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -33,7 +33,7 @@
   uint64_t heartbeat_sequence; /* sequence of the heartbeat whose response last carried it */
   double sent_at;              /* when that response was generated */
   fc_direct_start direct;
-  uint64_t direct_token; /* fencing token in the direct copy; 0: none was sent */
+  uint64_t direct_token; /* fencing token in the direct copy, or the highest that it can have had; 0: none was sent */
   uint64_t direct_epoch; /* worker epoch in the direct copy: a worker in another epoch does not execute it */
   bool outdated_copy;    /* the worker in its reported state refuses an unacknowledged direct copy; once restarted, it
                             would execute the copy, as it counts epochs from the start again and knows no token */
@@ -74,8 +74,8 @@
 
 /* Whether the placement uses resources of its machine: it does until the task has exited. */
 bool fc_placement_active(const fc_placement *placement);
-/* Whether a direct copy of the start command may still be executed, by the worker as it is or after
- * a restart. Only the machine's return to the cloud rules that out. */
+/* Whether a direct copy of the start command that got no answer may still be executed, by the worker as
+ * it is or after a restart. Only the machine's return to the cloud rules that out. */
 bool fc_placement_copy_outstanding(const fc_placement *placement);
 /* Whether the start was abandoned while a direct copy of the command may still be executed. */
 bool fc_placement_abandoned_start(const fc_placement *placement);
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -18,6 +18,7 @@
 typedef struct list_origin {
   double call_sent_at; /* monotonic time at which the direct call was sent; 0: the list came with a heartbeat */
   bool reconciles;     /* the first list with the fencing token of this term */
+  bool first;          /* since this controller became the owner: it may be a late copy of an old one */
   bool new_epoch;      /* the epoch has changed since the last list, so the worker has stopped all earlier tasks */
 } list_origin;
 
@@ -163,13 +164,14 @@
          known ? "direct_call" : "-", (guint64)(known ? former->fencing_token : 0));
 }
 
-/* Adds a placement for a listed attempt that this controller doesn't know. On a machine that was reconciled before, a
- * late copy of a command has begun it: it is stopped, and until it has ended its task is not placed elsewhere. */
+/* Adds a placement for a listed attempt that this controller doesn't know. On a machine that was reconciled and heard
+ * before, a late copy of a command has begun it: it is stopped, and until it has ended its task is not placed
+ * elsewhere. */
 static fc_placement *add_listed(fc_reconciler *reconciler, fc_machine *machine, const fc_heartbeat *heartbeat,
                                 const fc_task_status *task, const list_origin *origin, double now) {
   fc_placement *placement =
       fc_cluster_add_placement(reconciler->cluster, machine, task->job, task->index, task->attempt, now);
-  if (origin->reconciles) return placement;
+  if (origin->reconciles || origin->first) return placement;
   placement->status.state = task->state;
   placement->start =
       (fc_placement_start){.sent = true, .direct_token = heartbeat->fencing_token, .direct_epoch = heartbeat->epoch};
@@ -219,6 +221,7 @@
       .call_sent_at = call_sent_at,
       .reconciles =
           !was_reconciled && fc_fencing_token_in_term(heartbeat->fencing_token, cluster->membership.term.number),
+      .first = !machine->worker.reported,
       .new_epoch = machine->worker.reported && heartbeat->epoch > machine->worker.epoch,
   };
   /* Its lease had expired; now that it shows its epoch it can take tasks again. */
