--- a/tests/test_repeated_calls.c
+++ b/tests/test_repeated_calls.c
@@ -185,10 +185,15 @@
 #define STOPPED_WITHIN_S 5.0 /* two heartbeats */
 #define NEXT_HEARTBEAT_S 1.5 /* at the earliest, after the first */
 
-static unsigned unexpected_tasks(void) {
-  unsigned count = 0;
-  for (unsigned node = 0; node < WORLD_NODES; node++) count += (unsigned)world_counters(node).unexpected_tasks;
-  return count;
+/* Of all controllers together. */
+static fc_counters count_logged(void) {
+  fc_counters sum = {0};
+  for (unsigned node = 0; node < WORLD_NODES; node++) {
+    fc_counters counters = world_counters(node);
+    sum.unexpected_tasks += counters.unexpected_tasks;
+    sum.placed_again += counters.placed_again;
+  }
+  return sum;
 }
 
 /* A machine is back without tasks and tokens, and a copy arrives before any message of a controller: nobody can prevent
@@ -201,16 +206,18 @@
     unsigned machine = (unsigned)world_machine_of(world_id(JOB), 0);
     end_attempt(row.end, machine);
     wait_for_other_place(&row, machine);
+    check_row(row.name, count_logged().placed_again == 1 && count_logged().unexpected_tasks == 0);
     unsigned starts = world_starts_of(world_id(JOB));
     world_restart_machines(machine, machine + 1);
     check_row(row.name, world_repeat_starts_of(world_id(JOB)) > 0);
     sim_run_until(sim_now() + STOPPED_WITHIN_S);
     check_row(row.name, world_starts_of(world_id(JOB)) == starts + 1); /* the one that nobody can prevent */
-    check_row(row.name, unexpected_tasks() == 1);
+    check_row(row.name, count_logged().unexpected_tasks == 1);
     check_row(row.name, world_tasks_of(world_id(JOB)) == 1);
     check_row(row.name, world_machine_of(world_id(JOB), 0) != (int)machine);
     sim_run_until(sim_now() + OBSERVED_S);
     check_row(row.name, world_starts_of(world_id(JOB)) == starts + 1);
+    check_row(row.name, count_logged().placed_again == 1); /* the other attempt was left alone */
     /* A call brings the new token: it does not wait for the next heartbeat. */
     check_row(row.name, world_current_result().max_unfenced_s < NEXT_HEARTBEAT_S);
     print_message("%s, seed %u: %.3f s until the machine had a new token\n", row.name, seed,
