Take every JSON text in unknown fields: yajl parses, no value makes its message malformed

Users got 400 for a sound job whose label held; the same in a response of the store stopped all admission. Cause: jansson parsed whole messages into its tree, so its limits (integers of 64 signed bits, doubles, NUL, surrogates) and our bound on nesting held for fields that receivers have to ignore. yajl reads any text of RFC 8259 with its nesting on the heap and numbers as text; what no known field can have is kept as a value that all readers refuse, or left out below 16 levels. Counts are exact to 2^64 - 1 and may be written 3.0. Its looser points (white space, UTF-8, surrogates) are checked before, or left to jansson.

Refusals and unreadable responses leave a log line and a count now.

--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -11,8 +11,6 @@
 /* A submission is refused when the write queue would delay it by more than this. */
 #define QUEUE_TIME_MAX_S 1.0
 
-#define ERROR_SIZE 200
-
 struct fc_admission {
   fc_cluster *cluster;
   fc_group_commit *commit;
@@ -20,6 +18,7 @@
   fc_job_lookup *lookup;
   fc_dependency_resolver *resolver;
   fc_description_store *descriptions;
+  fc_metrics *metrics;
 };
 
 /* A submission that is being checked and stored. */
@@ -34,28 +33,34 @@
 } submission;
 
 fc_admission *fc_admission_new(fc_cluster *cluster, fc_group_commit *commit, fc_peers *peers, fc_job_lookup *lookup,
-                               fc_dependency_resolver *resolver, fc_description_store *descriptions) {
+                               fc_dependency_resolver *resolver, fc_description_store *descriptions,
+                               fc_metrics *metrics) {
   fc_admission *admission = g_new(fc_admission, 1);
   *admission = (fc_admission){.cluster = cluster,
                               .commit = commit,
                               .peers = peers,
                               .lookup = lookup,
                               .resolver = resolver,
-                              .descriptions = descriptions};
+                              .descriptions = descriptions,
+                              .metrics = metrics};
   return admission;
 }
 
 /* ---- refusals ---- */
 
 static void refuse_malformed(fc_admission *admission, const fc_http_request *request, fc_http_response *response,
-                             const char *error) {
+                             const fc_message_error *error) {
   char id[FC_JOB_ID_SIZE];
-  if (!fc_job_id_peek(request->body, request->body_len, id, sizeof id)) {
-    fc_http_answer_error(response, 400, error);
+  bool has_id = fc_job_id_peek(request->body, request->body_len, id, sizeof id);
+  admission->metrics->counters.refused[FC_MESSAGE_SUBMISSION][error->fault]++;
+  g_info("refused submission job=%s length=%zu offset=%zu reason=%s", has_id ? id : "-", request->body_len,
+         error->offset, error->text);
+  if (!has_id) {
+    fc_http_answer_error(response, 400, error->text);
     return;
   }
   double deadline = fc_now() + admission->cluster->settings->heartbeat_s;
-  fc_job_lookup_refuse_unless_known(admission->lookup, response, id, false, 400, error, deadline);
+  fc_job_lookup_refuse_unless_known(admission->lookup, response, id, false, 400, error->text, deadline);
 }
 
 /* Whether the team's limit admits the job: one task of an array, all tasks of any other job. */
@@ -249,9 +254,9 @@
 
 void fc_admission_submit(fc_admission *admission, const fc_http_request *request, fc_http_response *response) {
   fc_job_spec spec;
-  char error[ERROR_SIZE];
-  if (!fc_job_spec_parse(request->body, request->body_len, &spec, error, sizeof error)) {
-    refuse_malformed(admission, request, response, error);
+  fc_message_error error;
+  if (!fc_job_spec_parse(request->body, request->body_len, &spec, &error)) {
+    refuse_malformed(admission, request, response, &error);
     return;
   }
   submission submitted = {
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -133,7 +133,7 @@
   const fc_client_server_deps deps = {
       .settings = controller->settings,
       .admission = fc_admission_new(cluster, controller->commit, controller->peers, lookup, controller->resolver,
-                                    controller->descriptions),
+                                    controller->descriptions, controller->metrics),
       .queries = fc_job_queries_new(cluster, controller->watch, controller->commit, controller->cancellations, lookup),
       .readiness = fc_readiness_new(cluster, controller->leadership, controller->peers),
       .heartbeats = controller->heartbeats,
--- a/src/controller/heartbeats.c
+++ b/src/controller/heartbeats.c
@@ -8,8 +8,6 @@
 #include "protocol/worker_api.h"
 #include "transport/routine.h"
 
-#define ERROR_BYTES 200
-
 struct fc_heartbeats {
   fc_heartbeats_deps deps;
 };
@@ -133,10 +131,11 @@
                           GString *out) {
   fc_received_heartbeat received = {.connection = connection};
   const fc_heartbeat_response response = {.status = status, .body = out};
-  char error[ERROR_BYTES];
-  if (!fc_heartbeat_parse(body, length, &received.heartbeat, error, sizeof error)) {
+  fc_message_error error;
+  if (!fc_heartbeat_parse(body, length, &received.heartbeat, &error)) {
     fc_heartbeat_response_malformed(&response);
-    g_info("malformed heartbeat: %s", error);
+    heartbeats->deps.metrics->counters.refused[FC_MESSAGE_HEARTBEAT][error.fault]++;
+    g_info("malformed heartbeat length=%zu offset=%zu reason=%s", length, error.offset, error.text);
     return;
   }
   heartbeats->deps.metrics->counters.heartbeats++;
--- a/src/controller/metrics.h
+++ b/src/controller/metrics.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <gsl/gsl_histogram.h>
 
+#include "protocol/json.h"
 #include "transport/routine.h"
 
 /* Durations that are recorded in histograms. */
@@ -35,6 +36,9 @@
   FC_DUTIES
 } fc_duty;
 
+/* Messages that a controller may have to refuse. */
+typedef enum { FC_MESSAGE_SUBMISSION, FC_MESSAGE_HEARTBEAT, FC_MESSAGES } fc_message_kind;
+
 /* Numbers of events since the start. */
 typedef struct fc_counters {
   uint64_t rounds;     /* scheduling rounds */
@@ -55,6 +59,7 @@
   uint64_t preempted_early;      /* of those, within a worker lease of their placement */
   uint64_t handed_over;          /* jobs */
   uint64_t machines_transferred; /* to other members */
+  uint64_t refused[FC_MESSAGES][FC_MESSAGE_FAULTS]; /* messages that could not be read */
 } fc_counters;
 
 typedef struct fc_metrics {
--- a/src/controller/metrics_page.c
+++ b/src/controller/metrics_page.c
@@ -2,6 +2,31 @@
 
 #include "bookkeeping/dependencies.h"
 #include "protocol/job_record.h"
+#include "protocol/unreadable_responses.h"
+
+static const char *const k_message_names[FC_MESSAGES] = {
+    [FC_MESSAGE_SUBMISSION] = "submission",
+    [FC_MESSAGE_HEARTBEAT] = "report",
+};
+
+static const char *const k_fault_names[FC_MESSAGE_FAULTS] = {
+    [FC_MESSAGE_NOT_JSON] = "not_json",
+    [FC_MESSAGE_NOT_OBJECT] = "not_an_object",
+    [FC_MESSAGE_BAD_FIELD] = "field",
+};
+
+/* Messages that were refused, and responses that could not be read. */
+static void append_unreadable(const fc_metrics *metrics, GString *out) {
+  for (int message = 0; message < FC_MESSAGES; message++)
+    for (int fault = 0; fault < FC_MESSAGE_FAULTS; fault++)
+      g_string_append_printf(out, "fieldcleat_refused_total{message=\"%s\",reason=\"%s\"} %.10g\n",
+                             k_message_names[message], k_fault_names[fault],
+                             (double)metrics->counters.refused[message][fault]);
+  for (int responder = 0; responder < FC_RESPONDERS; responder++)
+    g_string_append_printf(out, "fieldcleat_unreadable_responses_total{from=\"%s\"} %.10g\n",
+                           fc_responder_names[responder],
+                           (double)fc_unreadable_response_count((fc_responder)responder));
+}
 
 void fc_metrics_page_append(const fc_metrics_sources *sources, GString *out) {
   const fc_cluster *cluster = sources->cluster;
@@ -48,5 +73,6 @@
   for (int kind = 0; kind < FC_WRITE_KINDS; kind++)
     g_string_append_printf(out, "fieldcleat_state_writes_total{kind=\"%s\"} %.10g\n", fc_write_kind_names[kind],
                            (double)writes.writes[kind]);
+  append_unreadable(sources->metrics, out);
   fc_metrics_append(sources->metrics, out);
 }
--- a/src/protocol/cloud_api.c
+++ b/src/protocol/cloud_api.c
@@ -5,6 +5,7 @@
 
 #include "protocol/json.h"
 #include "protocol/json_call.h"
+#include "protocol/unreadable_responses.h"
 
 #define REPLY_MAX_BYTES ((size_t)1024 * 1024)
 #define NAME_LENGTH_MAX 63u
@@ -81,18 +82,25 @@
                                   json_t **response) {
   fc_json_reply reply = fc_json_call(cloud->http, method, path, body, deadline);
   fc_cloud_result result = result_of_reply(&reply);
+  if (reply.status == 200 && !reply.object)
+    fc_unreadable_response_note(FC_RESPONDER_CLOUD, path, reply.text->len, &reply.error);
   *response = result == FC_CLOUD_OK ? json_incref(reply.object) : NULL;
   fc_json_reply_clear(&reply);
   return result;
 }
 
-/* Decodes the array `field` of a response; returns `malformed` if there is no such array. */
-static fc_cloud_result read_list(const json_t *response, const char *field, fc_json_decoder decode,
+/* Decodes the array `field` of a response; returns `malformed` if there is no such array. Malformed elements are
+ * skipped, and noted like a missing array. */
+static fc_cloud_result read_list(const json_t *response, const char *path, const char *field, fc_json_decoder decode,
                                  fc_cloud_result malformed, GPtrArray *out) {
-  const json_t *list = json_object_get(response, field);
-  if (!json_is_array(list)) return malformed;
-  (void)fc_json_decode_list(list, decode, out);
-  return FC_CLOUD_OK;
+  fc_reader reader;
+  fc_reader_init(&reader, response);
+  const json_t *list = fc_read_array(&reader, field);
+  if (list && fc_json_decode_list(list, decode, out) > 0) fc_reader_fail(&reader, field, FC_FIELD_ELEMENT_MALFORMED);
+  fc_message_error error;
+  if (!fc_message_check(&reader, &error))
+    fc_unreadable_response_note(FC_RESPONDER_CLOUD, path, fc_json_encoded_bytes(response), &error);
+  return list ? FC_CLOUD_OK : malformed;
 }
 
 /* ---- machine types ---- */
@@ -114,7 +122,7 @@
   size_t count = json_array_size(zones);
   char **names = g_new0(char *, count + 1);
   for (size_t i = 0; i < count; i++) {
-    const char *name = json_string_value(json_array_get(zones, i));
+    const char *name = fc_json_string(json_array_get(zones, i));
     if (!is_valid_name(name)) {
       fc_reader_fail(reader, FIELD_ZONES, FC_FIELD_NOT_NAME);
       break;
@@ -147,13 +155,13 @@
   json_auto_t *response = NULL;
   fc_cloud_result result = call_cloud(cloud, "GET", TYPES_PATH, NULL, deadline, &response);
   if (result != FC_CLOUD_OK) return result;
-  return read_list(response, FIELD_TYPES, decode_type, FC_CLOUD_REFUSED, out);
+  return read_list(response, TYPES_PATH, FIELD_TYPES, decode_type, FC_CLOUD_REFUSED, out);
 }
 
 /* ---- machines ---- */
 
 static void *decode_id(const json_t *element) {
-  const char *id = json_string_value(element);
+  const char *id = fc_json_string(element);
   return is_valid_name(id) ? g_strdup(id) : NULL;
 }
 
@@ -165,7 +173,7 @@
   fc_cloud_result result = call_cloud(cloud, "POST", MACHINES_PATH, body, deadline, &response);
   if (result != FC_CLOUD_OK) return result;
   /* Without a list of ids it is unknown which machines were rented. */
-  return read_list(response, FIELD_MACHINES, decode_id, FC_CLOUD_UNKNOWN, out);
+  return read_list(response, MACHINES_PATH, FIELD_MACHINES, decode_id, FC_CLOUD_UNKNOWN, out);
 }
 
 fc_cloud_result fc_cloud_release(fc_cloud *cloud, const char *const *ids, size_t count, double deadline) {
@@ -222,5 +230,5 @@
   fc_cloud_result result = call_cloud(cloud, "GET", path->str, NULL, deadline, &response);
   if (result != FC_CLOUD_OK) return result;
   *more = json_is_true(json_object_get(response, FIELD_MORE));
-  return read_list(response, FIELD_MACHINES, decode_machine, FC_CLOUD_REFUSED, out);
+  return read_list(response, path->str, FIELD_MACHINES, decode_machine, FC_CLOUD_REFUSED, out);
 }
--- a/src/protocol/job.c
+++ b/src/protocol/job.c
@@ -102,7 +102,7 @@
   size_t i;
   json_t *element;
   json_array_foreach(list, i, element) {
-    const char *id = json_string_value(element);
+    const char *id = fc_json_string(element);
     if (!fc_job_id_valid(id)) {
       fc_reader_fail(reader, FIELD_DEPENDENCIES, FC_FIELD_ELEMENT_NOT_JOB_ID);
       break;
@@ -144,7 +144,7 @@
   }
   spec->types = g_new0(char *, count + 1);
   for (size_t i = 0; i < count; i++) {
-    const char *type = json_string_value(json_array_get(list, i));
+    const char *type = fc_json_string(json_array_get(list, i));
     if (!type || !*type || strlen(type) > NAME_LENGTH_MAX) {
       fc_reader_fail(reader, FIELD_TYPES, FC_FIELD_ELEMENT_NOT_TYPE);
       return;
@@ -219,24 +219,20 @@
 }
 
 bool fc_job_id_peek(const char *text, size_t length, char *id, size_t size) {
-  json_auto_t *object = fc_json_parse(text, length);
-  const char *found = json_string_value(json_object_get(object, FIELD_ID));
+  json_auto_t *object = fc_json_parse(text, length, NULL);
+  const char *found = fc_json_string(json_object_get(object, FIELD_ID));
   return fc_job_id_valid(found) && g_strlcpy(id, found, size) < size;
 }
 
-bool fc_job_spec_parse(const char *text, size_t length, fc_job_spec *out, char *error, size_t error_size) {
+bool fc_job_spec_parse(const char *text, size_t length, fc_job_spec *out, fc_message_error *error) {
   memset(out, 0, sizeof *out);
-  json_auto_t *object = fc_json_parse(text, length);
-  if (!json_is_object(object)) {
-    g_strlcpy(error, object ? "body: not an object" : "body: not JSON", error_size);
-    return false;
-  }
+  json_auto_t *object = fc_message_parse(text, length, error);
+  if (!object) return false;
   fc_reader reader;
   fc_reader_init(&reader, object);
   fc_job_spec_read(&reader, out);
   read_dependencies(&reader, out);
-  if (fc_reader_ok(&reader)) return true;
-  fc_reader_describe(&reader, error, error_size);
+  if (fc_message_check(&reader, error)) return true;
   fc_job_spec_clear(out);
   return false;
 }
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -63,9 +63,9 @@
 /* Reads only the id of a submission, whose other fields may be invalid. False if it has no valid id. */
 bool fc_job_id_peek(const char *text, size_t length, char *id, size_t size);
 
-/* Parses a submission. On failure returns false, names the faulty field and its error in `error`, and
- * leaves `out` empty; else the caller clears `out`. */
-bool fc_job_spec_parse(const char *text, size_t length, fc_job_spec *out, char *error, size_t error_size);
+/* Parses a submission. On failure returns false, fills in *error, and leaves `out` empty; else the caller clears
+ * `out`. */
+bool fc_job_spec_parse(const char *text, size_t length, fc_job_spec *out, fc_message_error *error);
 /* Returns a copy, which the caller clears; interned strings are shared. */
 fc_job_spec fc_job_spec_copy(const fc_job_spec *spec);
 void fc_job_spec_clear(fc_job_spec *spec);
--- a/src/protocol/job_description.c
+++ b/src/protocol/job_description.c
@@ -31,7 +31,7 @@
 
 bool fc_job_description_read(const char *text, fc_job_spec *out) {
   memset(out, 0, sizeof *out);
-  json_auto_t *object = fc_json_parse(text, strlen(text));
+  json_auto_t *object = fc_json_parse(text, strlen(text), NULL);
   fc_reader reader, spec_reader;
   fc_reader_init(&reader, object);
   fc_reader_init(&spec_reader, fc_read_object(&reader, FIELD_SPEC));
--- a/src/protocol/job_record.c
+++ b/src/protocol/job_record.c
@@ -42,6 +42,10 @@
 
 typedef bool (*slice_reader)(const json_t *value, unsigned slice, fc_job_record *out);
 
+static bool is_slice_number(const char *name) {
+  return *name && name[strspn(name, "0123456789")] == '\0';
+}
+
 /* Calls `read` for each slice in the object `field`, if the record has that field; records `error` for a
  * slice that the job lacks or `read` rejects. */
 static void read_slices(fc_reader *reader, const char *field, slice_reader read, fc_field_error error,
@@ -50,6 +54,7 @@
   const char *number;
   json_t *value;
   json_object_foreach(object, number, value) {
+    if (!is_slice_number(number)) continue; /* an unknown field */
     unsigned long slice = strtoul(number, NULL, 10);
     if (slice < out->slices && read(value, (unsigned)slice, out)) continue;
     fc_reader_fail(reader, field, error);
@@ -70,10 +75,10 @@
 }
 
 static bool read_last_handover(const json_t *value, unsigned slice, fc_job_record *out) {
-  json_int_t term = json_integer_value(json_array_get(value, 0));
-  json_int_t members = json_integer_value(json_array_get(value, 1));
-  if (term <= 0 || members <= 0 || members > UINT32_MAX) return false;
-  out->origin.last_handover[slice].term = (uint64_t)term;
+  uint64_t term = fc_json_count_value(json_array_get(value, 0));
+  uint64_t members = fc_json_count_value(json_array_get(value, 1));
+  if (term == 0 || members == 0 || members > UINT32_MAX) return false;
+  out->origin.last_handover[slice].term = term;
   out->origin.last_handover[slice].members = (unsigned)members;
   return true;
 }
@@ -87,9 +92,10 @@
 }
 
 static bool read_handed_to(const json_t *value, unsigned slice, fc_job_record *out) {
-  if (!json_is_string(value)) return false;
+  const char *name = fc_json_string(value);
+  if (!name) return false;
   g_free(out->handed_to[slice]);
-  out->handed_to[slice] = g_strdup(json_string_value(value));
+  out->handed_to[slice] = g_strdup(name);
   return true;
 }
 
@@ -144,9 +150,9 @@
 
 static void read_description_ref(fc_reader *reader, fc_job_record *out) {
   const json_t *pair = fc_read_array(reader, FIELD_DESCRIPTION_REF);
-  const char *digest = json_string_value(json_array_get(pair, 0));
-  json_int_t count = json_integer_value(json_array_get(pair, 1));
-  if (!digest || strlen(digest) != FC_JOB_DIGEST_SIZE - 1 || count <= 0 || count > FC_JOB_PARTS_MAX) {
+  const char *digest = fc_json_string(json_array_get(pair, 0));
+  uint64_t count = fc_json_count_value(json_array_get(pair, 1));
+  if (!digest || strlen(digest) != FC_JOB_DIGEST_SIZE - 1 || count == 0 || count > FC_JOB_PARTS_MAX) {
     fc_reader_fail(reader, FIELD_DESCRIPTION_REF, FC_FIELD_NOT_DESCRIPTION_REF);
     return;
   }
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -1,5 +1,5 @@
-/* Parses and validates untrusted JSON: bounded nesting, typed fields, errors that name the field.
- * Nothing here suspends the calling routine. */
+/* Reads and validates the fields of parsed JSON: typed fields, errors that name the field. Nothing here
+ * suspends the calling routine. */
 #ifndef FC_PROTOCOL_JSON_H
 #define FC_PROTOCOL_JSON_H
 
@@ -9,6 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "protocol/json_text.h"
+
 /* What is wrong with a field. */
 typedef enum {
   FC_FIELD_OK,
@@ -40,13 +42,16 @@
   FC_FIELD_NOT_HANDOVER,
   FC_FIELD_NOT_DESCRIPTION,
   FC_FIELD_NOT_DESCRIPTION_REF,
+  FC_FIELD_ELEMENT_MALFORMED,
 } fc_field_error;
 
 /* The text of an error, for users and logs; a constant. */
 const char *fc_field_strerror(fc_field_error error);
 
-/* Parses one JSON value; the caller owns the reference. NULL: malformed, or nested too deeply. */
-json_t *fc_json_parse(const char *text, size_t length);
+/* The text of a string; NULL: not a string, or it holds a NUL. */
+const char *fc_json_string(const json_t *value);
+/* The value of a number; NAN: not a number. */
+double fc_json_amount(const json_t *value);
 
 /* Reads the fields of one object. The first error is kept: later reads return the smallest valid
  * value, NULL or their `fallback`, and leave the error as it is. */
@@ -71,9 +76,25 @@
 /* Writes the error as "array_field.field: text". Call it only after an error. */
 void fc_reader_describe(const fc_reader *reader, char *out, size_t size);
 
+/* What is wrong with a whole message. */
+typedef enum { FC_MESSAGE_NOT_JSON, FC_MESSAGE_NOT_OBJECT, FC_MESSAGE_BAD_FIELD, FC_MESSAGE_FAULTS } fc_message_fault;
+
+/* Why a message can't be read. */
+typedef struct fc_message_error {
+  fc_message_fault fault;
+  size_t offset;                         /* FC_MESSAGE_NOT_JSON: in bytes, where it was noticed; else 0 */
+  char text[FC_READER_DESCRIPTION_SIZE]; /* for users and logs: the field, and what is wrong with it */
+} fc_message_error;
+
+/* Parses the text of a message, an object; the caller owns the reference. NULL: *error tells why. */
+json_t *fc_message_parse(const char *text, size_t length, fc_message_error *error);
+/* Whether the reader of a message has recorded no error; else fills in *error. */
+bool fc_message_check(const fc_reader *reader, fc_message_error *error);
+
 /* Each fc_read_...() below reads one field. If the field is absent or null, the functions named
  * ..._or and ..._or_null return `fallback` or NULL, and the others record an error. Bounds are
- * inclusive. Strings are borrowed from the object; they must not be empty, longer than `max` bytes, or
+ * inclusive. A count may be written as any number with an integral value, with a fraction or an exponent up to
+ * 2^53. Strings are borrowed from the object; they must not be empty, longer than `max` bytes, or
  * contain control characters. */
 const char *fc_read_string(fc_reader *reader, const char *field, size_t max);
 const char *fc_read_string_or_null(fc_reader *reader, const char *field, size_t max);
@@ -92,8 +113,8 @@
 /* The index of the field's value in `names`; records an error and returns 0 if it is none of them. */
 int fc_read_choice(fc_reader *reader, const char *field, const char *const *names, int count);
 
-/* The largest count that fits into a JSON integer. */
-#define FC_COUNT_MAX ((uint64_t)INT64_MAX)
+/* The largest count, version, token or attempt. */
+#define FC_COUNT_MAX UINT64_MAX
 
 /* Decodes one element into a newly allocated value; NULL: malformed. */
 typedef void *(*fc_json_decoder)(const json_t *element);
@@ -101,9 +122,4 @@
  * elements, which are skipped. NULL is read as an empty array. */
 size_t fc_json_decode_list(const json_t *array, fc_json_decoder decode, GPtrArray *out);
 
-/* The number of bytes of `value` as compact JSON text. */
-size_t fc_json_encoded_bytes(const json_t *value);
-/* Appends `value` as compact JSON text to `out`, and takes its reference. */
-void fc_json_append(GString *out, json_t *value);
-
 #endif
--- a/src/protocol/json_call.h
+++ b/src/protocol/json_call.h
@@ -5,14 +5,16 @@
 #include <jansson.h>
 #include <stdbool.h>
 
+#include "protocol/json.h"
 #include "transport/http.h"
 
 typedef struct fc_json_reply {
-  int status;     /* 0: no response; unless `unsent`, the request may have been executed */
-  bool too_large; /* the response exceeded the client's size limit */
-  bool unsent;    /* no connection: the request was not executed */
-  json_t *object; /* the body when it is an object ({} when empty), else NULL */
-  GString *text;  /* the body as received */
+  int status;             /* 0: no response; unless `unsent`, the request may have been executed */
+  bool too_large;         /* the response exceeded the client's size limit */
+  bool unsent;            /* no connection: the request was not executed */
+  json_t *object;         /* the body when it is an object ({} when empty), else NULL */
+  GString *text;          /* the body as received */
+  fc_message_error error; /* of a response without an object */
 } fc_json_reply;
 
 /* Sends a request and waits for the response. Takes the reference to `body` (NULL: no body). `deadline`
--- a/src/protocol/kv_store.c
+++ b/src/protocol/kv_store.c
@@ -4,6 +4,7 @@
 
 #include "protocol/json.h"
 #include "protocol/json_call.h"
+#include "protocol/unreadable_responses.h"
 
 #define REPLY_MAX_BYTES ((size_t)8 * 1024 * 1024)
 #define KEY_LENGTH_MAX 200u
@@ -38,7 +39,8 @@
 
 struct fc_kv {
   fc_http_client *http;
-  bool too_large; /* the response to the last call exceeded REPLY_MAX_BYTES */
+  bool too_large;     /* the response to the last call exceeded REPLY_MAX_BYTES */
+  size_t reply_bytes; /* of that response's body */
 };
 
 struct fc_txn {
@@ -130,28 +132,52 @@
   fc_json_reply reply = fc_json_call(kv->http, method, path, body, deadline);
   fc_kv_result result = result_of_reply(&reply);
   kv->too_large = reply.too_large;
+  kv->reply_bytes = reply.text->len;
+  if ((reply.status == 200 || reply.status == 409) && !reply.object)
+    fc_unreadable_response_note(FC_RESPONDER_STORE, path, reply.text->len, &reply.error);
   *response = result == FC_KV_OK || result == FC_KV_CONFLICT ? json_incref(reply.object) : NULL;
   fc_json_reply_clear(&reply);
   return result;
 }
 
-/* Reads a required number of a response; false if it is missing or malformed. */
-static bool read_number(const json_t *response, const char *field, uint64_t *number) {
+/* Whether the reader of the last response has recorded no error; else notes it. */
+static bool check_response(const fc_kv *kv, const char *path, const fc_reader *reader) {
+  fc_message_error error;
+  if (fc_message_check(reader, &error)) return true;
+  fc_unreadable_response_note(FC_RESPONDER_STORE, path, kv->reply_bytes, &error);
+  return false;
+}
+
+/* Reads a required number of the last response; false if it is missing or malformed. */
+static bool read_number(const fc_kv *kv, const char *path, const json_t *response, const char *field,
+                        uint64_t *number) {
   fc_reader reader;
   fc_reader_init(&reader, response);
   *number = fc_read_count(&reader, field, 0, FC_COUNT_MAX);
-  return fc_reader_ok(&reader);
+  return check_response(kv, path, &reader);
+}
+
+/* Reads the revision and the array `field` of the last response, whose elements it decodes into `out`. */
+static fc_kv_result read_changes(const fc_kv *kv, const char *path, const json_t *response, const char *field,
+                                 fc_json_decoder decode, GPtrArray *out, uint64_t *revision) {
+  fc_reader reader;
+  fc_reader_init(&reader, response);
+  *revision = fc_read_count(&reader, FIELD_REVISION, 0, FC_COUNT_MAX);
+  const json_t *elements = fc_read_array(&reader, field);
+  if (elements && fc_json_decode_list(elements, decode, out) > 0)
+    fc_reader_fail(&reader, field, FC_FIELD_ELEMENT_MALFORMED);
+  return check_response(kv, path, &reader) ? FC_KV_OK : FC_KV_REFUSED;
 }
 
 static void *decode_key(const json_t *element) {
-  return g_strdup(json_string_value(element));
+  return g_strdup(fc_json_string(element));
 }
 
 fc_kv_result fc_kv_commit(fc_kv *kv, const fc_txn *txn, double deadline, uint64_t *revision, GPtrArray *failed) {
   json_t *body = json_pack("{sO sO}", FIELD_CONDITIONS, txn->conditions, FIELD_WRITES, txn->writes);
   json_auto_t *response = NULL;
   fc_kv_result result = call_store(kv, "POST", COMMIT_PATH, body, deadline, &response);
-  if (result == FC_KV_OK && !read_number(response, FIELD_REVISION, revision)) result = FC_KV_UNKNOWN;
+  if (result == FC_KV_OK && !read_number(kv, COMMIT_PATH, response, FIELD_REVISION, revision)) result = FC_KV_UNKNOWN;
   if (result == FC_KV_CONFLICT && failed)
     (void)fc_json_decode_list(json_object_get(response, FIELD_FAILED_KEYS), decode_key, failed);
   return result;
@@ -175,7 +201,7 @@
 }
 
 static void *decode_event(const json_t *element) {
-  bool removed = json_object_get(element, FIELD_DELETE) != NULL;
+  bool removed = json_is_string(json_object_get(element, FIELD_DELETE));
   fc_kv_change *change = decode_change(element, removed ? FIELD_DELETE : FIELD_PUT);
   if (change && removed) {
     json_decref(change->value);
@@ -205,10 +231,8 @@
   json_auto_t *response = NULL;
   fc_kv_result result = call_store(kv, "GET", path->str, NULL, deadline, &response);
   if (result != FC_KV_OK) return result;
-  const json_t *rows = json_object_get(response, FIELD_ROWS);
-  if (!read_number(response, FIELD_REVISION, revision) || !json_is_array(rows)) return FC_KV_REFUSED;
   *more = json_is_true(json_object_get(response, FIELD_MORE));
-  return fc_json_decode_list(rows, decode_row, out) == 0 ? FC_KV_OK : FC_KV_REFUSED;
+  return read_changes(kv, path->str, response, FIELD_ROWS, decode_row, out, revision);
 }
 
 static gint compare_versions(gconstpointer left, gconstpointer right) {
@@ -231,9 +255,8 @@
     return FC_KV_GONE;
   }
   if (result != FC_KV_OK) return result;
-  const json_t *events = json_object_get(response, FIELD_EVENTS);
-  if (!read_number(response, FIELD_REVISION, revision) || !json_is_array(events)) return FC_KV_REFUSED;
-  if (fc_json_decode_list(events, decode_event, out) > 0) return FC_KV_REFUSED;
+  result = read_changes(kv, path, response, FIELD_EVENTS, decode_event, out, revision);
+  if (result != FC_KV_OK) return result;
   /* The store's API specifies no order. Changes have to be applied oldest first: a new term derives
    * state from the records as of its version. */
   g_ptr_array_sort(out, compare_versions);
@@ -244,7 +267,7 @@
   json_auto_t *response = NULL;
   json_t *body = json_pack("{si}", FIELD_LEASE_TTL_MS, (int)(ttl_s * 1000));
   fc_kv_result result = call_store(kv, "POST", LEASES_PATH, body, deadline, &response);
-  if (result == FC_KV_OK && !read_number(response, FIELD_LEASE, lease)) return FC_KV_REFUSED;
+  if (result == FC_KV_OK && !read_number(kv, LEASES_PATH, response, FIELD_LEASE, lease)) return FC_KV_REFUSED;
   return result;
 }
 
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -183,8 +183,8 @@
     const json_t *pair = json_object_get(value, settings->teams[team].name);
     if (!pair) continue;
     if (json_array_size(pair) != 2) return false;
-    double cpus = json_number_value(json_array_get(pair, 0));
-    double gpus = json_number_value(json_array_get(pair, 1));
+    double cpus = fc_json_amount(json_array_get(pair, 0));
+    double gpus = fc_json_amount(json_array_get(pair, 1));
     if (!(cpus >= 0 && gpus >= 0)) return false;
     out->cpus[member][team] = cpus;
     out->gpus[member][team] = gpus;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -130,7 +130,7 @@
   size_t count = json_array_size(list);
   if (count == 0 || count > FC_ZONES_MAX) fc_reader_fail(params, FIELD_ZONES, FC_FIELD_NONE_OR_TOO_MANY);
   for (size_t i = 0; i < count && fc_reader_ok(params); i++) {
-    const char *name = json_string_value(json_array_get(list, i));
+    const char *name = fc_json_string(json_array_get(list, i));
     if (name && *name && strlen(name) <= NAME_LENGTH_MAX) {
       settings->zones[settings->zone_count++] = g_strdup(name);
     } else {
@@ -325,8 +325,9 @@
   g_autoptr(GError) file_error = NULL;
   if (!g_file_get_contents(path, &text, &length, &file_error))
     return report_error(&error_out, "%s", file_error->message);
-  json_auto_t *value = fc_json_parse(text, length);
-  if (!value) return report_error(&error_out, "%s: not JSON", path);
+  size_t error_at;
+  json_auto_t *value = fc_json_parse(text, length, &error_at);
+  if (!value) return report_error(&error_out, "%s: not JSON at byte %zu", path, error_at);
   return read_settings(value, out, &error_out);
 }
 
--- a/src/protocol/worker_api.c
+++ b/src/protocol/worker_api.c
@@ -4,12 +4,12 @@
 #include <string.h>
 
 #include "protocol/json.h"
+#include "protocol/unreadable_responses.h"
 #include "transport/http.h"
 
 #define AMOUNT_MAX 1e9
 #define TASK_NAME_LENGTH_MAX 64u
 #define WORD_LENGTH_MAX 32u
-#define ERROR_SIZE 200u
 
 /* Paths, fields and values of the workers' API. */
 #define CALL_PATH "/orders"
@@ -120,9 +120,10 @@
   }
 }
 
-bool fc_heartbeat_parse(const char *text, size_t length, fc_heartbeat *out, char *error, size_t error_size) {
+bool fc_heartbeat_parse(const char *text, size_t length, fc_heartbeat *out, fc_message_error *error) {
   memset(out, 0, sizeof *out);
-  json_auto_t *object = fc_json_parse(text, length);
+  json_auto_t *object = fc_message_parse(text, length, error);
+  if (!object) return false;
   fc_reader reader;
   fc_reader_init(&reader, object);
   fc_read_string_into(&reader, FIELD_MACHINE, out->machine, sizeof out->machine);
@@ -135,8 +136,7 @@
   out->fencing_token = fc_read_count(&reader, FIELD_FENCING_TOKEN, 0, FC_COUNT_MAX);
   out->spot_notice_s = fc_read_amount_or(&reader, FIELD_SPOT_NOTICE, 0, AMOUNT_MAX, -1);
   read_tasks(&reader, out);
-  if (fc_reader_ok(&reader)) return true;
-  fc_reader_describe(&reader, error, error_size);
+  if (fc_message_check(&reader, error)) return true;
   fc_heartbeat_clear(out);
   return false;
 }
@@ -200,9 +200,11 @@
 
 static fc_worker_call_result result_of_response(const fc_http_reply *reply, fc_heartbeat *heartbeat) {
   if (reply->status != 200 && reply->status != 409) return FC_WORKER_CALL_UNKNOWN;
-  char error[ERROR_SIZE];
-  if (!fc_heartbeat_parse(reply->body->str, reply->body->len, heartbeat, error, sizeof error))
+  fc_message_error error;
+  if (!fc_heartbeat_parse(reply->body->str, reply->body->len, heartbeat, &error)) {
+    fc_unreadable_response_note(FC_RESPONDER_WORKER, CALL_PATH, reply->body->len, &error);
     return FC_WORKER_CALL_UNKNOWN;
+  }
   return reply->status == 200 ? FC_WORKER_CALL_DONE : FC_WORKER_CALL_REFUSED;
 }
 
--- a/src/protocol/worker_api.h
+++ b/src/protocol/worker_api.h
@@ -56,9 +56,9 @@
   size_t task_count;
 } fc_heartbeat;
 
-/* Parses a heartbeat. On failure returns false, names the faulty field and its error in `error`, and
- * leaves `out` empty; else the caller frees the contents of `out` with fc_heartbeat_clear(). */
-bool fc_heartbeat_parse(const char *text, size_t length, fc_heartbeat *out, char *error, size_t error_size);
+/* Parses a heartbeat. On failure returns false, fills in *error, and leaves `out` empty; else the caller frees
+ * the contents of `out` with fc_heartbeat_clear(). */
+bool fc_heartbeat_parse(const char *text, size_t length, fc_heartbeat *out, fc_message_error *error);
 void fc_heartbeat_clear(fc_heartbeat *heartbeat);
 
 typedef enum {
