--- a/tests/sim/days.c
+++ b/tests/sim/days.c
@@ -2,11 +2,13 @@
  * controllers, and the checks at the end. */
 #include "deployment.h"
 #include "stand_ins.h"
+#include "unknown_members.h"
 
 #define LOSS_SHARE 0.002          /* of requests and of responses */
 #define DUPLICATE_SHARE 0.03      /* of heartbeats */
 #define REPEATED_CALL_SHARE 0.1   /* of executed direct calls, on days with such copies */
 #define FAILING_TASK_SHARE 0.04   /* on the same days */
+#define UNKNOWN_MEMBERS_SHARE 0.5 /* of the messages, on days with such members */
 #define FAULT_MAX_S 45            /* the longest fault of random_faults.c */
 #define FIRST_MACHINES 3          /* present from the start */
 #define JOB_INTERVAL_S 8          /* mean */
@@ -102,6 +104,7 @@
     world_repeat_calls(REPEATED_CALL_SHARE);
     g_failing_task_share = FAILING_TASK_SHARE;
   }
+  if (day->unknown_members) unknown_members_start(seed, UNKNOWN_MEMBERS_SHARE);
   if (day->upgrade) begin_with_former_version();
   world_start_nodes();
   for (int i = 0; i < FIRST_MACHINES; i++) (void)worker_new(i % ZONES, false, 0);
@@ -113,6 +116,7 @@
   checks_end();
   world_check_released();
   count_unfinished();
+  if (day->unknown_members) g_result.unknown_members = unknown_members_sent();
   if (g_verbose) report_machines();
   return g_result;
 }
--- a/tests/sim/exchanges.c
+++ b/tests/sim/exchanges.c
@@ -16,6 +16,7 @@
 static GHashTable *g_servers;          /* "ip:port" -> sim_server */
 static sim_link_fn g_link_fn;
 static sim_sender_tag_fn g_sender_tag_fn;
+static sim_body_fn g_stand_in_body_fn;
 static double g_request_loss, g_reply_loss;
 static double g_slow_until, g_slow_max_s;
 
@@ -24,6 +25,7 @@
   g_servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_slow_until = 0;
   g_sender_tag_fn = NULL;
+  g_stand_in_body_fn = NULL;
 }
 
 /* ---- links ---- */
@@ -116,6 +118,19 @@
   complete_exchange(exchange);
 }
 
+void sim_set_stand_in_bodies(sim_body_fn fn) {
+  g_stand_in_body_fn = fn;
+}
+
+/* The body as a stand-in sends it, newly allocated. */
+static char *stand_in_body(const char *body) {
+  return g_stand_in_body_fn && body ? g_stand_in_body_fn(body) : g_strdup(body);
+}
+
+static bool is_stand_in(uint32_t ip) {
+  return g_hash_table_contains(g_stand_in_servers, GUINT_TO_POINTER(ip));
+}
+
 unsigned sim_sender_tag(const sim_exchange *exchange) {
   return exchange->sender_tag;
 }
@@ -130,7 +145,7 @@
   if (exchange->reply) return;
   exchange->status = status;
   sim_internal_alloc_begin();
-  exchange->reply = g_strdup(body);
+  exchange->reply = is_stand_in(exchange->to) ? stand_in_body(body) : g_strdup(body);
   sim_internal_alloc_end();
   size_t bytes = strlen(exchange->reply) + SIM_HTTP_HEAD_BYTES;
   sim_count_message(exchange->to, exchange->from, bytes);
@@ -239,7 +254,8 @@
 
 void sim_call_on(uint64_t connection, uint32_t from, uint32_t to, const char *path, const char *body, double timeout,
                  sim_reply_fn fn, void *arg) {
-  sim_exchange *exchange = send_request(from, to, CLIENT_PORT, "POST", path, body, strlen(body));
+  g_autofree char *sent = stand_in_body(body);
+  sim_exchange *exchange = send_request(from, to, CLIENT_PORT, "POST", path, sent, strlen(sent));
   exchange->connection = connection;
   exchange->reply_fn = fn;
   exchange->reply_arg = arg;
@@ -248,7 +264,8 @@
 
 void sim_call(uint32_t from, uint32_t to, const char *method, const char *path, const char *body, double timeout,
               sim_reply_fn fn, void *arg) {
-  sim_exchange *exchange = send_request(from, to, CLIENT_PORT, method, path, body, body ? strlen(body) : 0);
+  g_autofree char *sent = stand_in_body(body);
+  sim_exchange *exchange = send_request(from, to, CLIENT_PORT, method, path, sent, sent ? strlen(sent) : 0);
   exchange->reply_fn = fn;
   exchange->reply_arg = arg;
   sim_after(timeout, call_timeout, exchange);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -100,6 +100,11 @@
 /* Only the first response to a request is sent. */
 void sim_answer(struct sim_exchange *exchange, int status, const char *body);
 
+/* Returns the text to send in place of the body of a message of a stand-in, newly allocated. */
+typedef char *(*sim_body_fn)(const char *body);
+/* Changes all bodies that stand-ins send from now on; NULL: none. */
+void sim_set_stand_in_bodies(sim_body_fn fn);
+
 /* ---- clients of stand-ins ---- */
 
 /* status 0: no response before the timeout. */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -39,8 +39,9 @@
   double min_lease_left_s;                   /* the shortest remaining lease of a running worker */
   unsigned copies, copies_executed, starts_by_copies; /* copies of direct calls delivered; of those, executed; tasks
                                                        * that they began */
-  double max_unfenced_s; /* the longest time in which a restarted machine had seen no token above those before */
-  unsigned over_rate;    /* transactions that the key-value store refused for their rate */
+  double max_unfenced_s;    /* the longest time in which a restarted machine had seen no token above those before */
+  unsigned unknown_members; /* messages that had unknown members */
+  unsigned over_rate;       /* transactions that the key-value store refused for their rate */
   unsigned status_requests, status_answers, status_refusals; /* ended; answered with 200; with 503 */
 } world_result;
 
@@ -53,6 +54,7 @@
   bool overlapping_faults; /* add incidents that overlap */
   bool pipelines;          /* add jobs that depend on others */
   bool repeated_calls;     /* executed direct calls arrive again, and some tasks fail */
+  bool unknown_members;    /* messages of users, workers, the key-value store and the cloud have unknown members */
   bool upgrade;            /* controllers start with the former version and are upgraded one by one */
 } world_day;
 
