--- a/src/protocol/json_text.c
+++ b/src/protocol/json_text.c
@@ -183,13 +183,24 @@
   return true;
 }
 
+/* Whether only white space follows the value. The parser does not notice the beginning of a string, a number or a
+ * literal there. */
+static bool ends_after_value(const builder *builder, size_t *error_at) {
+  if (!builder->root) return true; /* a number at the end of the text */
+  size_t offset = builder->token_end;
+  while (offset < builder->length && strchr(" \t\r\n", builder->text[offset])) offset++;
+  if (offset == builder->length) return true;
+  *error_at = offset;
+  return false;
+}
+
 /* Runs the parser over the whole text. */
 static bool run_parser(builder *builder, size_t *error_at) {
   builder->parser = yajl_alloc(&k_events, NULL, builder);
   yajl_config(builder->parser, yajl_dont_validate_strings, 1); /* checked already */
   bool parsed = yajl_parse(builder->parser, (const unsigned char *)builder->text, builder->length) == yajl_status_ok;
   *error_at = parsed ? builder->length : yajl_get_bytes_consumed(builder->parser);
-  parsed = parsed && yajl_complete_parse(builder->parser) == yajl_status_ok;
+  parsed = parsed && ends_after_value(builder, error_at) && yajl_complete_parse(builder->parser) == yajl_status_ok;
   yajl_free(builder->parser);
   json_decref(builder->name);
   return parsed;
--- a/tests/json_texts.c
+++ b/tests/json_texts.c
@@ -348,6 +348,9 @@
     {"beyond Unicode", "\xf4\x90\x80\x80", 4},
 };
 
+/* Also beginnings of tokens. */
+static const char *const k_appended[] = {"{}", "x", "1", "\"", "\"a", " tru", "-", ",", "[", "}", "\n\"x\"", " 1.5e"};
+
 const char *json_text_damage(GString *object, GRand *rand) {
   guint choice = below(rand, G_N_ELEMENTS(k_members) + G_N_ELEMENTS(k_bytes) + 4);
   if (choice < G_N_ELEMENTS(k_members)) {
@@ -367,10 +370,33 @@
       g_string_prepend(object, "\xef\xbb\xbf");
       return "byte order mark";
     case 2:
-      g_string_append(object, chance(rand, 0.5) ? "{}" : "x");
+      g_string_append(object, pick(rand, k_appended, G_N_ELEMENTS(k_appended)));
       return "text after the value";
     default:
       g_string_insert(object, (gssize)(strrchr(object->str, '}') - object->str), ",");
       return "trailing comma";
   }
 }
+
+void json_text_mutate(GString *text, GRand *rand) {
+  static const char k_bytes[] = "{}[]\"\\:,0123456789.-+eEtrufalsn \t\r\n\v\x01\x7f/*'xXdDcC\x80\xbf\xc0\xed\xef\xff";
+  for (guint count = 1 + below(rand, 4); count > 0 && text->len > 1; count--) {
+    gssize at = (gssize)below(rand, (guint)text->len);
+    char byte = chance(rand, 0.05) ? (char)below(rand, 256) : k_bytes[below(rand, sizeof k_bytes - 1)];
+    switch (below(rand, 4)) {
+      case 0:
+        text->str[at] = byte;
+        break;
+      case 1:
+        g_string_insert_c(text, at, byte);
+        break;
+      case 2:
+        g_string_erase(text, at, 1);
+        break;
+      default: {
+        g_autofree char *copied = g_strndup(text->str + at, below(rand, 8));
+        g_string_insert(text, (gssize)below(rand, (guint)text->len), copied);
+      }
+    }
+  }
+}
--- a/tests/json_texts.h
+++ b/tests/json_texts.h
@@ -17,4 +17,7 @@
 /* Damages the text of an object in one way. Returns the name of the damage, a constant. */
 const char *json_text_damage(GString *object, GRand *rand);
 
+/* Changes, inserts, removes or copies a few bytes anywhere, so that the text may be JSON or not. */
+void json_text_mutate(GString *text, GRand *rand);
+
 #endif
--- a/tests/test_sound_input.c
+++ b/tests/test_sound_input.c
@@ -18,6 +18,8 @@
 
 #define SEEDS 150u
 #define MEMBERS_MAX_BYTES 3000u
+#define MUTATIONS_PER_SEED 100u
+#define MUTATED_MAX_BYTES 400u
 #define LARGEST_TOKEN "18446744073709551615"
 
 /* ---- a server that gives one response, in place of transport/http_client.c ---- */
@@ -501,6 +503,43 @@
   assert_int_equal(failures.failed, 0);
 }
 
+/* Whether jansson refuses the text for a limit of its values and not for its syntax. */
+static bool refused_for_a_limit(const json_error_t *error) {
+  switch (json_error_code(error)) {
+    case json_error_numeric_overflow:
+    case json_error_stack_overflow:
+    case json_error_null_byte_in_key:
+      return true;
+    default:
+      return strstr(error->text, "invalid Unicode") != NULL; /* an unpaired surrogate */
+  }
+}
+
+/* Of random changes to JSON texts, those are taken that jansson takes, or refuses for a limit of its values. */
+static void mutated_texts_are_read_as_by_another_parser(void **state) {
+  (void)state;
+  failures failures = {0};
+  guint taken = 0;
+  for (guint seed = first_seed(); seed < first_seed() + seeds() * MUTATIONS_PER_SEED; seed++) {
+    g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+    g_autoptr(GString) text = g_string_new("{\"a\":");
+    json_text_append_value(text, rand, MUTATED_MAX_BYTES);
+    g_string_append_c(text, '}');
+    json_text_mutate(text, rand);
+    json_error_t error = {0};
+    json_auto_t *expected = json_loadb(text->str, text->len, JSON_DECODE_ANY | JSON_ALLOW_NUL, &error);
+    json_auto_t *read = fc_json_parse(text->str, text->len, NULL);
+    bool may_be_taken = expected != NULL || refused_for_a_limit(&error);
+    bool has_to_be_taken = expected != NULL && !memchr(text->str, '\0', text->len);
+    expect(&failures, read ? may_be_taken : !has_to_be_taken, "mutated", read ? "taken" : "refused", seed, text);
+    taken += read != NULL;
+  }
+  print_message("%u of %u mutated texts were taken, %u otherwise than by jansson\n", taken, failures.messages,
+                failures.failed);
+  assert_int_equal(failures.failed, 0);
+  assert_true(taken > 0);
+}
+
 /* The unknown member of the refused job in the records of 2026-12-05. */
 static void job_with_a_large_number_in_a_label_is_accepted(void **state) {
   (void)state;
@@ -517,6 +556,7 @@
       cmocka_unit_test(each_kind_of_value_is_ignored),
       cmocka_unit_test(unknown_members_change_no_message),
       cmocka_unit_test(damaged_messages_are_refused),
+      cmocka_unit_test(mutated_texts_are_read_as_by_another_parser),
   };
   g_request_body = g_string_new(NULL);
   int failed = cmocka_run_group_tests(tests, NULL, NULL);
