Close the connection that waited longest for a request in favor of a new one; workers' stay

Beside connections that send nothing, or a part of a request, users, health checks and workers were turned away: those beyond the limit were closed at once, and the idle ones kept their places for 30 s and more. Now a new connection gets the place of the one that has waited longest for a complete request, unless all are workers' that have had a heartbeat accepted, or in the middle of an answer; constant work for each, and never more descriptors than the limit and 32.

The listener is a file of its own.

--- a/src/controller/client_server.c
+++ b/src/controller/client_server.c
@@ -13,6 +13,8 @@
 
 #define REQUEST_TIMEOUT_HEARTBEATS 2
 
+#define HEARTBEAT_ACCEPTED 200
+
 struct fc_client_server {
   fc_client_server_deps deps;
 };
@@ -63,6 +65,8 @@
       fc_metrics_enter_duty(metrics, FC_DUTY_HEARTBEATS);
       fc_heartbeats_answer(server->deps.heartbeats, request->body, request->body_len, request->connection,
                            &response->status, response->body);
+      /* A worker that has to connect anew again and again would lose its lease. */
+      response->reserve = response->status == HEARTBEAT_ACCEPTED;
       break;
     case FC_ROUTE_SUBMIT:
       serve_submission(server, request, response);
--- a/src/controller/metrics_page.c
+++ b/src/controller/metrics_page.c
@@ -3,6 +3,7 @@
 #include "bookkeeping/dependencies.h"
 #include "protocol/job_record.h"
 #include "protocol/unreadable_responses.h"
+#include "transport/conn.h"
 
 static const char *const k_message_names[FC_MESSAGES] = {
     [FC_MESSAGE_SUBMISSION] = "submission",
@@ -54,6 +55,7 @@
       {"state_commit_wait_seconds_total", writes.waited_s},
       {"reports_total", (double)counters->heartbeats},
       {"requests_total", (double)counters->requests},
+      {"connections_closed_for_others_total", (double)fc_conn_closed_for_others()},
       {"peer_exchanges_total", (double)counters->exchanges},
       {"machines_told_total", (double)counters->machines_sent},
       {"direct_orders_total", (double)counters->worker_calls},
--- a/src/transport/conn.c
+++ b/src/transport/conn.c
@@ -10,21 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "transport/routine.h"
-
-#define LISTEN_BACKLOG 256
-
-typedef struct listener listener;
-
-struct fc_conn {
-  const listener *accepted_by; /* NULL: made by fc_conn_connect() */
-  uint64_t number;
-  int fd;
-  ev_io io;
-  int wanted_events; /* EV_READ or EV_WRITE, as the waiter needs */
-  bool just_written; /* the other side has hardly had the time to respond */
-  fc_routine *waiter;
-};
+#include "transport/conn_private.h"
 
 bool fc_endpoint_parse(const char *text, fc_endpoint *out) {
   const char *colon = text ? strrchr(text, ':') : NULL;
@@ -60,7 +46,7 @@
   ev_io_stop(loop, watcher);
 }
 
-static fc_conn *conn_new(int fd) {
+fc_conn *fc_conn_from_socket(int fd) {
   fc_conn *conn = calloc(1, sizeof *conn);
   if (!conn) {
     close(fd);
@@ -108,7 +94,7 @@
 fc_conn *fc_conn_connect(const fc_endpoint *to, double deadline) {
   int fd = (int)count_system_call(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (fd < 0) return NULL;
-  fc_conn *conn = conn_new(fd);
+  fc_conn *conn = fc_conn_from_socket(fd);
   if (!conn) return NULL;
   struct sockaddr_in address = socket_address(to);
   if (count_system_call(connect(fd, (struct sockaddr *)&address, sizeof address)) == 0) return conn;
@@ -173,96 +159,3 @@
 uint64_t fc_conn_number(const fc_conn *conn) {
   return conn->number;
 }
-
-struct listener {
-  ev_io io;
-  fc_conn_fn on_conn;
-  void *arg;
-  size_t open_count, max_open; /* connections */
-};
-
-bool fc_conn_near_limit(const fc_conn *conn) {
-  const listener *listener = conn->accepted_by;
-  return listener && listener->open_count * 5 >= listener->max_open * 4;
-}
-
-/* Argument of the routine that serves an accepted connection. */
-typedef struct serve_args {
-  listener *listener;
-  fc_conn *conn;
-} serve_args;
-
-static void serve_accepted(void *arg) {
-  serve_args args = *(serve_args *)arg;
-  free(arg);
-  listener *listener = args.listener;
-  listener->on_conn(args.conn, listener->arg);
-  fc_conn_close(args.conn);
-  listener->open_count--;
-}
-
-/* Starts a routine that serves the connection; false when memory is short. */
-static bool spawn_server(listener *listener, fc_conn *conn) {
-  serve_args *args = malloc(sizeof *args);
-  if (!args) return false;
-  *args = (serve_args){.listener = listener, .conn = conn};
-  if (fc_routine_spawn(serve_accepted, args)) return true;
-  free(args);
-  return false;
-}
-
-static void on_accept(struct ev_loop *loop, ev_io *watcher, int events) {
-  (void)loop;
-  (void)events;
-  listener *listener = watcher->data;
-  for (;;) {
-    int fd = accept4(watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) return;
-    /* Connections beyond the limit are closed at once: the remaining file descriptors are needed for
-     * workers, peers and the key-value store. */
-    if (listener->open_count >= listener->max_open) {
-      close(fd);
-      continue;
-    }
-    fc_conn *conn = conn_new(fd);
-    if (!conn) continue;
-    conn->accepted_by = listener;
-    if (spawn_server(listener, conn)) {
-      listener->open_count++;
-    } else {
-      fc_conn_close(conn);
-    }
-  }
-}
-
-/* Returns a listening socket; -1 on failure. */
-static int open_listener(const fc_endpoint *at) {
-  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return -1;
-  int on = 1;
-  struct sockaddr_in address = socket_address(at);
-  if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0) goto fail;
-  if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0) goto fail;
-  if (listen(fd, LISTEN_BACKLOG) != 0) goto fail;
-  return fd;
-fail:
-  close(fd);
-  return -1;
-}
-
-bool fc_listen(const fc_endpoint *at, size_t max_open, fc_conn_fn on_conn, void *arg) {
-  int fd = open_listener(at);
-  if (fd < 0) return false;
-  listener *listener = calloc(1, sizeof *listener);
-  if (!listener) {
-    close(fd);
-    return false;
-  }
-  listener->on_conn = on_conn;
-  listener->arg = arg;
-  listener->max_open = max_open;
-  ev_io_init(&listener->io, on_accept, fd, EV_READ);
-  listener->io.data = listener;
-  ev_io_start(fc_loop(), &listener->io);
-  return true;
-}
--- a/src/transport/conn.h
+++ b/src/transport/conn.h
@@ -38,14 +38,23 @@
 /* Whether the listener that accepted the connection has 80 % or more of its connections open. False
  * for a connection made by fc_conn_connect(). */
 bool fc_conn_near_limit(const fc_conn *conn);
+/* Between these two the connection may be closed in favor of a new one: its routine, which waits for a request, is
+ * cancelled. No effect for a connection made by fc_conn_connect() or a reserved one. */
+void fc_conn_await_request(fc_conn *conn);
+void fc_conn_end_await(fc_conn *conn);
+/* Excepts the connection from being closed in favor of a new one from now on. */
+void fc_conn_reserve(fc_conn *conn);
+/* How many connections were closed in favor of new ones since the start of the process. */
+uint64_t fc_conn_closed_for_others(void);
 /* Closes and frees the connection; does nothing for NULL. */
 void fc_conn_close(fc_conn *conn);
 
 /* Serves one accepted connection, in a routine of its own; the listener closes the connection when the
  * function returns. */
 typedef void (*fc_conn_fn)(fc_conn *conn, void *arg);
-/* Accepts connections until the process ends; those beyond `max_open` open ones are closed at once.
- * False when the address cannot be listened on. */
+/* Accepts connections until the process ends, at most `max_open` at a time. Beyond that the one that has waited longest
+ * for a request is closed in favor of a new one; if there is none, the new one. False when the address cannot be
+ * listened on. */
 bool fc_listen(const fc_endpoint *at, size_t max_open, fc_conn_fn on_conn, void *arg);
 
 #endif
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -32,6 +32,7 @@
   const char *content_type; /* NULL: application/json */
   const char *allow;        /* Allow: the method to use, with status 405; NULL: no header */
   bool close;               /* close the connection after this response */
+  bool reserve;             /* never close the connection in favor of a new one: fc_conn_reserve() */
 } fc_http_response;
 
 /* Answers a request by filling in the response, which has status 500 and an empty body at first. */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -117,12 +117,18 @@
   return (ssize_t)length;
 }
 
-/* Reads one request; false: the connection is to be closed. */
-static bool read_request(server *server, fc_conn *conn, http_parser *parser) {
+/* Whether the parser has ended with an error. */
+static bool has_failed(const http_parser *parser) {
+  enum http_errno error = HTTP_PARSER_ERRNO(parser);
+  return error != HPE_OK && error != HPE_PAUSED;
+}
+
+/* Reads until the request is complete or the parser has failed; false: the connection is to be closed. */
+static bool receive_request(server *server, fc_conn *conn, http_parser *parser) {
   const parsed_request *parsed = parser->data;
   double deadline = fc_now() + server->opt.idle_timeout_s;
   bool started = false; /* its first bytes are here */
-  while (!parsed->complete) {
+  while (!parsed->complete && !has_failed(parser)) {
     ssize_t received = read_input(server, conn, deadline);
     if (received <= 0) return false;
     if (!started) {
@@ -130,15 +136,24 @@
       deadline = fc_now() + server->opt.request_timeout_s;
     }
     http_parser_execute(parser, &k_settings, g_input, (size_t)received);
-    enum http_errno error = HTTP_PARSER_ERRNO(parser);
-    if (error != HPE_OK && error != HPE_PAUSED) {
-      send_bad_request(conn, parsed->too_large ? "request too large" : "malformed HTTP", deadline);
-      return false;
-    }
   }
   return true;
 }
 
+/* Reads one request; false: the connection is to be closed. */
+static bool read_request(server *server, fc_conn *conn, http_parser *parser) {
+  const parsed_request *parsed = parser->data;
+  fc_conn_await_request(conn);
+  bool received = receive_request(server, conn, parser);
+  fc_conn_end_await(conn);
+  if (received && has_failed(parser)) {
+    send_bad_request(conn, parsed->too_large ? "request too large" : "malformed HTTP",
+                     fc_now() + server->opt.request_timeout_s);
+    return false;
+  }
+  return received;
+}
+
 /* Calls the handler and sends its response; false: the connection is to be closed. */
 static bool answer_request(const server *server, fc_conn *conn, const http_parser *parser, bool keep_alive) {
   const parsed_request *parsed = parser->data;
@@ -156,6 +171,7 @@
   g_autoptr(GString) body = g_string_new(NULL);
   fc_http_response res = {.status = HTTP_STATUS_INTERNAL_SERVER_ERROR, .body = body};
   server->handler(&req, &res, server->arg);
+  if (res.reserve) fc_conn_reserve(conn);
   keep_alive = keep_alive && !res.close && !fc_routine_cancelled();
   return send_response(conn, &res, keep_alive, fc_now() + server->opt.request_timeout_s) && keep_alive;
 }
--- a/tests/sim/streams.c
+++ b/tests/sim/streams.c
@@ -179,3 +179,7 @@
   g_hash_table_replace(g_listeners, sim_endpoint_key(ntohl(at->ip), at->port), listener);
   return true;
 }
+
+uint64_t fc_conn_closed_for_others(void) {
+  return 0; /* simulated listeners have no limit */
+}
