Accept request targets in the absolute form

A sound submission to http://controller:8080/api/jobs got 404 (RFC 9112, 3.2.2: a server has to accept that form).

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -154,6 +154,15 @@
   return received;
 }
 
+/* The path and query of a request target, which may be in the absolute form "http://host/path?query". */
+static const char *path_of_target(const char *target) {
+  static const char k_scheme[] = "http://";
+  if (g_ascii_strncasecmp(target, k_scheme, strlen(k_scheme)) != 0) return target;
+  const char *authority = target + strlen(k_scheme);
+  const char *path = authority + strcspn(authority, "/?");
+  return *path == '/' ? path : "/";
+}
+
 /* Calls the handler and sends its response; false: the connection is to be closed. */
 static bool answer_request(const server *server, fc_conn *conn, const http_parser *parser, bool keep_alive) {
   const parsed_request *parsed = parser->data;
@@ -161,7 +170,7 @@
   if (query) *query++ = '\0';
   const fc_http_request req = {
       .method = http_method_str((enum http_method)parser->method),
-      .path = parsed->url->str,
+      .path = path_of_target(parsed->url->str),
       .query = query ? query : "",
       .body = parsed->body->str,
       .body_len = parsed->body->len,
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -62,6 +62,8 @@
 enum {
   CASE_KEEP_ALIVE,
   CASE_CLOSE,
+  CASE_ABSOLUTE_FORM,
+  CASE_ABSOLUTE_FORM_WITHOUT_PATH,
   CASE_NOT_HTTP,
   CASE_OVERSIZED_BODY,
   CASE_OVERSIZED_HEADER,
@@ -134,6 +136,10 @@
       return ANSWERED_WITH("GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 200", false) ? 0 : 1;
     case CASE_CLOSE:
       return ANSWERED_WITH("GET / HTTP/1.1\r\nConnection: close\r\n\r\n", "HTTP/1.1 200", true) ? 0 : 1;
+    case CASE_ABSOLUTE_FORM:
+      return ANSWERED_WITH("GET HTTP://10.0.0.1:8080/found?x=/missing HTTP/1.1\r\n\r\n", "HTTP/1.1 200", false) ? 0 : 1;
+    case CASE_ABSOLUTE_FORM_WITHOUT_PATH:
+      return ANSWERED_WITH("GET http://10.0.0.1:8080 HTTP/1.1\r\n\r\n", "HTTP/1.1 200", false) ? 0 : 1;
     case CASE_NOT_HTTP:
       return ANSWERED_WITH("hello there\r\n\r\n", "HTTP/1.1 400", true) ? 0 : 1;
     case CASE_OVERSIZED_BODY: /* the response may be lost, as the server closes with unread input */
@@ -169,7 +175,8 @@
   (void)arg;
   g_connection = req->connection;
   res->reserve = strcmp(req->path, "/reserved") == 0;
-  res->status = 200;
+  static const char *const k_paths[] = {"/", "/found", "/reserved", "/ready", NULL};
+  res->status = g_strv_contains(k_paths, req->path) ? 200 : 404;
   g_string_append(res->body, "{}");
 }
 
