--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -3,10 +3,12 @@
 
 #define NEVER_BOOTS_S 1e9
 #define NEVER_BOOTS_SHARE 0.05
-#define LIST_DELAY_S 10 /* from the creation of a machine until it is listed */
+#define REPEATED_SHARE 0.3 /* of the late requests: carried out at once, and again late */
+#define LIST_DELAY_S 10    /* from the creation of a machine until it is listed */
 
 static GHashTable *g_rentals; /* name of the request -> response (json_t), which is repeated for the same name */
 static bool g_down;
+static double g_late_share, g_late_min_s, g_late_max_s; /* of rentals and deletions */
 
 void world_cloud_down(bool down) {
   g_down = down;
@@ -90,8 +92,7 @@
   free(text);
 }
 
-static void serve(const sim_request *request, void *arg) {
-  (void)arg;
+static void serve_now(const sim_request *request) {
   if (g_down) {
     sim_answer(request->exchange, 503, "{\"error\":\"trouble\"}");
   } else if (strcmp(request->path, "/flavors") == 0) {
@@ -107,8 +108,40 @@
   }
 }
 
+/* ---- late requests ---- */
+
+void world_late_cloud(double share, double min_s, double max_s) {
+  g_late_share = share;
+  g_late_min_s = min_s;
+  g_late_max_s = max_s;
+}
+
+static void serve_late(void *arg) {
+  sim_request *request = arg;
+  g_result.late_cloud_requests++;
+  serve_now(request);
+  g_free(request);
+}
+
+static bool is_change(const sim_request *request) {
+  return strcmp(request->method, "POST") == 0;
+}
+
+/* A late request gets no response in time, or is carried out and answered at once and then once more. */
+static void serve(const sim_request *request, void *arg) {
+  (void)arg;
+  bool late = is_change(request) && g_late_share > 0 && sim_chance(g_late_share);
+  if (late) {
+    sim_request *copy = g_new(sim_request, 1);
+    *copy = *request; /* its texts live as long as the exchange */
+    sim_after(sim_draw(g_late_min_s, g_late_max_s), serve_late, copy);
+  }
+  if (!late || sim_chance(REPEATED_SHARE)) serve_now(request);
+}
+
 void cloud_init(void) {
   g_down = false;
+  world_late_cloud(0, 0, 0);
   g_rentals = g_hash_table_new(g_str_hash, g_str_equal);
   sim_serve(WORLD_CLOUD_IP, serve, NULL);
 }
--- a/tests/sim/days.c
+++ b/tests/sim/days.c
@@ -4,11 +4,16 @@
 #include "stand_ins.h"
 #include "unknown_members.h"
 
-#define LOSS_SHARE 0.002          /* of requests and of responses */
-#define DUPLICATE_SHARE 0.03      /* of heartbeats */
-#define REPEATED_CALL_SHARE 0.1   /* of executed direct calls, on days with such copies */
-#define FAILING_TASK_SHARE 0.04   /* on the same days */
+#define LOSS_SHARE 0.002        /* of requests and of responses */
+#define DUPLICATE_SHARE 0.03    /* of heartbeats */
+#define REPEATED_CALL_SHARE 0.1 /* of executed direct calls, on days with such copies */
+#define FAILING_TASK_SHARE 0.04 /* on the same days */
+/* Of rentals and deletions, on days on which they are late. */
+#define LATE_CLOUD_SHARE 0.4
+#define LATE_CLOUD_MIN_S 3
+#define LATE_CLOUD_MAX_S 60
 #define UNKNOWN_MEMBERS_SHARE 0.5 /* of the messages, on days with such members */
+#define KNOWN_TASKS_INTERVAL_S 0.5
 #define FAULT_MAX_S 45            /* the longest fault of random_faults.c */
 #define FIRST_MACHINES 3          /* present from the start */
 #define JOB_INTERVAL_S 8          /* mean */
@@ -98,12 +103,22 @@
   g_faults_end_at = MAX(g_faults_end_at, incidents_end_at);
 }
 
+/* Runs the day; with late rentals and deletions all tasks have to be on known machines all the time. */
+static void check_until(double end, bool late_cloud) {
+  while (late_cloud && sim_now() + KNOWN_TASKS_INTERVAL_S < end) {
+    sim_run_until(sim_now() + KNOWN_TASKS_INTERVAL_S);
+    world_check_tasks_known();
+  }
+  sim_run_until(end);
+}
+
 world_result world_play(uint32_t seed, double busy_s, const world_day *day) {
   world_set_up(seed, LOSS_SHARE);
   if (day->repeated_calls) {
     world_repeat_calls(REPEATED_CALL_SHARE);
     g_failing_task_share = FAILING_TASK_SHARE;
   }
+  if (day->late_cloud) world_late_cloud(LATE_CLOUD_SHARE, LATE_CLOUD_MIN_S, LATE_CLOUD_MAX_S);
   if (day->unknown_members) unknown_members_start(seed, UNKNOWN_MEMBERS_SHARE);
   if (day->upgrade) begin_with_former_version();
   world_start_nodes();
@@ -112,8 +127,9 @@
   users_poll_unknown_job(NULL);
   start_faults(seed, busy_s, day->overlapping_faults);
   checks_start();
-  sim_run_until(checks_end_time());
+  check_until(checks_end_time(), day->late_cloud);
   checks_end();
+  world_late_cloud(0, 0, 0);
   world_check_released();
   count_unfinished();
   if (day->unknown_members) g_result.unknown_members = unknown_members_sent();
--- a/tests/sim/machines.c
+++ b/tests/sim/machines.c
@@ -115,6 +115,21 @@
   }
 }
 
+static bool has_tasks(const sim_worker *worker) {
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (((const sim_task *)worker->tasks->pdata[i])->state != TASK_EXITED) return true;
+  return false;
+}
+
+void world_check_tasks_known(void) {
+  for (guint i = 0; i < g_worker_list->len; i++) {
+    const sim_worker *worker = g_worker_list->pdata[i];
+    g_autofree char *key = g_strconcat("fc1/machine/", worker->id, NULL);
+    if (worker->up && !worker->terminated && has_tasks(worker) && !kv_has_key(key))
+      world_rule_broken("tasks on a machine without a record", worker->id);
+  }
+}
+
 /* ---- tasks of a job ---- */
 
 /* A search for tasks of a job on machines, and its result. */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -39,9 +39,10 @@
   double min_lease_left_s;                   /* the shortest remaining lease of a running worker */
   unsigned copies, copies_executed, starts_by_copies; /* copies of direct calls delivered; of those, executed; tasks
                                                        * that they began */
-  double max_unfenced_s;    /* the longest time in which a restarted machine had seen no token above those before */
-  unsigned unknown_members; /* messages that had unknown members */
-  unsigned over_rate;       /* transactions that the key-value store refused for their rate */
+  double max_unfenced_s;        /* the longest time in which a restarted machine had seen no token above those before */
+  unsigned late_cloud_requests; /* rentals and deletions that were carried out late */
+  unsigned unknown_members;     /* messages that had unknown members */
+  unsigned over_rate;           /* transactions that the key-value store refused for their rate */
   unsigned status_requests, status_answers, status_refusals; /* ended; answered with 200; with 503 */
 } world_result;
 
@@ -55,6 +56,7 @@
   bool pipelines;          /* add jobs that depend on others */
   bool repeated_calls;     /* executed direct calls arrive again, and some tasks fail */
   bool unknown_members;    /* messages of users, workers, the key-value store and the cloud have unknown members */
+  bool late_cloud;         /* rentals and deletions are carried out late */
   bool upgrade;            /* controllers start with the former version and are upgraded one by one */
 } world_day;
 
@@ -221,6 +223,10 @@
 void world_preempt_machine(unsigned machine, double in_s);
 /* Delivers a heartbeat with the machine's current status to the controller after in_s. */
 void world_duplicate_heartbeat(unsigned machine, unsigned node, double in_s);
+/* That share of the rentals and deletions is carried out so much later, without a response in time or a second time. */
+void world_late_cloud(double share, double min_s, double max_s);
+/* Checks that each machine with tasks that have not ended has a record. */
+void world_check_tasks_known(void);
 void world_cloud_down(bool down); /* it answers every request with 503 */
 
 unsigned world_machine_count(void);                             /* created so far */
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -15,6 +15,7 @@
 /* Simulated days of each kind with copies of executed direct calls. */
 #define SEEDS_WITH_COPIES 12u
 #define SEEDS_WITH_UNKNOWN_MEMBERS 12u
+#define SEEDS_WITH_LATE_CLOUD 16u
 
 /* FAULT_SEED=N begins with seed N, and runs it alone unless FAULT_SEEDS=M asks for M seeds. */
 static void run_days(const world_day *day, uint32_t seeds) {
@@ -22,7 +23,7 @@
   uint32_t first = first_text ? (uint32_t)atoi(first_text) : 1;
   uint32_t count = count_text ? (uint32_t)atoi(count_text) : first_text ? 1 : seeds;
   unsigned unaccepted = 0, unfinished = 0, starts = 0, late_starts = 0, broken = 0, invalid = 0, copies = 0,
-           unknown_members = 0;
+           unknown_members = 0, late_cloud_requests = 0;
   for (uint32_t seed = first; seed < first + count; seed++) {
     world_result r = world_play(seed, BUSY_S, day);
     print_message(
@@ -40,6 +41,7 @@
           seed, r.copies, r.copies_executed, r.starts_by_copies, r.max_unfenced_s);
     copies += r.copies;
     unknown_members += r.unknown_members;
+    late_cloud_requests += r.late_cloud_requests;
     unaccepted += r.submitted - r.accepted;
     unfinished += r.unfinished;
     starts += r.starts;
@@ -48,6 +50,7 @@
   }
   print_message("%u days: %u starts, %u of them after a confirmed cancellation\n", count, starts, late_starts);
   assert_true(!day->repeated_calls || count == 1 || copies > 0);
+  assert_true(!day->late_cloud || late_cloud_requests > count);
   assert_true(!day->unknown_members || unknown_members > 1000 * count);
   assert_int_equal(broken, 0);
   assert_true(starts > 50 * count);
@@ -136,6 +139,17 @@
            SEEDS_WITH_UNKNOWN_MEMBERS);
 }
 
+/* Rentals and deletions are carried out up to a minute late, some a second time. */
+static void late_cloud_with_faults(void **state) {
+  (void)state;
+  run_days(&(world_day){.late_cloud = true}, SEEDS_WITH_LATE_CLOUD);
+}
+
+static void late_cloud_with_meetings(void **state) {
+  (void)state;
+  run_days(&(world_day){.late_cloud = true, .overlapping_faults = true}, SEEDS_WITH_LATE_CLOUD);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(days_with_faults),
                                      cmocka_unit_test(days_with_meetings),
@@ -149,6 +163,8 @@
                                      cmocka_unit_test(copies_with_pipelines_and_meetings),
                                      cmocka_unit_test(copies_with_upgrades),
                                      cmocka_unit_test(copies_with_upgrades_and_meetings),
+                                     cmocka_unit_test(late_cloud_with_faults),
+                                     cmocka_unit_test(late_cloud_with_meetings),
                                      cmocka_unit_test(unknown_members_with_faults),
                                      cmocka_unit_test(unknown_members_with_upgrades_and_meetings)};
   /* Runs a single test, such as FAULT_TEST=days_with_meetings. */
