--- a/src/transport/conn.h
+++ b/src/transport/conn.h
@@ -42,7 +42,8 @@
  * cancelled. No effect for a connection made by fc_conn_connect() or a reserved one. */
 void fc_conn_await_request(fc_conn *conn);
 void fc_conn_end_await(fc_conn *conn);
-/* Excepts the connection from being closed in favor of a new one from now on. */
+/* Excepts the connection from being closed in favor of a new one from now on, unless its listener has too many of
+ * these. */
 void fc_conn_reserve(fc_conn *conn);
 /* How many connections were closed in favor of new ones since the start of the process. */
 uint64_t fc_conn_closed_for_others(void);
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -12,6 +12,8 @@
 #define LISTEN_BACKLOG 256
 /* Connections accepted before other events are handled. */
 #define ACCEPTS_PER_EVENT_MAX 32
+/* Of the connections; the others are left to clients that may be closed for each other. */
+#define RESERVED_SHARE_MAX 0.875
 /* Connections looked at to find one to close. */
 #define CANDIDATES_MAX 64
 
@@ -20,8 +22,9 @@
   fc_conn_fn on_conn;
   void *arg;
   size_t open_count, max_open; /* connections */
-  size_t closing_count;        /* of the open ones, those that are closed in favor of new ones */
-  GQueue awaiting;             /* fc_conn: those that wait for a request and may be closed, the longest first */
+  size_t reserved_count;
+  size_t closing_count; /* of the open ones, those that are closed in favor of new ones */
+  GQueue awaiting;      /* fc_conn: those that wait for a request and may be closed, the longest first */
 };
 
 static uint64_t g_closed_for_others;
@@ -46,7 +49,11 @@
 }
 
 void fc_conn_reserve(fc_conn *conn) {
+  fc_listener *listener = conn->accepted_by;
+  if (!listener || conn->is_reserved) return;
+  if ((double)listener->reserved_count + 1 > (double)listener->max_open * RESERVED_SHARE_MAX) return;
   conn->is_reserved = true;
+  listener->reserved_count++;
   fc_conn_end_await(conn);
 }
 
@@ -97,6 +104,7 @@
   listener->on_conn(args.conn, listener->arg);
   fc_conn_end_await(args.conn);
   if (args.conn->is_closing) listener->closing_count--;
+  if (args.conn->is_reserved) listener->reserved_count--;
   fc_conn_close(args.conn);
   listener->open_count--;
 }
--- a/tests/test_sound_input.c
+++ b/tests/test_sound_input.c
@@ -540,6 +540,29 @@
   assert_true(taken > 0);
 }
 
+/* The deepest known fields: teams' shares in a record in a list of the store. */
+static void known_fields_at_the_deepest_level_are_read(void **state) {
+  (void)state;
+  fc_endpoint at = {0};
+  fc_kv *kv = fc_kv_new(&at);
+  g_autoptr(GString) text = g_string_new(
+      "{\"rows\":[{\"key\":\"fc1/quota\",\"v\":{\"f\":1,\"term\":4096,\"shares\":{\"c-0\":{\"vision\":[4,2.5]}}},"
+      "\"edition\":7}],\"more\":false,\"round\":431}");
+  g_reply_status = 200;
+  g_reply_body = text;
+  g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(fc_kv_change_free);
+  bool more = true;
+  uint64_t revision = 0;
+  assert_int_equal(fc_kv_list(kv, "fc1/", NULL, 10, 0, rows, &more, &revision), FC_KV_OK);
+  assert_int_equal(rows->len, 1);
+  fc_settings settings = {.teams = {{.name = "vision", .cpus_max = 8, .gpus_max = 4}}, .team_count = 1};
+  fc_quota_record *quota = g_new0(fc_quota_record, 1);
+  assert_true(fc_quota_record_decode(((fc_kv_change *)rows->pdata[0])->value, &settings, quota));
+  assert_true(quota->cpus[0][0] == 4 && quota->gpus[0][0] == 2.5);
+  g_free(quota);
+  fc_kv_free(kv);
+}
+
 /* The unknown member of the refused job in the records of 2026-12-05. */
 static void job_with_a_large_number_in_a_label_is_accepted(void **state) {
   (void)state;
@@ -554,6 +577,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(job_with_a_large_number_in_a_label_is_accepted),
       cmocka_unit_test(each_kind_of_value_is_ignored),
+      cmocka_unit_test(known_fields_at_the_deepest_level_are_read),
       cmocka_unit_test(unknown_members_change_no_message),
       cmocka_unit_test(damaged_messages_are_refused),
       cmocka_unit_test(mutated_texts_are_read_as_by_another_parser),
