--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,75 +1,80 @@
-"""A burst of jobs without GPUs, then jobs with GPUs: a team with limits on CPUs and on GPUs starts nothing any more."""
+"""A start that was held up reaches its machine as that is back, after its task has been started on another machine."""
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
-from world import CouldNotRun, asyncio, begin, main, now  # noqa: E402
+from world import CouldNotRun, asyncio, begin, main  # noqa: E402
 
-TEAMS = ("sunvend", "tropicsnack", "platform-core")
-CPUS_MAX, GPUS_MAX = 12.0, 4.0
-BURST = 3        # jobs of the class without GPUs instead of one
-WAITED_S = 90.0  # the bound of the rule
+MACHINES = 8
+BACK_S = 4.0     # the controllers are back after this time (BRIEF)
+MACHINE_S = 0.3  # the machine is back within a fraction of a second
+ROUNDS = 4       # a round proves nothing if the task is started on the same machine again
 
 
-class Team:
-    """One team: its jobs, and for how long it has had work waiting although it was under its limit and a machine that
-    fits had room."""
+async def fill(world, job, run_s):
+    """Has a task run on each machine but one."""
+    runs = sum(worker.up for worker in world.workers.values()) - 1
+    if runs < 3:
+        raise CouldNotRun("too few machines are up")
+    await world.submit(world.job(job, runs=runs, cpus=14.0, gpus=2.0, pullGb=0.0, run_s=run_s))
+    if not await world.until(lambda: len(world.running(job)) == runs, 25.0):
+        raise CouldNotRun("%s does not run" % job)
 
-    def __init__(self, world, number, name):
-        self.world, self.name, self.since = world, name, None
-        self.first_id = 1000 * (number + 1)
-        self.burst, self.jobs = [], []
 
-    async def submit(self, into, offset, **fields):
-        spec = self.world.job("job-%06d" % (self.first_id + offset), club=self.name, cpus=6.0, memGb=4.0, pullGb=0.0,
-                              **fields)
-        into.append(spec["id"])
-        if await self.world.submit(spec) != 201:
-            raise CouldNotRun("a job is not accepted")
+async def play_round(world, number, trouble):
+    """Returns whether the held-up start of the round's job reached its machine after the job had moved."""
+    held = []
 
-    def open_tasks(self, jobs):
-        return sum(self.world.specs[j]["runs"] - len(self.world.completed.get(j, ())) for j in jobs)
+    def hold(worker, request):
+        if not trouble or held or not any(c["run"].startswith(job) for c in request.get("calls") or []):
+            return False
+        held.append((worker, request))
+        world.note("held_up", machine=worker.name, request=request)
+        for node in range(world.nodes):
+            world.kill_node(node)
+        return True
 
-    async def submit_all(self, trouble):
-        for k in range(BURST if trouble else 1):
-            await self.submit(self.burst, k, runs=2, gpus=0.0, run_s=3.5)
-        # With the burst, the jobs with GPUs come while its last tasks run; without it they come at about that time.
-        left = 2 if trouble else 0
-        if not await self.world.until(lambda: self.open_tasks(self.burst) <= left, 35.0):
-            raise CouldNotRun("the first jobs are not done")
-        await asyncio.sleep(1.0 if trouble else 5.0)
-        for k in range(2):
-            await self.submit(self.jobs, 500 + k, runs=8, gpus=2.0, run_s=1.0)
-
-    def waited(self):
-        cpus, gpus = self.world.usage(self.name)
-        spec = self.world.specs[self.jobs[0]]
-        under_limit = cpus + spec["cpus"] <= CPUS_MAX and gpus + spec["gpus"] <= GPUS_MAX
-        running = any(self.world.running(j) for j in self.jobs)
-        room = any(w.up and not w.spot and w.room_for(spec) for w in self.world.workers.values())
-        if not self.open_tasks(self.jobs) or running or not under_limit or not room:
-            self.since = None
-        elif self.since is None:
-            self.since = now()
-        return 0.0 if self.since is None else now() - self.since
+    await asyncio.sleep(1.0)
+    filler, job = "job-%06d" % (100 + number), "job-%06d" % (200 + number)
+    await fill(world, filler, 6.0)
+    await asyncio.sleep(2.0)
+    world.hold_orders = hold
+    await world.submit(world.job(job, cpus=14.0, gpus=2.0, pullGb=0.0, run_s=1000.0))
+    if trouble:
+        if not await world.until(lambda: held, 10.0):
+            raise CouldNotRun("no start was sent directly")
+        await asyncio.sleep(BACK_S)
+        for node in range(world.nodes):
+            world.start_node(node)
+    if not await world.until(lambda: world.running(job), 40.0):
+        raise CouldNotRun("%s does not run" % job)
+    await asyncio.sleep(2.0)
+    place = world.running(job)[0][1]
+    moved = bool(held) and held[0][0].name in world.workers and held[0][0].name != place
+    if moved:
+        worker, request = held[0]
+        await worker.restart(MACHINE_S)
+        status, _ = worker.orders(request)
+        world.note("late_command", machine=worker.name, request=request, status=status, runs_on=place)
+        await asyncio.sleep(3.0)
+    await world.withdraw(job)
+    await world.until(lambda: not world.running(job), 10.0)
+    return moved
 
 
 async def play(folder, trouble):
-    limits = [{"name": t, "cpus": 0.0, "cpus_max": CPUS_MAX, "gpus": 0.0, "gpus_max": GPUS_MAX} for t in TEAMS]
-    world = await begin(folder, capacity=12, settings={"teams": limits})
-    teams = [Team(world, number, name) for number, name in enumerate(TEAMS)]
-    await asyncio.gather(*[t.submit_all(trouble) for t in teams])
-    if not await world.until(lambda: not any(t.open_tasks(t.burst) for t in teams), 20.0):
-        raise CouldNotRun("the burst is not done")
-    world.note("burst_over")
-    findings = []
-    while not findings and any(t.open_tasks(t.jobs) for t in teams) and now() < world.t0 + 115.0:
-        findings = ["%s has %d tasks waiting and none running for %.0f s, with room and under its limit"
-                    % (t.name, t.open_tasks(t.jobs), WAITED_S) for t in teams if t.waited() > WAITED_S]
-        await asyncio.sleep(0.25)
-    for job in [j for t in teams for j in t.jobs]:
-        await world.poll(job)
-    return world, findings + world.violations
+    world = await begin(folder, capacity=MACHINES)
+    await world.submit(world.job("job-000001", runs=MACHINES, cpus=14.0, gpus=2.0, pullGb=0.0, run_s=6.0))
+    if not await world.until(lambda: len(world.completed.get("job-000001", ())) == MACHINES, 30.0):
+        raise CouldNotRun("the first job is not done")
+    for number in range(ROUNDS):
+        if await play_round(world, number, trouble) or not trouble:
+            break
+    else:
+        raise CouldNotRun("each task was started on the same machine again")
+    findings = ["%s starts on %s while it is on %s" % (f["task"], f["machine"], f["others"])
+                for rule, f in world.violations if rule == "ran_twice"]
+    return world, findings or world.violations
 
 
 main(__file__, play)
