--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,7 +17,8 @@
     if runs < 3:
         raise CouldNotRun("too few machines are up")
     await world.submit(world.job(job, runs=runs, cpus=14.0, gpus=2.0, pullGb=0.0, run_s=run_s))
-    if not await world.until(lambda: len(world.running(job)) == runs, 25.0):
+    begun = lambda: len({i for i, _ in world.running(job)} | world.completed.get(job, set()))  # noqa: E731
+    if not await world.until(lambda: begun() == runs, 25.0):
         raise CouldNotRun("%s does not run" % job)
 
 
@@ -36,8 +37,8 @@
 
     await asyncio.sleep(1.0)
     filler, job = "job-%06d" % (100 + number), "job-%06d" % (200 + number)
-    await fill(world, filler, 6.0)
-    await asyncio.sleep(2.0)
+    await fill(world, filler, 9.0)
+    await asyncio.sleep(3.0)
     world.hold_orders = hold
     await world.submit(world.job(job, cpus=14.0, gpus=2.0, pullGb=0.0, run_s=1000.0))
     if trouble:
