--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -83,12 +83,19 @@
     """Serves HTTP with handler(method, path, body) -> (status, body), or None: no answer is ever sent."""
 
     def __init__(self, handler, port=None):
-        self.handler, self.port = handler, port or free_port()
+        self.handler, self.port, self.writers = handler, port or free_port(), set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, limit=1 << 22, backlog=200)
 
+    def cut(self):
+        """Resets all connections and refuses new ones, until start() is called again."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -104,6 +111,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
