--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -900,10 +900,9 @@
                     self.violations.append(("crash", {"node": i, "code": process.returncode}))
         shutil.rmtree(self.temp, ignore_errors=True)
 
-    def write_record(self, path):
-        with open(path, "w") as file:
-            for at, kind, fields in self.record:
-                file.write("%8.3f %s %s\n" % (at, kind, json.dumps(fields, sort_keys=True)))
+    def write_record(self, file):
+        for at, kind, fields in self.record:
+            file.write("%8.3f %s %s\n" % (at, kind, json.dumps(fields, sort_keys=True)))
 
     def logs(self, i):
         with open(os.path.join(self.temp, "node-%d.log" % i), errors="replace") as file:
@@ -1156,10 +1155,13 @@
 def finish(folder, code, trouble):
     """Ends all processes that the test has started, writes the record and leaves."""
     try:
-        for live in Registry.worlds:
-            live.note("end", code=code, trouble=trouble)
-            live.close()
-            live.write_record(os.path.join(folder, "record.txt"))
+        with open(os.path.join(folder, "record.txt"), "w") as file:
+            for number, live in enumerate(Registry.worlds, 1):
+                live.note("end", code=code, trouble=trouble)
+                live.close()
+                if len(Registry.worlds) > 1:
+                    file.write("deployment %d\n" % number)
+                live.write_record(file)
         sys.stdout.flush()
     finally:
         os._exit(code)
