--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -83,18 +83,23 @@
     """Serves HTTP with handler(method, path, body) -> (status, body), or None: no answer is ever sent."""
 
     def __init__(self, handler, port=None):
-        self.handler, self.port, self.writers = handler, port or free_port(), set()
+        self.handler, self.port, self.writers, self.is_cut = handler, port or free_port(), set(), False
 
     async def start(self):
+        self.is_cut = False
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, limit=1 << 22, backlog=200)
 
     def cut(self):
         """Resets all connections and refuses new ones, until start() is called again."""
+        self.is_cut = True
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
     async def serve(self, reader, writer):
+        if self.is_cut:  # accepted just before the cut
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
