Starts go with answers to heartbeats only, never by a direct call

Cause: a direct call may be executed minutes late, and nothing that a restarted worker compares tells it from a new one; what was sent stood in the sender's memory alone.

Change: direct calls carry no starts. The delay is won back within the protocol: - a heartbeat is solicited by an empty call with a raised token, which a worker reports at once, at most once in half a lease; - the answer to a machine with room is held for a part of the interval and sent as soon as a start is decided, while there is demand and no overload; - a worker is redirected at once after a change of its owner or of the term; - peers raise no tokens for owners that send no direct starts (member key); - machines whose heartbeats no controller answers take no tasks, and a placement whose start was never sent there is withdrawn.

--- a/src/bookkeeping/cluster.c
+++ b/src/bookkeeping/cluster.c
@@ -132,6 +132,14 @@
   return fc_term_reserves_tokens(cluster->membership.term.number) && all_members(cluster, accepts_raised_tokens, 0);
 }
 
+bool fc_cluster_member_starts_in_answers(const fc_cluster *cluster, int member) {
+  const fc_membership *membership = &cluster->membership;
+  if (member < 0 || (size_t)member >= membership->term.count) return false;
+  const fc_member *in_term = &membership->term.members[member];
+  const fc_member_key *key = g_hash_table_lookup(membership->keys, in_term->name);
+  return key && key->version == in_term->incarnation && key->starts_in_answers;
+}
+
 bool fc_cluster_is_cancelled(const fc_cluster *cluster, const char *id) {
   const fc_job *job = fc_cluster_find_job(cluster, id);
   return job ? job->phase == FC_PHASE_CANCELLED : g_hash_table_contains(cluster->unread_cancellations, id);
--- a/src/bookkeeping/cluster.h
+++ b/src/bookkeeping/cluster.h
@@ -32,6 +32,7 @@
   unsigned job_format;     /* newest format of job records that the member reads */
   bool raised_tokens;      /* it accepts heartbeats with raised fencing tokens */
   bool moved_descriptions; /* it follows descriptions that move from job records to parts */
+  bool starts_in_answers;  /* it sends starts with answers to heartbeats only */
 } fc_member_key;
 
 /* A job record that can't be applied until further parts of its description have been read. */
@@ -101,6 +102,8 @@
   bool archive_in_use;      /* ended jobs may have been archived */
   uint64_t returns_version; /* version of the key that is written with every deletion of machine records; 0: none yet */
   bool tasks_pending;       /* at the last scheduling attempt, some task of this shard could not be placed */
+  double placed_at;         /* when this controller last placed a task; 0: never */
+  unsigned held_answers;    /* answers to heartbeats that are held (controller/heartbeat_hold.h) */
   uint64_t next_queue_sequence;
   uint64_t view_number; /* number of the newest view of this shard's machines */
 } fc_cluster;
@@ -131,6 +134,9 @@
  * live members accept them. */
 bool fc_cluster_raises_tokens(const fc_cluster *cluster);
 
+/* Whether the incarnation of that member in the current term, by index, has sent no start by a direct call. */
+bool fc_cluster_member_starts_in_answers(const fc_cluster *cluster, int member);
+
 /* Whether the job is known to be cancelled, also if its own record does not say so yet. */
 bool fc_cluster_is_cancelled(const fc_cluster *cluster, const char *id);
 /* Lower bound of when a user saw the cancellation confirmed; INFINITY: not known to be cancelled. */
--- a/src/bookkeeping/cluster_machines.c
+++ b/src/bookkeeping/cluster_machines.c
@@ -13,6 +13,10 @@
 #define SUSPECT_AHEAD_HEARTBEATS 2
 #define SUSPECT_MIN_HEARTBEATS 1.5
 
+/* A machine takes no new tasks if for this many heartbeat intervals no controller has answered a heartbeat of its
+ * worker, although the worker may answer direct calls: only answers to heartbeats carry starts. */
+#define UNANSWERED_HEARTBEATS 2
+
 /* How long a silent, and a unidirectional, machine still takes new tasks, in worker leases. */
 #define REACHABLE_SILENT_LEASES 0.5
 #define REACHABLE_UNIDIRECTIONAL_LEASES 0.25
@@ -97,12 +101,19 @@
   return !unidirectional_since || now < unidirectional_since + lease_s * REACHABLE_UNIDIRECTIONAL_LEASES;
 }
 
+/* As far as peers have reported. A new owner may not know yet of heartbeats that were answered before. */
+static bool answered_lately(const fc_cluster *cluster, const fc_machine *machine, double now) {
+  double answered_at = MAX(machine->lease.answered_at, machine->lease.peer_renewed_at);
+  double timeout_s = cluster->settings->heartbeat_s * UNANSWERED_HEARTBEATS;
+  return now <= MAX(answered_at, machine->owned_since) + timeout_s;
+}
+
 /* A start command names an epoch, and an expired lease rules out only starts that name the epoch
  * that ended. When starts were sent under an epoch that the worker had not reported, they were
  * considered ruled out once the lease had expired, but were executed later: tasks ran twice, and a
  * team exceeded its limit (scene test_expired_leases). */
 bool fc_machine_reachable(const fc_cluster *cluster, const fc_machine *machine, double now) {
-  return machine->worker.epoch_shown && heard_lately(cluster, machine, now);
+  return machine->worker.epoch_shown && heard_lately(cluster, machine, now) && answered_lately(cluster, machine, now);
 }
 
 bool fc_machine_awaits_epoch(const fc_cluster *cluster, const fc_machine *machine, double now) {
--- a/src/bookkeeping/cluster_machines.h
+++ b/src/bookkeeping/cluster_machines.h
@@ -57,8 +57,8 @@
  * counted before any machine is returned; otherwise the first would be returned before it was
  * apparent that most of them became silent together. */
 bool fc_machine_suspect(const fc_cluster *cluster, const fc_machine *machine, double now);
-/* Whether the machine may take new tasks: heard from recently, with evidence that responses
- * reach the worker, and in a known epoch. */
+/* Whether the machine may take new tasks: heard from recently, with heartbeats that were answered and evidence that
+ * responses reach the worker, and in a known epoch. */
 bool fc_machine_reachable(const fc_cluster *cluster, const fc_machine *machine, double now);
 /* Whether the machine would be reachable, but its worker's lease has expired and no message has
  * come since, so that its epoch is unknown. */
--- a/src/bookkeeping/machine_state.h
+++ b/src/bookkeeping/machine_state.h
@@ -10,6 +10,7 @@
 #include "bookkeeping/placement.h"
 #include "protocol/records.h"
 #include "protocol/settings.h"
+#include "transport/routine.h"
 
 /* The worker process according to its newest heartbeat or response to a direct call, whoever owned
  * the machine then. Heartbeats are ordered by epoch and sequence, as copies may arrive late. When
@@ -20,6 +21,7 @@
   double expired_at;      /* when its lease was last found expired; 0: never */
   uint64_t fencing_token; /* the highest that the worker has reported */
   uint64_t lowest_token;  /* the lowest to send it after a restart: above all that it was sent before; 0: any */
+  double token_raised_at; /* when a higher token was last sent to make it report, or first shown; 0: never */
   double epoch_began_at;  /* when this controller first heard of the epoch: its lease began no later */
   double heard_at;        /* when the last heartbeat or response to a direct call arrived */
   bool reported;          /* this controller has received a heartbeat since it became the owner */
@@ -33,6 +35,8 @@
   uint64_t connection;    /* number of the connection on which that response was sent */
   double peer_renewed_at; /* when another member last renewed it, as far as it has reported */
   double redirected_at;   /* when this controller last redirected the worker to the machine's owner */
+  int redirected_to;      /* that owner, an index into the members */
+  uint64_t redirected_in; /* the number of the term then */
 } fc_machine_lease;
 
 /* Whether messages arrive in both directions. */
@@ -100,7 +104,9 @@
   double first_seen;           /* when this controller first saw it */
   double owned_since;          /* when this controller became its owner, as far as known */
   double idle_since;           /* 0: in use */
+  double task_ended_at;        /* when a list last showed the end of a task here; 0: never */
   uint64_t reconciled_term;    /* the term in which its task list was last fenced, or the machine was proved gone */
+  fc_routine *held_heartbeat;  /* the routine that holds the answer to its newest heartbeat; NULL: none does */
   bool command_in_flight;      /* a direct call to its worker is in flight: no second one sends commands meanwhile */
   fc_machine_worker worker;
   fc_machine_lease lease;
--- a/src/controller/heartbeats.c
+++ b/src/controller/heartbeats.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bookkeeping/cluster_machines.h"
+#include "controller/heartbeat_hold.h"
 #include "controller/heartbeat_order.h"
 #include "controller/machine_reachability.h"
 #include "protocol/worker_api.h"
@@ -58,15 +59,33 @@
   return true;
 }
 
+/* Answers a heartbeat whose answer was held, if the machine has got another owner meanwhile. Returns false if the
+ * heartbeat is to be refused. */
+static bool answer_after_owner_change(const fc_heartbeats *heartbeats, const fc_received_heartbeat *received,
+                                      const fc_heartbeat_response *response) {
+  const fc_cluster *cluster = heartbeats->deps.cluster;
+  fc_machine *machine = fc_cluster_find_machine(cluster, received->heartbeat.machine);
+  if (!machine || !machine->record_version || machine->record_write_pending ||
+      fc_machine_owned_by_self(cluster, machine) || !fc_leadership_held(heartbeats->deps.leadership))
+    return false;
+  return fc_lease_renewals_answer(heartbeats->deps.renewals, machine, received, response);
+}
+
 /* Answers for an owned machine, with commands once it is reconciled. Returns false if the heartbeat is
- * to be refused. */
+ * to be refused. May suspend the calling routine. */
 static bool answer_as_owner(const fc_heartbeats *heartbeats, fc_machine *machine, const fc_received_heartbeat *received,
                             const fc_heartbeat_response *response) {
   /* Determined before the heartbeat is applied. */
   bool takes_commands = fc_heartbeat_order_is_newer(machine, &received->heartbeat) || machine->worker.restarted;
+  fc_heartbeat_hold_replace(machine);
   if (!accept_heartbeat(heartbeats, machine, received)) return false;
   fc_machine_registration_record_endpoint(heartbeats->deps.registration, machine);
   machine->lease.connection = received->connection;
+  if (takes_commands && !machine->worker.restarted) {
+    machine = fc_heartbeat_hold(heartbeats->deps.cluster, machine);
+    if (!machine) return answer_after_owner_change(heartbeats, received, response);
+    if (!fc_leadership_held(heartbeats->deps.leadership)) return false;
+  }
   uint64_t token =
       fc_worker_commands_answer_token(heartbeats->deps.commands, machine, received->heartbeat.fencing_token);
   heartbeats->deps.metrics->counters.raised_tokens +=
--- a/src/controller/lease_renewals.c
+++ b/src/controller/lease_renewals.c
@@ -48,7 +48,7 @@
 }
 
 /* Returns whether to redirect the worker to its owner: not while this member hears nothing from the owner, and not
- * shortly after an earlier redirect, from which the worker may just have returned. */
+ * shortly after an earlier redirect to the same owner in this term, from which the worker may just have returned. */
 static bool should_redirect(const fc_lease_renewals *renewals, const fc_machine *machine,
                             const fc_heartbeat *heartbeat) {
   const fc_settings *settings = renewals->cluster->settings;
@@ -56,7 +56,10 @@
   const fc_peer *owner = fc_peers_of_member(renewals->peers, machine->owner);
   if (!owner || now > owner->heard_at + settings->heartbeat_s * OWNER_SILENT_HEARTBEATS) return false;
   if (heartbeat->task_count > 0 && owner_out_of_touch(renewals, machine, now)) return false;
-  return now > machine->lease.redirected_at + settings->lease_s * REDIRECT_SPACING_LEASES;
+  const fc_machine_lease *lease = &machine->lease;
+  bool to_same_owner =
+      lease->redirected_to == machine->owner && lease->redirected_in == renewals->cluster->membership.term.number;
+  return !to_same_owner || now > lease->redirected_at + settings->lease_s * REDIRECT_SPACING_LEASES;
 }
 
 static void redirect(const fc_lease_renewals *renewals, fc_machine *machine, const fc_received_heartbeat *received,
@@ -66,6 +69,8 @@
       fc_now() < machine->lease.answered_at + FC_WORKER_REQUEST_TIMEOUT_S)
     fc_reachability_update_unidirectional(renewals->cluster, machine, received->connection);
   machine->lease.redirected_at = fc_now();
+  machine->lease.redirected_to = machine->owner;
+  machine->lease.redirected_in = renewals->cluster->membership.term.number;
   fc_heartbeat_response_redirect(response, renewals->cluster->membership.term.members[machine->owner].name);
 }
 
@@ -81,9 +86,11 @@
   return commands;
 }
 
-/* Returns whether the owner may have sent the worker a start, still in flight, of a job that is cancelled by now. This
- * member doesn't know the owner's starts, and the owner may have learned of the cancellation later. */
-static bool owner_start_may_be_unwanted(const fc_lease_renewals *renewals) {
+/* Returns whether the owner, of an earlier version, may have sent the worker a start by a direct call that is still in
+ * flight, of a job that is cancelled by now. This member doesn't know the owner's starts, and the owner may have
+ * learned of the cancellation later. */
+static bool owner_start_may_be_unwanted(const fc_lease_renewals *renewals, const fc_machine *machine) {
+  if (fc_cluster_member_starts_in_answers(renewals->cluster, machine->owner)) return false;
   double cancel_s = renewals->cluster->settings->cancel_s;
   return fc_now() < fc_cancellations_learned_at(renewals->cancellations) + cancel_s;
 }
@@ -92,11 +99,12 @@
  * starts that the owner has sent it and that are still in flight. One of them was executed after the deadline of its
  * job's cancellation when only the return of the machine could prevent it and the cloud had an outage (scene
  * starts_held_up_during_a_cloud_outage). */
-static uint64_t token_for_owner(const fc_lease_renewals *renewals, const fc_heartbeat *heartbeat) {
+static uint64_t token_for_owner(const fc_lease_renewals *renewals, const fc_machine *machine,
+                                const fc_heartbeat *heartbeat) {
   const fc_cluster *cluster = renewals->cluster;
   uint64_t term = cluster->membership.term.number;
   uint64_t accepted = fc_fencing_token_accepted(heartbeat->fencing_token, term);
-  if (!fc_cluster_raises_tokens(cluster) || !owner_start_may_be_unwanted(renewals)) return accepted;
+  if (!fc_cluster_raises_tokens(cluster) || !owner_start_may_be_unwanted(renewals, machine)) return accepted;
   return fc_fencing_token_raise(accepted, term);
 }
 
@@ -110,7 +118,7 @@
   GArray *commands = cancelled_tasks(renewals->cluster, heartbeat);
   machine->lease.answered_at = fc_now();
   machine->lease.connection = received->connection;
-  uint64_t token = token_for_owner(renewals, heartbeat);
+  uint64_t token = token_for_owner(renewals, machine, heartbeat);
   g_debug("renewed worker lease for the owner machine=%s owner=%d token=%" G_GUINT64_FORMAT, machine->id,
           machine->owner, (guint64)token);
   fc_heartbeat_response_accept(response, token, commands);
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -53,6 +53,8 @@
 static void update_worker(fc_machine_worker *worker, const fc_heartbeat *heartbeat, double now) {
   if (!worker->reported || heartbeat->epoch != worker->epoch || !worker->epoch_shown) worker->epoch_began_at = now;
   fc_machine_worker_show_epoch(worker, heartbeat->epoch, heartbeat->sequence);
+  if (heartbeat->fencing_token > worker->fencing_token && heartbeat->fencing_token > worker->lowest_token)
+    worker->token_raised_at = now;
   worker->fencing_token = heartbeat->fencing_token;
   worker->reported = true;
   worker->heard_at = now;
@@ -99,6 +101,7 @@
   placement->status.state = task->state;
   placement->status.cause = task->cause;
   if (has_exited) {
+    placement->machine->task_ended_at = now;
     if (task->cause != FC_CAUSE_DONE) fc_placement_note_former_start(placement);
     fc_failure_attribution_note_exit(reconciler->cluster->settings, placement);
     fc_wakeups_raise(reconciler->wakeups, FC_WAKEUP_SCHEDULE);
--- a/src/controller/record_applier.c
+++ b/src/controller/record_applier.c
@@ -185,7 +185,8 @@
   *key = (fc_member_key){.version = change->version,
                          .job_format = fc_member_key_format(change->value),
                          .raised_tokens = fc_member_key_raised_tokens(change->value),
-                         .moved_descriptions = fc_member_key_moved_descriptions(change->value)};
+                         .moved_descriptions = fc_member_key_moved_descriptions(change->value),
+                         .starts_in_answers = fc_member_key_starts_in_answers(change->value)};
   g_hash_table_replace(keys, g_strdup(name), key);
 }
 
--- a/src/controller/scheduling_loop.c
+++ b/src/controller/scheduling_loop.c
@@ -2,6 +2,7 @@
 
 #include "bookkeeping/cluster_machines.h"
 #include "bookkeeping/reconciliation_progress.h"
+#include "controller/heartbeat_hold.h"
 #include "controller/worker_commands.h"
 #include "scheduler/bin_packing.h"
 #include "scheduler/image_preemption.h"
@@ -75,6 +76,7 @@
 static void place_task(fc_scheduling_loop *loop, const fc_placement_decision *decision, uint64_t attempt, double now) {
   const fc_job_spec *spec = &decision->job->spec;
   (void)fc_cluster_add_placement(loop->deps.cluster, decision->machine, spec->id, decision->index, attempt, now);
+  loop->deps.cluster->placed_at = now;
   fc_machine_touch_image(decision->machine, spec->image);
   loop->deps.metrics->counters.placed++;
   log_former_start(loop, decision, attempt);
@@ -145,6 +147,8 @@
   /* Not before the machine is reconciled, as calls to it carry no commands until then: a task marked to be stopped by
    * then never got the stop if its machine sent no heartbeats. */
   if (reconciled) call |= fc_task_stops_request_unwanted(loop->deps.stops, machine);
+  if (reconciled && fc_task_stops_withdraw_unsent(loop->deps.stops, machine, fc_now()))
+    fc_wakeups_raise(loop->deps.wakeups, FC_WAKEUP_REPLICATE);
   call |= fc_task_stops_drain(loop->deps.stops, machine);
   return call;
 }
@@ -165,9 +169,9 @@
   fc_cluster *cluster = loop->deps.cluster;
   fc_machine_iter machine_iter = fc_cluster_machines(cluster);
   for (fc_machine *machine; (machine = fc_machine_iter_next(&machine_iter));) {
-    if (fc_machine_owned_by_self(cluster, machine) && fc_machine_reconciled(cluster, machine) &&
-        fc_task_stops_call_due(loop->deps.stops, machine, now))
-      add_call(to_call, machine);
+    if (fc_heartbeat_hold_release(cluster, machine)) continue;
+    if (!fc_machine_owned_by_self(cluster, machine) || !fc_machine_reconciled(cluster, machine)) continue;
+    if (fc_task_stops_call_due(loop->deps.stops, machine, now)) add_call(to_call, machine);
   }
 }
 
--- a/src/controller/task_stops.c
+++ b/src/controller/task_stops.c
@@ -6,6 +6,9 @@
 /* A heartbeat counts as late after this many intervals. */
 #define LATE_HEARTBEATS 1.25
 
+/* After this many intervals without a heartbeat, the task is placed elsewhere. */
+#define UNSENT_HEARTBEATS 1.5
+
 struct fc_task_stops {
   fc_cluster *cluster;
   fc_worker_calls *calls;
@@ -86,14 +89,29 @@
   return any;
 }
 
+bool fc_task_stops_withdraw_unsent(fc_task_stops *stops, fc_machine *machine, double now) {
+  const fc_cluster *cluster = stops->cluster;
+  if (fc_machine_reachable(cluster, machine, now)) return false;
+  bool any = false;
+  double placed_before = now - cluster->settings->heartbeat_s * UNSENT_HEARTBEATS;
+  for (guint i = machine->placements->len; i-- > 0;) {
+    fc_placement *placement = machine->placements->pdata[i];
+    if (placement->status.reported || placement->start.sent || placement->created_at > placed_before ||
+        fc_placement_copy_outstanding(placement))
+      continue;
+    g_debug("withdraw task=%s/%u machine=%s", placement->job_id, placement->index, machine->id);
+    fc_placement_remove(placement);
+    any = true;
+  }
+  return any;
+}
+
 bool fc_task_stops_call_due(const fc_task_stops *stops, const fc_machine *machine, double now) {
   if (!machine->worker.epoch_shown) return false; /* a call would carry no commands */
+  if (fc_worker_commands_solicit_heartbeat(stops->cluster, machine, now)) return true;
   bool late = now > machine->worker.heard_at + stops->cluster->settings->heartbeat_s * LATE_HEARTBEATS;
   for (guint i = 0; i < machine->placements->len; i++) {
     const fc_placement *placement = machine->placements->pdata[i];
-    if (!placement->status.reported && !placement->start.sent && !placement->stop.requested &&
-        fc_worker_commands_start_directly(stops->cluster, machine))
-      return true;
     if (late && placement->stop.requested && placement->start.sent && fc_placement_active(placement)) return true;
   }
   return false;
--- a/src/controller/worker_calls.c
+++ b/src/controller/worker_calls.c
@@ -31,8 +31,9 @@
 typedef struct direct_call {
   uint64_t term;
   uint64_t fencing_token;
-  bool fencing; /* the machine was not reconciled in the term */
-  bool probing; /* it was to be probed for its list of tasks */
+  bool fencing;    /* the machine was not reconciled in the term */
+  bool probing;    /* it was to be probed for its list of tasks */
+  bool soliciting; /* its worker is to send a heartbeat at once */
   double sent_at;
 } direct_call;
 
@@ -166,7 +167,7 @@
                                    : fc_worker_commands_for_call(calls->commands, machine, call->fencing_token);
   fc_worker_call_result result = FC_WORKER_CALL_UNSENT;
   double timeout_s = calls->cluster->settings->heartbeat_s * CALL_TIMEOUT_HEARTBEATS;
-  if (call->fencing || call->probing || commands->len > 0)
+  if (call->fencing || call->probing || call->soliciting || commands->len > 0)
     result = fc_worker_call(endpoint, call->fencing_token, machine->worker.epoch, (const fc_command *)commands->data,
                             commands->len, fc_now() + timeout_s, heartbeat);
   g_array_free(commands, TRUE);
@@ -174,15 +175,27 @@
   return result;
 }
 
+/* Raises the token of all further messages to the worker. An answer that is sent before the worker shows the raised
+ * token carries it as well: the worker would drop a lower one. */
+static void raise_token(const fc_cluster *cluster, fc_machine *machine) {
+  uint64_t token = fc_machine_fencing_token(cluster, machine);
+  machine->worker.lowest_token = fc_fencing_token_raise(token, cluster->membership.term.number);
+  machine->worker.token_raised_at = fc_now();
+}
+
 /* Calls the machine's worker once. Returns whether it has to be called again. Suspends the calling routine. */
 static bool call_worker(fc_worker_calls *calls, const char *id, uint64_t term) {
   fc_machine *machine = fc_cluster_find_machine(calls->cluster, id);
   fc_endpoint endpoint;
   if (!may_call(calls, machine, term) || !fc_endpoint_parse(machine->record.endpoint, &endpoint)) return false;
+  bool fencing = machine->reconciled_term != term;
+  bool soliciting = !fencing && fc_worker_commands_solicit_heartbeat(calls->cluster, machine, fc_now());
+  if (soliciting) raise_token(calls->cluster, machine);
   const direct_call call = {.term = term,
                             .fencing_token = fc_machine_fencing_token(calls->cluster, machine),
-                            .fencing = machine->reconciled_term != term,
+                            .fencing = fencing,
                             .probing = machine->probe.wanted,
+                            .soliciting = soliciting,
                             .sent_at = fc_now()};
   machine->probe.wanted = false;
   fc_heartbeat heartbeat;
--- a/src/controller/worker_commands.c
+++ b/src/controller/worker_commands.c
@@ -1,6 +1,7 @@
 #include "controller/worker_commands.h"
 
 #include "bookkeeping/cluster_machines.h"
+#include "coordination/leader_lease.h"
 #include "protocol/worker_api.h"
 #include "transport/routine.h"
 
@@ -73,28 +74,45 @@
   return true;
 }
 
-bool fc_worker_commands_start_directly(const fc_cluster *cluster, const fc_machine *machine) {
+/* Whether the task waits for its start to be sent with the answer to a heartbeat. */
+static bool awaits_start(const fc_placement *placement) {
+  return fc_placement_active(placement) && !placement->status.reported && !placement->start.sent &&
+         !placement->stop.requested;
+}
+
+static bool any_awaits_start(const fc_machine *machine) {
+  for (guint i = 0; i < machine->placements->len; i++)
+    if (awaits_start(machine->placements->pdata[i])) return true;
+  return false;
+}
+
+bool fc_worker_commands_solicit_heartbeat(const fc_cluster *cluster, const fc_machine *machine, double now) {
+  double spacing_s = cluster->settings->lease_s * FC_TOKEN_REPORT_SPACING_LEASES * (1 + 2 * FC_CLOCK_DRIFT);
+  if (now < machine->worker.token_raised_at + spacing_s || !fc_cluster_raises_tokens(cluster)) return false;
+  if (!machine->worker.epoch_shown || machine->held_heartbeat || !any_awaits_start(machine)) return false;
   uint64_t token = fc_machine_fencing_token(cluster, machine);
-  return fc_cluster_raises_tokens(cluster) && fc_fencing_token_raise(token, cluster->membership.term.number) > token;
+  return fc_fencing_token_raise(token, cluster->membership.term.number) > token;
+}
+
+bool fc_worker_commands_any_urgent(const fc_machine *machine) {
+  for (guint i = 0; i < machine->placements->len; i++) {
+    const fc_placement *placement = machine->placements->pdata[i];
+    bool stops = fc_placement_active(placement) && placement->stop.requested;
+    if (stops || awaits_start(placement)) return true;
+  }
+  return false;
 }
 
 /* Fills in the command to start a task that no heartbeat has listed yet, and marks it as sent. Returns false if it is
- * not to be sent on this route. */
-static bool start_command(const fc_worker_commands *commands, fc_placement *placement, const command_route *route,
-                          fc_command *command) {
-  /* Only one direct copy is tracked; further copies are sent with the responses to heartbeats. */
-  if (route->direct && placement->start.direct != FC_DIRECT_START_NONE) return false;
-  if (route->direct && !fc_worker_commands_start_directly(commands->cluster, placement->machine)) return false;
+ * not to be sent on this route: a direct call may be executed minutes later, by a worker that has restarted and knows
+ * no fencing token, when neither this controller nor the task's place is the same any more. An answer to a heartbeat
+ * is not executed late. */
+static bool start_command(fc_placement *placement, const command_route *route, fc_command *command) {
+  if (route->direct) return false;
   command->op = FC_COMMAND_START;
   placement->start.sent = true;
-  if (route->direct) {
-    placement->start.direct = FC_DIRECT_START_IN_FLIGHT;
-    placement->start.direct_token = route->fencing_token;
-    placement->start.direct_epoch = placement->machine->worker.epoch;
-  } else {
-    placement->start.heartbeat_sequence = route->sequence;
-    placement->start.sent_at = fc_now();
-  }
+  placement->start.heartbeat_sequence = route->sequence;
+  placement->start.sent_at = fc_now();
   return true;
 }
 
@@ -123,7 +141,7 @@
   }
   if (exited) return forget_command(commands, placement, route, command);
   if (placement->stop.requested) return stop_command(commands, placement, command);
-  return !placement->status.reported && start_command(commands, placement, route, command);
+  return !placement->status.reported && start_command(placement, route, command);
 }
 
 static GArray *list_commands(fc_worker_commands *commands, fc_machine *machine, const command_route *route) {
--- a/src/controller/worker_commands.h
+++ b/src/controller/worker_commands.h
@@ -21,9 +21,13 @@
 /* The same for the response to the heartbeat with this sequence number. */
 GArray *fc_worker_commands_for_answer(fc_worker_commands *commands, fc_machine *machine, uint64_t sequence,
                                       uint64_t fencing_token);
-/* Returns whether direct calls may carry starts to the machine: only while the answers to its heartbeats can revoke
- * them by a higher fencing token. Otherwise starts are sent with those answers. */
-bool fc_worker_commands_start_directly(const fc_cluster *cluster, const fc_machine *machine);
+/* Returns whether to solicit a heartbeat by a direct call with a raised fencing token: a task waits for its start,
+ * which only answers to heartbeats carry, no heartbeat is held, and the worker reports a higher token at once, as none
+ * has been sent for FC_TOKEN_REPORT_SPACING_LEASES. `now`: monotonic time in seconds. Source: PROTOCOL, "Workers ->
+ * controller nodes". */
+bool fc_worker_commands_solicit_heartbeat(const fc_cluster *cluster, const fc_machine *machine, double now);
+/* Whether there is a start or a stop for the machine's worker. */
+bool fc_worker_commands_any_urgent(const fc_machine *machine);
 
 /* Returns the fencing token for the answer to a heartbeat of a machine of this shard that shows the token `shown`.
  * While a direct start may still be executed, or once the worker is to forget the task that it has started, it is above
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -13,6 +13,7 @@
 #define FIELD_JOB_FORMAT "jobFormat"
 #define FIELD_RAISED_TOKENS "raisedTokens"
 #define FIELD_MOVED_DESCRIPTIONS "movedDescriptions"
+#define FIELD_STARTS_IN_ANSWERS "startsInAnswers"
 
 #define FIELD_TERM "term"
 #define FIELD_SEED "seed"
@@ -47,8 +48,8 @@
 /* ---- members and terms ---- */
 
 json_t *fc_member_key_encode(void) {
-  return json_pack("{si si sb sb}", FIELD_FORMAT, RECORD_FORMAT, FIELD_JOB_FORMAT, FC_JOB_FORMAT_AWAITING,
-                   FIELD_RAISED_TOKENS, 1, FIELD_MOVED_DESCRIPTIONS, 1);
+  return json_pack("{si si sb sb sb}", FIELD_FORMAT, RECORD_FORMAT, FIELD_JOB_FORMAT, FC_JOB_FORMAT_AWAITING,
+                   FIELD_RAISED_TOKENS, 1, FIELD_MOVED_DESCRIPTIONS, 1, FIELD_STARTS_IN_ANSWERS, 1);
 }
 
 unsigned fc_member_key_format(const json_t *value) {
@@ -65,6 +66,10 @@
   return json_is_true(json_object_get(value, FIELD_MOVED_DESCRIPTIONS));
 }
 
+bool fc_member_key_starts_in_answers(const json_t *value) {
+  return json_is_true(json_object_get(value, FIELD_STARTS_IN_ANSWERS));
+}
+
 static json_t *encode_member(const fc_member *member) {
   return json_pack("{ss sI}", FIELD_NAME, member->name, FIELD_INCARNATION, (json_int_t)member->incarnation);
 }
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -56,6 +56,8 @@
 bool fc_member_key_raised_tokens(const json_t *value);
 /* Whether the member follows descriptions that move from a job's record to parts after it was read. */
 bool fc_member_key_moved_descriptions(const json_t *value);
+/* Whether the member sends starts with answers to heartbeats only, never by direct calls. */
+bool fc_member_key_starts_in_answers(const json_t *value);
 
 json_t *fc_term_encode(const fc_term *term);
 bool fc_term_decode(const json_t *value, fc_term *out);
--- a/src/protocol/worker_api.h
+++ b/src/protocol/worker_api.h
@@ -12,6 +12,10 @@
 
 /* How long a worker waits for the response to a heartbeat. */
 #define FC_WORKER_REQUEST_TIMEOUT_S 4.0
+/* The shortest interval between two heartbeats of a worker, also when it has changes to report. */
+#define FC_HEARTBEAT_SPACING_S 0.5
+/* A worker sends a heartbeat at once when it sees a higher fencing token, at most once in this many leases. */
+#define FC_TOKEN_REPORT_SPACING_LEASES 0.5
 /* Largest number of tasks in one heartbeat. */
 #define FC_HEARTBEAT_TASKS_MAX 4096u
 
--- a/tests/sim/heartbeats.c
+++ b/tests/sim/heartbeats.c
@@ -1,5 +1,6 @@
 /* Messages between simulated workers and controllers: heartbeats and their responses, late duplicates of
  * heartbeats, direct commands, and the lease that answered heartbeats renew. */
+#include "held_calls.h"
 #include "repeated_calls.h"
 
 #define HEARTBEAT_TIMEOUT_S 4
@@ -76,6 +77,7 @@
   adopt_fencing_token(worker, fencing_token);
   worker->lease_renewed_at = worker->heartbeat_sent_at;
   worker->tried_live_controller = false;
+  repeated_calls_note_answer(worker, message);
   tasks_execute(worker, json_object_get(message, "calls"));
 }
 
@@ -188,6 +190,8 @@
 
 void worker_serve_commands(const sim_request *request, void *arg) {
   sim_worker *worker = arg;
+  if (strstr(request->body, "\"call\":\"start\"")) world_rule_broken("start sent by a direct call", request->body);
+  if (held_calls_take(worker, request->body)) return; /* its sender gets no answer */
   bool accepted = worker_receive_call(worker, request->body);
   if (accepted) repeated_calls_note_executed(worker, request->body);
   char *text = status_message(worker);
--- a/tests/sim/kv_commits.c
+++ b/tests/sim/kv_commits.c
@@ -9,6 +9,7 @@
     json_object_del(json_object_get(item, "v"), "jobFormat");
     json_object_del(json_object_get(item, "v"), "raisedTokens");
     json_object_del(json_object_get(item, "v"), "movedDescriptions");
+    json_object_del(json_object_get(item, "v"), "startsInAnswers");
   }
 }
 
--- a/tests/sim/machines.c
+++ b/tests/sim/machines.c
@@ -85,6 +85,15 @@
   return count;
 }
 
+void world_use_up_tokens(unsigned machine) {
+  sim_worker *worker = machine_at(machine);
+  uint64_t term = worker->fencing_token;
+  while (!fc_term_reserves_tokens(term)) term--;
+  uint64_t token = term;
+  while (!fc_fencing_token_nearly_last(token, term)) token = fc_fencing_token_raise(token, term);
+  worker->fencing_token = token;
+}
+
 static unsigned count_tasks(task_state state) {
   unsigned count = 0;
   for (guint i = 0; i < g_worker_list->len; i++) {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -1,6 +1,7 @@
 /* The simulated deployment as a whole: state that all stand-ins share, the set-up of a scene or a day,
  * and the count of violated rules. */
 #include "deployment.h"
+#include "held_calls.h"
 #include "repeated_calls.h"
 #include "stand_ins.h"
 
@@ -70,6 +71,7 @@
   world_reset_min_lease_left();
   g_duplicate_share = g_faults_end_at = g_cancel_on_completion_share = g_failing_task_share = 0;
   repeated_calls_init(seed);
+  held_calls_init();
   world_capacity(DEFAULT_CAPACITY, DEFAULT_SPOT_CAPACITY);
   users_init();
   workers_init();
--- a/tests/test_machine_transfer.c
+++ b/tests/test_machine_transfer.c
@@ -30,6 +30,7 @@
     fc_machine *machine = fixture_machine(cluster, "vm-1", "a", false);
     fc_machine *second = fixture_machine(cluster, "vm-2", "a", false);
     machine->worker.heard_at = second->worker.heard_at = 90;
+    machine->lease.answered_at = second->lease.answered_at = 90;
     if (!rows[i].own_second) second->owner = 1;
     if (rows[i].kind) {
       fc_job *running = fixture_job(cluster, "job-000001", rows[i].kind, rows[i].priority, "red", 1, 1, "");
