--- a/tests/sim/controllers.c
+++ b/tests/sim/controllers.c
@@ -2,6 +2,7 @@
  * that they use. */
 #include "bookkeeping/cluster_machines.h"
 #include "controller/controller.h"
+#include "held_calls.h"
 
 #include "deployment.h"
 #include "stand_ins.h"
@@ -48,9 +49,11 @@
   g_result.crashes++;
   sim_process_kill(WORLD_NODE_IP(node));
   sim_after(back_in_s, start_if_down, GUINT_TO_POINTER(node));
+  held_calls_note_fault();
 }
 
 void world_pause_node(unsigned node, double for_s) {
+  held_calls_note_fault();
   sim_process_pause(WORLD_NODE_IP(node), for_s);
 }
 
--- a/tests/sim/days.c
+++ b/tests/sim/days.c
@@ -12,6 +12,7 @@
 #define LATE_CLOUD_SHARE 0.4
 #define LATE_CLOUD_MIN_S 3
 #define LATE_CLOUD_MAX_S 60
+#define LATE_CALL_SHARE 0.25      /* of direct calls, on days on which they are held up */
 #define UNKNOWN_MEMBERS_SHARE 0.5 /* of the messages, on days with such members */
 #define KNOWN_TASKS_INTERVAL_S 0.5
 #define FAULT_MAX_S 45            /* the longest fault of random_faults.c */
@@ -118,6 +119,7 @@
     world_repeat_calls(REPEATED_CALL_SHARE);
     g_failing_task_share = FAILING_TASK_SHARE;
   }
+  if (day->late_calls) world_late_calls(LATE_CALL_SHARE);
   if (day->late_cloud) world_late_cloud(LATE_CLOUD_SHARE, LATE_CLOUD_MIN_S, LATE_CLOUD_MAX_S);
   if (day->unknown_members) unknown_members_start(seed, UNKNOWN_MEMBERS_SHARE);
   if (day->upgrade) begin_with_former_version();
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -71,7 +71,7 @@
   world_reset_min_lease_left();
   g_duplicate_share = g_faults_end_at = g_cancel_on_completion_share = g_failing_task_share = 0;
   repeated_calls_init(seed);
-  held_calls_init();
+  held_calls_init(seed);
   world_capacity(DEFAULT_CAPACITY, DEFAULT_SPOT_CAPACITY);
   users_init();
   workers_init();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -41,8 +41,9 @@
                                                        * that they began */
   double max_unfenced_s;        /* the longest time in which a restarted machine had seen no token above those before */
   unsigned late_cloud_requests; /* rentals and deletions that were carried out late */
-  unsigned unknown_members;     /* messages that had unknown members */
-  unsigned over_rate;           /* transactions that the key-value store refused for their rate */
+  unsigned late_calls, late_calls_executed; /* direct calls that were held up and arrived; of those, executed */
+  unsigned unknown_members;                 /* messages that had unknown members */
+  unsigned over_rate;                       /* transactions that the key-value store refused for their rate */
   unsigned status_requests, status_answers, status_refusals; /* ended; answered with 200; with 503 */
 } world_result;
 
@@ -56,6 +57,7 @@
   bool pipelines;          /* add jobs that depend on others */
   bool repeated_calls;     /* executed direct calls arrive again, and some tasks fail */
   bool unknown_members;    /* messages of users, workers, the key-value store and the cloud have unknown members */
+  bool late_calls;         /* direct calls are held up, and machines restart after crashes of controllers */
   bool late_cloud;         /* rentals and deletions are carried out late */
   bool upgrade;            /* controllers start with the former version and are upgraded one by one */
 } world_day;
@@ -222,6 +224,9 @@
 unsigned world_deliver_starts_directly(const char *id);
 /* From now on direct calls to workers are held up on their way, and not answered; or no more are. */
 void world_hold_calls(bool hold);
+/* That share of the direct calls arrives 2 to 16 s late, without an answer; machines restart after crashes of
+ * controllers. */
+void world_late_calls(double share);
 unsigned world_held_calls(void);            /* how many are held */
 int world_held_call_machine(unsigned call); /* the machine that the held call of that number was sent to */
 /* The held calls arrive; returns how many were executed. */
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -16,6 +16,7 @@
 #define SEEDS_WITH_COPIES 12u
 #define SEEDS_WITH_UNKNOWN_MEMBERS 12u
 #define SEEDS_WITH_LATE_CLOUD 16u
+#define SEEDS_WITH_LATE_CALLS 12u
 
 /* FAULT_SEED=N begins with seed N, and runs it alone unless FAULT_SEEDS=M asks for M seeds. */
 static void run_days(const world_day *day, uint32_t seeds) {
@@ -23,7 +24,7 @@
   uint32_t first = first_text ? (uint32_t)atoi(first_text) : 1;
   uint32_t count = count_text ? (uint32_t)atoi(count_text) : first_text ? 1 : seeds;
   unsigned unaccepted = 0, unfinished = 0, starts = 0, late_starts = 0, broken = 0, invalid = 0, copies = 0,
-           unknown_members = 0, late_cloud_requests = 0;
+           unknown_members = 0, late_cloud_requests = 0, late_calls = 0;
   for (uint32_t seed = first; seed < first + count; seed++) {
     world_result r = world_play(seed, BUSY_S, day);
     print_message(
@@ -40,6 +41,7 @@
           "had a new token\n",
           seed, r.copies, r.copies_executed, r.starts_by_copies, r.max_unfenced_s);
     copies += r.copies;
+    late_calls += r.late_calls_executed;
     unknown_members += r.unknown_members;
     late_cloud_requests += r.late_cloud_requests;
     unaccepted += r.submitted - r.accepted;
@@ -50,6 +52,7 @@
   }
   print_message("%u days: %u starts, %u of them after a confirmed cancellation\n", count, starts, late_starts);
   assert_true(!day->repeated_calls || count == 1 || copies > 0);
+  assert_true(!day->late_calls || late_calls > count);
   assert_true(!day->late_cloud || late_cloud_requests > count);
   assert_true(!day->unknown_members || unknown_members > 1000 * count);
   assert_int_equal(broken, 0);
@@ -150,6 +153,17 @@
   run_days(&(world_day){.late_cloud = true, .overlapping_faults = true}, SEEDS_WITH_LATE_CLOUD);
 }
 
+/* A quarter of the direct calls is held up for 2 to 16 s, and machines restart after crashes of controllers. */
+static void late_calls_with_faults(void **state) {
+  (void)state;
+  run_days(&(world_day){.late_calls = true}, SEEDS_WITH_LATE_CALLS);
+}
+
+static void late_calls_with_meetings(void **state) {
+  (void)state;
+  run_days(&(world_day){.late_calls = true, .overlapping_faults = true}, SEEDS_WITH_LATE_CALLS);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {cmocka_unit_test(days_with_faults),
                                      cmocka_unit_test(days_with_meetings),
@@ -163,6 +177,8 @@
                                      cmocka_unit_test(copies_with_pipelines_and_meetings),
                                      cmocka_unit_test(copies_with_upgrades),
                                      cmocka_unit_test(copies_with_upgrades_and_meetings),
+                                     cmocka_unit_test(late_calls_with_faults),
+                                     cmocka_unit_test(late_calls_with_meetings),
                                      cmocka_unit_test(late_cloud_with_faults),
                                      cmocka_unit_test(late_cloud_with_meetings),
                                      cmocka_unit_test(unknown_members_with_faults),
