--- a/tests/test_start_delays.c
+++ b/tests/test_start_delays.c
@@ -17,7 +17,7 @@
 #define HEARTBEATS_MAX 2.0 /* a start that is not sent at once goes with the next answer, or the one after */
 #define AT_ONCE_S 1.0      /* the spacing of heartbeats, and the simulated machines' steps */
 #define MUTE_S 120.0
-#define MUTE_SHOWN_S 6.0 /* more than the two intervals after which no task is placed there */
+#define MUTE_SHOWN_S 6.0   /* more than the two intervals after which no task is placed there */
 #define MUTE_PLACED_S 90.0 /* no job waits for longer while a machine has room */
 
 static void begin(uint32_t seed) {
