The record of former direct starts is removed: no start is sent directly any more

It was kept for two log lines of starts by direct calls. Gone with it: placed_again_total and the line `placed again`; `unexpected task listed` has no started_by= start_token=.

--- a/src/bookkeeping/job_state.c
+++ b/src/bookkeeping/job_state.c
@@ -9,7 +9,6 @@
   for (unsigned i = 0; i < FC_SLICES_MAX; i++) g_free(job->record.handed_to[i]);
   g_ptr_array_free(job->placements, TRUE);
   if (job->failures.machines) g_hash_table_destroy(job->failures.machines);
-  fc_former_starts_free(job->former_starts);
   if (job->dependencies.list) g_ptr_array_free(job->dependencies.list, TRUE);
   g_free(job);
 }
--- a/src/bookkeeping/job_state.h
+++ b/src/bookkeeping/job_state.h
@@ -8,7 +8,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "bookkeeping/former_starts.h"
 #include "bookkeeping/placement.h"
 #include "protocol/job_record.h"
 
@@ -95,9 +94,8 @@
   fc_job_queue_entry queue;
   fc_job_dependencies dependencies;
   fc_job_failures failures;
-  fc_former_starts *former_starts; /* NULL: none */
-  int team;                        /* index into the settings; -1: no longer configured */
-  GPtrArray *placements;           /* not owned: the machines own them */
+  int team;              /* index into the settings; -1: no longer configured */
+  GPtrArray *placements; /* not owned: the machines own them */
 };
 
 /* Frees a job, as a GDestroyNotify. Its placements and dependencies must have been unlinked. */
--- a/src/bookkeeping/placement.c
+++ b/src/bookkeeping/placement.c
@@ -43,12 +43,7 @@
   placement->status = (fc_placement_status){.state = FC_TASK_FETCHING};
 }
 
-void fc_placement_note_former_start(const fc_placement *placement) {
-  if (placement->job) fc_former_starts_record(&placement->job->former_starts, placement);
-}
-
 void fc_placement_remove(fc_placement *placement) {
-  if (fc_placement_active(placement)) fc_placement_note_former_start(placement);
   if (placement->job) g_ptr_array_remove_fast(placement->job->placements, placement);
   g_ptr_array_remove_fast(placement->machine->placements, placement);
   g_free(placement);
--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -96,9 +96,6 @@
 /* Resets the start, as the worker does not have the task: the same attempt is to be started there
  * again. */
 void fc_placement_reset_start(fc_placement *placement);
-/* Records the attempt, which has ended without completing, among the former starts of its job, for the
- * log. */
-void fc_placement_note_former_start(const fc_placement *placement);
 /* Removes the placement from its machine and job, and frees it. */
 void fc_placement_remove(fc_placement *placement);
 
--- a/src/controller/metrics.h
+++ b/src/controller/metrics.h
@@ -54,7 +54,6 @@
   uint64_t raised_tokens;        /* answers to workers of this shard with a raised fencing token */
   uint64_t unexpected_tasks;     /* that workers listed although this controller did not expect them there */
   uint64_t placed;               /* tasks */
-  uint64_t placed_again;         /* of those, with a former attempt that was started by a direct call */
   uint64_t preempted;            /* tasks */
   uint64_t preempted_early;      /* of those, within a worker lease of their placement */
   uint64_t handed_over;          /* jobs */
--- a/src/controller/metrics_page.c
+++ b/src/controller/metrics_page.c
@@ -64,7 +64,6 @@
       {"raised_tokens_total", (double)counters->raised_tokens},
       {"unexpected_tasks_total", (double)counters->unexpected_tasks},
       {"placed_total", (double)counters->placed},
-      {"placed_again_total", (double)counters->placed_again},
       {"preempted_total", (double)counters->preempted},
       {"preempted_early_total", (double)counters->preempted_early},
       {"handed_over_total", (double)counters->handed_over},
--- a/src/controller/reconciler.c
+++ b/src/controller/reconciler.c
@@ -102,7 +102,6 @@
   placement->status.cause = task->cause;
   if (has_exited) {
     placement->machine->task_ended_at = now;
-    if (task->cause != FC_CAUSE_DONE) fc_placement_note_former_start(placement);
     fc_failure_attribution_note_exit(reconciler->cluster->settings, placement);
     fc_wakeups_raise(reconciler->wakeups, FC_WAKEUP_SCHEDULE);
   }
@@ -157,14 +156,10 @@
 }
 
 static void log_unexpected_task(const fc_placement *placement, const fc_heartbeat *heartbeat) {
-  const fc_former_start *former =
-      placement->job ? fc_former_starts_find(placement->job->former_starts, placement->index) : NULL;
-  bool known = former && former->attempt == placement->attempt;
   g_info("unexpected task listed task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s state=%d token=%" G_GUINT64_FORMAT
-         " epoch=%" G_GUINT64_FORMAT " started_by=%s start_token=%" G_GUINT64_FORMAT,
+         " epoch=%" G_GUINT64_FORMAT,
          placement->job_id, placement->index, (guint64)placement->attempt, placement->machine->id,
-         placement->status.state, (guint64)heartbeat->fencing_token, (guint64)heartbeat->epoch,
-         known ? "direct_call" : "-", (guint64)(known ? former->fencing_token : 0));
+         placement->status.state, (guint64)heartbeat->fencing_token, (guint64)heartbeat->epoch);
 }
 
 /* Adds a placement for a listed attempt that this controller doesn't know. On a machine that was reconciled and heard
--- a/src/controller/scheduling_loop.c
+++ b/src/controller/scheduling_loop.c
@@ -59,27 +59,12 @@
   return fc_attempt(loop->deps.cluster->membership.term.number, ++loop->attempts);
 }
 
-/* Logs that a task is placed again, if its former attempt was started by a direct call: should that attempt be on its
- * machine again, the line tells by which call. */
-static void log_former_start(fc_scheduling_loop *loop, const fc_placement_decision *decision, uint64_t attempt) {
-  const fc_job *job = decision->job;
-  const fc_former_start *former = fc_former_starts_find(job->former_starts, decision->index);
-  if (!former) return;
-  loop->deps.metrics->counters.placed_again++;
-  g_info("placed again task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s token=%" G_GUINT64_FORMAT
-         " former_attempt=%" G_GUINT64_FORMAT " former_machine=%s former_token=%" G_GUINT64_FORMAT,
-         job->spec.id, decision->index, (guint64)attempt, decision->machine->id,
-         (guint64)fc_machine_fencing_token(loop->deps.cluster, decision->machine), (guint64)former->attempt,
-         former->machine, (guint64)former->fencing_token);
-}
-
 static void place_task(fc_scheduling_loop *loop, const fc_placement_decision *decision, uint64_t attempt, double now) {
   const fc_job_spec *spec = &decision->job->spec;
   (void)fc_cluster_add_placement(loop->deps.cluster, decision->machine, spec->id, decision->index, attempt, now);
   loop->deps.cluster->placed_at = now;
   fc_machine_touch_image(decision->machine, spec->image);
   loop->deps.metrics->counters.placed++;
-  log_former_start(loop, decision, attempt);
   g_debug("place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", spec->id, decision->index, (guint64)attempt,
           decision->machine->id);
 }
