Checks that were relaxed with starts in answers are as they were

The setup of test_job_dependencies asks again that the job has completed by then, and waits for its user's next question only. Comments that still spoke of starts in direct calls, and a counter that nobody read, are corrected.

--- a/src/bookkeeping/machine_state.h
+++ b/src/bookkeeping/machine_state.h
@@ -20,7 +20,7 @@
   bool epoch_shown;       /* the worker has reported `epoch`; false: it is the lowest that the worker may be in */
   double expired_at;      /* when its lease was last found expired; 0: never */
   uint64_t fencing_token; /* the highest that the worker has reported */
-  uint64_t lowest_token;  /* the lowest to send it after a restart: above all that it was sent before; 0: any */
+  uint64_t lowest_token;  /* the lowest to send it: raised after a restart, or to solicit a heartbeat; 0: any */
   double token_raised_at; /* when a higher token was last sent to make it report, or first shown; 0: never */
   double epoch_began_at;  /* when this controller first heard of the epoch: its lease began no later */
   double heard_at;        /* when the last heartbeat or response to a direct call arrived */
--- a/src/controller/worker_commands.h
+++ b/src/controller/worker_commands.h
@@ -14,8 +14,8 @@
 fc_worker_commands *fc_worker_commands_new(const fc_cluster *cluster, fc_task_completion *completion);
 void fc_worker_commands_free(fc_worker_commands *commands);
 
-/* Returns the commands (fc_command) for a reconciled machine, to be sent by a direct call with this fencing token; none
- * while its worker's epoch is not known. Starts are marked as sent. The placement of a task that is to be stopped, and
+/* Returns the commands (fc_command) for a reconciled machine, to be sent by a direct call with this fencing token: no
+ * starts, and none at all while its worker's epoch is not known. The placement of a task that is to be stopped, and
  * whose start was never sent, is removed. The caller frees the array; its strings are owned by the placements. */
 GArray *fc_worker_commands_for_call(fc_worker_commands *commands, fc_machine *machine, uint64_t fencing_token);
 /* The same for the response to the heartbeat with this sequence number. */
--- a/tests/sim/held_calls.c
+++ b/tests/sim/held_calls.c
@@ -36,10 +36,7 @@
     sim_after(RETRY_S, deliver_late, call);
     return;
   }
-  if (!call->worker->terminated) {
-    g_result.late_calls++;
-    g_result.late_calls_executed += worker_receive_call(call->worker, call->body);
-  }
+  if (!call->worker->terminated) g_result.late_calls_executed += worker_receive_call(call->worker, call->body);
   g_free(call->body);
   g_free(call);
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -41,9 +41,9 @@
                                                        * that they began */
   double max_unfenced_s;        /* the longest time in which a restarted machine had seen no token above those before */
   unsigned late_cloud_requests; /* rentals and deletions that were carried out late */
-  unsigned late_calls, late_calls_executed; /* direct calls that were held up and arrived; of those, executed */
-  unsigned unknown_members;                 /* messages that had unknown members */
-  unsigned over_rate;                       /* transactions that the key-value store refused for their rate */
+  unsigned late_calls_executed; /* direct calls that were held up, and executed when they arrived */
+  unsigned unknown_members;     /* messages that had unknown members */
+  unsigned over_rate;           /* transactions that the key-value store refused for their rate */
   unsigned status_requests, status_answers, status_refusals; /* ended; answered with 200; with 503 */
 } world_result;
 
--- a/tests/test_expired_leases.c
+++ b/tests/test_expired_leases.c
@@ -23,7 +23,7 @@
 #define CUT_AT_S 20.0
 #define CUT_DURATION_S 60.0
 #define OBSERVED_S 40.0 /* from the cut on */
-#define SEEDS_PER_ROW 10u
+#define SEEDS_PER_ROW 6u
 
 /* Times are relative to the cut; the leases of the cut machines expire 12 to 15 s after it. */
 typedef struct expired_lease_row {
@@ -84,17 +84,15 @@
 static void run_rows(const expired_lease_row *rows, size_t count) {
   unsigned broken = 0;
   for (size_t i = 0; i < count; i++) {
-    unsigned lease_kills = 0;
     for (uint32_t seed = 1; seed <= SEEDS_PER_ROW; seed++) {
       world_result r = run_scenario(&rows[i], seed);
       print_message(
           "%s, seed %u: ran twice %u, over the limit %u, %u starts, %u tasks ended with a lease, %u tasks of the team "
           "run\n",
           rows[i].name, seed, r.ran_twice, r.over_quota, r.starts, r.lease_kills, running_team_jobs());
-      lease_kills += r.lease_kills;
+      check_row(rows[i].name, r.lease_kills > 0);
       broken += r.broken;
     }
-    check_row(rows[i].name, lease_kills > SEEDS_PER_ROW);
   }
   assert_int_equal(broken, 0);
 }
--- a/tests/test_job_dependencies.c
+++ b/tests/test_job_dependencies.c
@@ -77,6 +77,8 @@
     {"a repeated submission of a job cancelled at once", "job-000104", "[]", 200, "cancelled", 1},
 };
 
+#define NEXT_POLL_S 6.0 /* users ask about every 5 s */
+
 static void start_jobs_to_depend_on(void) {
   start_fleet(1, 4);
   for (unsigned k = 5; k <= 6; k++) world_submit(world_id(k), "sweep", "standard", 1, 0.5, 2, 0);
@@ -90,7 +92,9 @@
   world_submit(world_id(4), "sweep", "standard", 1, 0.5, 1, 0);
   sim_run_until(sim_now() + 1);
   world_cancel(world_id(2), -1, 0);
-  double until = sim_now() + 15; /* until its user has asked again */
+  sim_run_until(sim_now() + 5);
+  assert_true(world_completed_at(world_id(4)) > 0);
+  double until = sim_now() + NEXT_POLL_S;
   while (!world_seen_terminal_state(world_id(4)) && sim_now() < until) sim_run_until(sim_now() + 0.25);
   assert_non_null(world_seen_terminal_state(world_id(4)));
   assert_string_equal(world_seen_terminal_state(world_id(4)), "done");
--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -17,30 +17,16 @@
   return atoi(at + strlen("\"running\":"));
 }
 
-#define ALL_RUN_MAX_S 25.0
-/* Of 300 such beginnings four leave a task pending beside room (test_task_pends_beside_room in KNOWN-RED.txt), as many
- * as before starts were sent with answers only. The next seed is used then. */
-#define BEGINNINGS_MAX 3u
-#define NEXT_SEED 1000u
-
 static const char *const k_job_ids[] = {"job-000001", "job-000002", "job-000003"};
 
-/* Six machines with a long-running service, array and gang. Returns whether all tasks run. */
-static bool try_three_jobs(uint32_t seed) {
+/* Six machines with a long-running service, array and gang. */
+static void start_three_jobs(uint32_t seed) {
   scene_begin(&(scene_setup){.seed = seed, .capacity = 12, .keep_idle = true, .machines = {3, 3}});
   world_submit(k_job_ids[0], "service", "prod", 6, 1, 1e6, 5);
   world_submit(k_job_ids[1], "sweep", "standard", 6, 1, 1e6, 5);
   world_submit(k_job_ids[2], "gang", "high", 2, 3, 1e6, 5);
   sim_run_until(sim_now() + 20);
-  double until = sim_now() + ALL_RUN_MAX_S - 20;
-  while (world_running_tasks() < 14 && sim_now() < until) sim_run_until(sim_now() + 0.25);
-  return world_running_tasks() == 14;
-}
-
-static void start_three_jobs(uint32_t seed) {
-  bool all_run = false;
-  for (unsigned i = 0; i < BEGINNINGS_MAX && !all_run; i++) all_run = try_three_jobs(seed + i * NEXT_SEED);
-  assert_true(all_run);
+  assert_int_equal(world_running_tasks(), 14);
 }
 
 /* No controller reports more running tasks than there are. */
@@ -451,5 +437,8 @@
                                      cmocka_unit_test(delayed_transactions),
                                      cmocka_unit_test(delayed_transactions_about_removed_records),
                                      cmocka_unit_test(delayed_quota_and_membership_records)};
+  /* Runs a single test, or all tests except one. */
+  cmocka_set_test_filter(g_getenv("LATE_ONLY"));
+  cmocka_set_skip_filter(g_getenv("LATE_BUT"));
   return cmocka_run_group_tests(tests, NULL, NULL);
 }
